--- /dev/null
+++ b/include/cranberryreel/model/Resources.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+namespace cranberryreel::model
+{
+
+/// An amount of every dimension that a VM can run out of. A small immutable-by-habit value, copied freely.
+struct Resources {
+    std::int64_t cpuMillis = 0; ///< Thousandths of a processor core.
+    std::int64_t memoryMiB = 0; ///< Mebibytes.
+    std::int64_t accelerators = 0; ///< Whole devices.
+
+    bool fitsIn(const Resources &room) const
+    {
+        return this->cpuMillis <= room.cpuMillis && this->memoryMiB <= room.memoryMiB && this->accelerators <= room.accelerators;
+    }
+
+    bool isZero() const
+    {
+        return this->cpuMillis == 0 && this->memoryMiB == 0 && this->accelerators == 0;
+    }
+
+    Resources &operator+=(const Resources &other)
+    {
+        this->cpuMillis += other.cpuMillis;
+        this->memoryMiB += other.memoryMiB;
+        this->accelerators += other.accelerators;
+        return *this;
+    }
+
+    Resources &operator-=(const Resources &other)
+    {
+        this->cpuMillis -= other.cpuMillis;
+        this->memoryMiB -= other.memoryMiB;
+        this->accelerators -= other.accelerators;
+        return *this;
+    }
+
+    friend Resources operator+(Resources left, const Resources &right)
+    {
+        return left += right;
+    }
+
+    friend Resources operator-(Resources left, const Resources &right)
+    {
+        return left -= right;
+    }
+
+    friend bool operator==(const Resources &left, const Resources &right)
+    {
+        return left.cpuMillis == right.cpuMillis && left.memoryMiB == right.memoryMiB && left.accelerators == right.accelerators;
+    }
+
+    friend bool operator!=(const Resources &left, const Resources &right)
+    {
+        return !(left == right);
+    }
+
+    /// The larger of the two on every dimension.
+    static Resources larger(const Resources &left, const Resources &right)
+    {
+        return {std::max(left.cpuMillis, right.cpuMillis), std::max(left.memoryMiB, right.memoryMiB), std::max(left.accelerators, right.accelerators)};
+    }
+};
+
+} // namespace cranberryreel::model
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,7 @@
+#include <cstdio>
+
+int main()
+{
+    std::puts("cranberryreel " CRANBERRYREEL_VERSION);
+    return 0;
+}
