State the interfaces between the parts

Cause: several people write parts side by side and must meet in the middle. Ruled out: a shared message bus (hides who depends on whom).

--- /dev/null
+++ b/src/config/Configuration.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "cranberryreel/model/Resources.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cranberryreel::config
+{
+
+struct RegisterVm {
+    std::string vm;
+    std::string zone;
+    std::string rack;
+    model::Resources capacity;
+};
+
+struct RegisterPartner {
+    std::string partner;
+    std::string keyHash; ///< SHA-256 of the bearer key, lower-case hex.
+    bool isOperator = false;
+};
+
+/// Who may use what, in which order: one partner's rules.
+struct PartnerRules {
+    std::string partner;
+    double weight = 1.0;
+    std::string parent; ///< Quota group.
+    model::Resources quota; ///< 0 in a dimension: no limit.
+    bool mayBorrow = true;
+    std::uint32_t maxQueued = 10000;
+    std::vector<std::string> services; ///< Services it may use; empty means all.
+};
+
+/// One revision of register and rules: an immutable value, shared by pointer.
+struct Configuration {
+    std::uint64_t revision = 0;
+    std::map<std::string, RegisterVm> vms;
+    std::map<std::string, RegisterPartner> partners; ///< By partner name.
+    std::vector<std::string> services;
+    std::string profile = "waiting_time"; ///< Or "packing".
+    std::chrono::milliseconds giveBackWithin{60000};
+    std::map<std::string, PartnerRules> rules;
+    std::string registerText; ///< The INI as loaded.
+    std::string rulesText;
+};
+
+} // namespace cranberryreel::config
