Plan placements: ledger, queues, shares, gangs, preemption, health

Cause: the whole path needs a planner to drive. Ledger with a cell index instead of a sorted tree by one dimension, since work needs a vector; ruled out a scan of all VMs for each decision (cost grows with the zone).

--- /dev/null
+++ b/src/policy/GangReserver.cpp
@@ -0,0 +1,284 @@
+#include "policy/GangReserver.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cranberryreel::policy
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds RechooseInterval{1000};
+constexpr std::chrono::milliseconds RetryInterval{200};
+constexpr std::chrono::seconds UnknownRemaining{600};
+constexpr std::chrono::seconds LeastRemaining{1};
+
+std::uint32_t times(const model::Resources &need, const model::Resources &room, std::int64_t slots)
+{
+    std::int64_t count = std::max<std::int64_t>(0, slots);
+    count = need.cpuMillis > 0 ? std::min(count, room.cpuMillis / need.cpuMillis) : count;
+    count = need.memoryMiB > 0 ? std::min(count, room.memoryMiB / need.memoryMiB) : count;
+    count = need.accelerators > 0 ? std::min(count, room.accelerators / need.accelerators) : count;
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
+}
+
+/// When a running task is expected to be gone; overdue ones are taken to need half as long again as they have run.
+base::SteadyTime expectedGone(const TaskEntry &task, base::SteadyTime now)
+{
+    if (task.expectedEnd == base::SteadyTime::max()) {
+        return now + UnknownRemaining;
+    }
+    const auto overdueEnd = now + (now - task.startedAt) / 2;
+    return std::max(task.expectedEnd > now ? task.expectedEnd : overdueEnd, now + LeastRemaining);
+}
+
+} // namespace
+
+bool GangReserver::startWhole(JobIndex index, base::SteadyTime now)
+{
+    JobEntry &entry = this->zone.jobs.at(index);
+    Demand room = this->zone.ledger.total();
+    room -= this->zone.ledger.reserved();
+    if (now < entry.nextGangTryAt || !taskDemand(entry.need).times(entry.waiting).fitsIn(room)) {
+        return false;
+    }
+    std::vector<Planned> planned;
+    std::vector<std::uint32_t> places;
+    Ledger &ledger = this->zone.ledger;
+    const auto undo = [&] {
+        for (std::size_t i = planned.size(); i-- > 0;) {
+            ledger.release(planned[i].vm, planned[i].upstream, entry.need, places[i]);
+        }
+    };
+    for (std::uint32_t task = 0; task < entry.tasks.size(); ++task) {
+        if (entry.tasks[task].phase != TaskPhase::Waiting) {
+            continue;
+        }
+        VmIndex best = NoIndex;
+        ledger.open(entry.service).visit(entry.need, {1, 1, false}, [&](VmIndex vm) {
+            const bool fits = ledger.fits(vm, entry.service, entry.need);
+            best = fits ? vm : best;
+            return fits;
+        });
+        if (best == NoIndex) {
+            undo();
+            entry.nextGangTryAt = now + RetryInterval;
+            return false;
+        }
+        const UpstreamIndex upstream = ledger.chooseUpstream(best, entry.service);
+        places.push_back(ledger.reserve(best, upstream, entry.need, {index, task}));
+        planned.push_back({best, upstream, task});
+    }
+    undo();
+    for (const Planned &plan : planned) {
+        this->zone.start(index, plan.task, plan.vm, plan.upstream);
+    }
+    return true;
+}
+
+std::uint32_t GangReserver::wanted() const
+{
+    const JobEntry &entry = this->zone.jobs.at(this->job);
+    return entry.kind == model::JobKind::Gang ? entry.waiting : std::min<std::uint32_t>(1, entry.waiting);
+}
+
+std::uint32_t GangReserver::fitting(VmIndex index) const
+{
+    const JobEntry &entry = this->zone.jobs.at(this->job);
+    const LedgerVm &vm = this->zone.ledger.vm(index);
+    if (!vm.known || vm.draining) {
+        return 0;
+    }
+    std::int64_t slots = 0;
+    for (const UpstreamIndex upstreamIndex : vm.upstreams) {
+        const LedgerUpstream &upstream = this->zone.ledger.upstream(upstreamIndex);
+        const bool serves = entry.service == Ledger::AnyService || upstream.service == entry.service;
+        slots += serves && upstream.hasRoom() ? upstream.openSlots() - upstream.usedSlots : 0;
+    }
+    return times(entry.need, vm.free(), slots);
+}
+
+void GangReserver::roomEvents(VmIndex index, base::SteadyTime now, std::vector<RoomEvent> &events) const
+{
+    const JobEntry &entry = this->zone.jobs.at(this->job);
+    const LedgerVm &vm = this->zone.ledger.vm(index);
+    const bool heldByOther = vm.heldBy != NoIndex && vm.heldBy != this->job;
+    if (!vm.known || vm.draining || heldByOther) {
+        return;
+    }
+    model::Resources room = vm.free();
+    std::int64_t slots = 0;
+    for (const UpstreamIndex upstreamIndex : vm.upstreams) {
+        const LedgerUpstream &upstream = this->zone.ledger.upstream(upstreamIndex);
+        const bool serves = upstream.accepting && (entry.service == Ledger::AnyService || upstream.service == entry.service);
+        slots += serves ? std::int64_t{upstream.openSlots()} - upstream.usedSlots : 0;
+    }
+    std::uint32_t fit = times(entry.need, room, slots);
+    if (fit > 0) {
+        events.push_back({now, index, fit});
+    }
+    std::vector<std::pair<base::SteadyTime, model::Resources>> ends;
+    for (const TaskRef &ref : vm.tasks) {
+        const JobEntry &other = this->zone.jobs.at(ref.job);
+        if (other.kind != model::JobKind::Service) {
+            ends.emplace_back(expectedGone(other.tasks[ref.task], now), other.tasks[ref.task].reserved);
+        }
+    }
+    std::sort(ends.begin(), ends.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    for (const auto &[at, freed] : ends) {
+        room += freed;
+        ++slots;
+        if (const std::uint32_t more = times(entry.need, room, slots); more > fit) {
+            events.push_back({at, index, more - fit});
+            fit = more;
+        }
+    }
+}
+
+bool GangReserver::choose(base::SteadyTime now)
+{
+    std::vector<RoomEvent> events;
+    for (VmIndex vm = 0; vm < this->zone.ledger.vmCount(); ++vm) {
+        this->roomEvents(vm, now, events);
+    }
+    std::sort(events.begin(), events.end());
+    std::uint32_t missing = this->wanted();
+    absl::flat_hash_map<VmIndex, std::uint32_t> chosen;
+    for (const RoomEvent &event : events) {
+        if (missing == 0) {
+            break;
+        }
+        chosen[event.vm] = 0;
+        missing -= std::min(missing, event.tasks);
+        this->needed = event.at;
+    }
+    this->chosenAt = now;
+    if (missing > 0) {
+        return false;
+    }
+    for (const auto &[vm, fits] : this->held) {
+        if (!chosen.contains(vm)) {
+            this->zone.ledger.releaseHold(vm);
+        }
+    }
+    for (const auto &[vm, fits] : chosen) {
+        if (this->zone.ledger.vm(vm).heldBy != this->job) {
+            this->zone.ledger.hold(vm, this->job);
+        }
+    }
+    this->held = std::move(chosen);
+    this->seenVersion = 0;
+    return true;
+}
+
+void GangReserver::reserve(JobIndex index, base::SteadyTime now)
+{
+    JobEntry &entry = this->zone.jobs.at(index);
+    if (this->job != NoIndex || now < entry.nextReserveAt) {
+        return;
+    }
+    entry.nextReserveAt = now + RechooseInterval;
+    this->zone.dropHold(entry);
+    this->job = index;
+    if (!this->choose(now)) {
+        this->releaseAll();
+    }
+}
+
+void GangReserver::updateFits()
+{
+    Ledger &ledger = this->zone.ledger;
+    const auto update = [this](VmIndex vm, std::uint32_t &fits) {
+        const std::uint32_t now = this->fitting(vm);
+        this->fitsTotal += now;
+        this->fitsTotal -= fits;
+        fits = now;
+    };
+    const bool known = this->seenVersion != 0 && ledger.visitChanges(this->seenVersion, [&](VmIndex vm) {
+        if (const auto found = this->held.find(vm); found != this->held.end()) {
+            update(vm, found->second);
+        }
+    });
+    if (!known) {
+        this->fitsTotal = 0;
+        for (auto &[vm, fits] : this->held) {
+            fits = 0;
+            update(vm, fits);
+        }
+    }
+    this->seenVersion = ledger.version();
+}
+
+void GangReserver::roomTaken(VmIndex vm)
+{
+    if (const auto found = this->held.find(vm); found != this->held.end() && this->seenVersion != 0) {
+        const std::uint32_t now = this->fitting(vm);
+        this->fitsTotal += now;
+        this->fitsTotal -= found->second;
+        found->second = now;
+    }
+}
+
+bool GangReserver::advance(base::SteadyTime now)
+{
+    if (this->job == NoIndex) {
+        return false;
+    }
+    if (this->wanted() == 0) {
+        this->releaseAll();
+        return false;
+    }
+    this->updateFits();
+    if (this->fitsTotal >= this->wanted()) {
+        this->seenVersion = 0; // Room may have shrunk since; count it whole before starting.
+        this->updateFits();
+    }
+    if (this->fitsTotal >= this->wanted()) {
+        this->startOnHeld();
+        return true;
+    }
+    if (now - this->chosenAt >= RechooseInterval && !this->choose(now)) {
+        this->releaseAll();
+    }
+    return false;
+}
+
+void GangReserver::startOnHeld()
+{
+    const JobIndex index = this->job;
+    JobEntry &entry = this->zone.jobs.at(index);
+    std::uint32_t missing = this->wanted();
+    std::vector<VmIndex> vms;
+    for (const auto &[vm, fits] : this->held) {
+        vms.push_back(vm);
+    }
+    std::sort(vms.begin(), vms.end());
+    for (const VmIndex vm : vms) {
+        while (missing > 0 && this->zone.ledger.fits(vm, entry.service, entry.need)) {
+            this->zone.start(index, JobTable::nextWaiting(entry), vm, this->zone.ledger.chooseUpstream(vm, entry.service));
+            --missing;
+        }
+    }
+    this->releaseAll();
+}
+
+void GangReserver::drop(JobIndex index)
+{
+    if (this->job == index) {
+        this->releaseAll();
+    }
+}
+
+void GangReserver::releaseAll()
+{
+    for (const auto &[vm, fits] : this->held) {
+        this->zone.ledger.releaseHold(vm);
+    }
+    this->held.clear();
+    this->job = NoIndex;
+    this->seenVersion = 0;
+    this->fitsTotal = 0;
+}
+
+} // namespace cranberryreel::policy
--- /dev/null
+++ b/src/policy/PlannerCore.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "policy/Drainer.h"
+#include "policy/Explainer.h"
+#include "policy/GangReserver.h"
+#include "policy/Planner.h"
+#include "policy/Preemptor.h"
+#include "policy/RequestHeadroom.h"
+#include "policy/Starter.h"
+#include "policy/ZoneState.h"
+
+#include <string>
+#include <vector>
+
+namespace cranberryreel::policy
+{
+
+/// The planner: turns events into changes of the zone's state, and asks its helpers for decisions. Made by makePlanner().
+class PlannerCore : public Planner
+{
+public:
+    void setRules(const RulesView &rules) override;
+    void setVm(const VmView &vm) override;
+    void removeVm(const std::string &vm) override;
+    void setUpstream(const UpstreamView &upstream, base::SteadyTime now) override;
+    void removeUpstream(const std::string &id, base::SteadyTime now) override;
+    Decision enqueue(const model::JobSpec &spec, base::SteadyTime now) override;
+    void restore(const model::JobSpec &spec, base::SteadyTime now) override;
+    void adopt(const model::JobSpec &spec, std::uint32_t task, const std::string &upstream, const model::Resources &reserved, base::SteadyTime now) override;
+    void cancel(const model::JobId &job, base::SteadyTime now) override;
+    void started(const model::JobId &job, std::uint32_t task, base::SteadyTime now) override;
+    void ended(const model::JobId &job, std::uint32_t task, TaskEnd end, bool again, base::SteadyTime now) override;
+    void usage(const model::JobId &job, std::uint32_t task, const model::Resources &used, base::SteadyTime now) override;
+    std::vector<Decision> plan(base::SteadyTime now, std::size_t most) override;
+    std::string explain(const model::JobId &job, base::SteadyTime now) const override;
+    std::vector<ShareRow> shares(base::SteadyTime now) const override;
+    LoadView load(base::SteadyTime now) const override;
+
+private:
+    /// Why a job can never run here; Ok when it can.
+    Decision verdict(const model::JobSpec &spec) const;
+    Decision admission(const model::JobSpec &spec, base::SteadyTime now);
+    std::chrono::milliseconds expectedWait(std::uint32_t waiting, const RateMeter &starts, base::SteadyTime now) const;
+    JobEntry newEntry(const model::JobSpec &spec, base::SteadyTime now);
+    void learn(const JobEntry &job, const TaskEntry &task, TaskEnd end, base::SteadyTime now);
+    void refuse(JobIndex job, base::ResultCode code, const std::string &reason);
+    void refuseLateRequests(base::SteadyTime now);
+    void refuseWhatNeverFits();
+    std::vector<Decision> handOut(std::size_t most);
+    bool isVoid(const Decision &decision);
+
+    ZoneState zone;
+    GangReserver gangs{zone};
+    RequestHeadroom headroom;
+    Starter starter{zone, gangs, headroom};
+    Preemptor preemptor{zone};
+    Drainer drainer{zone};
+    Explainer explainer{zone, gangs};
+    bool registerChanged = false;
+};
+
+} // namespace cranberryreel::policy
--- /dev/null
+++ b/src/policy/Preemptor.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "cranberryreel/base/Clock.h"
+#include "policy/Ids.h"
+#include "policy/ZoneState.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace cranberryreel::policy
+{
+
+/// Makes room by checkpointing and stopping batch tasks: of partners that hold more than their due for a partner that has less, and of the same partner for its
+/// urgent work. The freed VM is held for the job in whose favour it was done. Owned by the planner.
+class Preemptor
+{
+public:
+    explicit Preemptor(ZoneState &zoneState)
+        : zone(zoneState)
+    {
+    }
+
+    /// Looks at the heads of the queues that have no room.
+    void makeRoom(base::SteadyTime now);
+
+    /// Opens VMs that were held for longer than their use.
+    void expireHolds(base::SteadyTime now);
+
+private:
+    struct Plan {
+        VmIndex vm = NoIndex;
+        double cost = 0; ///< Seconds of work lost or moved.
+        std::vector<TaskRef> victims;
+    };
+
+    void tryFor(JobIndex job, base::SteadyTime now);
+    bool mayAsk(const JobEntry &job, base::SteadyTime now) const;
+    bool mayTakeFrom(const JobEntry &job, bool withinDue, PartnerIndex victim) const;
+    Plan planOn(VmIndex vm, const JobEntry &job, bool withinDue, base::SteadyTime now) const;
+
+    ZoneState &zone;
+    std::vector<JobIndex> holders;
+};
+
+} // namespace cranberryreel::policy
--- /dev/null
+++ b/src/policy/RateMeter.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cranberryreel/base/Clock.h"
+
+#include <chrono>
+#include <cmath>
+
+namespace cranberryreel::policy
+{
+
+/// Events a second over the last while, older ones fading. A value.
+class RateMeter
+{
+public:
+    explicit RateMeter(std::chrono::milliseconds averagedOver = std::chrono::seconds(10))
+        : window(averagedOver)
+    {
+    }
+
+    void add(base::SteadyTime now)
+    {
+        this->weight = this->weightAt(now) + 1;
+        this->last = now;
+    }
+
+    double perSecond(base::SteadyTime now) const
+    {
+        return this->weightAt(now) / std::chrono::duration<double>(this->window).count();
+    }
+
+private:
+    double weightAt(base::SteadyTime now) const
+    {
+        const std::chrono::duration<double> age = now - this->last;
+        return this->weight * std::exp(-age.count() / std::chrono::duration<double>(this->window).count());
+    }
+
+    std::chrono::milliseconds window;
+    double weight = 0;
+    base::SteadyTime last;
+};
+
+} // namespace cranberryreel::policy
--- /dev/null
+++ b/src/policy/Starter.cpp
@@ -0,0 +1,242 @@
+#include "policy/Starter.h"
+
+#include "policy/ClassPolicy.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace cranberryreel::policy
+{
+
+namespace
+{
+
+using model::JobKind;
+
+constexpr std::size_t JobsInSight = 16; ///< Jobs of a queue tried, in order, while the ones before have no room.
+constexpr std::chrono::seconds StarvesAfter{10}; ///< A single task without room for so long gets a reservation like a gang.
+constexpr std::array<JobKind, 4> ServedKinds{JobKind::Request, JobKind::Service, JobKind::Gang, JobKind::Batch};
+constexpr std::array<JobKind, 2> ProbeKinds{JobKind::Batch, JobKind::Request};
+
+model::Resources smaller(const model::Resources &left, const model::Resources &right)
+{
+    return {std::min(left.cpuMillis, right.cpuMillis), std::min(left.memoryMiB, right.memoryMiB), std::min(left.accelerators, right.accelerators)};
+}
+
+} // namespace
+
+bool Starter::startNext(base::SteadyTime now)
+{
+    this->zone.shares.reorder();
+    return this->startProbe(now) || this->startTier(Tier::UrgentWithinDue, now) || this->startTier(Tier::All, now);
+}
+
+bool Starter::startProbe(base::SteadyTime now)
+{
+    for (const UpstreamIndex upstream : this->zone.health.probing()) {
+        const LedgerUpstream &entry = this->zone.ledger.upstream(upstream);
+        const VmIndex vm = entry.vm;
+        const LedgerVm &place = this->zone.ledger.vm(vm);
+        if (!entry.accepting || !place.known || place.draining || place.heldBy != NoIndex || entry.usedSlots >= entry.slots) {
+            continue;
+        }
+        for (const JobKind kind : ProbeKinds) {
+            for (const FairShares::Order &next : this->zone.shares.order()) {
+                const WorkQueue &queue = this->zone.queues.of(next.partner, kind);
+                if (queue.jobs.empty()) {
+                    continue;
+                }
+                const JobIndex job = queue.jobs.begin()->job;
+                const JobEntry &candidate = this->zone.jobs.at(job);
+                const bool serves = candidate.service == Ledger::AnyService || candidate.service == entry.service;
+                if (!candidate.repeatable || !serves || !candidate.need.fitsIn(place.free())
+                    || this->zone.shares.hardLimit(candidate.partner, candidate.need) != NoIndex) {
+                    continue;
+                }
+                this->zone.ledger.setSlotLimit(upstream, entry.usedSlots + 1);
+                this->commit(job, vm, upstream, now);
+                this->zone.ledger.setSlotLimit(upstream, 0);
+                this->zone.health.probeStarted(upstream);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool Starter::startTier(Tier tier, base::SteadyTime now)
+{
+    for (const FairShares::Order &next : this->zone.shares.order()) {
+        for (const JobKind kind : ServedKinds) {
+            if (tier == Tier::UrgentWithinDue && !ClassPolicy::of(kind).isUrgent()) {
+                continue;
+            }
+            if (this->startFromQueue(next.partner, kind, tier, now)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool Starter::startFromQueue(PartnerIndex partner, JobKind kind, Tier tier, base::SteadyTime now)
+{
+    WorkQueue &queue = this->zone.queues.of(partner, kind);
+    if (queue.jobs.empty()) {
+        return false;
+    }
+    const Ledger &ledger = this->zone.ledger;
+    if (queue.blockedVersion != 0 && !ledger.mayFitSince(queue.blockedVersion, Ledger::AnyService, queue.leastNeed)) {
+        queue.blockedVersion = ledger.version();
+        return false;
+    }
+    std::array<JobIndex, JobsInSight> inSight{};
+    std::size_t count = 0;
+    for (auto at = queue.jobs.begin(); at != queue.jobs.end() && count < JobsInSight; ++at) {
+        inSight[count++] = at->job;
+    }
+    model::Resources leastNeed = this->zone.jobs.at(inSight[0]).need;
+    bool roomOnly = true;
+    for (std::size_t i = 0; i < count; ++i) {
+        const JobEntry &job = this->zone.jobs.at(inSight[i]);
+        leastNeed = smaller(leastNeed, job.need);
+        if (tier == Tier::UrgentWithinDue && !this->zone.shares.isWithinDue(partner, taskDemand(job.need))) {
+            return false;
+        }
+        const Outcome outcome = this->tryJob(inSight[i], now);
+        if (outcome == Outcome::Started) {
+            return true;
+        }
+        roomOnly = roomOnly && outcome == Outcome::NoRoom;
+    }
+    queue.blockedVersion = roomOnly ? ledger.version() : 0;
+    queue.leastNeed = leastNeed;
+    return false;
+}
+
+Starter::Outcome Starter::tryJob(JobIndex index, base::SteadyTime now)
+{
+    const JobEntry &job = this->zone.jobs.at(index);
+    const bool whole = job.kind == JobKind::Gang && job.active == 0;
+    const std::int64_t tasks = whole ? job.waiting : 1;
+    if (this->zone.shares.hardLimit(job.partner, taskDemand(job.need).times(tasks).resources) != NoIndex) {
+        return Outcome::HeldBack;
+    }
+    return whole ? this->tryGang(index, now) : this->tryTask(index, now);
+}
+
+Starter::Outcome Starter::tryGang(JobIndex index, base::SteadyTime now)
+{
+    if (this->gangs.holder() == index) {
+        return Outcome::HeldBack;
+    }
+    if (this->gangs.startWhole(index, now)) {
+        return Outcome::Started;
+    }
+    this->gangs.reserve(index, now);
+    return Outcome::HeldBack;
+}
+
+Starter::Outcome Starter::tryTask(JobIndex index, base::SteadyTime now)
+{
+    JobEntry &job = this->zone.jobs.at(index);
+    if (this->gangs.holder() == index) {
+        return Outcome::HeldBack;
+    }
+    if (job.blockedVersion != 0 && !this->zone.ledger.mayFitSince(job.blockedVersion, job.service, job.need)) {
+        return Outcome::NoRoom;
+    }
+    if (!this->keepsHeadroom(job)) {
+        return Outcome::HeldBack;
+    }
+    VmIndex vm = this->findVm(job);
+    if (vm == NoIndex) {
+        vm = this->findBackfill(job, now);
+    }
+    if (vm != NoIndex) {
+        this->commit(index, vm, this->zone.ledger.chooseUpstream(vm, job.service), now);
+        return Outcome::Started;
+    }
+    job.blockedVersion = this->zone.ledger.version();
+    if (job.kind != JobKind::Request && now - job.enqueuedAt >= StarvesAfter) {
+        this->gangs.reserve(index, now);
+    }
+    return Outcome::NoRoom;
+}
+
+VmIndex Starter::findVm(const JobEntry &job) const
+{
+    const Ledger &ledger = this->zone.ledger;
+    if (job.heldVm != NoIndex && ledger.fits(job.heldVm, job.service, job.need)) {
+        return job.heldVm;
+    }
+    const ClassPolicy &policy = ClassPolicy::of(job.kind);
+    VmIndex best = NoIndex;
+    double bestScore = std::numeric_limits<double>::infinity();
+    ledger.open(job.service).visit(job.need, policy.breadth(), [&](VmIndex vm) {
+        if (!ledger.fits(vm, job.service, job.need)) {
+            return false;
+        }
+        if (const double score = policy.score(ledger, vm, job); score < bestScore) {
+            bestScore = score;
+            best = vm;
+        }
+        return true;
+    });
+    return best;
+}
+
+VmIndex Starter::findBackfill(const JobEntry &job, base::SteadyTime now) const
+{
+    const Ledger &ledger = this->zone.ledger;
+    if (this->gangs.holder() == NoIndex || !ClassPolicy::of(job.kind).mayBackfill()) {
+        return NoIndex;
+    }
+    const auto longRun = this->zone.model.longRunTime(job.name, job.runTime);
+    if (!longRun || now + *longRun > this->gangs.neededAt()) {
+        return NoIndex;
+    }
+    VmIndex found = NoIndex;
+    ledger.held(job.service).visit(job.need, {1, 1, false}, [&](VmIndex vm) {
+        const bool fits = ledger.vm(vm).heldBy == this->gangs.holder() && ledger.fits(vm, job.service, job.need);
+        found = fits ? vm : found;
+        return fits;
+    });
+    return found;
+}
+
+bool Starter::keepsHeadroom(const JobEntry &job) const
+{
+    if (this->zone.profile == Profile::Packing || ClassPolicy::of(job.kind).isUrgent()) {
+        return true;
+    }
+    const Ledger &ledger = this->zone.ledger;
+    Demand room = ledger.total();
+    room -= ledger.reserved();
+    room -= taskDemand(job.need);
+    const Demand wanted = this->headroom.wanted(this->zone.requestsReserved, ledger.total());
+    return wanted.fitsIn(room);
+}
+
+void Starter::commit(JobIndex index, VmIndex vm, UpstreamIndex upstream, base::SteadyTime now)
+{
+    JobEntry &job = this->zone.jobs.at(index);
+    if (job.heldVm != NoIndex) {
+        this->zone.dropHold(job);
+    }
+    const std::uint32_t task = JobTable::nextWaiting(job);
+    this->zone.start(index, task, vm, upstream);
+    this->gangs.roomTaken(vm);
+    TaskEntry &entry = job.tasks[task];
+    entry.startedAt = now;
+    if (const auto typical = this->zone.model.typicalRunTime(job.name, job.runTime)) {
+        entry.expectedEnd = now + *typical;
+    }
+    if (job.kind == JobKind::Request) {
+        this->zone.requestStartsOf(job.partner).add(now);
+        this->zone.allRequestStarts.add(now);
+    }
+}
+
+} // namespace cranberryreel::policy
--- /dev/null
+++ b/src/policy/Starter.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "cranberryreel/base/Clock.h"
+#include "policy/GangReserver.h"
+#include "policy/Ids.h"
+#include "policy/RequestHeadroom.h"
+#include "policy/ZoneState.h"
+
+#include <cstdint>
+
+namespace cranberryreel::policy
+{
+
+/// Chooses the next waiting task that has room and starts it, in the order of the shares. Owned by the planner.
+class Starter
+{
+public:
+    Starter(ZoneState &zoneState, GangReserver &gangReserver, RequestHeadroom &requestHeadroom)
+        : zone(zoneState)
+        , gangs(gangReserver)
+        , headroom(requestHeadroom)
+    {
+    }
+
+    /// Starts one task, or one whole gang; false when nothing waiting can start now.
+    bool startNext(base::SteadyTime now);
+
+private:
+    enum class Tier : std::uint8_t {
+        UrgentWithinDue,
+        All,
+    };
+
+    enum class Outcome : std::uint8_t {
+        Started,
+        NoRoom,
+        HeldBack, ///< By a quota, the headroom for requests or a reservation, not by room alone.
+    };
+
+    bool startProbe(base::SteadyTime now);
+    bool startTier(Tier tier, base::SteadyTime now);
+    bool startFromQueue(PartnerIndex partner, model::JobKind kind, Tier tier, base::SteadyTime now);
+    Outcome tryJob(JobIndex job, base::SteadyTime now);
+    Outcome tryGang(JobIndex job, base::SteadyTime now);
+    Outcome tryTask(JobIndex job, base::SteadyTime now);
+    VmIndex findVm(const JobEntry &job) const;
+    VmIndex findBackfill(const JobEntry &job, base::SteadyTime now) const;
+    bool keepsHeadroom(const JobEntry &job) const;
+    void commit(JobIndex job, VmIndex vm, UpstreamIndex upstream, base::SteadyTime now);
+
+    ZoneState &zone;
+    GangReserver &gangs;
+    RequestHeadroom &headroom;
+};
+
+} // namespace cranberryreel::policy
--- /dev/null
+++ b/src/policy/ZoneState.cpp
@@ -0,0 +1,213 @@
+#include "policy/ZoneState.h"
+
+#include "policy/ClassPolicy.h"
+
+namespace cranberryreel::policy
+{
+
+model::Resources ZoneState::sizeOf(const JobEntry &job) const
+{
+    if (const auto learned = this->model.learnedSize(job.name)) {
+        if (const model::Resources both = model::Resources::larger(job.declared, *learned); this->ledger.everFits(both)) {
+            return both;
+        }
+    }
+    return job.declared;
+}
+
+void ZoneState::refreshNeed(JobEntry &job)
+{
+    const model::Resources need = this->sizeOf(job);
+    if (need == job.need) {
+        return;
+    }
+    if (job.waiting > 0) {
+        this->shares.removeWaiting(job.partner, job.kind, job.need, job.waiting);
+        this->shares.addWaiting(job.partner, job.kind, need, job.waiting);
+    }
+    job.need = need;
+    job.blockedVersion = 0;
+}
+
+void ZoneState::addWaiting(JobIndex index, std::uint32_t tasks)
+{
+    JobEntry &job = this->jobs.at(index);
+    this->refreshNeed(job);
+    job.waiting += tasks;
+    job.blockedVersion = 0;
+    this->shares.addWaiting(job.partner, job.kind, job.need, tasks);
+    this->queues.insert(index, job);
+    if (job.kind == model::JobKind::Request) {
+        this->requestsWaiting += tasks;
+        this->shedding.insert({job.latestStart, index});
+    }
+}
+
+void ZoneState::removeWaiting(JobIndex index, std::uint32_t tasks)
+{
+    JobEntry &job = this->jobs.at(index);
+    job.waiting -= tasks;
+    this->shares.removeWaiting(job.partner, job.kind, job.need, tasks);
+    if (job.kind == model::JobKind::Request) {
+        this->requestsWaiting -= tasks;
+    }
+    if (job.waiting == 0) {
+        this->queues.remove(index, job);
+        this->shedding.erase({job.latestStart, index});
+    }
+}
+
+void ZoneState::occupy(JobIndex index, std::uint32_t taskIndex, VmIndex vm, UpstreamIndex upstream, const model::Resources &size, std::uint32_t place)
+{
+    JobEntry &job = this->jobs.at(index);
+    TaskEntry &task = job.tasks[taskIndex];
+    task = TaskEntry{};
+    task.phase = TaskPhase::Starting;
+    task.upstream = upstream;
+    task.vm = vm;
+    task.placeOnVm = place;
+    task.reserved = size;
+    task.expectedEnd = base::SteadyTime::max();
+    ++job.active;
+    this->shares.addUsed(job.partner, taskDemand(size));
+    if (ClassPolicy::of(job.kind).isPreemptible()) {
+        auto &list = this->preemptibleOf(job.partner);
+        task.placeOfPartner = static_cast<std::uint32_t>(list.size());
+        list.push_back({index, taskIndex});
+    }
+    if (job.kind == model::JobKind::Request) {
+        this->requestsReserved += taskDemand(size);
+    }
+    if (job.kind == model::JobKind::Service) {
+        ++job.tasksByRack[this->ledger.vm(vm).rack];
+        ++job.tasksByVm[vm];
+    }
+}
+
+void ZoneState::start(JobIndex index, std::uint32_t task, VmIndex vm, UpstreamIndex upstream)
+{
+    JobEntry &job = this->jobs.at(index);
+    this->removeWaiting(index, 1);
+    const std::uint32_t place = this->ledger.reserve(vm, upstream, job.need, {index, task});
+    this->occupy(index, task, vm, upstream, job.need, place);
+    this->decisions.push_back({DecisionKind::Start, job.id, task, this->ledger.upstream(upstream).id, job.need, base::ResultCode::Ok, ""});
+}
+
+void ZoneState::adopt(JobIndex index, std::uint32_t task, UpstreamIndex upstream, const model::Resources &reserved, base::SteadyTime now)
+{
+    if (this->jobs.at(index).tasks[task].phase == TaskPhase::Waiting) {
+        this->removeWaiting(index, 1);
+    }
+    const VmIndex vm = this->ledger.upstream(upstream).vm;
+    const std::uint32_t place = this->ledger.adopt(vm, upstream, reserved, {index, task});
+    this->occupy(index, task, vm, upstream, reserved, place);
+    TaskEntry &entry = this->jobs.at(index).tasks[task];
+    entry.phase = TaskPhase::Running;
+    entry.startedAt = now;
+}
+
+void ZoneState::release(JobIndex index, std::uint32_t taskIndex)
+{
+    JobEntry &job = this->jobs.at(index);
+    TaskEntry &task = job.tasks[taskIndex];
+    if (const TaskRef moved = this->ledger.release(task.vm, task.upstream, task.reserved, task.placeOnVm); moved.job != NoIndex) {
+        this->jobs.at(moved.job).tasks[moved.task].placeOnVm = task.placeOnVm;
+    }
+    this->shares.removeUsed(job.partner, taskDemand(task.reserved));
+    if (task.placeOfPartner != NoIndex) {
+        auto &list = this->preemptibleOf(job.partner);
+        const TaskRef last = list.back();
+        list[task.placeOfPartner] = last;
+        list.pop_back();
+        this->jobs.at(last.job).tasks[last.task].placeOfPartner = task.placeOfPartner;
+        task.placeOfPartner = NoIndex;
+    }
+    if (job.kind == model::JobKind::Request) {
+        this->requestsReserved -= taskDemand(task.reserved);
+    }
+    if (job.kind == model::JobKind::Service) {
+        --job.tasksByRack[this->ledger.vm(task.vm).rack];
+        --job.tasksByVm[task.vm];
+    }
+    if (task.preempting) {
+        this->shares.removeGiving(job.partner, taskDemand(task.reserved));
+    }
+    task.phase = TaskPhase::Ended;
+    task.preempting = false;
+    --job.active;
+}
+
+void ZoneState::preempt(TaskRef ref, base::ResultCode code, const std::string &reason)
+{
+    const JobEntry &job = this->jobs.at(ref.job);
+    TaskEntry &task = this->jobs.at(ref.job).tasks[ref.task];
+    task.preempting = true;
+    this->shares.addGiving(job.partner, taskDemand(task.reserved));
+    this->decisions.push_back({DecisionKind::Preempt, job.id, ref.task, this->ledger.upstream(task.upstream).id, task.reserved, code, reason});
+}
+
+void ZoneState::putBack(JobIndex index, std::uint32_t task)
+{
+    JobTable::putBack(this->jobs.at(index), task);
+    this->addWaiting(index, 1);
+}
+
+void ZoneState::forgetIfOver(JobIndex index)
+{
+    JobEntry &job = this->jobs.at(index);
+    if (job.waiting > 0 || job.active > 0) {
+        return;
+    }
+    this->queues.remove(index, job);
+    this->shedding.erase({job.latestStart, index});
+    this->dropHold(job);
+    this->jobs.forget(index);
+}
+
+void ZoneState::dropHold(JobEntry &job)
+{
+    if (job.heldVm != NoIndex) {
+        this->ledger.releaseHold(job.heldVm);
+        job.heldVm = NoIndex;
+    }
+}
+
+void ZoneState::applySlotLimits()
+{
+    for (const auto &[upstream, slots] : this->health.takeLimits()) {
+        this->ledger.setSlotLimit(upstream, slots);
+    }
+}
+
+bool ZoneState::grow(JobIndex index, std::uint32_t taskIndex, const model::Resources &size)
+{
+    JobEntry &job = this->jobs.at(index);
+    TaskEntry &task = job.tasks[taskIndex];
+    if (task.preempting || !this->ledger.grow(task.vm, task.reserved, size)) {
+        return false;
+    }
+    this->shares.resizeUsed(job.partner, task.reserved, size);
+    if (job.kind == model::JobKind::Request) {
+        this->requestsReserved.resources += size - task.reserved;
+    }
+    task.reserved = size;
+    return true;
+}
+
+std::vector<TaskRef> &ZoneState::preemptibleOf(PartnerIndex partner)
+{
+    if (partner >= this->preemptible.size()) {
+        this->preemptible.resize(partner + 1);
+    }
+    return this->preemptible[partner];
+}
+
+RateMeter &ZoneState::requestStartsOf(PartnerIndex partner)
+{
+    if (partner >= this->requestStarts.size()) {
+        this->requestStarts.resize(partner + 1);
+    }
+    return this->requestStarts[partner];
+}
+
+} // namespace cranberryreel::policy
