--- a/src/policy/Explainer.cpp
+++ b/src/policy/Explainer.cpp
@@ -75,6 +75,11 @@
     if (job.heldVm != NoIndex) {
         return fmt::format("Waits for batch tasks on {} to checkpoint and stop in its favour.", this->zone.ledger.vm(job.heldVm).name);
     }
+    if (const auto most = static_cast<std::uint64_t>(together); this->zone.ledger.everHolds(job.service, job.need, most) < most) {
+        return fmt::format("Waits for upstreams on more or larger VMs: those that serve it now could not hold {} at {} each, even empty.",
+                           whole ? fmt::format("its {} tasks at once", together) : "a task",
+                           sizeText(job.need));
+    }
     if (whole) {
         return fmt::format("Waits for room for its {} tasks at once. {}", together, this->whyNoRoom(job));
     }
--- a/src/policy/JobEntry.h
+++ b/src/policy/JobEntry.h
@@ -57,6 +57,7 @@
     std::chrono::milliseconds runTime{0}; ///< Declared; 0 when not.
     base::SteadyTime deadline = base::SteadyTime::max();
     base::SteadyTime enqueuedAt;
+    base::SteadyTime lastStartAt; ///< Of any of its tasks.
     base::SteadyTime latestStart = base::SteadyTime::max(); ///< After it the deadline cannot be met.
     base::SteadyTime nextPreemptAt; ///< Preemption on its behalf is not tried sooner.
     base::SteadyTime nextGangTryAt; ///< Starting it whole, past a failed try.
--- a/src/policy/Ledger.cpp
+++ b/src/policy/Ledger.cpp
@@ -16,6 +16,11 @@
     return service == Ledger::AnyService || upstream.service == service;
 }
 
+std::tuple<std::int64_t, std::int64_t, std::int64_t> keyOf(const model::Resources &capacity)
+{
+    return {capacity.cpuMillis, capacity.memoryMiB, capacity.accelerators};
+}
+
 } // namespace
 
 ServiceIndex Ledger::service(const std::string &name)
@@ -38,13 +43,12 @@
     return found->second;
 }
 
-void Ledger::countCapacity(const LedgerVm &vm, int sign)
+void Ledger::count(CapacityCounts &counts, const CapacityKey &key, int sign)
 {
-    const CapacityKey key{vm.capacity.cpuMillis, vm.capacity.memoryMiB, vm.capacity.accelerators};
-    auto &count = this->capacities[key];
-    count += static_cast<std::uint32_t>(sign);
-    if (count == 0) {
-        this->capacities.erase(key);
+    auto &number = counts[key];
+    number += static_cast<std::uint32_t>(sign);
+    if (number == 0) {
+        counts.erase(key);
     }
 }
 
@@ -53,7 +57,7 @@
     const VmIndex index = this->vmIndex(view.vm);
     LedgerVm &vm = this->vms[index];
     if (vm.known) {
-        this->countCapacity(vm, -1);
+        count(this->capacities, keyOf(vm.capacity), -1);
     }
     const auto [rack, isNew] = this->rackByName.try_emplace(view.rack, static_cast<std::uint32_t>(this->rackNames.size()));
     if (isNew) {
@@ -63,7 +67,7 @@
     vm.capacity = view.capacity;
     vm.draining = view.draining;
     vm.known = true;
-    this->countCapacity(vm, 1);
+    count(this->capacities, keyOf(vm.capacity), 1);
     this->recount(index);
     this->roomGrew(index);
     return index;
@@ -76,7 +80,7 @@
         return NoIndex;
     }
     LedgerVm &vm = this->vms[found->second];
-    this->countCapacity(vm, -1);
+    count(this->capacities, keyOf(vm.capacity), -1);
     vm.known = false;
     vm.capacity = {};
     this->recount(found->second);
@@ -258,24 +262,16 @@
     return false;
 }
 
-bool Ledger::everFits(const model::Resources &need) const
-{
-    return std::any_of(this->capacities.begin(), this->capacities.end(), [&need](const auto &entry) {
-        const auto &[cpu, memory, accelerators] = entry.first;
-        return need.fitsIn({cpu, memory, accelerators});
-    });
-}
-
-std::uint64_t Ledger::everHolds(const model::Resources &need, std::uint64_t most) const
+std::uint64_t Ledger::holds(const CapacityCounts &counts, const model::Resources &need, std::uint64_t most)
 {
     std::uint64_t held = 0;
-    for (const auto &[capacity, count] : this->capacities) {
+    for (const auto &[capacity, number] : counts) {
         const auto &[cpu, memory, accelerators] = capacity;
         std::int64_t each = std::numeric_limits<std::int32_t>::max();
         each = need.cpuMillis > 0 ? std::min(each, cpu / need.cpuMillis) : each;
         each = need.memoryMiB > 0 ? std::min(each, memory / need.memoryMiB) : each;
         each = need.accelerators > 0 ? std::min(each, accelerators / need.accelerators) : each;
-        held += static_cast<std::uint64_t>(each) * count;
+        held += static_cast<std::uint64_t>(each) * number;
         if (held >= most) {
             return most;
         }
@@ -283,6 +279,16 @@
     return held;
 }
 
+std::uint64_t Ledger::everHolds(const model::Resources &need, std::uint64_t most) const
+{
+    return holds(this->capacities, need, most);
+}
+
+std::uint64_t Ledger::everHolds(ServiceIndex service, const model::Resources &need, std::uint64_t most) const
+{
+    return holds(this->services[service].capacities, need, most);
+}
+
 void Ledger::roomGrew(VmIndex vm)
 {
     this->changeLog[this->roomVersion % ChangeLogSize] = vm;
@@ -293,16 +299,30 @@
 void Ledger::recount(VmIndex index)
 {
     const LedgerVm &vm = this->vms[index];
-    Demand open;
-    if (vm.known && !vm.draining) {
-        for (const UpstreamIndex upstream : vm.upstreams) {
-            open.slots += this->upstreams[upstream].accepting ? this->upstreams[upstream].slots : 0;
+    Counted &before = this->counted[index];
+    for (const ServiceIndex service : before.services) {
+        count(this->services[service].capacities, before.capacity, -1);
+    }
+    this->openTotal -= before.open;
+    before = {{}, keyOf(vm.capacity), {}};
+    if (!vm.known) {
+        return;
+    }
+    for (const UpstreamIndex upstreamIndex : vm.upstreams) {
+        const LedgerUpstream &upstream = this->upstreams[upstreamIndex];
+        if (upstream.slots == 0) {
+            continue;
+        }
+        for (const ServiceIndex service : {AnyService, upstream.service}) {
+            if (std::find(before.services.begin(), before.services.end(), service) == before.services.end()) {
+                before.services.push_back(service);
+                count(this->services[service].capacities, before.capacity, 1);
+            }
         }
-        open.resources = open.slots > 0 ? vm.capacity : model::Resources{};
+        before.open.slots += upstream.accepting && !vm.draining ? upstream.slots : 0;
     }
-    this->openTotal -= this->counted[index].open;
-    this->openTotal += open;
-    this->counted[index].open = open;
+    before.open.resources = before.open.slots > 0 ? vm.capacity : model::Resources{};
+    this->openTotal += before.open;
 }
 
 void Ledger::reindex(VmIndex index)
--- a/src/policy/Ledger.h
+++ b/src/policy/Ledger.h
@@ -122,12 +122,12 @@
         return this->roomVersion;
     }
 
-    /// Whether one VM of the register could hold it, empty.
-    bool everFits(const model::Resources &need) const;
-
-    /// How many tasks of this size the empty register could hold, counted up to `most`.
+    /// How many tasks of this size the VMs of the register could hold, empty, counted up to `most`.
     std::uint64_t everHolds(const model::Resources &need, std::uint64_t most) const;
 
+    /// The same for the VMs that have upstreams of the service now.
+    std::uint64_t everHolds(ServiceIndex service, const model::Resources &need, std::uint64_t most) const;
+
     const LedgerVm &vm(VmIndex index) const
     {
         return this->vms[index];
@@ -168,17 +168,24 @@
     using CapacityKey = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
     static constexpr std::size_t ChangeLogSize = 256;
 
+    using CapacityCounts = absl::btree_map<CapacityKey, std::uint32_t>;
+
     struct ServiceIndexes {
         PlacementIndex open;
         PlacementIndex held;
+        CapacityCounts capacities; ///< VMs with upstreams of the service, busy or not, by capacity.
     };
 
+    /// What a VM adds to the sums.
     struct Counted {
-        Demand open; ///< What this VM adds to openTotal.
+        Demand open;
+        CapacityKey capacity;
+        std::vector<ServiceIndex> services;
     };
 
     VmIndex vmIndex(const std::string &name);
-    void countCapacity(const LedgerVm &vm, int sign);
+    static void count(CapacityCounts &counts, const CapacityKey &key, int sign);
+    static std::uint64_t holds(const CapacityCounts &counts, const model::Resources &need, std::uint64_t most);
     std::uint32_t add(VmIndex vm, UpstreamIndex upstream, const model::Resources &size, TaskRef task);
     void reindex(VmIndex vm);
     void recount(VmIndex vm);
@@ -194,7 +201,7 @@
     absl::flat_hash_map<std::string, ServiceIndex> serviceByName{{"", AnyService}};
     absl::flat_hash_map<std::string, std::uint32_t> rackByName;
     std::vector<std::string> rackNames;
-    absl::btree_map<CapacityKey, std::uint32_t> capacities; ///< Registered VMs by capacity.
+    CapacityCounts capacities; ///< Registered VMs by capacity.
     std::array<VmIndex, ChangeLogSize> changeLog{};
     std::uint64_t roomVersion = 1;
     Demand openTotal;
--- a/src/policy/PlannerCore.cpp
+++ b/src/policy/PlannerCore.cpp
@@ -33,20 +33,21 @@
     this->zone.profile = rules.profile;
     this->zone.giveBackWithin = rules.giveBackWithin;
     this->zone.shares.setRules(rules.partners);
+    this->limitsChanged = true;
 }
 
 void PlannerCore::setVm(const VmView &vm)
 {
     const VmIndex index = this->zone.ledger.setVm(vm);
     this->drainer.setDraining(index, vm.draining);
-    this->registerChanged = true;
+    this->limitsChanged = true;
 }
 
 void PlannerCore::removeVm(const std::string &vm)
 {
     if (const VmIndex index = this->zone.ledger.removeVm(vm); index != NoIndex) {
         this->drainer.setDraining(index, true);
-        this->registerChanged = true;
+        this->limitsChanged = true;
     }
 }
 
@@ -61,13 +62,14 @@
     if (const UpstreamIndex index = this->zone.ledger.findUpstream(id); index != NoIndex) {
         this->zone.ledger.removeUpstream(id);
         this->zone.health.present(index, false);
+        this->limitsChanged = true;
     }
 }
 
 Decision PlannerCore::verdict(const model::JobSpec &spec) const
 {
     const std::uint32_t tasks = taskCount(spec);
-    if (!this->zone.ledger.everFits(spec.perTask)) {
+    if (this->zone.ledger.everHolds(spec.perTask, 1) == 0) {
         return answer(spec.id, base::ResultCode::NeverFits, "No VM of this zone's register could hold one task, even empty; declare a smaller size.");
     }
     if (spec.kind != model::JobKind::Gang) {
@@ -237,6 +239,19 @@
     }
 }
 
+void PlannerCore::learnFailure(const JobEntry &job, const TaskEntry &task, base::SteadyTime now)
+{
+    const WorkModel::Blame blame = this->zone.model.observeFailure(job.name, task.upstream);
+    if (!blame.onWork) {
+        this->zone.health.failed(task.upstream, false, now);
+        return;
+    }
+    this->zone.health.inconclusive(task.upstream);
+    for (const UpstreamIndex cleared : blame.cleared) {
+        this->zone.health.forgive(cleared);
+    }
+}
+
 void PlannerCore::learn(const JobEntry &job, const TaskEntry &task, TaskEnd end, base::SteadyTime now)
 {
     if (end == TaskEnd::Done) {
@@ -246,8 +261,8 @@
         this->zone.health.succeeded(task.upstream, now);
     } else if (end == TaskEnd::NotStarted) {
         this->zone.health.failed(task.upstream, true, now);
-    } else if (end == TaskEnd::Failed && !this->zone.model.observeFailure(job.name, task.upstream)) {
-        this->zone.health.failed(task.upstream, false, now);
+    } else if (end == TaskEnd::Failed) {
+        this->learnFailure(job, task, now);
     } else {
         this->zone.health.inconclusive(task.upstream);
     }
@@ -333,12 +348,12 @@
     }
 }
 
-void PlannerCore::refuseWhatNeverFits()
+void PlannerCore::refuseWhatCannotRun()
 {
-    if (!this->registerChanged) {
+    if (!this->limitsChanged) {
         return;
     }
-    this->registerChanged = false;
+    this->limitsChanged = false;
     for (const JobIndex index : this->zone.jobs.all()) {
         JobEntry &job = this->zone.jobs.at(index);
         if (job.waiting == 0) {
@@ -346,8 +361,14 @@
         }
         this->zone.refreshNeed(job);
         const std::uint64_t together = job.kind == model::JobKind::Gang ? job.waiting : 1;
-        if (job.active == 0 && this->zone.ledger.everHolds(job.declared, together) < together) {
+        if (job.active > 0) {
+            continue;
+        }
+        const model::Resources all = Demand{job.declared, 0}.times(static_cast<std::int64_t>(together)).resources;
+        if (this->zone.ledger.everHolds(job.declared, together) < together) {
             this->refuse(index, base::ResultCode::NeverFits, "Since the register changed, this zone could not hold it, even empty.");
+        } else if (this->zone.shares.hardLimit(job.partner, all, true) != NoIndex) {
+            this->refuse(index, base::ResultCode::QuotaExceeded, "Since the rules changed, it is larger than the whole quota.");
         }
     }
 }
@@ -390,7 +411,7 @@
     this->zone.shares.refresh(this->zone.ledger.total(), now);
     this->headroom.observe(this->zone.requestsReserved, now);
     this->preemptor.expireHolds(now);
-    this->refuseWhatNeverFits();
+    this->refuseWhatCannotRun();
     this->refuseLateRequests(now);
     this->drainer.move(now);
     bool more = true;
@@ -398,6 +419,7 @@
         more = this->gangs.advance(now) || this->starter.startNext(now);
     }
     if (!more) {
+        this->starter.reserveForStarving(now);
         this->preemptor.makeRoom(now);
     }
     return this->handOut(most);
--- a/src/policy/PlannerCore.h
+++ b/src/policy/PlannerCore.h
@@ -43,9 +43,10 @@
     std::chrono::milliseconds expectedWait(std::uint32_t waiting, const RateMeter &starts, base::SteadyTime now) const;
     JobEntry newEntry(const model::JobSpec &spec, base::SteadyTime now);
     void learn(const JobEntry &job, const TaskEntry &task, TaskEnd end, base::SteadyTime now);
+    void learnFailure(const JobEntry &job, const TaskEntry &task, base::SteadyTime now);
     void refuse(JobIndex job, base::ResultCode code, const std::string &reason);
     void refuseLateRequests(base::SteadyTime now);
-    void refuseWhatNeverFits();
+    void refuseWhatCannotRun();
     std::vector<Decision> handOut(std::size_t most);
     bool isVoid(const Decision &decision);
 
@@ -56,7 +57,7 @@
     Preemptor preemptor{zone};
     Drainer drainer{zone};
     Explainer explainer{zone, gangs};
-    bool registerChanged = false;
+    bool limitsChanged = false;
 };
 
 } // namespace cranberryreel::policy
--- a/src/policy/Starter.cpp
+++ b/src/policy/Starter.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t JobsInSight = 16; ///< Jobs of a queue tried, in order, while the ones before have no room.
 constexpr std::chrono::seconds StarvesAfter{10}; ///< A single task without room for so long gets a reservation like a gang.
 constexpr std::array<JobKind, 4> ServedKinds{JobKind::Request, JobKind::Service, JobKind::Gang, JobKind::Batch};
-constexpr std::array<JobKind, 2> ProbeKinds{JobKind::Batch, JobKind::Request};
+constexpr std::array<JobKind, 3> ProbeKinds{JobKind::Batch, JobKind::Request, JobKind::Service};
 
 model::Resources smaller(const model::Resources &left, const model::Resources &right)
 {
@@ -147,24 +147,42 @@
     if (job.blockedVersion != 0 && !this->zone.ledger.mayFitSince(job.blockedVersion, job.service, job.need)) {
         return Outcome::NoRoom;
     }
-    if (!this->keepsHeadroom(job)) {
-        return Outcome::HeldBack;
-    }
     VmIndex vm = this->findVm(job);
     if (vm == NoIndex) {
         vm = this->findBackfill(job, now);
     }
+    if (vm != NoIndex && !this->keepsHeadroom(job)) {
+        return Outcome::HeldBack;
+    }
     if (vm != NoIndex) {
         this->commit(index, vm, this->zone.ledger.chooseUpstream(vm, job.service), now);
         return Outcome::Started;
     }
     job.blockedVersion = this->zone.ledger.version();
-    if (job.kind != JobKind::Request && now - job.enqueuedAt >= StarvesAfter) {
-        this->gangs.reserve(index, now);
-    }
     return Outcome::NoRoom;
 }
 
+void Starter::reserveForStarving(base::SteadyTime now)
+{
+    if (this->gangs.holder() != NoIndex) {
+        return;
+    }
+    for (const FairShares::Order &next : this->zone.shares.order()) {
+        for (const JobKind kind : {JobKind::Service, JobKind::Batch}) {
+            const WorkQueue &queue = this->zone.queues.of(next.partner, kind);
+            if (queue.jobs.empty()) {
+                continue;
+            }
+            const JobIndex index = queue.jobs.begin()->job;
+            const JobEntry &job = this->zone.jobs.at(index);
+            const bool starves = job.blockedVersion != 0 && now - std::max(job.enqueuedAt, job.lastStartAt) >= StarvesAfter;
+            if (starves && this->zone.shares.hardLimit(job.partner, job.need) == NoIndex) {
+                this->gangs.reserve(index, now);
+            }
+        }
+    }
+}
+
 VmIndex Starter::findVm(const JobEntry &job) const
 {
     const Ledger &ledger = this->zone.ledger;
@@ -228,6 +246,7 @@
     const std::uint32_t task = JobTable::nextWaiting(job);
     this->zone.start(index, task, vm, upstream);
     this->gangs.roomTaken(vm);
+    job.lastStartAt = now;
     TaskEntry &entry = job.tasks[task];
     entry.startedAt = now;
     if (const auto typical = this->zone.model.typicalRunTime(job.name, job.runTime)) {
--- a/src/policy/Starter.h
+++ b/src/policy/Starter.h
@@ -25,6 +25,9 @@
     /// Starts one task, or one whole gang; false when nothing waiting can start now.
     bool startNext(base::SteadyTime now);
 
+    /// Gives the job that has been without room for longest a reservation, as gangs get.
+    void reserveForStarving(base::SteadyTime now);
+
 private:
     enum class Tier : std::uint8_t {
         UrgentWithinDue,
--- a/src/policy/UpstreamHealth.cpp
+++ b/src/policy/UpstreamHealth.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t EjectAfterFailures = 5;
 constexpr std::chrono::milliseconds FirstEjection{5000};
 constexpr std::uint32_t MaxEjectionDoublings = 6;
+constexpr std::chrono::seconds OpeningStep{30}; ///< Slow start goes on after so long also without a success.
+constexpr std::chrono::seconds ProbePatience{30}; ///< A probe that found no task, or whose task runs on, counts as passed after so long.
 constexpr std::chrono::milliseconds FirstCoolDown{100};
 constexpr std::uint32_t MaxCoolDownDoublings = 6;
 constexpr std::size_t EjectedPartMax = 3; ///< At most one in so many upstreams is out at once.
@@ -70,34 +72,33 @@
     this->setLimit(upstream, 0);
 }
 
+void UpstreamHealth::open(UpstreamIndex upstream, std::uint32_t slots, base::SteadyTime now)
+{
+    this->leave(upstream);
+    Entry &state = this->entry(upstream);
+    if (slots >= FullyOpenSlots) {
+        state.phase = Phase::Healthy;
+        state.ejections = 0;
+        this->setLimit(upstream, Unlimited);
+        return;
+    }
+    state.phase = Phase::Opening;
+    state.until = now + OpeningStep;
+    this->timers.insert({state.until, upstream});
+    this->setLimit(upstream, slots);
+}
+
 void UpstreamHealth::succeeded(UpstreamIndex upstream, base::SteadyTime now)
 {
     Entry &state = this->entry(upstream);
     state.failuresInRow = 0;
     if (state.phase == Phase::Healthy) {
         this->failureRate -= this->failureRate * FadeFactor;
-        if (state.openSlots == Unlimited) {
-            return;
-        }
+    } else if (state.phase == Phase::Opening) {
+        this->open(upstream, state.openSlots * 2, now);
+    } else if (state.phase == Phase::Probing || state.phase == Phase::CoolingDown) {
+        this->open(upstream, 1, now);
     }
-    if (state.phase == Phase::Ejected && state.until > now) {
-        return;
-    }
-    if (state.phase == Phase::Ejected || state.phase == Phase::Probing || state.phase == Phase::CoolingDown) {
-        this->leave(upstream);
-        state.phase = Phase::Opening;
-        this->setLimit(upstream, 1);
-        return;
-    }
-    const std::uint32_t next = state.openSlots * 2;
-    if (next < FullyOpenSlots) {
-        state.phase = Phase::Opening;
-        this->setLimit(upstream, next);
-        return;
-    }
-    state.phase = Phase::Healthy;
-    state.ejections = 0;
-    this->setLimit(upstream, Unlimited);
 }
 
 bool UpstreamHealth::mayEject() const
@@ -124,7 +125,11 @@
         this->eject(upstream, now);
         return;
     }
+    const bool wasCommon = this->failureRate >= CommonFaultRate;
     this->failureRate += (1 - this->failureRate) * FadeFactor;
+    if (!wasCommon && this->failureRate >= CommonFaultRate) {
+        this->reopenNarrowed();
+    }
     if (state.failuresInRow >= EjectAfterFailures && this->mayEject()) {
         this->eject(upstream, now);
         return;
@@ -135,10 +140,29 @@
         return;
     }
     if (state.failuresInRow >= NarrowAfterFailures && state.openSlots > 1 && this->mayEject()) {
-        this->setLimit(upstream, 1);
+        this->open(upstream, 1, now);
+    }
+}
+
+void UpstreamHealth::reopenNarrowed()
+{
+    for (UpstreamIndex upstream = 0; upstream < this->entries.size(); ++upstream) {
+        if (this->entries[upstream].phase == Phase::Opening) {
+            this->open(upstream, FullyOpenSlots, {});
+        }
     }
 }
 
+void UpstreamHealth::forgive(UpstreamIndex upstream)
+{
+    this->leave(upstream);
+    Entry &state = this->entry(upstream);
+    state.phase = Phase::Healthy;
+    state.failuresInRow = 0;
+    state.ejections = 0;
+    this->setLimit(upstream, Unlimited);
+}
+
 void UpstreamHealth::tick(base::SteadyTime now)
 {
     while (!this->timers.empty() && this->timers.begin()->first <= now) {
@@ -147,10 +171,11 @@
         Entry &state = this->entry(upstream);
         if (state.phase == Phase::Ejected) {
             state.phase = Phase::Probing;
+            state.until = now + ProbePatience;
+            this->timers.insert({state.until, upstream});
             this->probes.push_back(upstream);
-        } else if (state.phase == Phase::CoolingDown) {
-            state.phase = Phase::Opening;
-            this->setLimit(upstream, 1);
+        } else {
+            this->open(upstream, state.phase == Phase::Opening ? state.openSlots * 2 : 1, now);
         }
     }
 }
--- a/src/policy/UpstreamHealth.h
+++ b/src/policy/UpstreamHealth.h
@@ -34,6 +34,9 @@
     /// The upstream is blamed for a failed task, or refused a start.
     void failed(UpstreamIndex upstream, bool refusedStart, base::SteadyTime now);
 
+    /// What it was blamed for turned out to be the work's own fault.
+    void forgive(UpstreamIndex upstream);
+
     /// Opens what is due; call before deciding.
     void tick(base::SteadyTime now);
 
@@ -80,7 +83,9 @@
     void eject(UpstreamIndex upstream, base::SteadyTime now);
     void waitUntil(UpstreamIndex upstream, Phase phase, base::SteadyTime until);
     void leave(UpstreamIndex upstream);
+    void open(UpstreamIndex upstream, std::uint32_t slots, base::SteadyTime now);
     bool mayEject() const;
+    void reopenNarrowed();
 
     std::vector<Entry> entries;
     std::vector<Limit> changed;
--- a/src/policy/WorkModel.cpp
+++ b/src/policy/WorkModel.cpp
@@ -78,21 +78,23 @@
     this->entries[name].failedOn.fill(NoIndex);
 }
 
-bool WorkModel::observeFailure(NameIndex name, UpstreamIndex upstream)
+WorkModel::Blame WorkModel::observeFailure(NameIndex name, UpstreamIndex upstream)
 {
     if (name == 0) {
-        return false;
+        return {};
     }
-    for (auto &failed : this->entries[name].failedOn) {
+    auto &failedOn = this->entries[name].failedOn;
+    for (auto &failed : failedOn) {
         if (failed == upstream) {
-            return false;
+            return {failedOn.back() != NoIndex, {}};
         }
         if (failed == NoIndex) {
             failed = upstream;
-            return &failed == &this->entries[name].failedOn.back();
+            const bool isLast = &failed == &failedOn.back();
+            return {isLast, isLast ? std::vector<UpstreamIndex>(failedOn.begin(), failedOn.end()) : std::vector<UpstreamIndex>()};
         }
     }
-    return true;
+    return {true, {}};
 }
 
 std::optional<model::Resources> WorkModel::learnedSize(NameIndex name) const
--- a/src/policy/WorkModel.h
+++ b/src/policy/WorkModel.h
@@ -28,8 +28,13 @@
     void observeRunTime(NameIndex name, std::chrono::milliseconds took);
     void observeSuccess(NameIndex name);
 
-    /// Returns whether the name itself is to blame: it failed on several upstreams with no success in between.
-    bool observeFailure(NameIndex name, UpstreamIndex upstream);
+    /// Who is to blame for a failed task.
+    struct Blame {
+        bool onWork = false; ///< The name failed on several upstreams with no success in between.
+        std::vector<UpstreamIndex> cleared; ///< Upstreams that were blamed for it until now.
+    };
+
+    Blame observeFailure(NameIndex name, UpstreamIndex upstream);
 
     /// The size that most tasks of the name stay under; nothing before enough samples.
     std::optional<model::Resources> learnedSize(NameIndex name) const;
--- a/src/policy/ZoneState.h
+++ b/src/policy/ZoneState.h
@@ -39,7 +39,8 @@
     RateMeter allRequestStarts;
     std::uint64_t nextSequence = 1;
 
-    /// What a task of the job reserves now: the larger of declared and learned, as long as some VM could hold that.
+    /// What a task of the job reserves now: the larger of declared and learned, as long as the VMs that serve it and the
+    /// quota could hold that.
     model::Resources sizeOf(const JobEntry &job) const;
 
     /// Applies a size learned since.
