--- /dev/null
+++ b/src/policy/Admission.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "cranberryreel/base/Clock.h"
+#include "cranberryreel/model/JobSpec.h"
+#include "policy/Planner.h"
+#include "policy/RateMeter.h"
+#include "policy/ZoneState.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace cranberryreel::policy
+{
+
+/// Decides at once which work is taken into the queues: refuses what can never run, what is beyond a partner's limits, and requests that would come too late.
+/// Owned by the planner.
+class Admission
+{
+public:
+    explicit Admission(ZoneState &zoneState)
+        : zone(zoneState)
+    {
+    }
+
+    Decision decide(const model::JobSpec &spec, base::SteadyTime now);
+
+    /// How long `waiting` tasks take to be started at the rate of late.
+    std::chrono::milliseconds expectedWait(std::uint32_t waiting, const RateMeter &starts, base::SteadyTime now) const;
+
+    /// A refusal, or with Ok the word that the job was taken.
+    static Decision answer(const model::JobId &job, base::ResultCode code, std::string reason);
+    static std::uint32_t tasksOf(const model::JobSpec &spec);
+
+private:
+    /// Why a job can never run here; Ok when it can.
+    Decision verdict(const model::JobSpec &spec) const;
+
+    ZoneState &zone;
+};
+
+} // namespace cranberryreel::policy
--- a/src/policy/PlannerCore.cpp
+++ b/src/policy/PlannerCore.cpp
@@ -2,10 +2,7 @@
 
 #include "policy/ClassPolicy.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <cmath>
 
 namespace cranberryreel::policy
 {
@@ -16,16 +13,6 @@
 constexpr std::chrono::seconds SizeLearnInterval{60};
 constexpr std::size_t MaxDecisionsAhead = 4096; ///< Taken but not handed out; planning pauses there.
 
-Decision answer(const model::JobId &job, base::ResultCode code, std::string reason)
-{
-    return {DecisionKind::Refuse, job, 0, "", {}, code, std::move(reason)};
-}
-
-std::uint32_t taskCount(const model::JobSpec &spec)
-{
-    return std::max<std::uint32_t>(1, spec.tasks);
-}
-
 } // namespace
 
 void PlannerCore::setRules(const RulesView &rules)
@@ -66,61 +53,6 @@
     }
 }
 
-Decision PlannerCore::verdict(const model::JobSpec &spec) const
-{
-    const std::uint32_t tasks = taskCount(spec);
-    if (this->zone.ledger.everHolds(spec.perTask, 1) == 0) {
-        return answer(spec.id, base::ResultCode::NeverFits, "No VM of this zone's register could hold one task, even empty; declare a smaller size.");
-    }
-    if (spec.kind != model::JobKind::Gang) {
-        return answer(spec.id, base::ResultCode::Ok, "");
-    }
-    if (const std::uint64_t held = this->zone.ledger.everHolds(spec.perTask, tasks); held < tasks) {
-        return answer(spec.id, base::ResultCode::NeverFits, fmt::format("This zone could hold {} of the {} tasks at once, even empty.", held, tasks));
-    }
-    return answer(spec.id, base::ResultCode::Ok, "");
-}
-
-std::chrono::milliseconds PlannerCore::expectedWait(std::uint32_t waiting, const RateMeter &starts, base::SteadyTime now) const
-{
-    if (waiting == 0) {
-        return std::chrono::milliseconds(0);
-    }
-    constexpr double LeastRate = 0.01;
-    const double seconds = waiting / std::max(LeastRate, starts.perSecond(now));
-    return std::chrono::milliseconds(std::llround(seconds * 1000));
-}
-
-Decision PlannerCore::admission(const model::JobSpec &spec, base::SteadyTime now)
-{
-    if (Decision never = this->verdict(spec); never.code != base::ResultCode::Ok) {
-        return never;
-    }
-    const PartnerIndex partner = this->zone.shares.partner(spec.partner);
-    const FairShares::Partner &rules = this->zone.shares.at(partner);
-    const std::uint32_t tasks = taskCount(spec);
-    const std::int64_t together = spec.kind == model::JobKind::Gang ? tasks : 1;
-    const model::Resources least = Demand{spec.perTask, 0}.times(together).resources;
-    if (const PartnerIndex limit = this->zone.shares.hardLimit(partner, least, true); limit != NoIndex) {
-        return answer(spec.id, base::ResultCode::QuotaExceeded, "It is larger than the whole quota of " + this->zone.shares.at(limit).name + ".");
-    }
-    const std::uint32_t waiting = rules.waiting[static_cast<std::size_t>(spec.kind)];
-    if (waiting + std::uint64_t{tasks} > rules.maxQueued) {
-        return answer(
-            spec.id, base::ResultCode::QueueFull, fmt::format("{} has {} tasks of this kind waiting; {} may.", spec.partner, waiting, rules.maxQueued));
-    }
-    if (spec.kind == model::JobKind::Request && spec.deadline.count() > 0) {
-        const auto wait = this->expectedWait(waiting, this->zone.requestStartsOf(partner), now);
-        const auto run = this->zone.model.typicalRunTime(this->zone.model.name(partner, spec.name), spec.runTime).value_or(std::chrono::milliseconds(0));
-        if (wait + run > spec.deadline) {
-            return answer(spec.id,
-                          base::ResultCode::DeadlineUnreachable,
-                          fmt::format("{} requests wait before it; it would start in {} ms, too late for its deadline.", waiting, wait.count()));
-        }
-    }
-    return answer(spec.id, base::ResultCode::Ok, "");
-}
-
 JobEntry PlannerCore::newEntry(const model::JobSpec &spec, base::SteadyTime now)
 {
     JobEntry entry;
@@ -141,7 +73,7 @@
         const auto run = this->zone.model.typicalRunTime(entry.name, spec.runTime).value_or(std::chrono::milliseconds(0));
         entry.latestStart = entry.deadline - run;
     }
-    entry.tasks.resize(taskCount(spec));
+    entry.tasks.resize(Admission::tasksOf(spec));
     return entry;
 }
 
@@ -149,15 +81,15 @@
 {
     const JobIndex known = this->zone.jobs.find(spec.id);
     if (known != NoIndex && !this->zone.jobs.at(known).adoptedOnly) {
-        return answer(spec.id, base::ResultCode::Ok, "");
+        return Admission::answer(spec.id, base::ResultCode::Ok, "");
     }
     if (known == NoIndex) {
-        if (Decision refusal = this->admission(spec, now); refusal.code != base::ResultCode::Ok) {
+        if (Decision refusal = this->admission.decide(spec, now); refusal.code != base::ResultCode::Ok) {
             return refusal;
         }
     }
     this->restore(spec, now);
-    return answer(spec.id, base::ResultCode::Ok, "");
+    return Admission::answer(spec.id, base::ResultCode::Ok, "");
 }
 
 void PlannerCore::restore(const model::JobSpec &spec, base::SteadyTime now)
@@ -168,7 +100,7 @@
     }
     if (index == NoIndex) {
         index = this->zone.jobs.add(this->newEntry(spec, now));
-        this->zone.addWaiting(index, taskCount(spec));
+        this->zone.addWaiting(index, Admission::tasksOf(spec));
         return;
     }
     JobEntry &job = this->zone.jobs.at(index);
@@ -186,7 +118,7 @@
 void PlannerCore::adopt(const model::JobSpec &spec, std::uint32_t task, const std::string &upstream, const model::Resources &reserved, base::SteadyTime now)
 {
     const UpstreamIndex place = this->zone.ledger.findUpstream(upstream);
-    if (place == NoIndex || task >= taskCount(spec)) {
+    if (place == NoIndex || task >= Admission::tasksOf(spec)) {
         return;
     }
     JobIndex index = this->zone.jobs.find(spec.id);
@@ -239,36 +171,6 @@
     }
 }
 
-void PlannerCore::learnFailure(const JobEntry &job, const TaskEntry &task, base::SteadyTime now)
-{
-    const WorkModel::Blame blame = this->zone.model.observeFailure(job.name, task.upstream);
-    if (!blame.onWork) {
-        this->zone.health.failed(task.upstream, false, now);
-        return;
-    }
-    this->zone.health.inconclusive(task.upstream);
-    for (const UpstreamIndex cleared : blame.cleared) {
-        this->zone.health.forgive(cleared);
-    }
-}
-
-void PlannerCore::learn(const JobEntry &job, const TaskEntry &task, TaskEnd end, base::SteadyTime now)
-{
-    if (end == TaskEnd::Done) {
-        this->zone.model.observeRunTime(job.name, std::chrono::duration_cast<std::chrono::milliseconds>(now - task.startedAt));
-        this->zone.model.observeSize(job.name, task.peak);
-        this->zone.model.observeSuccess(job.name);
-        this->zone.health.succeeded(task.upstream, now);
-    } else if (end == TaskEnd::NotStarted) {
-        this->zone.health.failed(task.upstream, true, now);
-    } else if (end == TaskEnd::Failed) {
-        this->learnFailure(job, task, now);
-    } else {
-        this->zone.health.inconclusive(task.upstream);
-    }
-    this->zone.applySlotLimits();
-}
-
 void PlannerCore::ended(const model::JobId &id, std::uint32_t taskIndex, TaskEnd end, bool again, base::SteadyTime now)
 {
     const JobIndex index = this->zone.jobs.find(id);
@@ -281,7 +183,7 @@
         task.phase = TaskPhase::Ended;
         this->zone.removeWaiting(index, 1);
     } else if (task.isActive()) {
-        this->learn(job, task, end, now);
+        this->learner.ended(job, task, end, now);
         this->zone.release(index, taskIndex);
         const bool waitsAgain = end == TaskEnd::NotStarted || end == TaskEnd::Preempted || (again && end != TaskEnd::Done);
         if (waitsAgain && !job.cancelled) {
@@ -332,7 +234,7 @@
 void PlannerCore::refuse(JobIndex index, base::ResultCode code, const std::string &reason)
 {
     JobEntry &job = this->zone.jobs.at(index);
-    this->zone.decisions.push_back(answer(job.id, code, reason));
+    this->zone.decisions.push_back(Admission::answer(job.id, code, reason));
     this->gangs.drop(index);
     this->zone.removeWaiting(index, job.waiting);
     this->zone.forgetIfOver(index);
@@ -443,7 +345,7 @@
     for (PartnerIndex i = 0; i < this->zone.shares.size(); ++i) {
         view.waiting += static_cast<std::uint32_t>(this->zone.shares.at(i).waitingDemand.slots);
     }
-    view.expectedWait = this->expectedWait(this->zone.requestsWaiting, this->zone.allRequestStarts, now);
+    view.expectedWait = this->admission.expectedWait(this->zone.requestsWaiting, this->zone.allRequestStarts, now);
     return view;
 }
 
--- a/src/policy/PlannerCore.h
+++ b/src/policy/PlannerCore.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "policy/Admission.h"
 #include "policy/Drainer.h"
 #include "policy/Explainer.h"
 #include "policy/GangReserver.h"
+#include "policy/Learner.h"
 #include "policy/Planner.h"
 #include "policy/Preemptor.h"
 #include "policy/RequestHeadroom.h"
@@ -37,13 +39,7 @@
     LoadView load(base::SteadyTime now) const override;
 
 private:
-    /// Why a job can never run here; Ok when it can.
-    Decision verdict(const model::JobSpec &spec) const;
-    Decision admission(const model::JobSpec &spec, base::SteadyTime now);
-    std::chrono::milliseconds expectedWait(std::uint32_t waiting, const RateMeter &starts, base::SteadyTime now) const;
     JobEntry newEntry(const model::JobSpec &spec, base::SteadyTime now);
-    void learn(const JobEntry &job, const TaskEntry &task, TaskEnd end, base::SteadyTime now);
-    void learnFailure(const JobEntry &job, const TaskEntry &task, base::SteadyTime now);
     void refuse(JobIndex job, base::ResultCode code, const std::string &reason);
     void refuseLateRequests(base::SteadyTime now);
     void refuseWhatCannotRun();
@@ -53,6 +49,8 @@
     ZoneState zone;
     GangReserver gangs{zone};
     RequestHeadroom headroom;
+    Admission admission{zone};
+    Learner learner{zone};
     Starter starter{zone, gangs, headroom};
     Preemptor preemptor{zone};
     Drainer drainer{zone};
