Schedule one availability zone: store, term, fleet, tasks, routing

Cause: the whole path needs an active scheduler per zone whose memory is rebuilt from a replicated store. Ruled out: replicating repeatable requests (a round trip for each; the upstream's fence and read-back give the same safety), dispatch by the entry (two owners of one start after a death). Conclusion: jobs and keyed work are recorded before dispatch; repeatable requests live with the scheduler and are found again on the upstreams.

--- a/include/cranberryreel/model/UpstreamReport.h
+++ b/include/cranberryreel/model/UpstreamReport.h
@@ -17,6 +17,7 @@
     std::uint32_t attempt = 0; ///< The attempt number that the start carried.
     JobState state = JobState::Running; ///< Running, Done, Failed or NotRun.
     Resources usage; ///< Measured use; lags.
+    Resources reserved; ///< What the start named; zero where the upstream does not keep it.
     std::string answer; ///< For tasks that ended.
 };
 
--- a/src/observe/Trace.cpp
+++ b/src/observe/Trace.cpp
@@ -65,6 +65,9 @@
     std::map<std::string, std::string> attributes;
 };
 
+Span::Span() = default;
+Span::Span(Span &&other) noexcept = default;
+
 Span::Span(std::string hop, const std::string &parent)
     : data(std::make_unique<Data>())
 {
--- a/src/observe/Trace.h
+++ b/src/observe/Trace.h
@@ -23,11 +23,11 @@
 class Span
 {
 public:
-    Span() = default;
+    Span();
 
     /// `parent` is a W3C traceparent; an empty or malformed one begins a new trace.
     Span(std::string hop, const std::string &parent);
-    Span(Span &&other) noexcept = default;
+    Span(Span &&other) noexcept;
     Span &operator=(Span &&other) noexcept;
     Span(const Span &) = delete;
     Span &operator=(const Span &) = delete;
--- a/src/policy/Planner.h
+++ b/src/policy/Planner.h
@@ -105,6 +105,10 @@
     /// Takes a job into the queue. Returns Ok, or the reason it is refused at once (NeverFits, QueueFull, QuotaExceeded, DeadlineUnreachable).
     virtual Decision enqueue(const model::JobSpec &spec, base::SteadyTime now) = 0;
 
+    /// Takes in a job that an earlier scheduler accepted: no bound or quota refuses it any more. Its tasks that run or have ended follow by adopt() and
+    /// ended(); ended() of a task that waits drops it from the queue.
+    virtual void enqueueKept(const model::JobSpec &spec, base::SteadyTime now) = 0;
+
     /// Registers a task that already runs (adopted after a takeover); a job that was not enqueued here is taken in.
     virtual void adopt(const model::JobSpec &spec, std::uint32_t task, const std::string &upstream, const model::Resources &reserved, base::SteadyTime now) = 0;
 
--- a/src/replication/Group.h
+++ b/src/replication/Group.h
@@ -67,6 +67,9 @@
     /// Bytes from another member, as its transport sent them. Any thread.
     virtual void receive(const std::string &fromVm, std::string bytes) = 0;
 
+    /// Has the leader move on to a term of at least `atLeast`; nothing happens on other members.
+    virtual void raiseTerm(std::uint64_t atLeast) = 0;
+
     virtual GroupStatus status() const = 0;
 
     /// True while this member leads and its lease provably holds at `now`. Cheap; any thread.
--- /dev/null
+++ b/src/zone/CallCodec.cpp
@@ -0,0 +1,198 @@
+#include "zone/CallCodec.h"
+
+#include "zone/WireCodec.h"
+
+#include <memory>
+#include <utility>
+
+namespace cranberryreel::zone
+{
+
+namespace
+{
+
+std::chrono::milliseconds millis(std::uint64_t count)
+{
+    return std::chrono::milliseconds(static_cast<std::int64_t>(count));
+}
+
+std::uint64_t count(std::chrono::milliseconds time)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
+}
+
+struct BodyEncoder {
+    wire::CallBodyUnion &out;
+
+    void operator()(const SubmitCall &call) const
+    {
+        wire::SubmitCallT body;
+        body.spec = std::make_unique<wire::SpecT>(toWire(call.spec));
+        body.remaining_ms = count(call.spec.deadline);
+        body.may_exist = call.mayExist;
+        this->out.Set(std::move(body));
+    }
+
+    void operator()(const LookupCall &call) const
+    {
+        wire::LookupCallT body;
+        body.id = call.id;
+        body.wait_ms = count(call.wait);
+        this->out.Set(std::move(body));
+    }
+
+    void operator()(const CancelCall &call) const
+    {
+        wire::CancelCallT body;
+        body.id = call.id;
+        this->out.Set(std::move(body));
+    }
+
+    void operator()(const AnswerCall &call) const
+    {
+        wire::AnswerCallT body;
+        body.id = call.id;
+        body.offset = call.offset;
+        this->out.Set(std::move(body));
+    }
+
+    void operator()(const AnnounceCall &call) const
+    {
+        wire::AnnounceCallT body;
+        body.report = std::make_unique<wire::ReportT>(toWire(call.report));
+        this->out.Set(std::move(body));
+    }
+
+    void operator()(const ViewCall &call) const
+    {
+        wire::ViewCallT body;
+        body.what = call.what;
+        body.filter = call.filter;
+        this->out.Set(std::move(body));
+    }
+
+    void operator()(const DrainCall &call) const
+    {
+        wire::DrainCallT body;
+        body.vm = call.vm;
+        body.draining = call.draining;
+        this->out.Set(std::move(body));
+    }
+};
+
+std::optional<CallBody> bodyOf(const wire::CallBodyUnion &body)
+{
+    switch (body.type) {
+    case wire::CallBody::SubmitCall:
+        if (const wire::SubmitCallT *call = body.AsSubmitCall(); call->spec) {
+            SubmitCall out{fromWire(*call->spec), call->may_exist};
+            out.spec.deadline = millis(call->remaining_ms);
+            return out;
+        }
+        return std::nullopt;
+    case wire::CallBody::LookupCall:
+        return LookupCall{body.AsLookupCall()->id, millis(body.AsLookupCall()->wait_ms)};
+    case wire::CallBody::CancelCall:
+        return CancelCall{body.AsCancelCall()->id};
+    case wire::CallBody::AnswerCall:
+        return AnswerCall{body.AsAnswerCall()->id, body.AsAnswerCall()->offset};
+    case wire::CallBody::AnnounceCall:
+        if (const wire::AnnounceCallT *call = body.AsAnnounceCall(); call->report) {
+            return AnnounceCall{fromWire(*call->report)};
+        }
+        return std::nullopt;
+    case wire::CallBody::ViewCall:
+        return ViewCall{body.AsViewCall()->what, body.AsViewCall()->filter};
+    case wire::CallBody::DrainCall:
+        return DrainCall{body.AsDrainCall()->vm, body.AsDrainCall()->draining};
+    case wire::CallBody::NONE:
+        break;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encodeCall(const ZoneCall &call)
+{
+    wire::CallT out;
+    out.zone = call.zone;
+    std::visit(BodyEncoder{out.body}, call.body);
+    return packed<wire::Call>(out);
+}
+
+std::optional<ZoneCall> decodeCall(std::string_view bytes)
+{
+    wire::CallT in;
+    if (!unpacked<wire::Call>(bytes, in)) {
+        return std::nullopt;
+    }
+    std::optional<CallBody> body = bodyOf(in.body);
+    return body ? std::optional<ZoneCall>({in.zone, std::move(*body)}) : std::nullopt;
+}
+
+std::string encodeReply(ZoneReply reply)
+{
+    wire::ReplyT out;
+    out.code = static_cast<int>(reply.code);
+    out.reason = std::move(reply.reason);
+    out.leader = std::move(reply.leader);
+    out.epoch = reply.epoch;
+    out.may_exist = reply.mayExist;
+    out.next_in_ms = count(reply.nextIn);
+    const std::uint64_t wholeBytes = reply.status.answer.size();
+    if (wholeBytes > MaxPieceBytes) {
+        reply.status.answer.resize(MaxPieceBytes);
+    }
+    out.status = std::make_unique<wire::StatusT>(toWire(reply.status));
+    out.status->answer_bytes = wholeBytes;
+    out.json = std::move(reply.json);
+    out.piece = std::move(reply.piece);
+    return packed<wire::Reply>(out);
+}
+
+std::optional<ZoneReply> decodeReply(std::string_view bytes)
+{
+    wire::ReplyT in;
+    if (!unpacked<wire::Reply>(bytes, in)) {
+        return std::nullopt;
+    }
+    ZoneReply out;
+    out.code = static_cast<base::ResultCode>(in.code);
+    out.reason = std::move(in.reason);
+    out.leader = std::move(in.leader);
+    out.epoch = in.epoch;
+    out.mayExist = in.may_exist;
+    out.nextIn = millis(in.next_in_ms);
+    if (in.status) {
+        out.status = fromWire(*in.status);
+        out.answerBytes = in.status->answer_bytes;
+    }
+    out.json = std::move(in.json);
+    out.piece = std::move(in.piece);
+    return out;
+}
+
+std::string encodeBeacon(const Beacon &beacon)
+{
+    wire::BeaconT out;
+    out.zone = beacon.zone;
+    out.leader = beacon.leader;
+    out.epoch = beacon.epoch;
+    out.used = static_cast<float>(beacon.used);
+    out.waiting = beacon.waiting;
+    out.expected_wait_ms = static_cast<std::uint32_t>(count(beacon.expectedWait));
+    out.placing = beacon.placing;
+    return packed<wire::Beacon>(out);
+}
+
+std::optional<Beacon> decodeBeacon(std::string_view bytes)
+{
+    wire::BeaconT in;
+    if (!unpacked<wire::Beacon>(bytes, in)) {
+        return std::nullopt;
+    }
+    return Beacon{in.zone, in.leader, in.epoch, in.used, in.waiting, millis(in.expected_wait_ms), in.placing};
+}
+
+} // namespace cranberryreel::zone
--- /dev/null
+++ b/src/zone/LeaderTerm.cpp
@@ -0,0 +1,458 @@
+#include "zone/LeaderTerm.h"
+
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+#include "zone/Commands.h"
+#include "zone/PlannerInput.h"
+#include "zone/TaskName.h"
+#include "zone/UnixTime.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryreel::zone
+{
+
+namespace
+{
+
+const observe::Log Logger("zone");
+
+constexpr std::size_t DecisionsAtOnce = 256;
+constexpr std::chrono::milliseconds ExpireEvery{10000};
+
+} // namespace
+
+LeaderTerm::LeaderTerm(SchedulerContext schedulerContext, std::function<void()> wantPump)
+    : context(std::move(schedulerContext))
+    , requestPump(std::move(wantPump))
+    , planner(policy::makePlanner())
+    , changes(context, requestPump)
+    , fleet(context, *this)
+    , parts{context, *planner, jobs, fleet, changes, placed, requestPump}
+    , commander(parts)
+    , ender(parts, commander)
+    , starter(parts, ender)
+    , submissions(parts, starter, ender)
+{
+}
+
+void LeaderTerm::begin(std::shared_ptr<const config::Configuration> configuration)
+{
+    const base::SteadyTime now = base::steadyNow();
+    this->beganAt = now;
+    this->nextExpiry = now + ExpireEvery;
+    this->configured(std::move(configuration));
+    this->fleet.takeOver(now);
+    this->takeOverJobs(now);
+    Logger.info("Schedules {} in epoch {}: {} jobs, {} upstreams to reach.",
+                this->context.options.zone,
+                this->context.epoch,
+                this->jobs.size(),
+                this->fleet.all().size());
+    this->fleet.tick(now);
+    this->requestPump();
+}
+
+void LeaderTerm::configured(std::shared_ptr<const config::Configuration> configuration)
+{
+    this->current = std::move(configuration);
+    this->planner->setRules(rulesOf(*this->current));
+    const std::set<std::string> draining = this->context.store.drainingVms();
+    std::set<std::string> vms;
+    for (const policy::VmView &vm : vmsOf(*this->current, this->context.options.zone, draining)) {
+        vms.insert(vm.vm);
+        this->planner->setVm(vm);
+    }
+    for (const std::string &vm : this->plannedVms) {
+        if (vms.count(vm) == 0) {
+            this->planner->removeVm(vm);
+        }
+    }
+    this->plannedVms = std::move(vms);
+    this->requestPump();
+}
+
+void LeaderTerm::takeOverJobs(base::SteadyTime now)
+{
+    std::vector<JobRecord> open;
+    this->context.store.visitJobs([&open](const JobRecord &job) {
+        if (!model::isFinal(job.state)) {
+            open.push_back(job);
+        }
+    });
+    std::sort(open.begin(), open.end(), [](const JobRecord &left, const JobRecord &right) { return left.acceptedAt < right.acceptedAt; });
+    for (const JobRecord &record : open) {
+        this->takeOverJob(record, now);
+    }
+}
+
+void LeaderTerm::takeOverJob(const JobRecord &record, base::SteadyTime now)
+{
+    const auto age = std::max(std::chrono::milliseconds(0), unixNow() - record.acceptedAt);
+    ActiveJob &job = this->jobs.add(record.spec, true, now - age);
+    job.cancelled = record.cancelled;
+    job.span = observe::Span("zone.takeover", {});
+    job.span.set("work.id", job.spec.id);
+    this->planner->enqueueKept(record.spec, now);
+    for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
+        const TaskRecord &task = record.tasks[index];
+        ActiveTask &active = job.tasks[index];
+        active.attempt = task.attempt;
+        active.failures = task.failures;
+        active.upstream = task.upstream;
+        active.boot = task.boot;
+        active.reserved = task.reserved;
+        if (task.state == model::JobState::Running) {
+            active.stage = TaskStage::Resolving;
+            this->planner->adopt(record.spec, index, task.upstream, task.reserved, now);
+            this->placed.note(task.upstream, {record.spec.id, index});
+        } else if (model::isFinal(task.state)) {
+            active.stage = TaskStage::Ended;
+            this->planner->ended(record.spec.id, index, policy::TaskEnd::Done, false, now);
+        }
+    }
+    this->submissions.watchDeadline(job);
+}
+
+void LeaderTerm::call(const ZoneCall &zoneCall, const std::string &traceparent, const Reply &reply)
+{
+    const CallBody &body = zoneCall.body;
+    if (const auto *submit = std::get_if<SubmitCall>(&body)) {
+        this->submissions.submit(*submit, traceparent, reply);
+    } else if (const auto *lookup = std::get_if<LookupCall>(&body)) {
+        this->submissions.lookup(*lookup, reply);
+    } else if (const auto *cancel = std::get_if<CancelCall>(&body)) {
+        this->submissions.cancel(*cancel, reply);
+    } else if (const auto *answer = std::get_if<AnswerCall>(&body)) {
+        this->submissions.answer(*answer, reply);
+    } else if (const auto *announce = std::get_if<AnnounceCall>(&body)) {
+        this->announce(*announce, reply);
+    } else if (const auto *view = std::get_if<ViewCall>(&body)) {
+        this->view(*view, reply);
+    } else if (const auto *drain = std::get_if<DrainCall>(&body)) {
+        this->drain(*drain, reply);
+    }
+}
+
+void LeaderTerm::tick()
+{
+    const base::SteadyTime now = base::steadyNow();
+    this->fleet.tick(now);
+    this->jobs.sweep(now, this->context.options.resultRetention, this->context.options.maxResults);
+    if (now >= this->nextExpiry) {
+        this->nextExpiry = now + ExpireEvery;
+        this->expire(now);
+    }
+    if (!this->recoveryReported && this->fleet.recovered() && this->fleet.mayPlace(now)) {
+        this->recoveryReported = true;
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->beganAt);
+        observe::durations("cranberryreel_takeover_seconds", "From gaining leadership to every upstream reached or its lease over.").record(took);
+        Logger.info("Epoch {} has settled all upstreams after {} ms.", this->context.epoch, took.count());
+    }
+    this->pump();
+}
+
+void LeaderTerm::pump()
+{
+    static observe::DurationHistogram &planning = observe::durations("cranberryreel_plan_seconds", "One round of planning.");
+    const base::SteadyTime now = base::steadyNow();
+    if (this->context.mayAct() && this->fleet.mayPlace(now)) {
+        const std::vector<policy::Decision> decisions = this->planner->plan(now, DecisionsAtOnce);
+        planning.record(base::steadyNow() - now);
+        for (const policy::Decision &decision : decisions) {
+            this->decide(decision, now);
+        }
+        if (decisions.size() >= DecisionsAtOnce) {
+            this->requestPump();
+        }
+    }
+    this->changes.flush();
+}
+
+void LeaderTerm::decide(const policy::Decision &decision, base::SteadyTime now)
+{
+    if (decision.kind == policy::DecisionKind::Start) {
+        this->starter.place(decision, now);
+        return;
+    }
+    if (decision.kind == policy::DecisionKind::Refuse) {
+        this->submissions.refuse(decision.job, decision.code, decision.reason);
+        return;
+    }
+    ActiveJob *job = this->jobs.find(decision.job);
+    if (job == nullptr || decision.task >= job->tasks.size()) {
+        return;
+    }
+    if (decision.kind == policy::DecisionKind::Preempt) {
+        this->commander.preempt(*job, decision.task);
+    } else {
+        this->commander.throttle(*job, decision.task);
+    }
+}
+
+void LeaderTerm::acceptanceChanged(const UpstreamEntry &entry)
+{
+    const UpstreamRecord &record = entry.record;
+    const policy::UpstreamView view{record.id, record.vm, record.service, record.slots, entry.accepting};
+    policy::UpstreamView &told = this->toldUpstreams[record.id];
+    const bool same = told.id == view.id && told.vm == view.vm && told.service == view.service && told.slots == view.slots && told.accepting == view.accepting;
+    if (same) {
+        return;
+    }
+    told = view;
+    this->planner->setUpstream(view, base::steadyNow());
+    this->requestPump();
+}
+
+void LeaderTerm::upstreamEnded(const std::string &id, const std::string &newBoot)
+{
+    const base::SteadyTime now = base::steadyNow();
+    this->placed.visit(id, [this, &id, &newBoot, now](const TaskName &name) {
+        ActiveJob *job = this->jobs.find(name.job);
+        if (job == nullptr || name.index >= job->tasks.size()) {
+            return false;
+        }
+        const ActiveTask &task = job->tasks[name.index];
+        if (task.upstream != id || !isUp(task.stage)) {
+            return task.upstream == id && task.stage == TaskStage::Assigning;
+        }
+        if (!newBoot.empty() && task.boot == newBoot) {
+            return true;
+        }
+        this->ender.lost(*job, name.index, now);
+        return false;
+    });
+    this->requestPump();
+}
+
+void LeaderTerm::upstreamReported(const model::UpstreamReport &report, bool complete, base::SteadyTime askedAt)
+{
+    const base::SteadyTime now = base::steadyNow();
+    for (const model::TaskReport &task : report.tasks) {
+        this->takeReport(report, task, now);
+    }
+    if (complete) {
+        this->findAbsent(report, askedAt);
+    }
+}
+
+void LeaderTerm::takeReport(const model::UpstreamReport &report, const model::TaskReport &task, base::SteadyTime now)
+{
+    const std::optional<TaskName> name = TaskName::parse(task.taskId);
+    if (!name) {
+        return;
+    }
+    ActiveJob *job = this->jobs.find(name->job);
+    if (job == nullptr || name->index >= job->tasks.size()) {
+        this->strayReported(report, task, now);
+        return;
+    }
+    const ActiveTask &active = job->tasks[name->index];
+    const bool isCurrent = active.attempt == task.attempt && active.upstream == report.id;
+    if (isCurrent) {
+        this->ender.reported(*job, name->index, task, now);
+        return;
+    }
+    // An earlier attempt, whose end this scheduler knows or has proved.
+    if (model::isFinal(task.state)) {
+        this->fleet.acknowledge(report.id, task.taskId);
+    } else {
+        this->commander.stopStray(report.id, task.taskId);
+    }
+}
+
+void LeaderTerm::strayReported(const model::UpstreamReport &report, const model::TaskReport &task, base::SteadyTime now)
+{
+    const std::optional<TaskName> name = TaskName::parse(task.taskId);
+    const std::optional<JobRecord> record = this->context.store.job(name->job);
+    if (!record) {
+        this->inherit(*name, report, task, now);
+        return;
+    }
+    const bool open = name->index < record->tasks.size() && record->tasks[name->index].state == model::JobState::Unknown
+        && record->tasks[name->index].attempt == task.attempt;
+    if (open) {
+        this->resolveUnknown(*record, *name, report, task);
+    } else if (model::isFinal(task.state)) {
+        this->fleet.acknowledge(report.id, task.taskId);
+    } else {
+        this->commander.stopStray(report.id, task.taskId);
+    }
+}
+
+/// The outcome of a task that was given as unknown has become known.
+void LeaderTerm::resolveUnknown(const JobRecord &record, const TaskName &name, const model::UpstreamReport &report, const model::TaskReport &task)
+{
+    if (!model::isFinal(task.state)) {
+        return;
+    }
+    TaskChange change;
+    change.job = name.job;
+    change.task = name.index;
+    change.kind = TaskChangeKind::End;
+    change.attempt = task.attempt;
+    change.state = task.state;
+    change.code = task.state == model::JobState::Done ? base::ResultCode::Ok : base::ResultCode::TaskFailed;
+    change.answer = task.answer;
+    this->changes.add(change, record.spec.repeatable, [this, upstream = report.id, taskId = task.taskId](base::ResultCode code) {
+        if (code == base::ResultCode::Ok) {
+            this->fleet.acknowledge(upstream, taskId);
+        }
+    });
+}
+
+/// A request that an earlier scheduler started: held until its caller submits it again, so that it neither runs twice nor loses its answer.
+void LeaderTerm::inherit(const TaskName &name, const model::UpstreamReport &report, const model::TaskReport &task, base::SteadyTime now)
+{
+    model::JobSpec spec;
+    spec.id = name.job;
+    spec.kind = model::JobKind::Request;
+    spec.perTask = model::Resources::larger(task.reserved, task.usage);
+    if (name.index != 0) {
+        return;
+    }
+    ActiveJob &job = this->jobs.add(spec, false, now);
+    job.inherited = true;
+    ActiveTask &active = job.tasks.front();
+    active.attempt = task.attempt;
+    active.upstream = report.id;
+    active.boot = report.boot;
+    active.reserved = spec.perTask;
+    active.stage = TaskStage::Resolving;
+    this->planner->adopt(spec, 0, report.id, spec.perTask, now);
+    this->placed.note(report.id, name);
+    this->ender.reported(job, 0, task, now);
+}
+
+/// What an upstream ought to run and does not list: it never began there, or is gone.
+void LeaderTerm::findAbsent(const model::UpstreamReport &report, base::SteadyTime askedAt)
+{
+    absl::flat_hash_set<std::string> listed;
+    for (const model::TaskReport &task : report.tasks) {
+        listed.insert(task.taskId + '#' + std::to_string(task.attempt));
+    }
+    const base::SteadyTime now = base::steadyNow();
+    this->placed.visit(report.id, [this, &report, &listed, askedAt, now](const TaskName &name) {
+        ActiveJob *job = this->jobs.find(name.job);
+        if (job == nullptr || name.index >= job->tasks.size() || job->tasks[name.index].upstream != report.id) {
+            return false;
+        }
+        const ActiveTask &task = job->tasks[name.index];
+        if (task.stage == TaskStage::Assigning) {
+            return true;
+        }
+        if (!isUp(task.stage)) {
+            return false;
+        }
+        const bool absent = listed.count(name.text() + '#' + std::to_string(task.attempt)) == 0;
+        if (!absent || task.stage == TaskStage::Starting || task.stage == TaskStage::Doubtful) {
+            return true;
+        }
+        if (task.stage == TaskStage::Running) {
+            if (task.confirmedAt >= askedAt) {
+                return true;
+            }
+            this->ender.lost(*job, name.index, now);
+        } else if (task.boot == report.boot) {
+            this->ender.notStarted(*job, name.index);
+        } else {
+            this->ender.lost(*job, name.index, now);
+        }
+        return false;
+    });
+}
+
+void LeaderTerm::fencedOut(const std::string &id)
+{
+    Logger.warn("Upstream {} has seen a newer epoch than {}.", id, this->context.epoch);
+    this->context.group.raiseTerm(this->context.epoch + 1);
+}
+
+void LeaderTerm::announce(const AnnounceCall &call, const Reply &reply)
+{
+    ZoneReply out;
+    if (call.report.zone != this->context.options.zone) {
+        out.code = base::ResultCode::FieldOutOfRange;
+        out.reason = "the upstream names zone " + call.report.zone + "; this is " + this->context.options.zone;
+        reply(out);
+        return;
+    }
+    this->fleet.announced(call.report, base::steadyNow());
+    out.epoch = this->context.epoch;
+    out.nextIn = this->context.options.renewEvery;
+    reply(out);
+}
+
+void LeaderTerm::view(const ViewCall &call, const Reply &reply) const
+{
+    const Views views{this->context, *this->planner, this->fleet, *this->current, this->fleet.recovered()};
+    ZoneReply out;
+    if (const std::optional<std::string> json = views.render(call.what, call.filter)) {
+        out.json = *json;
+    } else {
+        out.code = base::ResultCode::NotFound;
+        out.reason = "no such view or id";
+    }
+    reply(out);
+}
+
+void LeaderTerm::drain(const DrainCall &call, const Reply &reply)
+{
+    if (this->plannedVms.count(call.vm) == 0) {
+        ZoneReply unknown;
+        unknown.code = base::ResultCode::UnknownVm;
+        unknown.reason = "the register has no VM " + call.vm + " in zone " + this->context.options.zone;
+        reply(unknown);
+        return;
+    }
+    this->context.group.propose(drainCommand(call.vm, call.draining),
+                                replication::Durability::Majority,
+                                [this, reply, guard = this->context.guard](const replication::ProposeResult &result) {
+                                    guard([this, reply, code = result.code] {
+                                        if (code == base::ResultCode::Ok) {
+                                            this->configured(this->current);
+                                        }
+                                        ZoneReply out;
+                                        out.code = code;
+                                        reply(out);
+                                    });
+                                });
+}
+
+void LeaderTerm::expire(base::SteadyTime /*now*/)
+{
+    const SchedulerOptions &options = this->context.options;
+    const std::chrono::milliseconds jobsBefore = unixNow() - options.jobRetention;
+    const std::chrono::milliseconds keysBefore = unixNow() - options.keyRetention;
+    bool any = false;
+    this->context.store.visitJobs([&any, jobsBefore, keysBefore](const JobRecord &job) {
+        const auto before = job.spec.key.empty() ? jobsBefore : keysBefore;
+        any = any || (job.finalAt.count() > 0 && job.finalAt < before);
+    });
+    if (any) {
+        this->context.group.propose(expireCommand(jobsBefore, keysBefore), replication::Durability::Majority, [](const replication::ProposeResult &) {});
+    }
+}
+
+void LeaderTerm::resign(const std::string &leader)
+{
+    this->submissions.resign(leader);
+}
+
+Beacon LeaderTerm::beacon() const
+{
+    const base::SteadyTime now = base::steadyNow();
+    const policy::LoadView load = this->planner->load(now);
+    return {
+        this->context.options.zone, this->context.options.ownVm, this->context.epoch, load.used, load.waiting, load.expectedWait, this->fleet.mayPlace(now)};
+}
+
+std::uint64_t LeaderTerm::epoch() const
+{
+    return this->context.epoch;
+}
+
+} // namespace cranberryreel::zone
--- /dev/null
+++ b/src/zone/Submissions.cpp
@@ -0,0 +1,450 @@
+#include "zone/Submissions.h"
+
+#include "observe/Log.h"
+#include "zone/CallCodec.h"
+#include "zone/Commands.h"
+#include "zone/UnixTime.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryreel::zone
+{
+
+namespace
+{
+
+const observe::Log Logger("zone.work");
+
+constexpr std::chrono::milliseconds LookAgainAfter{50};
+constexpr std::chrono::milliseconds LongestWait{300000};
+constexpr std::chrono::milliseconds DeadlineSlack{150}; // Leaves the group time to keep that the deadline has passed.
+
+bool isReplicated(const model::JobSpec &spec)
+{
+    return spec.kind != model::JobKind::Request || !spec.repeatable || !spec.key.empty();
+}
+
+std::string keyOf(const model::JobSpec &spec)
+{
+    return spec.partner + '\n' + spec.key;
+}
+
+ZoneReply refusal(const model::JobSpec &spec, base::ResultCode code, const std::string &reason)
+{
+    ZoneReply reply;
+    reply.status.id = spec.id;
+    reply.status.kind = spec.kind;
+    reply.status.partner = spec.partner;
+    reply.status.name = spec.name;
+    reply.status.state = model::JobState::NotRun;
+    reply.status.code = code;
+    reply.status.reason = reason;
+    return reply;
+}
+
+ZoneReply failure(base::ResultCode code, const std::string &reason)
+{
+    ZoneReply reply;
+    reply.code = code;
+    reply.reason = reason;
+    return reply;
+}
+
+bool waitsWhole(const ActiveJob &job)
+{
+    return std::all_of(job.tasks.begin(), job.tasks.end(), [](const ActiveTask &task) { return task.stage == TaskStage::Waiting; });
+}
+
+model::JobState stateOf(const ActiveTask &task, const ActiveJob &job)
+{
+    if (task.stage == TaskStage::Ended) {
+        return job.state;
+    }
+    return task.stage == TaskStage::Waiting || task.stage == TaskStage::Assigning ? model::JobState::Accepted : model::JobState::Running;
+}
+
+} // namespace
+
+Submissions::Submissions(TermParts &termParts, TaskStarter &taskStarter, TaskEnder &taskEnder)
+    : parts(termParts)
+    , starter(taskStarter)
+    , ender(taskEnder)
+{
+}
+
+void Submissions::submit(const SubmitCall &call, const std::string &traceparent, const Reply &reply)
+{
+    if (this->joinKnown(call, reply)) {
+        return;
+    }
+    if (call.mayExist && !isReplicated(call.spec) && !this->parts.fleet.recovered()) {
+        this->parkUntilRecovered(call, traceparent, reply);
+        return;
+    }
+    this->takeIn(call, traceparent, reply);
+}
+
+bool Submissions::joinKnown(const SubmitCall &call, const Reply &reply)
+{
+    if (ActiveJob *job = this->parts.jobs.find(call.spec.id)) {
+        if (job->inherited) {
+            job->inherited = false;
+            job->spec.partner = call.spec.partner;
+            job->spec.name = call.spec.name;
+            job->spec.payload = call.spec.payload;
+        }
+        if (job->spec.kind != model::JobKind::Request && !job->submitting) {
+            reply(this->replyFor(call.spec.id));
+        } else {
+            this->awaitOutcome(*job, base::steadyNow() + call.spec.deadline + DeadlineSlack, StillOpen::TellUnknown, reply);
+        }
+        return true;
+    }
+    if (!isReplicated(call.spec)) {
+        return false;
+    }
+    if (this->parts.context.store.job(call.spec.id)) {
+        reply(this->replyFor(call.spec.id));
+        return true;
+    }
+    if (call.spec.key.empty()) {
+        return false;
+    }
+    if (const auto onTheWay = this->keysOnTheWay.find(keyOf(call.spec)); onTheWay != this->keysOnTheWay.end()) {
+        this->joinKey(onTheWay->second, call, reply);
+        return true;
+    }
+    if (const auto known = this->parts.context.store.jobOfKey(call.spec.partner, call.spec.key)) {
+        this->joinKey(*known, call, reply);
+        return true;
+    }
+    return false;
+}
+
+void Submissions::joinKey(const model::JobId &id, const SubmitCall &call, const Reply &reply)
+{
+    const ActiveJob *active = this->parts.jobs.find(id);
+    const std::optional<JobRecord> record = this->parts.context.store.job(id);
+    const model::JobSpec *spec = active != nullptr ? &active->spec : record ? &record->spec : nullptr;
+    if (spec == nullptr || !sameWork(*spec, call.spec)) {
+        reply(failure(base::ResultCode::KeyReusedForOtherWork, "the idempotency key stands for other work already; choose a new key"));
+        return;
+    }
+    if (active != nullptr && (spec->kind == model::JobKind::Request || active->submitting)) {
+        this->awaitOutcome(*this->parts.jobs.find(id), base::steadyNow() + call.spec.deadline + DeadlineSlack, StillOpen::TellUnknown, reply);
+        return;
+    }
+    reply(this->replyFor(id));
+}
+
+void Submissions::parkUntilRecovered(SubmitCall call, const std::string &traceparent, const Reply &reply)
+{
+    if (call.spec.deadline <= LookAgainAfter) {
+        ZoneReply unknown = refusal(call.spec, base::ResultCode::OutcomeUnknown, "the zone is still finding out what runs; ask again by id");
+        unknown.status.state = model::JobState::Unknown;
+        reply(unknown);
+        return;
+    }
+    call.spec.deadline -= LookAgainAfter;
+    this->parts.context.guardAfter(LookAgainAfter, [this, call, traceparent, reply] {
+        if (this->resigning) {
+            return;
+        }
+        this->submit(call, traceparent, reply);
+    });
+}
+
+void Submissions::takeIn(const SubmitCall &call, const std::string &traceparent, const Reply &reply)
+{
+    const base::SteadyTime now = base::steadyNow();
+    const bool replicated = isReplicated(call.spec);
+    if (replicated && this->parts.context.store.jobCount() >= this->parts.context.options.maxJobs) {
+        reply(refusal(call.spec, base::ResultCode::QueueFull, "the zone keeps as many jobs as it may"));
+        return;
+    }
+    if (const policy::Decision decision = this->parts.planner.enqueue(call.spec, now); decision.kind == policy::DecisionKind::Refuse) {
+        reply(refusal(call.spec, decision.code, decision.reason));
+        return;
+    }
+    ActiveJob &job = this->parts.jobs.add(call.spec, replicated, now);
+    job.traceparent = traceparent;
+    job.span = observe::Span("zone.work", traceparent);
+    job.span.set("work.id", job.spec.id);
+    this->watchDeadline(job);
+    if (replicated) {
+        this->keep(job, reply);
+    } else {
+        this->awaitOutcome(job, now + job.spec.deadline + DeadlineSlack, StillOpen::TellUnknown, reply);
+    }
+    this->parts.wantPump();
+}
+
+void Submissions::keep(ActiveJob &job, const Reply &reply)
+{
+    job.submitting = true;
+    if (!job.spec.key.empty()) {
+        this->keysOnTheWay[keyOf(job.spec)] = job.spec.id;
+    }
+    if (job.spec.kind == model::JobKind::Request) {
+        this->awaitOutcome(job, base::steadyNow() + job.spec.deadline + DeadlineSlack, StillOpen::TellUnknown, reply);
+    }
+    const Reply jobReply = job.spec.kind == model::JobKind::Request ? Reply() : reply;
+    this->parts.context.group.propose(submitCommand(job.spec, unixNow()),
+                                      replication::Durability::SyncedDisk,
+                                      [this, id = job.spec.id, jobReply, guard = this->parts.context.guard](const replication::ProposeResult &result) {
+                                          guard([this, id, result, jobReply] { this->kept(id, result, jobReply); });
+                                      });
+}
+
+void Submissions::kept(const model::JobId &id, const replication::ProposeResult &result, const Reply &reply)
+{
+    ActiveJob *job = this->parts.jobs.find(id);
+    if (job == nullptr) {
+        return;
+    }
+    this->keysOnTheWay.erase(keyOf(job->spec));
+    if (result.code == base::ResultCode::Ok && SubmitOutcome::decode(result.result).verdict == SubmitVerdict::Kept) {
+        job->submitting = false;
+        if (reply) {
+            reply(this->replyFor(id));
+        }
+        this->starter.releaseHeld(*job, base::steadyNow());
+        if (job->cancelled) {
+            this->cancelKept(id, [](const ZoneReply &) {});
+        }
+        return;
+    }
+    if (result.code == base::ResultCode::GroupUnavailable) {
+        // It may be kept still; the caller submits the same id to the next scheduler, who knows.
+        ZoneReply moved = failure(base::ResultCode::NotLeader, "the zone's scheduler is changing");
+        moved.mayExist = true;
+        if (reply) {
+            reply(moved);
+        }
+        return;
+    }
+    const bool kept = result.code == base::ResultCode::Ok;
+    const base::ResultCode code = kept ? base::ResultCode::KeyReusedForOtherWork : result.code;
+    const std::string reason = code == base::ResultCode::NoDurableStore ? "no synced disk in reach could keep it" : "the zone could not keep it";
+    if (reply) {
+        reply(refusal(job->spec, code, reason));
+    }
+    this->drop(*job, code, reason);
+}
+
+/// Gives up a job that lives only here and of which nothing runs.
+void Submissions::drop(ActiveJob &job, base::ResultCode code, const std::string &reason)
+{
+    const base::SteadyTime now = base::steadyNow();
+    this->parts.planner.cancel(job.spec.id, now);
+    for (const std::uint32_t index : std::exchange(job.heldStarts, {})) {
+        this->parts.planner.ended(job.spec.id, index, policy::TaskEnd::NotStarted, false, now);
+    }
+    const bool ran = std::any_of(job.tasks.begin(), job.tasks.end(), [](const ActiveTask &task) { return task.failures > 0; });
+    job.replicated = false;
+    job.submitting = false;
+    job.state = ran ? model::JobState::Failed : model::JobState::NotRun;
+    job.code = code;
+    job.reason = reason;
+    for (ActiveTask &task : job.tasks) {
+        task.stage = TaskStage::Ended;
+    }
+    this->parts.jobs.finish(job, now);
+}
+
+void Submissions::refuse(const model::JobId &id, base::ResultCode code, const std::string &reason)
+{
+    ActiveJob *job = this->parts.jobs.find(id);
+    if (job == nullptr) {
+        return;
+    }
+    if (!job->replicated) {
+        this->drop(*job, code, reason);
+        return;
+    }
+    this->parts.context.group.propose(refuseCommand(id, code, reason, unixNow()),
+                                      replication::Durability::Majority,
+                                      [this, id, guard = this->parts.context.guard](const replication::ProposeResult &result) {
+                                          guard([this, id, result] {
+                                              ActiveJob *refused = this->parts.jobs.find(id);
+                                              if (refused == nullptr || result.code != base::ResultCode::Ok || result.result != "1") {
+                                                  return;
+                                              }
+                                              this->parts.planner.cancel(id, base::steadyNow());
+                                              refused->code = this->replyFor(id).status.code;
+                                              this->parts.jobs.finish(*refused, base::steadyNow());
+                                          });
+                                      });
+}
+
+void Submissions::awaitOutcome(ActiveJob &job, base::SteadyTime until, StillOpen stillOpen, const Reply &reply)
+{
+    const model::JobId id = job.spec.id;
+    if (job.finalAt) {
+        reply(this->replyOf(job));
+        return;
+    }
+    this->parts.jobs.wait(job,
+                          {[this, id, stillOpen, reply] {
+                               if (this->resigning) {
+                                   ZoneReply moved = failure(base::ResultCode::NotLeader, "the zone's scheduler is changing");
+                                   moved.mayExist = true;
+                                   reply(moved);
+                                   return;
+                               }
+                               ZoneReply outcome = this->replyFor(id);
+                               if (stillOpen != StillOpen::TellState && !model::isFinal(outcome.status.state)) {
+                                   outcome.status.state = model::JobState::Unknown;
+                                   outcome.status.code = base::ResultCode::OutcomeUnknown;
+                                   outcome.status.reason = "it has not ended by its deadline; ask again by id";
+                               }
+                               reply(outcome);
+                           },
+                           until});
+}
+
+void Submissions::watchDeadline(ActiveJob &job)
+{
+    if (!job.deadlineAt) {
+        return;
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*job.deadlineAt - base::steadyNow());
+    this->parts.context.guardAfter(std::max(left, std::chrono::milliseconds(0)), [this, id = job.spec.id] { this->deadlinePassed(id); });
+}
+
+void Submissions::deadlinePassed(const model::JobId &id)
+{
+    ActiveJob *job = this->parts.jobs.find(id);
+    if (job == nullptr || job->finalAt || job->submitting || !waitsWhole(*job)) {
+        return;
+    }
+    this->refuse(id, base::ResultCode::DeadlinePassed, "its deadline passed while it waited");
+}
+
+void Submissions::lookup(const LookupCall &call, const Reply &reply)
+{
+    ActiveJob *job = this->parts.jobs.find(call.id);
+    if (job != nullptr && !job->finalAt && call.wait.count() > 0) {
+        this->awaitOutcome(*job, base::steadyNow() + std::min(call.wait, LongestWait), StillOpen::TellState, reply);
+        return;
+    }
+    reply(this->replyFor(call.id));
+}
+
+void Submissions::cancel(const CancelCall &call, const Reply &reply)
+{
+    ActiveJob *job = this->parts.jobs.find(call.id);
+    if (job == nullptr || job->finalAt) {
+        reply(this->replyFor(call.id));
+        return;
+    }
+    job->cancelled = true;
+    if (job->submitting) {
+        reply(this->replyFor(call.id));
+    } else if (job->replicated) {
+        this->cancelKept(call.id, reply);
+    } else {
+        this->cancelHere(*job, reply);
+    }
+}
+
+void Submissions::cancelHere(ActiveJob &job, const Reply &reply)
+{
+    const model::JobId id = job.spec.id;
+    ActiveTask &task = job.tasks.front();
+    if (task.stage == TaskStage::Waiting || task.stage == TaskStage::Held) {
+        const bool waits = task.stage == TaskStage::Waiting;
+        this->parts.planner.cancel(id, base::steadyNow());
+        if (waits && task.failures == 0) {
+            this->drop(job, base::ResultCode::CancelledBeforeStart, "cancelled while it waited");
+        } else {
+            this->ender.waitAgain(job, 0, policy::TaskEnd::Failed);
+        }
+    } else {
+        this->ender.stopAll(job);
+    }
+    reply(this->replyFor(id));
+}
+
+void Submissions::cancelKept(const model::JobId &id, const Reply &reply)
+{
+    this->parts.context.group.propose(cancelCommand(id, unixNow()),
+                                      replication::Durability::Majority,
+                                      [this, id, reply, guard = this->parts.context.guard](const replication::ProposeResult &result) {
+                                          guard([this, id, reply, code = result.code] {
+                                              ActiveJob *job = this->parts.jobs.find(id);
+                                              if (code != base::ResultCode::Ok) {
+                                                  reply(failure(code, "the cancellation could not be kept; try again"));
+                                                  return;
+                                              }
+                                              if (job != nullptr) {
+                                                  this->parts.planner.cancel(id, base::steadyNow());
+                                                  this->ender.cancelled(*job);
+                                              }
+                                              reply(this->replyFor(id));
+                                          });
+                                      });
+}
+
+void Submissions::answer(const AnswerCall &call, const Reply &reply)
+{
+    ZoneReply whole = this->replyFor(call.id);
+    ZoneReply out;
+    out.code = whole.code;
+    out.answerBytes = whole.status.answer.size();
+    if (call.offset < whole.status.answer.size()) {
+        out.piece = whole.status.answer.substr(call.offset, MaxPieceBytes);
+    }
+    reply(out);
+}
+
+ZoneReply Submissions::replyFor(const model::JobId &id)
+{
+    if (const ActiveJob *job = this->parts.jobs.find(id); job != nullptr && (!job->replicated || job->submitting)) {
+        return this->replyOf(*job);
+    }
+    if (const std::optional<JobRecord> record = this->parts.context.store.job(id)) {
+        ZoneReply reply;
+        reply.status = statusOf(*record);
+        reply.answerBytes = reply.status.answer.size();
+        return reply;
+    }
+    return failure(base::ResultCode::NotFound, "no such work is known; it may have been forgotten after its retention");
+}
+
+ZoneReply Submissions::replyOf(const ActiveJob &job) const
+{
+    ZoneReply reply;
+    reply.status.id = job.spec.id;
+    reply.status.kind = job.spec.kind;
+    reply.status.partner = job.spec.partner;
+    reply.status.name = job.spec.name;
+    reply.status.reason = job.reason;
+    reply.status.state = job.finalAt ? job.state : model::JobState::Accepted;
+    reply.status.code = job.finalAt ? job.code : base::ResultCode::Ok;
+    reply.status.answer = job.answer;
+    reply.answerBytes = job.answer.size();
+    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+        const ActiveTask &task = job.tasks[index];
+        const model::JobState state = stateOf(task, job);
+        if (state == model::JobState::Running && !job.finalAt) {
+            reply.status.state = model::JobState::Running;
+        }
+        reply.status.tasks.push_back({index, state, job.finalAt ? job.code : base::ResultCode::Ok, task.upstream, task.attempt});
+    }
+    return reply;
+}
+
+void Submissions::resign(const std::string &leader)
+{
+    this->resigning = true;
+    Logger.info("Hands over to {}.", leader.empty() ? "whoever is elected" : leader);
+    this->parts.jobs.visit([](ActiveJob &job) {
+        for (const Waiter &waiter : std::exchange(job.waiters, {})) {
+            waiter.tell();
+        }
+    });
+}
+
+} // namespace cranberryreel::zone
--- /dev/null
+++ b/src/zone/TaskCommander.cpp
@@ -0,0 +1,75 @@
+#include "zone/TaskCommander.h"
+
+#include "zone/TaskName.h"
+
+namespace cranberryreel::zone
+{
+
+namespace
+{
+
+std::string taskIdOf(const ActiveJob &job, std::uint32_t index)
+{
+    return TaskName{job.spec.id, index}.text();
+}
+
+} // namespace
+
+TaskCommander::TaskCommander(TermParts &termParts)
+    : parts(termParts)
+{
+}
+
+void TaskCommander::stop(const ActiveJob &job, std::uint32_t index)
+{
+    if (job.tasks[index].stage == TaskStage::Running) {
+        this->command(job.tasks[index].upstream, taskIdOf(job, index), upstream::TaskCommand::Stop, [] {});
+    }
+}
+
+void TaskCommander::stopAll(const ActiveJob &job)
+{
+    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+        this->stop(job, index);
+    }
+}
+
+void TaskCommander::preempt(ActiveJob &job, std::uint32_t index)
+{
+    ActiveTask &task = job.tasks[index];
+    if (task.stage != TaskStage::Running) {
+        return;
+    }
+    task.preempting = true;
+    this->command(task.upstream, taskIdOf(job, index), upstream::TaskCommand::Checkpoint, [this, upstream = task.upstream, taskId = taskIdOf(job, index)] {
+        this->command(upstream, taskId, upstream::TaskCommand::Stop, [] {});
+    });
+}
+
+void TaskCommander::throttle(const ActiveJob &job, std::uint32_t index)
+{
+    if (job.tasks[index].stage == TaskStage::Running) {
+        this->command(job.tasks[index].upstream, taskIdOf(job, index), upstream::TaskCommand::Throttle, [] {});
+    }
+}
+
+void TaskCommander::stopStray(const std::string &upstream, const std::string &taskId)
+{
+    this->command(upstream, taskId, upstream::TaskCommand::Stop, [] {});
+}
+
+void TaskCommander::command(const std::string &upstream, const std::string &taskId, upstream::TaskCommand taskCommand, std::function<void()> then)
+{
+    const UpstreamEntry *entry = this->parts.fleet.find(upstream);
+    if (entry == nullptr || !this->parts.context.mayAct()) {
+        return;
+    }
+    this->parts.context.adapter.command(entry->record.address,
+                                        taskId,
+                                        taskCommand,
+                                        this->parts.context.epoch,
+                                        this->parts.context.options.callLimit,
+                                        [then, guard = this->parts.context.guard](const upstream::TaskAnswer &) { guard(then); });
+}
+
+} // namespace cranberryreel::zone
--- /dev/null
+++ b/src/zone/TaskEnder.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "cranberryreel/base/Clock.h"
+#include "cranberryreel/model/UpstreamReport.h"
+#include "policy/Planner.h"
+#include "zone/ActiveJob.h"
+#include "zone/RetryBudget.h"
+#include "zone/TaskCommander.h"
+#include "zone/TermParts.h"
+
+#include <cstdint>
+#include <string>
+
+namespace cranberryreel::zone
+{
+
+/// Brings attempts to their end: takes in what upstreams report, decides whether the task runs again, and says of each attempt only what is proved. Owned by
+/// LeaderTerm; one thread.
+class TaskEnder
+{
+public:
+    TaskEnder(TermParts &termParts, TaskCommander &taskCommander);
+
+    /// The upstream says this of the task's current attempt.
+    void reported(ActiveJob &job, std::uint32_t index, const model::TaskReport &report, base::SteadyTime now);
+
+    /// The attempt provably never began and never will.
+    void notStarted(ActiveJob &job, std::uint32_t index);
+
+    /// The attempt is provably over, and nobody knows how it ended.
+    void lost(ActiveJob &job, std::uint32_t index, base::SteadyTime now);
+
+    /// Puts the task back into the planner's queue; of a cancelled job, ends it.
+    void waitAgain(ActiveJob &job, std::uint32_t index, policy::TaskEnd end);
+
+    /// The group keeps that the job is cancelled: stops what runs, ends what waits.
+    void cancelled(ActiveJob &job);
+    void stopAll(const ActiveJob &job);
+
+    /// Finishes the job here once the store has it final.
+    void endKept(const model::JobId &id, const std::string &upstream, const std::string &taskId);
+
+private:
+    void endAttempt(ActiveJob &job, std::uint32_t index, model::JobState state, base::ResultCode code, const std::string &answer, base::SteadyTime now);
+    void runAgain(ActiveJob &job, std::uint32_t index, policy::TaskEnd end);
+    void settleEnd(ActiveJob &job, std::uint32_t index, model::JobState state, base::ResultCode code, const std::string &answer, base::SteadyTime now);
+    bool mayRunAgain(const ActiveJob &job, const ActiveTask &task, base::SteadyTime now);
+    void failGang(ActiveJob &job, std::uint32_t index);
+    void restartGang(ActiveJob &job, std::uint32_t index);
+
+    TermParts &parts;
+    TaskCommander &commander;
+    RetryBudget retries;
+};
+
+} // namespace cranberryreel::zone
--- /dev/null
+++ b/src/zone/UnixTime.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <chrono>
+
+namespace cranberryreel::zone
+{
+
+/// Wall-clock time since the Unix epoch, for retention only.
+inline std::chrono::milliseconds unixNow()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace cranberryreel::zone
