Link the daemons: framed FlatBuffers over TCP behind LinkHubBuilder

Cause: the whole path needs calls and messages between daemons. Weighed: one connection dialed by one end only was ruled out, since an end that alone notices a dead connection must be able to dial; letting the last connection win at both ends was ruled out, since the ends may differ. The VM with the lower name chooses and tells by an Adopt frame. Handshake: nonces both ways and HMAC-SHA256 by either of two accepted keys, the dialer first, so that a stranger learns nothing. LinkHub gains setKeys and figures.

--- a/src/link/LinkHub.h
+++ b/src/link/LinkHub.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "link/LinkKeys.h"
+
 #include "cranberryreel/base/ResultCode.h"
 
 #include <chrono>
@@ -42,6 +44,14 @@
     std::uint64_t bytesIn = 0;
 };
 
+/// Events on all links of a hub since its start.
+struct LinkFigures {
+    std::uint64_t handshakesRefused = 0; ///< Connections of strangers, of other versions, or with a wrong key.
+    std::uint64_t framesInvalid = 0;
+    std::uint64_t linksLost = 0;
+    std::uint64_t answersDropped = 0; ///< Answers of this VM that found their link gone or full.
+};
+
 /// Links to all other daemons of the deployment: one multiplexed TCP connection a peer pair, heartbeats both ways, authenticated by a shared key.
 /// Handlers run on the hub's own I/O thread and must not block. Owned by the daemon.
 class LinkHub
@@ -62,7 +72,11 @@
     virtual void
     call(const std::string &toVm, Channel channel, std::string payload, std::chrono::milliseconds limit, const std::string &traceparent, CallDone done) = 0;
 
+    /// Accepts other keys from now on. Links that were proved by a key that is gone are dropped and dialed anew; the others go on. Any thread.
+    virtual void setKeys(LinkKeys keys) = 0;
+
     virtual std::vector<PeerStatus> peers() const = 0;
+    virtual LinkFigures figures() const = 0;
     virtual bool isUp(const std::string &vm) const = 0;
 };
 
--- /dev/null
+++ b/src/link/LinkHubBuilder.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "link/LinkHub.h"
+#include "link/LinkHubOptions.h"
+
+#include <memory>
+#include <string>
+
+namespace cranberryreel::link
+{
+
+/// Builds the hub of a daemon. Owned by whoever starts the daemon, for as long as it takes to build.
+class LinkHubBuilder
+{
+public:
+    LinkHubBuilder &vm(std::string name);
+    LinkHubBuilder &cluster(std::string id);
+
+    /// "IP:PORT". Throws base::Error(SettingsBadValue).
+    LinkHubBuilder &listen(const std::string &address);
+
+    /// "IP:PORT". Throws base::Error(SettingsBadValue). The own VM may be among the peers and is passed over.
+    LinkHubBuilder &peer(std::string name, const std::string &address);
+    LinkHubBuilder &keys(LinkKeys linkKeys);
+    LinkHubBuilder &timings(LinkTimings linkTimings);
+    LinkHubBuilder &limits(LinkLimits linkLimits);
+
+    /// Throws base::Error(SettingsMissingKey) without VM, cluster, address to listen on or current key, base::Error(SettingsInconsistent) for a peer
+    /// that stands twice.
+    std::unique_ptr<LinkHub> build();
+
+private:
+    LinkHubOptions options;
+};
+
+} // namespace cranberryreel::link
--- /dev/null
+++ b/src/link/Listener.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "link/EventLoop.h"
+#include "link/Socket.h"
+
+#include "cranberryreel/base/Clock.h"
+
+#include <functional>
+
+namespace cranberryreel::link
+{
+
+/// Accepts connections. Pauses while the process is out of descriptors, so that it does not spin. Owned by the hub; I/O thread only.
+class Listener : public IoHandler
+{
+public:
+    using Accepted = std::function<void(Socket)>;
+
+    Listener(EventLoop &eventLoop, const Endpoint &endpoint, Accepted onAccepted);
+    ~Listener() override;
+    Listener(const Listener &) = delete;
+    Listener &operator=(const Listener &) = delete;
+
+    void tick(base::SteadyTime now);
+    base::SteadyTime nextTick() const;
+    void ready(std::uint32_t events) override;
+
+private:
+    EventLoop &loop;
+    Socket socket;
+    Accepted accepted;
+    EventLoop::Token token;
+    base::SteadyTime resumeAt = base::SteadyTime::max();
+};
+
+} // namespace cranberryreel::link
--- /dev/null
+++ b/src/link/Outbox.cpp
@@ -0,0 +1,178 @@
+#include "link/Outbox.h"
+
+#include <algorithm>
+
+namespace cranberryreel::link
+{
+
+namespace
+{
+
+CallResult lost(bool sent)
+{
+    return {base::ResultCode::LinkDown, sent, {}};
+}
+
+} // namespace
+
+void endCalls(std::vector<EndedCall> calls)
+{
+    for (EndedCall &call : calls) {
+        call.done(std::move(call.result));
+    }
+}
+
+Outbox::Outbox(const LinkLimits &linkLimits)
+    : limits(linkLimits)
+{
+}
+
+void Outbox::open(std::uint64_t connectionGeneration)
+{
+    absl::MutexLock lock(&this->mutex);
+    this->generation = connectionGeneration;
+    this->opened = true;
+}
+
+std::vector<EndedCall> Outbox::close()
+{
+    absl::MutexLock lock(&this->mutex);
+    this->opened = false;
+    this->waiting.clear();
+    this->waitingBytes = 0;
+    std::vector<EndedCall> ended;
+    ended.reserve(this->calls.size());
+    for (auto &[id, call] : this->calls) {
+        ended.push_back({std::move(call.done), lost(call.sent)});
+    }
+    this->calls.clear();
+    this->deadlines.clear();
+    return ended;
+}
+
+bool Outbox::isOpen() const
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->opened;
+}
+
+bool Outbox::push(std::string frame)
+{
+    absl::MutexLock lock(&this->mutex);
+    if (!this->hasRoom(frame.size())) {
+        return false;
+    }
+    this->enqueue(std::move(frame), 0);
+    return true;
+}
+
+bool Outbox::pushFor(std::uint64_t connectionGeneration, std::string frame)
+{
+    absl::MutexLock lock(&this->mutex);
+    if (connectionGeneration != this->generation || !this->hasRoom(frame.size())) {
+        return false;
+    }
+    this->enqueue(std::move(frame), 0);
+    return true;
+}
+
+std::optional<CallDone> Outbox::pushCall(std::uint64_t id, std::string frame, base::SteadyTime deadline, CallDone done)
+{
+    absl::MutexLock lock(&this->mutex);
+    if (!this->hasRoom(frame.size()) || this->calls.size() >= this->limits.pendingCalls) {
+        return done;
+    }
+    this->enqueue(std::move(frame), id);
+    this->calls.emplace(id, PendingCall{std::move(done), deadline, false});
+    this->deadlines.emplace(deadline, id);
+    return std::nullopt;
+}
+
+void Outbox::take(std::size_t bytes, std::string &output)
+{
+    absl::MutexLock lock(&this->mutex);
+    for (std::size_t taken = 0; taken < bytes && !this->waiting.empty();) {
+        WaitingFrame &frame = this->waiting.front();
+        if (const auto call = this->calls.find(frame.callId); call != this->calls.end()) {
+            call->second.sent = true;
+        }
+        taken += frame.bytes.size();
+        this->waitingBytes -= frame.bytes.size();
+        output.append(frame.bytes);
+        this->waiting.pop_front();
+    }
+}
+
+bool Outbox::start(std::uint64_t id)
+{
+    absl::MutexLock lock(&this->mutex);
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) {
+        return false;
+    }
+    found->second.sent = true;
+    this->dropWaiting(id);
+    return true;
+}
+
+std::optional<CallDone> Outbox::answered(std::uint64_t id)
+{
+    absl::MutexLock lock(&this->mutex);
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) {
+        return std::nullopt;
+    }
+    CallDone done = std::move(found->second.done);
+    this->deadlines.erase({found->second.deadline, id});
+    this->calls.erase(found);
+    return done;
+}
+
+std::vector<EndedCall> Outbox::expire(base::SteadyTime now)
+{
+    absl::MutexLock lock(&this->mutex);
+    std::vector<EndedCall> ended;
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+        const std::uint64_t id = this->deadlines.begin()->second;
+        const auto found = this->calls.find(id);
+        if (!found->second.sent) {
+            this->dropWaiting(id);
+        }
+        ended.push_back({std::move(found->second.done), lost(found->second.sent)});
+        this->calls.erase(found);
+        this->deadlines.erase(this->deadlines.begin());
+    }
+    return ended;
+}
+
+std::optional<base::SteadyTime> Outbox::nextDeadline() const
+{
+    absl::MutexLock lock(&this->mutex);
+    if (this->deadlines.empty()) {
+        return std::nullopt;
+    }
+    return this->deadlines.begin()->first;
+}
+
+bool Outbox::hasRoom(std::size_t bytes) const
+{
+    return this->opened && this->waitingBytes + bytes <= this->limits.queueBytes;
+}
+
+void Outbox::enqueue(std::string frame, std::uint64_t callId)
+{
+    this->waitingBytes += frame.size();
+    this->waiting.push_back({std::move(frame), callId});
+}
+
+void Outbox::dropWaiting(std::uint64_t callId)
+{
+    const auto isCall = [callId](const WaitingFrame &frame) { return frame.callId == callId; };
+    const auto found = std::find_if(this->waiting.begin(), this->waiting.end(), isCall);
+    if (found != this->waiting.end()) {
+        this->waitingBytes -= found->bytes.size();
+        this->waiting.erase(found);
+    }
+}
+
+} // namespace cranberryreel::link
--- /dev/null
+++ b/src/link/Socket.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "link/Endpoint.h"
+
+namespace cranberryreel::link
+{
+
+/// A non-blocking TCP socket; closes its descriptor on destruction. Move-only; owned by a connection or a listener.
+class Socket
+{
+public:
+    explicit Socket(int descriptor);
+    Socket(Socket &&other) noexcept;
+    Socket &operator=(Socket &&other) noexcept;
+    Socket(const Socket &) = delete;
+    Socket &operator=(const Socket &) = delete;
+    ~Socket();
+
+    /// Throws base::Error(PortInUse).
+    static Socket listen(const Endpoint &endpoint);
+
+    /// Begins to connect; the outcome shows in failed() once the socket is writable. Throws base::Error(LinkDown) when it fails at once.
+    static Socket connect(const Endpoint &endpoint);
+
+    /// Takes one waiting connection; an invalid socket when there is none.
+    Socket accept() const;
+
+    bool valid() const;
+    int descriptor() const;
+    std::uint16_t localPort() const;
+
+    /// The pending error of the socket (errno value), or 0. Reading clears it.
+    int takeError() const;
+
+private:
+    void close();
+
+    int fd;
+};
+
+} // namespace cranberryreel::link
--- /dev/null
+++ b/src/link/TcpLinkHub.cpp
@@ -0,0 +1,346 @@
+#include "link/TcpLinkHub.h"
+
+#include "link/LinkLog.h"
+
+#include <absl/algorithm/container.h>
+
+#include <fmt/format.h>
+
+#include <random>
+#include <utility>
+
+#include <pthread.h>
+
+namespace cranberryreel::link
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds LongestWait{1000};
+
+/// The VM with the higher name pings a little later, so that an idle link carries one ping a round and not two.
+LinkTimings timingsFor(const LinkHubOptions &options, const std::string &peerVm)
+{
+    LinkTimings timings = options.timings;
+    if (peerVm < options.vm) {
+        timings.heartbeatInterval += timings.heartbeatInterval / 4;
+    }
+    return timings;
+}
+
+/// Ids of an earlier run of this VM never come up again, so that no late answer to one meets a call of this run.
+std::uint64_t firstCallId()
+{
+    std::random_device random;
+    return (static_cast<std::uint64_t>(random()) << 31U) + 1;
+}
+
+} // namespace
+
+TcpLinkHub::TcpLinkHub(LinkHubOptions hubOptions)
+    : options(std::move(hubOptions))
+    , local(this->options.vm, this->loop, this->receivers, this->options.limits)
+    , halfOpen(this->options.limits)
+    , answerRoute(std::make_shared<AnswerRoute>(static_cast<AnswerSink &>(*this)))
+    , nextCallId(firstCallId())
+{
+    for (const Peer &peer : this->options.peers) {
+        const LinkTimings timings = timingsFor(this->options, peer.vm);
+        const DialSchedule schedule(timings, peer.vm < this->options.vm);
+        auto link = std::make_unique<PeerLink>(peer.vm, peer.endpoint, timings, this->options.limits, schedule);
+        link->setReceivers(this->receivers, *this, this->counters);
+        this->links.emplace(peer.vm, std::move(link));
+    }
+    this->local.setResponders([route = this->answerRoute, vm = this->options.vm](std::uint64_t id) {
+        return [route, vm, id](std::string payload) { route->answer(vm, 0, id, std::move(payload)); };
+    });
+}
+
+TcpLinkHub::~TcpLinkHub()
+{
+    this->stop();
+}
+
+void TcpLinkHub::onMessage(Channel channel, MessageHandler handler)
+{
+    this->receivers.setMessageHandler(channel, std::move(handler));
+}
+
+void TcpLinkHub::onCall(Channel channel, CallHandler handler)
+{
+    this->receivers.setCallHandler(channel, std::move(handler));
+}
+
+void TcpLinkHub::start()
+{
+    this->listener = std::make_unique<Listener>(this->loop, this->options.listen, [this](Socket socket) { this->accept(std::move(socket)); });
+    this->thread = std::thread([this] { this->run(); });
+    linkLog().info("Listening on {}:{} for {} peers.", this->options.listen.ip, this->options.listen.port, this->links.size());
+}
+
+void TcpLinkHub::stop()
+{
+    if (std::exchange(this->stopped, true)) {
+        return;
+    }
+    this->stopping.store(true);
+    this->loop.wake();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+    this->answerRoute->close();
+    this->shutDown();
+}
+
+bool TcpLinkHub::send(const std::string &toVm, Channel channel, std::string payload)
+{
+    if (payload.size() > this->options.limits.frameBytes - FrameOverheadBytes) {
+        return false;
+    }
+    if (toVm == this->options.vm) {
+        return this->local.send(channel, std::move(payload));
+    }
+    PeerLink *peer = this->findPeer(toVm);
+    if (peer == nullptr || !peer->outbox().push(messageFrame(channel, payload))) {
+        return false;
+    }
+    this->wakeFor(*peer);
+    return true;
+}
+
+void TcpLinkHub::call(
+    const std::string &toVm, Channel channel, std::string payload, std::chrono::milliseconds limit, const std::string &traceparent, CallDone done)
+{
+    if (payload.size() + traceparent.size() > this->options.limits.frameBytes - FrameOverheadBytes) {
+        this->endUnsent(std::move(done), base::ResultCode::LinkFrameInvalid);
+        return;
+    }
+    const std::uint64_t id = this->nextCallId.fetch_add(1);
+    const base::SteadyTime deadline = base::steadyNow() + limit;
+    std::optional<CallDone> refused;
+    if (toVm == this->options.vm) {
+        refused = this->local.call(id, channel, std::move(payload), deadline, traceparent, std::move(done));
+    } else if (PeerLink *peer = this->findPeer(toVm)) {
+        refused = peer->outbox().pushCall(id, callFrame(channel, id, traceparent, payload), deadline, std::move(done));
+        this->wakeFor(*peer);
+    } else {
+        refused = std::move(done);
+    }
+    if (refused) {
+        this->endUnsent(std::move(*refused), base::ResultCode::LinkDown);
+    }
+}
+
+void TcpLinkHub::setKeys(LinkKeys keys)
+{
+    this->loop.post([this, keys = std::move(keys)]() mutable { this->applyKeys(std::move(keys)); });
+}
+
+std::vector<PeerStatus> TcpLinkHub::peers() const
+{
+    std::vector<PeerStatus> all;
+    all.reserve(this->links.size());
+    for (const auto &[vm, link] : this->links) {
+        all.push_back(link->status());
+    }
+    absl::c_sort(all, [](const PeerStatus &left, const PeerStatus &right) { return left.vm < right.vm; });
+    return all;
+}
+
+LinkFigures TcpLinkHub::figures() const
+{
+    return this->counters.read();
+}
+
+bool TcpLinkHub::isUp(const std::string &vm) const
+{
+    if (vm == this->options.vm) {
+        return !this->stopping.load();
+    }
+    const PeerLink *peer = this->findPeer(vm);
+    return peer != nullptr && peer->status().up;
+}
+
+void TcpLinkHub::halfOpenAdopted(HalfOpenLink &link)
+{
+    PeerLink *peer = this->findPeer(link.handshake().peerVm());
+    const bool decides = this->options.vm < peer->vm();
+    const std::shared_ptr<Connection> connection = link.connection();
+    const std::string key = link.handshake().provedKey();
+    this->halfOpen.retire(link);
+    this->halfOpen.retireDials(peer->vm(), decides);
+    peer->attach(connection, key, decides);
+}
+
+void TcpLinkHub::halfOpenRefused(HalfOpenLink &link, const base::Error &error)
+{
+    this->counters.handshakesRefused.fetch_add(1);
+    this->refusalLog.refused(base::steadyNow(), error.what());
+    this->halfOpenLost(link, error.what());
+}
+
+void TcpLinkHub::halfOpenLost(HalfOpenLink &link, const std::string &reason)
+{
+    link.close();
+    if (link.connection()->dialed()) {
+        linkLog().debug("Dialing {} failed: {}.", link.handshake().peerVm(), reason);
+        if (PeerLink *peer = this->findPeer(link.handshake().peerVm()); peer != nullptr && !peer->attached()) {
+            peer->dialSchedule().dialFailed(base::steadyNow());
+        }
+    }
+    this->halfOpen.retire(link);
+}
+
+void TcpLinkHub::callArrived(const std::string &fromVm, std::uint64_t generation, const wire::Call &call)
+{
+    const std::uint64_t id = call.id();
+    Responder respond = [route = this->answerRoute, fromVm, generation, id](std::string payload) { route->answer(fromVm, generation, id, std::move(payload)); };
+    if (const CallHandler *handler = this->receivers.callHandler(call.channel())) {
+        (*handler)(fromVm, bytesOf(call.payload()), textOf(call.traceparent()), std::move(respond));
+    } else if (PeerLink *peer = this->findPeer(fromVm)) {
+        peer->outbox().pushFor(generation, answerFrame(id, base::ResultCode::Internal, {}));
+        this->wakeFor(*peer);
+    }
+}
+
+void TcpLinkHub::linkLost(const std::string &vm, const std::string & /*reason*/)
+{
+    this->findPeer(vm)->dialSchedule().linkLost(base::steadyNow());
+}
+
+void TcpLinkHub::answer(const std::string &toVm, std::uint64_t generation, std::uint64_t id, std::string payload)
+{
+    if (toVm == this->options.vm) {
+        this->local.answer(id, base::ResultCode::Ok, std::move(payload));
+        return;
+    }
+    PeerLink *peer = this->findPeer(toVm);
+    const bool fits = payload.size() <= this->options.limits.frameBytes - FrameOverheadBytes;
+    std::string frame = fits ? answerFrame(id, base::ResultCode::Ok, payload) : answerFrame(id, base::ResultCode::LinkFrameInvalid, {});
+    if (!peer->outbox().pushFor(generation, std::move(frame))) {
+        this->counters.answersDropped.fetch_add(1);
+        return;
+    }
+    this->wakeFor(*peer);
+}
+
+void TcpLinkHub::run()
+{
+    pthread_setname_np(pthread_self(), "link-io");
+    while (!this->stopping.load()) {
+        this->loop.runOnce(this->untilNextTick(base::steadyNow()));
+        this->tick(base::steadyNow());
+    }
+}
+
+void TcpLinkHub::shutDown()
+{
+    this->listener.reset();
+    this->halfOpen.closeAll();
+    for (const auto &[vm, link] : this->links) {
+        link->pumpIfRequested();
+        link->drop("this daemon stops");
+    }
+    endCalls(this->local.outbox().close());
+    this->loop.close();
+}
+
+std::chrono::milliseconds TcpLinkHub::untilNextTick(base::SteadyTime now) const
+{
+    base::SteadyTime next = std::min(this->listener->nextTick(), this->halfOpen.nextTick());
+    if (const std::optional<base::SteadyTime> deadline = this->local.nextDeadline()) {
+        next = std::min(next, *deadline);
+    }
+    for (const auto &[vm, link] : this->links) {
+        next = std::min(next, link->nextTick());
+        if (!link->attached() && !this->halfOpen.dialing(vm)) {
+            next = std::min(next, link->dialSchedule().nextDial());
+        }
+    }
+    if (next >= now + LongestWait) {
+        return LongestWait;
+    }
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(next - now), std::chrono::milliseconds(0));
+}
+
+void TcpLinkHub::tick(base::SteadyTime now)
+{
+    this->listener->tick(now);
+    for (HalfOpenLink *overdue : this->halfOpen.late(now)) {
+        this->halfOpenLost(*overdue, "the handshake took too long");
+    }
+    for (const auto &[vm, link] : this->links) {
+        link->pumpIfRequested();
+        link->tick(now);
+        if (!link->attached() && !this->halfOpen.dialing(vm) && now >= link->dialSchedule().nextDial()) {
+            this->dial(*link, now);
+        }
+    }
+    endCalls(this->local.outbox().expire(now));
+    this->halfOpen.freeRetired();
+}
+
+void TcpLinkHub::dial(PeerLink &peer, base::SteadyTime now)
+{
+    try {
+        this->openHalf(Socket::connect(peer.address()), dialerHandshake(this->handshakeContext(), peer.vm()), true);
+    } catch (const base::Error &error) {
+        linkLog().debug("Dialing {} failed: {}", peer.vm(), error.what());
+        peer.dialSchedule().dialFailed(now);
+    }
+}
+
+void TcpLinkHub::accept(Socket socket)
+{
+    if (HalfOpenLink *oldest = this->halfOpen.oldestAcceptedWhenFull()) {
+        this->halfOpenLost(*oldest, "too many connections are half open");
+    }
+    this->openHalf(std::move(socket), acceptorHandshake(this->handshakeContext()), false);
+}
+
+void TcpLinkHub::openHalf(Socket socket, std::unique_ptr<Handshake> handshake, bool dialed)
+{
+    auto connection = std::make_shared<Connection>(this->loop, std::move(socket), this->options.limits.handshakeFrameBytes, dialed);
+    const base::SteadyTime deadline = base::steadyNow() + this->options.timings.handshakeLimit;
+    this->halfOpen.add(
+        std::make_unique<HalfOpenLink>(std::move(connection), std::move(handshake), this->options.vm, deadline, static_cast<HalfOpenListener &>(*this)));
+}
+
+void TcpLinkHub::applyKeys(LinkKeys keys)
+{
+    this->options.keys = std::move(keys);
+    for (const auto &[vm, link] : this->links) {
+        if (link->attached() && !this->options.keys.accepts(link->provedKey())) {
+            link->drop("its key is no longer accepted");
+        }
+    }
+    linkLog().info("Other shared keys are in use.");
+}
+
+void TcpLinkHub::wakeFor(PeerLink &peer)
+{
+    peer.requestPump();
+    this->loop.wake();
+}
+
+void TcpLinkHub::endUnsent(CallDone done, base::ResultCode code)
+{
+    const auto finish = [done = std::move(done), code] { done({code, false, {}}); };
+    if (!this->loop.post(finish)) {
+        finish();
+    }
+}
+
+HandshakeContext TcpLinkHub::handshakeContext() const
+{
+    return {this->options.cluster, this->options.vm, this->options.keys, [this](const std::string &vm) { return this->findPeer(vm) != nullptr; }};
+}
+
+PeerLink *TcpLinkHub::findPeer(const std::string &vm) const
+{
+    const auto found = this->links.find(vm);
+    return found == this->links.end() ? nullptr : found->second.get();
+}
+
+} // namespace cranberryreel::link
--- /dev/null
+++ b/src/link/TcpLinkHub.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "link/AnswerRoute.h"
+#include "link/HalfOpenLinks.h"
+#include "link/LinkHubOptions.h"
+#include "link/Listener.h"
+#include "link/LocalLink.h"
+#include "link/PeerLink.h"
+#include "link/RefusalLog.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cranberryreel::link
+{
+
+/// The hub over TCP: one I/O thread with epoll runs all connections; each peer's outbox is a shard under its own lock.
+class TcpLinkHub : public LinkHub, private HalfOpenListener, private CallReceiver, private AnswerSink
+{
+public:
+    explicit TcpLinkHub(LinkHubOptions hubOptions);
+    ~TcpLinkHub() override;
+
+    void onMessage(Channel channel, MessageHandler handler) override;
+    void onCall(Channel channel, CallHandler handler) override;
+    void start() override;
+    void stop() override;
+    bool send(const std::string &toVm, Channel channel, std::string payload) override;
+    void call(
+        const std::string &toVm, Channel channel, std::string payload, std::chrono::milliseconds limit, const std::string &traceparent, CallDone done) override;
+    void setKeys(LinkKeys keys) override;
+    std::vector<PeerStatus> peers() const override;
+    LinkFigures figures() const override;
+    bool isUp(const std::string &vm) const override;
+
+private:
+    void halfOpenAdopted(HalfOpenLink &link) override;
+    void halfOpenRefused(HalfOpenLink &link, const base::Error &error) override;
+    void halfOpenLost(HalfOpenLink &link, const std::string &reason) override;
+    void callArrived(const std::string &fromVm, std::uint64_t generation, const wire::Call &call) override;
+    void linkLost(const std::string &vm, const std::string &reason) override;
+    void answer(const std::string &toVm, std::uint64_t generation, std::uint64_t id, std::string payload) override;
+
+    void run();
+    void shutDown();
+    std::chrono::milliseconds untilNextTick(base::SteadyTime now) const;
+    void tick(base::SteadyTime now);
+    void dialDue(base::SteadyTime now);
+    void dial(PeerLink &peer, base::SteadyTime now);
+    void accept(Socket socket);
+    void openHalf(Socket socket, std::unique_ptr<Handshake> handshake, bool dialed);
+    void applyKeys(LinkKeys keys);
+    void wakeFor(PeerLink &peer);
+    void endUnsent(CallDone done, base::ResultCode code);
+    HandshakeContext handshakeContext() const;
+    PeerLink *findPeer(const std::string &vm) const;
+
+    LinkHubOptions options;
+    EventLoop loop;
+    Receivers receivers;
+    LinkCounters counters;
+    LocalLink local;
+    absl::flat_hash_map<std::string, std::unique_ptr<PeerLink>> links; ///< Fixed after construction.
+    HalfOpenLinks halfOpen;
+    std::unique_ptr<Listener> listener;
+    RefusalLog refusalLog;
+    std::shared_ptr<AnswerRoute> answerRoute;
+    std::atomic<std::uint64_t> nextCallId;
+    std::atomic<bool> stopping{false};
+    bool stopped = false;
+    std::thread thread;
+};
+
+} // namespace cranberryreel::link
