--- /dev/null
+++ b/src/observe/LogSetup.cpp
@@ -0,0 +1,63 @@
+#include "observe/LogSetup.h"
+
+#include "cranberryreel/base/Error.h"
+
+#include <fmt/format.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <algorithm>
+#include <cctype>
+#include <fstream>
+#include <memory>
+
+namespace cranberryreel::observe
+{
+
+namespace
+{
+
+constexpr const char *LinePattern = "%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %c: %m%n";
+constexpr long MaxFileBytes = 32L << 20U;
+constexpr int KeptFiles = 3;
+
+log4cplus::LogLevel levelNamed(std::string name)
+{
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return static_cast<char>(std::toupper(letter)); });
+    return log4cplus::getLogLevelManager().fromString(name);
+}
+
+log4cplus::SharedAppenderPtr makeAppender(const LogOptions &options)
+{
+    if (options.file.empty()) {
+        const bool toStandardError = true;
+        const bool flushEach = true;
+        return log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(toStandardError, flushEach));
+    }
+    if (!std::ofstream(options.file, std::ios::app)) {
+        throw base::Error(base::ResultCode::DataFolderUnwritable,
+                          fmt::format("log file '{}' cannot be written; check the folder and its rights", options.file));
+    }
+    return log4cplus::SharedAppenderPtr(new log4cplus::RollingFileAppender(options.file, MaxFileBytes, KeptFiles));
+}
+
+} // namespace
+
+void setUpLog(const LogOptions &options)
+{
+    log4cplus::SharedAppenderPtr appender = makeAppender(options);
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LinePattern));
+    log4cplus::Logger root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(appender);
+    root.setLogLevel(levelNamed(options.level));
+}
+
+void shutDownLog()
+{
+    log4cplus::Logger::getRoot().removeAllAppenders();
+}
+
+} // namespace cranberryreel::observe
--- /dev/null
+++ b/src/observe/SpanFile.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "observe/Trace.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <fstream>
+#include <string>
+
+namespace cranberryreel::observe
+{
+
+/// Appends spans to a file of OTLP/JSON lines, bounded in size: a full file is kept once, with ".1" added to its name. Any thread.
+class SpanFile : public SpanSink
+{
+public:
+    static constexpr std::uint64_t DefaultMaxBytes = std::uint64_t{64} << 20U;
+
+    /// Throws base::Error(DataFolderUnwritable) when the file cannot be written.
+    explicit SpanFile(const std::string &path, std::uint64_t maxBytes = DefaultMaxBytes);
+
+    /// The line reaches the system within a second of the next one, or at destruction.
+    void write(const std::string &otlpJsonLine) override;
+
+private:
+    void open() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    const std::string path;
+    const std::uint64_t maxBytes;
+    absl::Mutex mutex;
+    std::ofstream file ABSL_GUARDED_BY(mutex);
+    std::uint64_t size ABSL_GUARDED_BY(mutex) = 0;
+    std::chrono::steady_clock::time_point lastFlush ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace cranberryreel::observe
--- /dev/null
+++ b/src/observe/SpanRing.cpp
@@ -0,0 +1,91 @@
+#include "observe/SpanRing.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace cranberryreel::observe
+{
+
+namespace
+{
+
+const nlohmann::json *spanOf(const nlohmann::json &line)
+{
+    const nlohmann::json::json_pointer pointer("/resourceSpans/0/scopeSpans/0/spans/0");
+    return line.contains(pointer) ? &line.at(pointer) : nullptr;
+}
+
+bool isOfWork(const nlohmann::json &span, const std::string &id)
+{
+    for (const nlohmann::json &attribute : span.value("attributes", nlohmann::json::array())) {
+        if (attribute.value("key", "") == "work.id" && attribute.value("/value/stringValue"_json_pointer, "") == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+SpanRing::SpanRing(std::size_t capacity)
+    : shardCapacity((capacity + ShardCount - 1) / ShardCount)
+{
+}
+
+void SpanRing::write(const std::string &otlpJsonLine)
+{
+    if (this->shardCapacity == 0) {
+        return;
+    }
+    Shard &shard = this->shards[this->turn.fetch_add(1, std::memory_order_relaxed) % ShardCount];
+    absl::MutexLock lock(&shard.mutex);
+    if (shard.lines.size() < this->shardCapacity) {
+        shard.lines.push_back(otlpJsonLine);
+        return;
+    }
+    shard.lines[shard.next] = otlpJsonLine;
+    shard.next = (shard.next + 1) % this->shardCapacity;
+}
+
+std::vector<std::string> SpanRing::find(const std::string &id) const
+{
+    if (id.empty()) {
+        return {};
+    }
+    std::set<std::string> traces;
+    for (const std::string &line : this->linesWith(id)) {
+        const nlohmann::json parsed = nlohmann::json::parse(line, nullptr, false);
+        const nlohmann::json *span = spanOf(parsed);
+        if (span == nullptr) {
+            continue;
+        }
+        if (const std::string trace = span->value("traceId", ""); trace == id || isOfWork(*span, id)) {
+            traces.insert(trace);
+        }
+    }
+    std::vector<std::string> found;
+    for (const std::string &trace : traces) {
+        std::vector<std::string> lines = this->linesWith(fmt::format("\"traceId\":\"{}\"", trace));
+        std::move(lines.begin(), lines.end(), std::back_inserter(found));
+    }
+    return found;
+}
+
+std::vector<std::string> SpanRing::linesWith(const std::string &text) const
+{
+    std::vector<std::string> found;
+    for (const Shard &shard : this->shards) {
+        absl::MutexLock lock(&shard.mutex);
+        for (const std::string &line : shard.lines) {
+            if (line.find(text) != std::string::npos) {
+                found.push_back(line);
+            }
+        }
+    }
+    return found;
+}
+
+} // namespace cranberryreel::observe
--- /dev/null
+++ b/src/settings/Settings.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "settings/SocketAddress.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cranberryreel::settings
+{
+
+/// Who this daemon is.
+struct DaemonSettings {
+    std::string vm;
+    std::string zone;
+    std::string cluster = "cranberryreel";
+    std::string dataFolder; ///< Empty: this VM has no disk for the system's state.
+    std::chrono::milliseconds stopLimit{20000};
+};
+
+/// The HTTP side, for callers, upstreams and operators.
+struct EntrySettings {
+    SocketAddress listen;
+    std::uint64_t maxConnections = 4000;
+    std::uint64_t maxBodyBytes = std::uint64_t{4} << 20U;
+    std::chrono::milliseconds requestRead{10000};
+    std::string upstreamKeyFile; ///< Empty: upstreams need no key.
+    std::string operatorKeyHash; ///< SHA-256, lower-case hex; empty: operators come from the register only.
+};
+
+/// The links to the other daemons.
+struct LinkSettings {
+    SocketAddress listen;
+    std::string keyFile;
+    std::string nextKeyFile; ///< Also accepted, during a rotation; empty when none.
+    std::chrono::milliseconds heartbeat{500};
+    std::chrono::milliseconds deadAfter{1800};
+};
+
+struct PeerSettings {
+    std::string vm;
+    SocketAddress address;
+    std::string zone;
+    bool hasDisk = false;
+};
+
+/// The replication group of one availability zone.
+struct ZoneSettings {
+    std::string zone;
+    std::vector<std::string> members;
+    std::string witness; ///< A VM with a disk in another zone; empty when none.
+};
+
+struct ConfigGroupSettings {
+    std::vector<std::string> members;
+};
+
+struct TimingSettings {
+    std::chrono::milliseconds taskLease{5000};
+    std::chrono::milliseconds electionMin{600};
+    std::chrono::milliseconds electionMax{1200};
+    std::chrono::milliseconds groupHeartbeat{150};
+    std::chrono::milliseconds upstreamSilentAfter{2500};
+    std::chrono::milliseconds upstreamCallLimit{2000};
+    std::chrono::milliseconds startExpiry{2000};
+    std::chrono::milliseconds transferCost{20};
+};
+
+struct LimitSettings {
+    std::uint64_t maxQueuedTasks = 50000;
+    std::uint64_t maxLinkQueueBytes = std::uint64_t{8} << 20U;
+    std::uint64_t maxAnswerMemoryBytes = std::uint64_t{32} << 20U;
+    std::uint64_t snapshotAfterEntries = 4096;
+    std::chrono::seconds requestRetention{600};
+    std::chrono::seconds keyRetention{86400};
+};
+
+struct LogSettings {
+    std::string level = "info";
+    std::string file; ///< Empty: standard error.
+};
+
+struct TraceSettings {
+    std::string file; ///< Empty: spans are kept in memory only.
+    std::uint64_t keepSpans = 5000;
+};
+
+/// Everything that one daemon reads from its settings file. An immutable value once loaded; owned by the daemon's main.
+struct Settings {
+    DaemonSettings daemon;
+    EntrySettings entry;
+    LinkSettings link;
+    std::map<std::string, PeerSettings> peers; ///< By VM; the own one among them.
+    std::map<std::string, ZoneSettings> zones; ///< By zone.
+    ConfigGroupSettings configGroup;
+    TimingSettings timing;
+    LimitSettings limits;
+    LogSettings log;
+    TraceSettings trace;
+};
+
+/// Reads and checks a settings file. Paths in it are relative to its folder, and key files must be there. Throws base::Error that names file, section and
+/// key of everything that is wrong, with the code of the first.
+Settings load(const std::string &path);
+
+/// The same for a text; paths stay as written and no other file is looked at.
+Settings parse(const std::string &text, const std::string &name);
+
+} // namespace cranberryreel::settings
