--- a/tests/observe/MetricsTest.cpp
+++ b/tests/observe/MetricsTest.cpp
@@ -16,6 +16,7 @@
 {
     observe::Counter &events = observe::counter("test_events_total", "Events.", "zone=\"rey\"");
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int thread = 0; thread < 4; thread++) {
         threads.emplace_back([&] {
             for (int event = 0; event < 10000; event++) {
