--- a/src/config/Configuration.h
+++ b/src/config/Configuration.h
@@ -43,7 +43,7 @@
     std::vector<std::string> services;
     std::string profile = "waiting_time"; ///< Or "packing".
     std::chrono::milliseconds giveBackWithin{60000};
-    std::map<std::string, PartnerRules> rules;
+    std::map<std::string, PartnerRules> rules; ///< Of partners and of quota groups, by name; a name that is not in `partners` is a group.
     std::string registerText; ///< The INI as loaded.
     std::string rulesText;
 };
--- a/src/settings/IniReader.cpp
+++ b/src/settings/IniReader.cpp
@@ -95,7 +95,8 @@
 
 void IniReader::beginSection(const std::string &name)
 {
-    if (this->document.find(name) != nullptr) {
+    this->seenKeys.clear();
+    if (!this->seenSections.insert(name).second) {
         this->problems.add(base::ResultCode::SettingsSyntax, {name, "", this->lineNumber}, "stands twice");
     }
     this->document.parsed.push_back({name, this->lineNumber, {}});
@@ -122,7 +123,7 @@
         absl::StrAppend(&entries.back().value, " ", value);
         return 1;
     }
-    if (sections.back().find(key) != nullptr) {
+    if (!self->seenKeys.insert(key).second) {
         self->problems.add(base::ResultCode::SettingsSyntax, {section, key, self->lineNumber}, "stands twice");
     }
     entries.push_back({key, value, self->lineNumber});
--- a/src/settings/IniReader.h
+++ b/src/settings/IniReader.h
@@ -3,6 +3,7 @@
 #include "settings/IniDocument.h"
 
 #include <cstddef>
+#include <set>
 #include <string>
 
 namespace cranberryreel::settings
@@ -31,6 +32,8 @@
     std::size_t at = 0;
     int lineNumber = 0;
     std::string line;
+    std::set<std::string> seenSections;
+    std::set<std::string> seenKeys; ///< Of the last section.
 };
 
 } // namespace cranberryreel::settings
--- a/src/settings/ProblemList.cpp
+++ b/src/settings/ProblemList.cpp
@@ -8,6 +8,13 @@
 namespace cranberryreel::settings
 {
 
+namespace
+{
+
+constexpr std::size_t MaxLines = 100;
+
+} // namespace
+
 ProblemList::ProblemList(std::string name, std::optional<base::ResultCode> code)
     : fileName(std::move(name))
     , onlyCode(code)
@@ -19,6 +26,9 @@
     if (this->lines.empty()) {
         this->firstCode = this->onlyCode.value_or(code);
     }
+    if (this->lines.size() >= MaxLines) {
+        return;
+    }
     std::string line = this->fileName + ":";
     if (!place.section.empty()) {
         line += fmt::format(" [{}]", place.section);
--- a/src/settings/ProblemList.h
+++ b/src/settings/ProblemList.h
@@ -26,7 +26,7 @@
     void add(base::ResultCode code, const IniPlace &place, const std::string &sentence);
     bool empty() const;
 
-    /// Throws base::Error with the code of the first problem and one line for each; does nothing when there is none.
+    /// Throws base::Error with the code of the first problem and one line for each, 100 at most; does nothing when there is none.
     void throwIfAny() const;
 
 private:
