Fakes for the zone scheduler's tests

Cause: takeover, lost answers and fencing have to be brought about in process, without clocks of other machines. Ruled out: mocks of single calls (they cannot hold state over a takeover). Conclusion: FakeGroup and FakeFleet stand in for the group and the upstreams.

--- /dev/null
+++ b/tests/support/FakeFleet.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "upstream/UpstreamAdapter.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cranberryreel::testsupport
+{
+
+/// What goes wrong on the way to one upstream.
+enum class Trouble {
+    None,
+    Unreachable, ///< Nothing arrives.
+    LosesAnswers, ///< Calls arrive, starts take effect, no answer comes back.
+    LosesStarts, ///< Starts vanish on the way, other calls work.
+    FailsAll, ///< Every task fails.
+};
+
+/// Upstreams in memory behind the adapter's interface; keeps a journal of every start that took effect. Any thread.
+class FakeFleet : public upstream::UpstreamAdapter
+{
+public:
+    void add(const std::string &id, const std::string &vm, std::uint32_t slots);
+    void setTrouble(const std::string &id, Trouble trouble);
+
+    /// A new boot id; all tasks are gone.
+    void restart(const std::string &id);
+    void setLeaving(const std::string &id);
+
+    /// Ends a running task.
+    void finish(const std::string &taskId, model::JobState state, const std::string &answer);
+
+    /// Requests end at once while this holds; else tasks run until finish().
+    void setInstantRequests(bool instant);
+
+    model::UpstreamReport report(const std::string &id) const;
+    std::size_t startsOf(const std::string &taskId) const;
+    std::size_t allStarts() const;
+    std::vector<std::string> running() const;
+
+    void start(const std::string &address,
+               const upstream::StartOrder &order,
+               std::chrono::milliseconds limit,
+               const std::string &traceparent,
+               upstream::TaskDone done) override;
+    void renew(const std::string &address, const upstream::RenewOrder &order, std::chrono::milliseconds limit, upstream::RenewDone done) override;
+    void ask(const std::string &address, const std::string &taskId, std::chrono::milliseconds limit, upstream::TaskDone done) override;
+    void command(const std::string &address,
+                 const std::string &taskId,
+                 upstream::TaskCommand taskCommand,
+                 std::uint64_t epoch,
+                 std::chrono::milliseconds limit,
+                 upstream::TaskDone done) override;
+
+private:
+    struct Worker {
+        model::UpstreamReport self;
+        std::map<std::string, model::TaskReport> tasks;
+        std::set<std::string> barred;
+        Trouble trouble = Trouble::None;
+        int boots = 1;
+    };
+
+    upstream::TaskAnswer startHere(Worker &worker, const upstream::StartOrder &order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    upstream::RenewAnswer renewHere(Worker &worker, const upstream::RenewOrder &order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    mutable absl::Mutex mutex;
+    std::map<std::string, Worker> workers ABSL_GUARDED_BY(mutex); ///< By id, which is the address too.
+    std::map<std::string, std::size_t> starts ABSL_GUARDED_BY(mutex);
+    bool instantRequests ABSL_GUARDED_BY(mutex) = true;
+};
+
+} // namespace cranberryreel::testsupport
--- /dev/null
+++ b/tests/support/FakeGroup.cpp
@@ -0,0 +1,63 @@
+#include "support/FakeGroup.h"
+
+namespace cranberryreel::testsupport
+{
+
+FakeGroup::FakeGroup(replication::StateMachine &stateMachine)
+    : machine(stateMachine)
+{
+}
+
+void FakeGroup::start()
+{
+}
+
+void FakeGroup::stop(std::chrono::milliseconds /*limit*/)
+{
+}
+
+void FakeGroup::propose(std::string command, replication::Durability durability, replication::ProposeCallback done)
+{
+    this->proposals += 1;
+    if (!this->leads) {
+        done({base::ResultCode::NotLeader, {}});
+        return;
+    }
+    if (durability == replication::Durability::SyncedDisk && !this->hasDisk) {
+        done({base::ResultCode::NoDurableStore, {}});
+        return;
+    }
+    std::string result;
+    {
+        absl::MutexLock lock(&this->mutex);
+        this->index += 1;
+        result = this->machine.apply(this->index, command);
+    }
+    done({base::ResultCode::Ok, result});
+}
+
+void FakeGroup::readBarrier(std::function<void(base::ResultCode)> done)
+{
+    done(base::ResultCode::Ok);
+}
+
+void FakeGroup::receive(const std::string & /*fromVm*/, std::string /*bytes*/)
+{
+}
+
+void FakeGroup::raiseTerm(std::uint64_t atLeast)
+{
+    this->raisedTo = atLeast;
+}
+
+replication::GroupStatus FakeGroup::status() const
+{
+    return {};
+}
+
+bool FakeGroup::holdsLease(base::SteadyTime /*now*/) const
+{
+    return this->leads;
+}
+
+} // namespace cranberryreel::testsupport
--- /dev/null
+++ b/tests/support/FakeGroup.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "replication/Group.h"
+#include "replication/StateMachine.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <string>
+
+namespace cranberryreel::testsupport
+{
+
+/// A group of one that applies at once. Its disk, lease and leadership are switches.
+class FakeGroup : public replication::Group
+{
+public:
+    explicit FakeGroup(replication::StateMachine &stateMachine);
+
+    void start() override;
+    void stop(std::chrono::milliseconds limit) override;
+    void propose(std::string command, replication::Durability durability, replication::ProposeCallback done) override;
+    void readBarrier(std::function<void(base::ResultCode)> done) override;
+    void receive(const std::string &fromVm, std::string bytes) override;
+    void raiseTerm(std::uint64_t atLeast) override;
+    replication::GroupStatus status() const override;
+    bool holdsLease(base::SteadyTime now) const override;
+
+    std::atomic<bool> leads{true};
+    std::atomic<bool> hasDisk{true};
+    std::atomic<std::uint64_t> raisedTo{0};
+    std::atomic<std::uint64_t> proposals{0};
+
+private:
+    replication::StateMachine &machine;
+    absl::Mutex mutex;
+    std::uint64_t index ABSL_GUARDED_BY(mutex) = 0;
+};
+
+} // namespace cranberryreel::testsupport
