--- a/src/zone/LeaderTerm.cpp
+++ b/src/zone/LeaderTerm.cpp
@@ -96,7 +96,7 @@
     job.cancelled = record.cancelled;
     job.span = observe::Span("zone.takeover", {});
     job.span.set("work.id", job.spec.id);
-    this->planner->enqueueKept(record.spec, now);
+    this->planner->restore(record.spec, now);
     for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
         const TaskRecord &task = record.tasks[index];
         ActiveTask &active = job.tasks[index];
--- a/src/zone/TaskEnder.h
+++ b/src/zone/TaskEnder.h
@@ -35,12 +35,16 @@
 
     /// The group keeps that the job is cancelled: stops what runs, ends what waits.
     void cancelled(ActiveJob &job);
+
+    /// The group keeps that what waits of the job is refused.
+    void refused(ActiveJob &job);
     void stopAll(const ActiveJob &job);
 
     /// Finishes the job here once the store has it final.
     void endKept(const model::JobId &id, const std::string &upstream, const std::string &taskId);
 
 private:
+    void endWaiting(ActiveJob &job);
     void endAttempt(ActiveJob &job, std::uint32_t index, model::JobState state, base::ResultCode code, const std::string &answer, base::SteadyTime now);
     void runAgain(ActiveJob &job, std::uint32_t index, policy::TaskEnd end);
     void settleEnd(ActiveJob &job, std::uint32_t index, model::JobState state, base::ResultCode code, const std::string &answer, base::SteadyTime now);
