Serve callers, upstreams and operators over HTTP

Cause: nothing could reach an entry VM, and it could reach no upstream. What stands: an HTTP server over libmicrohttpd whose parked answers cost no thread, a client over libcurl's multi interface in an epoll loop that tells whether any byte was sent, the entry's routes over the Dispatcher and ConfigService interfaces, the upstream adapter, and upstream_fake. Weighed: queueing the answer from another thread while a connection is suspended races with the server's own state machine, so the connection is woken and the answer queued on its own thread.

--- /dev/null
+++ b/src/entry/EntryServer.cpp
@@ -0,0 +1,193 @@
+#include "entry/EntryServer.h"
+
+#include "cranberryreel/base/Error.h"
+#include "http/JsonReader.h"
+#include "http/ServerBuilder.h"
+#include "observe/Log.h"
+#include "upstream/ReportCodec.h"
+
+namespace cranberryreel::entry
+{
+
+namespace
+{
+
+using base::ResultCode;
+
+constexpr unsigned int StatusOk = 200;
+constexpr std::size_t SubmissionBytes = 2U << 20U;
+constexpr std::size_t ConfigurationBytes = 8U << 20U;
+constexpr std::size_t AnnouncementBytes = 72U << 20U;
+constexpr const char *Unfinished = "This VM stopped before the outcome was known; ask again by id, or send it again with the same key.";
+
+const observe::Log &log()
+{
+    static const observe::Log instance("entry");
+    return instance;
+}
+
+std::size_t bodyLimitOf(const std::string &path)
+{
+    if (path == "/v1/upstreams") {
+        return AnnouncementBytes;
+    }
+    return path.rfind("/v1/config/", 0) == 0 ? ConfigurationBytes : SubmissionBytes;
+}
+
+http::ServerOptions withBodyLimits(http::ServerOptions options)
+{
+    if (!options.maxBodyBytesOf) {
+        options.maxBodyBytesOf = &bodyLimitOf;
+    }
+    return options;
+}
+
+http::Response announceResponse(const AnnounceReply &reply)
+{
+    if (reply.code != ResultCode::Ok) {
+        return http::errorResponse(reply.code, reply.reason);
+    }
+    return {StatusOk, "application/json", http::jsonText({{"epoch", reply.epoch}, {"next_in_ms", reply.nextIn.count()}}), false};
+}
+
+} // namespace
+
+EntryServer::EntryServer(EntryOptions entryOptions, std::shared_ptr<Dispatcher> workDispatcher, std::shared_ptr<config::ConfigService> configuration)
+    : options(std::move(entryOptions))
+    , dispatcher(std::move(workDispatcher))
+    , keys(configuration, options.operatorKeyHash)
+    , work(options, dispatcher)
+    , operators(options, dispatcher)
+    , configs(std::move(configuration))
+{
+    this->addRoutes();
+    this->server = http::ServerBuilder()
+                       .options(withBodyLimits(this->options.server))
+                       .unfinished(http::errorResponse(ResultCode::OutcomeUnknown, Unfinished))
+                       .handler([this](const std::shared_ptr<const http::Request> &request, const http::Responder &respond) { this->serve(request, respond); })
+                       .build();
+}
+
+EntryServer::~EntryServer()
+{
+    this->stop(std::chrono::milliseconds(0));
+}
+
+void EntryServer::addRoutes()
+{
+    this->work.addRoutes(this->router);
+    this->operators.addRoutes(this->router);
+    this->configs.addRoutes(this->router);
+    this->router.add({"POST", "/v1/upstreams", Access::Upstream, [this](const Call &call) { this->announce(call); }});
+    this->router.add({"GET", "/healthz", Access::Open, [](const Call &call) { call.respond({StatusOk, "application/json", R"({"alive":true})", false}); }});
+    this->router.add({"GET", "/readyz", Access::Open, [this](const Call &call) { this->readiness(call); }});
+    this->router.add({"GET", "/metrics", Access::Open, [this](const Call &call) {
+                          const std::string text = this->options.metricsText ? this->options.metricsText() : std::string();
+                          call.respond({StatusOk, "text/plain; version=0.0.4", text, false});
+                      }});
+}
+
+void EntryServer::start()
+{
+    this->server->start();
+    log().info("Serves on {}:{}.", this->options.server.address, this->server->port());
+}
+
+std::uint16_t EntryServer::port() const
+{
+    return this->server->port();
+}
+
+std::size_t EntryServer::inFlight() const
+{
+    return this->server->inFlight();
+}
+
+void EntryServer::serve(const std::shared_ptr<const http::Request> &request, const http::Responder &respond)
+{
+    auto [route, id] = this->router.find(request->method, request->path);
+    const Identity identity = this->identityFor(*route, *request);
+    route->handle({request, std::move(id), identity, respond});
+}
+
+Identity EntryServer::identityFor(const Route &route, const http::Request &request)
+{
+    if (route.access == Access::Open) {
+        return {};
+    }
+    if (route.access == Access::Upstream) {
+        this->checkUpstreamKey(request);
+        return {};
+    }
+    const std::optional<Identity> identity = this->keys.identify(bearerKey(request.authorization));
+    if (!identity) {
+        throw base::Error(ResultCode::Unauthorized, "No partner has this key; send Authorization: Bearer KEY with one that the register knows.");
+    }
+    if (route.access == Access::Operator && !identity->isOperator) {
+        throw base::Error(ResultCode::Forbidden, "Only operators may do this.");
+    }
+    return *identity;
+}
+
+void EntryServer::checkUpstreamKey(const http::Request &request) const
+{
+    const std::string &wanted = this->options.upstreamKeyHash;
+    if (!wanted.empty() && sha256Hex(bearerKey(request.authorization)) != wanted) {
+        throw base::Error(ResultCode::Unauthorized, "The upstreams' key is wrong or absent.");
+    }
+}
+
+void EntryServer::announce(const Call &call)
+{
+    const nlohmann::json json = http::parseJson(call.request->body);
+    model::UpstreamReport report = upstream::upstreamReportFrom(http::JsonReader(json), upstream::Strictness::Strict);
+    this->dispatcher->announce(std::move(report), [respond = call.respond](const AnnounceReply &reply) { respond(announceResponse(reply)); });
+}
+
+void EntryServer::readiness(const Call &call) const
+{
+    if (this->stopping) {
+        call.respond(http::errorResponse(ResultCode::ShuttingDown, "This VM is stopping."));
+    } else if (this->options.ready && !this->options.ready()) {
+        call.respond(http::errorResponse(ResultCode::ConfigurationUnavailable, "This VM is not ready yet."));
+    } else {
+        call.respond({StatusOk, "application/json", R"({"ready":true})", false});
+    }
+}
+
+void EntryServer::beginStop()
+{
+    if (this->stopping.exchange(true)) {
+        return;
+    }
+    log().info("Stops: not ready from now on, new work is refused in {} ms.", this->options.stopGrace.count());
+    this->grace = std::thread([this] { this->refuseAfterGrace(); });
+}
+
+void EntryServer::refuseAfterGrace()
+{
+    {
+        absl::MutexLock lock(&this->graceMutex);
+        this->graceMutex.AwaitWithTimeout(absl::Condition(&this->graceCut), absl::FromChrono(this->options.stopGrace));
+    }
+    this->work.refuseNewWork();
+}
+
+bool EntryServer::stop(std::chrono::milliseconds limit)
+{
+    this->beginStop();
+    const base::SteadyTime until = base::steadyNow() + limit;
+    {
+        absl::MutexLock lock(&this->graceMutex);
+        this->graceCut = limit < this->options.stopGrace;
+    }
+    if (this->grace.joinable()) {
+        this->grace.join();
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - base::steadyNow());
+    const bool finished = this->server->stop(std::max(left, std::chrono::milliseconds(0)));
+    log().info("Stopped; {}.", finished ? "every request was answered" : "some requests were answered as unknown");
+    return finished;
+}
+
+} // namespace cranberryreel::entry
--- /dev/null
+++ b/src/entry/KeyRing.cpp
@@ -0,0 +1,59 @@
+#include "entry/KeyRing.h"
+
+#include <fmt/format.h>
+#include <openssl/sha.h>
+
+#include <array>
+
+namespace cranberryreel::entry
+{
+
+std::string sha256Hex(std::string_view text)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
+    return fmt::format("{:02x}", fmt::join(digest, ""));
+}
+
+std::string_view bearerKey(std::string_view authorization)
+{
+    constexpr std::string_view Scheme = "Bearer ";
+    return authorization.substr(0, Scheme.size()) == Scheme ? authorization.substr(Scheme.size()) : std::string_view();
+}
+
+KeyRing::KeyRing(std::shared_ptr<config::ConfigService> configuration, std::string operatorKeyHash)
+    : config(std::move(configuration))
+    , operatorHash(std::move(operatorKeyHash))
+{
+}
+
+std::optional<Identity> KeyRing::identify(std::string_view key)
+{
+    if (key.empty()) {
+        return std::nullopt;
+    }
+    const std::string hash = sha256Hex(key);
+    if (!this->operatorHash.empty() && hash == this->operatorHash) {
+        return Identity{"", true};
+    }
+    const std::shared_ptr<const Index> keys = this->indexOfCurrent();
+    const auto found = keys->find(hash);
+    return found == keys->end() ? std::nullopt : std::optional<Identity>(found->second);
+}
+
+std::shared_ptr<const KeyRing::Index> KeyRing::indexOfCurrent()
+{
+    const std::shared_ptr<const config::Configuration> current = this->config->current();
+    absl::MutexLock lock(&this->mutex);
+    if (this->indexed != current) {
+        auto fresh = std::make_shared<Index>();
+        for (const auto &[name, partner] : current->partners) {
+            fresh->emplace(partner.keyHash, Identity{name, partner.isOperator});
+        }
+        this->index = std::move(fresh);
+        this->indexed = current;
+    }
+    return this->index;
+}
+
+} // namespace cranberryreel::entry
--- /dev/null
+++ b/src/entry/KeyRing.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "config/ConfigService.h"
+#include "entry/Identity.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cranberryreel::entry
+{
+
+/// SHA-256 in lower-case hex.
+std::string sha256Hex(std::string_view text);
+
+/// The key in "Bearer KEY"; empty for anything else.
+std::string_view bearerKey(std::string_view authorization);
+
+/// Tells whose key a request carries, by the configuration in force. Owned by the EntryServer; any thread.
+class KeyRing
+{
+public:
+    KeyRing(std::shared_ptr<config::ConfigService> configuration, std::string operatorKeyHash);
+
+    /// Empty when nobody has the key.
+    std::optional<Identity> identify(std::string_view key);
+
+private:
+    using Index = absl::flat_hash_map<std::string, Identity>;
+
+    std::shared_ptr<const Index> indexOfCurrent();
+
+    std::shared_ptr<config::ConfigService> config;
+    std::string operatorHash;
+    absl::Mutex mutex;
+    std::shared_ptr<const config::Configuration> indexed ABSL_GUARDED_BY(mutex);
+    std::shared_ptr<const Index> index ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace cranberryreel::entry
--- /dev/null
+++ b/src/http/Transfer.cpp
@@ -0,0 +1,142 @@
+#include "http/Transfer.h"
+
+#include <algorithm>
+
+namespace cranberryreel::http
+{
+
+namespace
+{
+
+CallOutcome outcomeOf(CURLcode result)
+{
+    switch (result) {
+    case CURLE_OK:
+        return CallOutcome::Answered;
+    case CURLE_OPERATION_TIMEDOUT:
+        return CallOutcome::TimedOut;
+    case CURLE_WRITE_ERROR:
+        return CallOutcome::TooLarge;
+    default:
+        return CallOutcome::Unreachable;
+    }
+}
+
+} // namespace
+
+Transfer::Transfer()
+    : curl(curl_easy_init())
+{
+}
+
+Transfer::~Transfer()
+{
+    curl_slist_free_all(this->headers);
+    curl_easy_cleanup(this->curl);
+}
+
+void Transfer::prepare(ClientRequest newRequest, ClientDone newDone, const ClientOptions &options, bool freshConnection)
+{
+    this->request = std::move(newRequest);
+    this->done = std::move(newDone);
+    this->response = {};
+    this->maxAnswerBytes = options.maxAnswerBytes;
+    curl_easy_reset(this->curl);
+    const std::string url = "http://" + this->request.host + this->request.target;
+    curl_easy_setopt(this->curl, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(this->curl, CURLOPT_PROXY, "");
+    curl_easy_setopt(this->curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(this->curl, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(this->curl, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(this->curl, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
+    curl_easy_setopt(this->curl, CURLOPT_WRITEDATA, this);
+    const auto limit = std::max<std::chrono::milliseconds::rep>(this->request.limit.count(), 1);
+    curl_easy_setopt(this->curl, CURLOPT_TIMEOUT_MS, static_cast<long>(limit));
+    curl_easy_setopt(this->curl, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(options.connectLimit.count()));
+    curl_easy_setopt(this->curl, CURLOPT_MAXAGE_CONN, static_cast<long>(options.maxIdle.count()));
+    curl_easy_setopt(this->curl, CURLOPT_FRESH_CONNECT, freshConnection ? 1L : 0L);
+    if (this->request.method == "POST" || this->request.method == "PUT") {
+        curl_easy_setopt(this->curl, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(this->request.body.size()));
+        curl_easy_setopt(this->curl, CURLOPT_POSTFIELDS, this->request.body.data());
+    }
+    if (this->request.method != "POST" && this->request.method != "GET") {
+        curl_easy_setopt(this->curl, CURLOPT_CUSTOMREQUEST, this->request.method.c_str());
+    }
+    this->setHeaders();
+}
+
+void Transfer::setHeaders()
+{
+    curl_slist_free_all(this->headers);
+    this->headers = curl_slist_append(nullptr, "Expect:");
+    if (!this->request.body.empty()) {
+        this->headers = curl_slist_append(this->headers, "Content-Type: application/json");
+    }
+    if (!this->request.bearerKey.empty()) {
+        this->headers = curl_slist_append(this->headers, ("Authorization: Bearer " + this->request.bearerKey).c_str());
+    }
+    if (!this->request.traceparent.empty()) {
+        this->headers = curl_slist_append(this->headers, ("traceparent: " + this->request.traceparent).c_str());
+    }
+    curl_easy_setopt(this->curl, CURLOPT_HTTPHEADER, this->headers);
+}
+
+std::size_t Transfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto *transfer = static_cast<Transfer *>(self);
+    const std::size_t bytes = size * count;
+    if (transfer->response.body.size() + bytes > transfer->maxAnswerBytes) {
+        return 0;
+    }
+    transfer->response.body.append(data, bytes);
+    return bytes;
+}
+
+bool Transfer::sentAnything() const
+{
+    long requestBytes = 0;
+    curl_off_t uploaded = 0;
+    curl_easy_getinfo(this->curl, CURLINFO_REQUEST_SIZE, &requestBytes);
+    curl_easy_getinfo(this->curl, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    return requestBytes > 0 || uploaded > 0;
+}
+
+bool Transfer::endedSilently(CURLcode result) const
+{
+    long connects = 0;
+    long headerBytes = 0;
+    curl_easy_getinfo(this->curl, CURLINFO_NUM_CONNECTS, &connects);
+    curl_easy_getinfo(this->curl, CURLINFO_HEADER_SIZE, &headerBytes);
+    return result == CURLE_OPERATION_TIMEDOUT && connects == 0 && headerBytes == 0 && this->sentAnything();
+}
+
+void Transfer::finish(CURLcode result)
+{
+    this->response.outcome = outcomeOf(result);
+    this->response.sent = result == CURLE_OK || this->sentAnything();
+    curl_easy_getinfo(this->curl, CURLINFO_RESPONSE_CODE, &this->response.status);
+    if (result != CURLE_OK) {
+        this->response.error = curl_easy_strerror(result);
+        this->response.status = 0;
+        this->response.body.clear();
+    }
+    this->deliver();
+}
+
+void Transfer::finishStopped()
+{
+    this->response = {};
+    this->response.outcome = CallOutcome::Stopped;
+    this->response.sent = this->sentAnything();
+    this->response.error = "The client is stopping";
+    this->deliver();
+}
+
+void Transfer::deliver()
+{
+    const ClientDone called = std::move(this->done);
+    this->done = nullptr;
+    called(std::move(this->response));
+}
+
+} // namespace cranberryreel::http
--- /dev/null
+++ b/src/upstream/ReportCodec.cpp
@@ -0,0 +1,102 @@
+#include "upstream/ReportCodec.h"
+
+#include "upstream/WireNames.h"
+
+#include <limits>
+
+namespace cranberryreel::upstream
+{
+
+namespace
+{
+
+constexpr std::size_t LongestName = 256;
+constexpr std::size_t LongestTaskId = 512;
+constexpr std::size_t LongestAnswer = 64U << 20U;
+constexpr std::size_t MostTasks = 10000;
+constexpr std::int64_t MostSlots = 10000;
+constexpr std::int64_t MostCpuMillis = 100'000'000;
+constexpr std::int64_t MostMemoryMiB = 1'000'000'000;
+constexpr std::int64_t MostAccelerators = 10000;
+
+model::JobState reportedState(http::JsonReader &reader)
+{
+    const auto state = stateNamed(reader.text("state", 1, LongestName));
+    if (!state || *state == model::JobState::Accepted || *state == model::JobState::Unknown) {
+        reader.refuse("state", "must be running, done, failed or not_run");
+    }
+    return *state;
+}
+
+} // namespace
+
+nlohmann::json taskReportToJson(const model::TaskReport &report)
+{
+    nlohmann::json json = {{"task_id", report.taskId},
+                           {"attempt", report.attempt},
+                           {"state", std::string(stateName(report.state))},
+                           {"cpu_millis", report.usage.cpuMillis},
+                           {"memory_mib", report.usage.memoryMiB},
+                           {"accelerators", report.usage.accelerators}};
+    if (!report.answer.empty()) {
+        json["answer"] = report.answer;
+    }
+    return json;
+}
+
+nlohmann::json upstreamReportToJson(const model::UpstreamReport &report)
+{
+    nlohmann::json tasks = nlohmann::json::array();
+    for (const model::TaskReport &task : report.tasks) {
+        tasks.push_back(taskReportToJson(task));
+    }
+    return {{"id", report.id},
+            {"vm", report.vm},
+            {"zone", report.zone},
+            {"boot", report.boot},
+            {"address", report.address},
+            {"service", report.service},
+            {"slots", report.slots},
+            {"leaving", report.leaving},
+            {"epoch", report.epoch},
+            {"tasks", std::move(tasks)}};
+}
+
+model::TaskReport taskReportFrom(http::JsonReader reader, Strictness strictness)
+{
+    model::TaskReport report;
+    report.taskId = reader.text("task_id", 1, LongestTaskId);
+    report.attempt = static_cast<std::uint32_t>(reader.integer("attempt", 0, std::numeric_limits<std::uint32_t>::max()));
+    report.state = reportedState(reader);
+    report.usage.cpuMillis = reader.integerOr("cpu_millis", 0, 0, MostCpuMillis);
+    report.usage.memoryMiB = reader.integerOr("memory_mib", 0, 0, MostMemoryMiB);
+    report.usage.accelerators = reader.integerOr("accelerators", 0, 0, MostAccelerators);
+    report.answer = reader.textOr("answer", "", LongestAnswer);
+    if (strictness == Strictness::Strict) {
+        reader.finish();
+    }
+    return report;
+}
+
+model::UpstreamReport upstreamReportFrom(http::JsonReader reader, Strictness strictness)
+{
+    model::UpstreamReport report;
+    report.id = reader.text("id", 1, LongestName);
+    report.vm = reader.text("vm", 1, LongestName);
+    report.zone = reader.text("zone", 1, LongestName);
+    report.boot = reader.text("boot", 1, LongestName);
+    report.address = strictness == Strictness::Strict ? reader.text("address", 1, LongestName) : reader.textOr("address", "", LongestName);
+    report.service = reader.textOr("service", "", LongestName);
+    report.slots = static_cast<std::uint32_t>(reader.integer("slots", 0, MostSlots));
+    report.leaving = reader.flagOr("leaving", false);
+    report.epoch = static_cast<std::uint64_t>(reader.integerOr("epoch", 0, 0, std::numeric_limits<std::int64_t>::max()));
+    for (http::JsonReader &task : reader.objects("tasks", MostTasks)) {
+        report.tasks.push_back(taskReportFrom(std::move(task), strictness));
+    }
+    if (strictness == Strictness::Strict) {
+        reader.finish();
+    }
+    return report;
+}
+
+} // namespace cranberryreel::upstream
--- /dev/null
+++ b/tests/support/FakeDispatcher.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "entry/Dispatcher.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cranberryreel::testsupport
+{
+
+/// Keeps what is submitted and answers at once, or when told to. A request's answer is its payload. Owned by a test.
+class FakeDispatcher : public entry::Dispatcher
+{
+public:
+    void submit(model::JobSpec spec, const std::string &traceparent, entry::DispatchDone done) override;
+    void lookup(const model::JobId &id, std::chrono::milliseconds wait, const std::string &traceparent, entry::DispatchDone done) override;
+    void cancel(const model::JobId &id, const std::string &traceparent, entry::DispatchDone done) override;
+    void announce(model::UpstreamReport report, entry::AnnounceDone done) override;
+    void view(const std::string &what, const std::string &filter, entry::TextDone done) override;
+    void drain(const std::string &vm, bool draining, entry::TextDone done) override;
+
+    /// True: submissions wait for releaseAll().
+    void hold(bool value);
+    std::size_t heldCount() const;
+
+    /// Answers everything held, newest first.
+    void releaseAll();
+
+    /// What the next submissions are refused with; Ok: none.
+    void refuseWith(base::ResultCode code);
+    model::JobSpec lastSpec() const;
+    model::UpstreamReport lastReport() const;
+
+private:
+    entry::DispatchReply finish(const model::JobSpec &spec) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    entry::DispatchReply find(const model::JobId &id);
+
+    mutable absl::Mutex mutex;
+    bool holding ABSL_GUARDED_BY(mutex) = false;
+    base::ResultCode refusal ABSL_GUARDED_BY(mutex) = base::ResultCode::Ok;
+    std::vector<std::pair<model::JobSpec, entry::DispatchDone>> held ABSL_GUARDED_BY(mutex);
+    absl::flat_hash_map<model::JobId, model::JobStatus> jobs ABSL_GUARDED_BY(mutex);
+    model::JobSpec last ABSL_GUARDED_BY(mutex);
+    model::UpstreamReport report ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace cranberryreel::testsupport
--- /dev/null
+++ b/tests/support/FakeJournal.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "cranberryreel/base/Clock.h"
+#include "support/FakeTask.h"
+#include "support/FakeUpstreamOptions.h"
+
+#include <string>
+
+namespace cranberryreel::testsupport
+{
+
+/// Appends one JSON line for each start and end of a task, with the wall-clock time at which it really happened, for checks after a run. Lines of several
+/// processes may share a file. Owned by the process; any thread.
+class FakeJournal
+{
+public:
+    /// An empty path writes nothing.
+    explicit FakeJournal(const std::string &path);
+    ~FakeJournal();
+    FakeJournal(const FakeJournal &) = delete;
+    FakeJournal &operator=(const FakeJournal &) = delete;
+
+    void start(const FakeUpstreamOptions &upstream, const FakeTask &task, base::SteadyTime when);
+    void end(const FakeUpstreamOptions &upstream, const FakeTask &task, base::SteadyTime when, const std::string &outcome);
+
+private:
+    void write(const char *event, const FakeUpstreamOptions &upstream, const FakeTask &task, base::SteadyTime when, const std::string &outcome);
+
+    int file = -1;
+};
+
+} // namespace cranberryreel::testsupport
--- /dev/null
+++ b/tests/support/FakeTaskTable.cpp
@@ -0,0 +1,314 @@
+#include "support/FakeTaskTable.h"
+
+#include "http/JsonReader.h"
+#include "upstream/ReportCodec.h"
+
+#include <fmt/format.h>
+
+#include <random>
+
+namespace cranberryreel::testsupport
+{
+
+namespace
+{
+
+using base::ResultCode;
+using std::chrono::milliseconds;
+
+constexpr unsigned int Conflict = 409;
+
+std::string newBootId()
+{
+    std::random_device source;
+    return fmt::format("{:08x}{:08x}", source(), source());
+}
+
+model::Resources sizeOf(const nlohmann::json &order)
+{
+    return {order.value("cpu_millis", std::int64_t{0}), order.value("memory_mib", std::int64_t{0}), order.value("accelerators", std::int64_t{0})};
+}
+
+nlohmann::json payloadObject(const std::string &payload)
+{
+    const nlohmann::json parsed = nlohmann::json::parse(payload, nullptr, false);
+    return parsed.is_object() ? parsed : nlohmann::json::object();
+}
+
+std::string answerOf(const nlohmann::json &payload)
+{
+    if (const auto bytes = payload.value("answer_bytes", std::size_t{0}); bytes > 0) {
+        return std::string(bytes, 'x');
+    }
+    return payload.value("echo", std::string());
+}
+
+http::Response refused(const std::string &reason)
+{
+    return http::errorResponse(ResultCode::UpstreamRefused, reason);
+}
+
+} // namespace
+
+FakeTaskTable::FakeTaskTable(const FakeUpstreamOptions &upstreamOptions, FakeJournal &taskJournal)
+    : options(upstreamOptions)
+    , journal(taskJournal)
+    , boot(newBootId())
+{
+}
+
+bool FakeTaskTable::fenced(const nlohmann::json &order)
+{
+    const auto given = order.value("epoch", std::uint64_t{0});
+    if (given < this->epoch) {
+        return true;
+    }
+    this->epoch = given;
+    return false;
+}
+
+http::Response FakeTaskTable::staleEpoch() const
+{
+    const nlohmann::json body = {{"code", static_cast<int>(ResultCode::UpstreamStaleEpoch)}, {"epoch", this->epoch}};
+    return {Conflict, "application/json", http::jsonText(body), false};
+}
+
+std::optional<http::Response> FakeTaskTable::refusal(const std::string &id, std::uint32_t attempt, const model::Resources &size) const
+{
+    std::uint32_t running = 0;
+    model::Resources used = size;
+    for (const auto &[taskId, task] : this->tasks) {
+        if (task.state == model::JobState::Running) {
+            ++running;
+            used += task.reserved;
+        }
+    }
+    const auto found = this->tasks.find(id);
+    if (found != this->tasks.end() && (attempt < found->second.attempt || found->second.state == model::JobState::Running)) {
+        return refused("Another attempt of this task is here.");
+    }
+    if (this->leaving) {
+        return refused("This upstream is leaving.");
+    }
+    if (running >= this->options.slots || !used.fitsIn(this->options.capacity)) {
+        return refused("This upstream is full.");
+    }
+    return std::nullopt;
+}
+
+void FakeTaskTable::start(const nlohmann::json &order, base::SteadyTime receivedAt, base::SteadyTime now, HeldAnswer answer)
+{
+    const auto id = order.at("task_id").get<std::string>();
+    const auto attempt = order.at("attempt").get<std::uint32_t>();
+    if (this->fenced(order)) {
+        this->give(answer, this->staleEpoch());
+        return;
+    }
+    const auto known = this->tasks.find(id);
+    FakeTask *task = known != this->tasks.end() && known->second.attempt == attempt ? &known->second : nullptr;
+    if (task == nullptr) {
+        if (now - receivedAt > milliseconds(order.value("expires_in_ms", std::int64_t{0}))) {
+            this->give(answer, refused("The start has expired."));
+            return;
+        }
+        if (const auto reason = this->refusal(id, attempt, sizeOf(order))) {
+            this->give(answer, *reason);
+            return;
+        }
+        task = &this->create(order, now);
+    }
+    answer.until = now + milliseconds(order.value("wait_ms", std::int64_t{0}));
+    task->held.push_back(std::move(answer));
+    this->giveHeld(*task, now, task->state != model::JobState::Running);
+}
+
+FakeTask &FakeTaskTable::create(const nlohmann::json &order, base::SteadyTime now)
+{
+    FakeTask task;
+    task.id = order.at("task_id").get<std::string>();
+    task.attempt = order.at("attempt").get<std::uint32_t>();
+    task.kind = order.value("kind", "request");
+    task.payload = order.value("payload", "");
+    task.reserved = sizeOf(order);
+    const nlohmann::json payload = payloadObject(task.payload);
+    task.uses = task.reserved;
+    task.uses.memoryMiB = payload.value("use_memory_mib", task.reserved.memoryMiB);
+    task.failsAtEnd = payload.value("fail", false);
+    task.answerAtEnd = answerOf(payload);
+    task.startedAt = now;
+    if (payload.contains("run_ms") || task.kind != "service") {
+        task.endsAt = now + milliseconds(payload.value("run_ms", static_cast<std::int64_t>(this->options.runTime.count())));
+    }
+    task.leaseUntil = now + milliseconds(order.at("lease_ms").get<std::int64_t>());
+    FakeTask &kept = this->tasks[task.id];
+    kept = std::move(task);
+    this->journal.start(this->options, kept, now);
+    if (this->failAll) {
+        this->end(kept, model::JobState::Failed, now, "failed", now);
+    }
+    return kept;
+}
+
+void FakeTaskTable::end(FakeTask &task, model::JobState state, base::SteadyTime when, const std::string &outcome, base::SteadyTime now)
+{
+    task.state = state;
+    task.answer = state == model::JobState::Done ? task.answerAtEnd : "";
+    this->journal.end(this->options, task, when, outcome);
+    if (task.held.empty()) {
+        this->untoldEnd = true;
+    }
+    this->giveHeld(task, now, true);
+}
+
+void FakeTaskTable::giveHeld(FakeTask &task, base::SteadyTime now, bool all)
+{
+    std::vector<HeldAnswer> later;
+    for (HeldAnswer &held : task.held) {
+        if (all || held.until <= now) {
+            this->give(held, this->taskResponse(task, now));
+        } else {
+            later.push_back(std::move(held));
+        }
+    }
+    task.held = std::move(later);
+}
+
+void FakeTaskTable::give(const HeldAnswer &held, const http::Response &response)
+{
+    if (held.connection <= this->silencedConnection) {
+        this->neverGiven.push_back(held);
+        this->untoldEnd = true;
+    } else {
+        held.respond(response);
+    }
+}
+
+http::Response FakeTaskTable::renew(const nlohmann::json &order, base::SteadyTime now)
+{
+    if (this->fenced(order)) {
+        return this->staleEpoch();
+    }
+    for (const auto &id : order.value("acknowledged", std::vector<std::string>())) {
+        if (const auto found = this->tasks.find(id); found != this->tasks.end() && found->second.state != model::JobState::Running) {
+            this->tasks.erase(found);
+        }
+    }
+    for (auto &[id, task] : this->tasks) {
+        task.leaseUntil = now + milliseconds(order.at("lease_ms").get<std::int64_t>());
+    }
+    return {200, "application/json", http::jsonText(upstream::upstreamReportToJson(this->report(now))), false};
+}
+
+http::Response FakeTaskTable::ask(const std::string &taskId, base::SteadyTime now) const
+{
+    const auto found = this->tasks.find(taskId);
+    return found == this->tasks.end() ? http::errorResponse(ResultCode::NotFound, "No such task.") : this->taskResponse(found->second, now);
+}
+
+http::Response FakeTaskTable::command(const std::string &taskId, const std::string &verb, const nlohmann::json &order, base::SteadyTime now)
+{
+    if (this->fenced(order)) {
+        return this->staleEpoch();
+    }
+    const auto found = this->tasks.find(taskId);
+    if (found == this->tasks.end()) {
+        return http::errorResponse(ResultCode::NotFound, "No such task.");
+    }
+    FakeTask &task = found->second;
+    if (verb == "stop" && task.state == model::JobState::Running) {
+        this->end(task, model::JobState::Failed, now, "stopped", now);
+    } else if (verb == "throttle") {
+        task.uses.cpuMillis = std::min(task.uses.cpuMillis, task.reserved.cpuMillis);
+        task.uses.memoryMiB = std::min(task.uses.memoryMiB, task.reserved.memoryMiB);
+    }
+    return this->taskResponse(task, now);
+}
+
+bool FakeTaskTable::advance(base::SteadyTime now)
+{
+    for (auto &[id, task] : this->tasks) {
+        if (task.state != model::JobState::Running) {
+            continue;
+        }
+        const bool endsFirst = task.endsAt && *task.endsAt <= task.leaseUntil;
+        if (endsFirst && *task.endsAt <= now) {
+            this->end(task, task.failsAtEnd ? model::JobState::Failed : model::JobState::Done, *task.endsAt, task.failsAtEnd ? "failed" : "done", now);
+        } else if (!endsFirst && task.leaseUntil <= now) {
+            this->end(task, model::JobState::Failed, task.leaseUntil, "lease_lost", now);
+        } else {
+            this->giveHeld(task, now, false);
+        }
+    }
+    return std::exchange(this->untoldEnd, false);
+}
+
+std::optional<base::SteadyTime> FakeTaskTable::nextDue() const
+{
+    std::optional<base::SteadyTime> due;
+    const auto consider = [&due](base::SteadyTime time) { due = due ? std::min(*due, time) : time; };
+    for (const auto &[id, task] : this->tasks) {
+        if (task.state != model::JobState::Running) {
+            continue;
+        }
+        consider(task.endsAt ? std::min(*task.endsAt, task.leaseUntil) : task.leaseUntil);
+        for (const HeldAnswer &held : task.held) {
+            consider(held.until);
+        }
+    }
+    return due;
+}
+
+model::TaskReport FakeTaskTable::reportOf(const FakeTask &task, base::SteadyTime now) const
+{
+    const bool known = now - task.startedAt >= this->options.usageLag;
+    return {task.id, task.attempt, task.state, known ? task.uses : model::Resources{}, task.answer};
+}
+
+http::Response FakeTaskTable::taskResponse(const FakeTask &task, base::SteadyTime now) const
+{
+    return {200, "application/json", http::jsonText(upstream::taskReportToJson(this->reportOf(task, now))), false};
+}
+
+model::UpstreamReport FakeTaskTable::report(base::SteadyTime now) const
+{
+    model::UpstreamReport report;
+    report.id = this->options.id;
+    report.vm = this->options.vm;
+    report.zone = this->options.zone;
+    report.service = this->options.service;
+    report.boot = this->boot;
+    report.slots = this->options.slots;
+    report.leaving = this->leaving;
+    report.epoch = this->epoch;
+    for (const auto &[id, task] : this->tasks) {
+        report.tasks.push_back(this->reportOf(task, now));
+    }
+    return report;
+}
+
+void FakeTaskTable::restart(base::SteadyTime now)
+{
+    for (auto &[id, task] : this->tasks) {
+        if (task.state == model::JobState::Running) {
+            this->journal.end(this->options, task, now, "killed");
+        }
+        this->neverGiven.insert(this->neverGiven.end(), task.held.begin(), task.held.end());
+    }
+    this->tasks.clear();
+    this->epoch = 0;
+    this->boot = newBootId();
+}
+
+void FakeTaskTable::forgetEnded()
+{
+    for (auto task = this->tasks.begin(); task != this->tasks.end();) {
+        task = task->second.state == model::JobState::Running ? std::next(task) : this->tasks.erase(task);
+    }
+}
+
+void FakeTaskTable::silenceUpTo(std::uint64_t connection)
+{
+    this->silencedConnection = connection;
+}
+
+} // namespace cranberryreel::testsupport
