--- /dev/null
+++ b/src/config/InForce.cpp
@@ -0,0 +1,122 @@
+#include "config/InForce.h"
+
+#include "config/ConfigurationReader.h"
+#include "cranberryreel/base/Error.h"
+#include "observe/Log.h"
+
+namespace cranberryreel::config
+{
+
+namespace
+{
+
+const observe::Log &log()
+{
+    static const observe::Log instance("config");
+    return instance;
+}
+
+} // namespace
+
+InForce::InForce(std::shared_ptr<SerialWorker> serialWorker, std::unique_ptr<RevisionFile> revisionFile)
+    : worker(std::move(serialWorker))
+    , file(std::move(revisionFile))
+    , configuration(std::make_shared<Configuration>())
+{
+}
+
+void InForce::onChange(Listener listener)
+{
+    this->listeners.push_back(std::move(listener));
+}
+
+bool InForce::loadKept()
+{
+    const auto kept = this->file ? this->file->load() : std::nullopt;
+    if (!kept) {
+        return false;
+    }
+    try {
+        this->put(readConfiguration(kept->revision, kept->registerText, kept->rulesText));
+    } catch (const base::Error &error) {
+        log().error("The kept revision {} cannot be read: {}", kept->revision, error.what());
+        return false;
+    }
+    log().info("Revision {} was kept on disk.", kept->revision);
+    return true;
+}
+
+std::shared_ptr<const Configuration> InForce::current() const
+{
+    absl::ReaderMutexLock lock(&this->mutex);
+    return this->configuration;
+}
+
+std::uint64_t InForce::revision() const
+{
+    return this->current()->revision;
+}
+
+void InForce::moveTo(const RevisionTexts &texts)
+{
+    if (texts.revision <= this->revision()) {
+        return;
+    }
+    try {
+        auto next = readConfiguration(texts.revision, texts.registerText, texts.rulesText);
+        if (this->file) {
+            this->file->save(texts);
+        }
+        this->put(std::move(next));
+    } catch (const base::Error &error) {
+        log().error("Revision {} cannot be put in force: {}", texts.revision, error.what());
+        return;
+    }
+    log().info("Revision {} is in force.", texts.revision);
+    this->answerWaiters();
+}
+
+void InForce::whenAtLeast(std::uint64_t revision, std::chrono::milliseconds limit, RevisionDone done)
+{
+    if (this->revision() >= revision || limit <= std::chrono::milliseconds(0)) {
+        done(this->revision());
+        return;
+    }
+    const auto waiter = std::make_shared<Waiter>(Waiter{revision, std::move(done)});
+    this->waiters.push_back(waiter);
+    this->worker->postAfter(limit, [this, weak = std::weak_ptr<Waiter>(waiter)] {
+        if (const auto late = weak.lock()) {
+            this->waiters.remove(late);
+            late->done(this->revision());
+        }
+    });
+}
+
+void InForce::put(std::shared_ptr<const Configuration> next)
+{
+    {
+        absl::MutexLock lock(&this->mutex);
+        this->configuration = next;
+    }
+    for (const Listener &listener : this->listeners) {
+        listener(next);
+    }
+}
+
+void InForce::answerWaiters()
+{
+    const std::uint64_t now = this->revision();
+    std::list<std::shared_ptr<Waiter>> due;
+    for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
+        const auto next = std::next(waiter);
+        if ((*waiter)->revision <= now) {
+            due.splice(due.end(), this->waiters, waiter);
+        }
+        waiter = next;
+    }
+    for (const std::shared_ptr<Waiter> &waiter : due) {
+        waiter->done(now);
+    }
+}
+
+} // namespace cranberryreel::config
--- /dev/null
+++ b/src/config/RevisionFile.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "config/ConfigStore.h"
+
+#include <optional>
+#include <string>
+
+namespace cranberryreel::config
+{
+
+/// The last revision that this VM served on, kept in its data folder. Each save is synced, then takes the old file's place at once, then the folder is
+/// synced. Owned by the VM's config service; used by one thread.
+class RevisionFile
+{
+public:
+    explicit RevisionFile(const std::string &folder);
+
+    /// Throws base::Error(StorageWriteFailed); the old file stays.
+    void save(const RevisionTexts &texts) const;
+
+    /// Empty when there is no file, or a damaged one.
+    std::optional<RevisionTexts> load() const;
+
+private:
+    void replaceWith(const std::string &bytes) const;
+
+    const std::string folder;
+    const std::string path;
+};
+
+} // namespace cranberryreel::config
