--- a/src/link/Connection.cpp
+++ b/src/link/Connection.cpp
@@ -30,8 +30,9 @@
     , reader(frameLimitBytes)
     , isDialer(isDialed)
     , connecting(isDialed)
-    , received(base::steadyNow())
-    , sent(this->received)
+    , opened(base::steadyNow())
+    , received(this->opened)
+    , sent(this->opened)
 {
 }
 
@@ -92,6 +93,11 @@
     return this->isDialer;
 }
 
+base::SteadyTime Connection::openedAt() const
+{
+    return this->opened;
+}
+
 base::SteadyTime Connection::lastReceived() const
 {
     return this->received;
--- a/src/link/Connection.h
+++ b/src/link/Connection.h
@@ -51,6 +51,7 @@
     bool closed() const;
 
     bool dialed() const;
+    base::SteadyTime openedAt() const;
     base::SteadyTime lastReceived() const;
     base::SteadyTime lastSent() const;
     std::uint64_t bytesIn() const;
@@ -77,6 +78,7 @@
     bool isDialer;
     bool connecting;
     bool isClosed = false;
+    const base::SteadyTime opened;
     base::SteadyTime received;
     base::SteadyTime sent;
     std::uint64_t totalIn = 0;
--- a/src/link/PeerLink.cpp
+++ b/src/link/PeerLink.cpp
@@ -66,6 +66,11 @@
     return this->connection != nullptr;
 }
 
+bool PeerLink::crossed(const Connection &candidate) const
+{
+    return this->attached() && candidate.openedAt() < this->attachedAt;
+}
+
 void PeerLink::attach(std::shared_ptr<Connection> newConnection, std::string newKey, bool announce)
 {
     if (this->attached()) {
@@ -74,6 +79,7 @@
     this->connection = std::move(newConnection);
     this->key = std::move(newKey);
     ++this->currentGeneration;
+    this->attachedAt = base::steadyNow();
     this->pinged = {};
     this->connection->setOwner(*this);
     this->connection->setFrameLimit(this->limits.frameBytes);
--- a/src/link/PeerLink.h
+++ b/src/link/PeerLink.h
@@ -40,6 +40,9 @@
 
     bool attached() const;
 
+    /// Whether the link came up after this connection was opened: then both ends dialed at once, and the connection is not needed.
+    bool crossed(const Connection &candidate) const;
+
     /// Makes an authenticated connection the link, in place of any earlier one. `announce` tells the peer so.
     void attach(std::shared_ptr<Connection> newConnection, std::string newKey, bool announce);
     void drop(const std::string &reason);
@@ -78,6 +81,7 @@
     std::shared_ptr<Connection> connection;
     std::string key;
     std::uint64_t currentGeneration = 0;
+    base::SteadyTime attachedAt{};
     base::SteadyTime pinged{};
     std::atomic<bool> pumpRequested{false};
     std::uint64_t earlierBytesIn = 0;
--- a/src/link/TcpLinkHub.cpp
+++ b/src/link/TcpLinkHub.cpp
@@ -75,6 +75,9 @@
 void TcpLinkHub::start()
 {
     this->listener = std::make_unique<Listener>(this->loop, this->options.listen, [this](Socket socket) { this->accept(std::move(socket)); });
+    for (const auto &[vm, link] : this->links) {
+        link->dialSchedule().linkLost(base::steadyNow());
+    }
     this->thread = std::thread([this] { this->run(); });
     linkLog().info("Listening on {}:{} for {} peers.", this->options.listen.ip, this->options.listen.port, this->links.size());
 }
@@ -167,6 +170,11 @@
     PeerLink *peer = this->findPeer(link.handshake().peerVm());
     const bool decides = this->options.vm < peer->vm();
     const std::shared_ptr<Connection> connection = link.connection();
+    if (decides && peer->crossed(*connection)) {
+        link.close();
+        this->halfOpen.retire(link);
+        return;
+    }
     const std::string key = link.handshake().provedKey();
     this->halfOpen.retire(link);
     this->halfOpen.retireDials(peer->vm(), decides);
