--- /dev/null
+++ b/src/replication/Core.cpp
@@ -0,0 +1,353 @@
+#include "replication/Core.h"
+
+#include "replication/Codec.h"
+
+#include "cranberryreel/base/Error.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace cranberryreel::replication
+{
+
+Core::Core(CoreOptions coreOptions, Recovered recovered, const CoreSafety &coreSafety, base::SteadyTime now)
+    : options(std::move(coreOptions))
+    , safety(coreSafety)
+    , random(this->options.seed)
+    , heardLeaderAt(now)
+    , nextProbe(now + this->options.timings.formationSettle)
+{
+    this->committedRecord.members = this->options.members;
+    this->recover(recovered);
+    this->resetElectionDeadline(now);
+}
+
+void Core::recover(const Recovered &recovered)
+{
+    this->hard = recovered.hardState;
+    this->ownStanding = this->hard.full ? Standing::Unproven : Standing::Blank;
+    if (recovered.snapshot) {
+        this->latestSnapshot = recovered.snapshot;
+        this->committedRecord = recovered.snapshot->record;
+        this->commit = recovered.snapshot->index;
+        this->entries.reset(LogPosition{recovered.snapshot->term, recovered.snapshot->index});
+    }
+    for (const Entry &entry : recovered.entries) {
+        this->append(entry);
+    }
+    this->output = CoreOutput();
+    this->syncedEntries = this->entries.lastIndex();
+}
+
+void Core::receive(const Message &message, base::SteadyTime now)
+{
+    using Handler = void (Core::*)(const Message &, base::SteadyTime);
+    static const std::map<MessageKind, Handler> Handlers{
+        {MessageKind::PreVote, &Core::handlePreVote},
+        {MessageKind::PreVoteReply, &Core::handlePreVoteReply},
+        {MessageKind::Vote, &Core::handleVote},
+        {MessageKind::VoteReply, &Core::handleVoteReply},
+        {MessageKind::Append, &Core::handleAppend},
+        {MessageKind::AppendReply, &Core::handleAppendReply},
+        {MessageKind::SnapshotChunk, &Core::handleSnapshotChunk},
+        {MessageKind::SnapshotReply, &Core::handleSnapshotReply},
+        {MessageKind::Handover, &Core::handleHandover},
+        {MessageKind::Read, &Core::handleRead},
+        {MessageKind::Probe, &Core::handleProbe},
+        {MessageKind::ProbeReply, &Core::handleProbeReply},
+        {MessageKind::Form, &Core::handleForm},
+        {MessageKind::FormReply, &Core::handleFormReply},
+    };
+    if (message.kind == MessageKind::ReadReply) {
+        this->handleReadReply(message);
+    } else if (const auto found = Handlers.find(message.kind); found != Handlers.end()) {
+        (this->*found->second)(message, now);
+    }
+    this->answerReads(now);
+}
+
+void Core::tick(base::SteadyTime now)
+{
+    if (this->currentRole == Role::Leader) {
+        this->tickLeader(now);
+    } else {
+        this->tickElection(now);
+    }
+    this->tickFormation(now);
+    this->tickReads(now);
+}
+
+CoreOutput Core::take()
+{
+    return std::exchange(this->output, CoreOutput());
+}
+
+base::SteadyTime Core::nextDeadline() const
+{
+    base::SteadyTime deadline = std::min(this->electionDeadline, this->nextProbe);
+    if (this->currentRole == Role::Leader) {
+        deadline = this->nextHeartbeat;
+    } else if (this->ownStanding == Standing::Unproven) {
+        deadline = std::min(deadline, this->heardLeaderAt + this->options.timings.restartGrace);
+    }
+    for (const PendingRead &read : this->pendingReads) {
+        deadline = std::min({deadline, read.since + this->options.timings.requestLimit, read.askedAt + this->options.timings.heartbeat});
+    }
+    return deadline;
+}
+
+const Membership &Core::membership() const
+{
+    return this->proposedMemberships.empty() ? this->committedRecord.members : this->proposedMemberships.back().second;
+}
+
+std::vector<const Membership *> Core::activeMemberships() const
+{
+    if (this->proposedMemberships.empty()) {
+        return {&this->committedRecord.members};
+    }
+    const std::size_t proposed = this->proposedMemberships.size();
+    const Membership *latest = &this->proposedMemberships.back().second;
+    const Membership *earlier = proposed > 1 ? &this->proposedMemberships[proposed - 2].second : &this->committedRecord.members;
+    if (!this->safety.membershipNeedsOldMajority()) {
+        return {latest};
+    }
+    return {latest, earlier};
+}
+
+std::vector<std::string> Core::otherMembers() const
+{
+    std::set<std::string> vms;
+    for (const Membership *members : this->activeMemberships()) {
+        for (const Member &member : members->all()) {
+            vms.insert(member.vm);
+        }
+    }
+    vms.erase(this->options.ownVm);
+    return {vms.begin(), vms.end()};
+}
+
+std::int64_t Core::majorityValue(const std::function<std::int64_t(const Member &)> &value) const
+{
+    std::optional<std::int64_t> lowest;
+    for (const Membership *members : this->activeMemberships()) {
+        std::vector<std::int64_t> values;
+        for (const Member &member : members->all()) {
+            values.push_back(value(member));
+        }
+        std::sort(values.rbegin(), values.rend());
+        const std::int64_t reached = values[members->majority() - 1];
+        lowest = lowest ? std::min(*lowest, reached) : reached;
+    }
+    return lowest.value_or(0);
+}
+
+bool Core::majorityOf(const VoteSet &voters) const
+{
+    return this->majorityValue([&voters](const Member &member) { return voters.count(member.vm); }) > 0;
+}
+
+Message Core::messageTo(const std::string &vm, MessageKind kind) const
+{
+    Message message;
+    message.kind = kind;
+    message.from = this->options.ownVm;
+    message.to = vm;
+    message.boot = this->options.boot;
+    message.term = this->hard.term;
+    return message;
+}
+
+void Core::send(Message message)
+{
+    this->output.messages.push_back(std::move(message));
+}
+
+void Core::sendAfterSync(Message message)
+{
+    message.standing = this->ownStanding;
+    auto &messages = this->safety.answersAfterSync() ? this->output.messagesAfterSync : this->output.messages;
+    messages.push_back(std::move(message));
+}
+
+void Core::setTerm(std::uint64_t term)
+{
+    assert(term >= this->hard.term);
+    if (term > this->hard.term) {
+        this->hard.term = term;
+        this->hard.votedFor.clear();
+        this->output.hardState = this->hard;
+    }
+}
+
+void Core::becomeFollower(std::uint64_t term, const std::string &leaderVm, base::SteadyTime now)
+{
+    if (this->currentRole != Role::Follower || term > this->hard.term) {
+        this->resetElectionDeadline(now);
+    }
+    if (this->currentRole == Role::Leader) {
+        this->heardLeaderAt = now;
+        this->nextProbe = now + this->options.timings.formationSettle;
+    }
+    this->setTerm(term);
+    this->currentRole = Role::Follower;
+    this->leader = leaderVm;
+    this->votes.clear();
+    this->progresses.clear();
+    this->formationBoots.clear();
+    this->handingOver = false;
+}
+
+void Core::noteLeader(const std::string &vm, base::SteadyTime now)
+{
+    this->leader = vm;
+    this->heardLeaderAt = now;
+    this->presences.clear();
+    this->nextProbe = now + this->options.timings.formationSettle;
+    this->resetElectionDeadline(now);
+}
+
+bool Core::hearsLeader(base::SteadyTime now, std::chrono::milliseconds within) const
+{
+    if (this->currentRole == Role::Leader) {
+        return now < this->majorityHeardAt + within;
+    }
+    return now < this->heardLeaderAt + within;
+}
+
+void Core::setStanding(Standing standing)
+{
+    this->ownStanding = standing;
+    if (const bool full = standing != Standing::Blank; full != this->hard.full) {
+        this->hard.full = full;
+        this->output.hardState = this->hard;
+    }
+}
+
+void Core::distrustMemory(LogPosition position)
+{
+    if (this->ownStanding == Standing::Unproven && this->entries.last() < position && this->safety.distrustsRolledBackDisk()) {
+        this->setStanding(Standing::Blank);
+    }
+}
+
+void Core::appendOwn(EntryKind kind, std::string data)
+{
+    this->append(Entry{this->entries.lastIndex() + 1, this->hard.term, kind, std::move(data)});
+}
+
+void Core::append(Entry entry)
+{
+    if (entry.kind == EntryKind::Members) {
+        if (auto record = Codec::decodeRecord(entry.data); record && record->members.size() > 0) {
+            this->proposedMemberships.emplace_back(entry.index, std::move(record->members));
+        }
+    }
+    this->output.entries.push_back(entry);
+    this->entries.append(std::move(entry));
+}
+
+void Core::truncateFrom(std::uint64_t index)
+{
+    this->entries.truncateFrom(index);
+    this->syncedEntries = std::min(this->syncedEntries, index - 1);
+    while (!this->proposedMemberships.empty() && this->proposedMemberships.back().first >= index) {
+        this->proposedMemberships.pop_back();
+    }
+    while (!this->output.entries.empty() && this->output.entries.back().index >= index) {
+        this->output.entries.pop_back();
+    }
+}
+
+void Core::advanceCommit(std::uint64_t index)
+{
+    while (this->commit < index) {
+        ++this->commit;
+        const Entry &entry = this->entries.at(this->commit);
+        this->applyToRecord(entry);
+        this->output.committed.push_back(entry);
+    }
+    const MemberBoot own{this->options.ownVm, this->options.boot};
+    if (this->ownStanding != Standing::Full && this->committedRecord.admitted(own)) {
+        this->setStanding(Standing::Full);
+    }
+}
+
+void Core::applyToRecord(const Entry &entry)
+{
+    if (entry.kind == EntryKind::Command || entry.kind == EntryKind::Barrier) {
+        return;
+    }
+    auto change = Codec::decodeRecord(entry.data);
+    if (!change) {
+        return;
+    }
+    if (entry.kind == EntryKind::Members) {
+        this->committedRecord.members = std::move(change->members);
+        auto &proposed = this->proposedMemberships;
+        proposed.erase(std::remove_if(proposed.begin(), proposed.end(), [&entry](const auto &item) { return item.first <= entry.index; }), proposed.end());
+    } else if (entry.kind == EntryKind::Admission) {
+        for (const auto &[vm, boot] : change->admittedBoots) {
+            this->committedRecord.admittedBoots[vm] = boot;
+        }
+    } else {
+        this->committedRecord.admittedBoots = std::move(change->admittedBoots);
+        this->committedRecord.formationTerm = entry.term;
+    }
+}
+
+std::shared_ptr<const Snapshot> Core::compact(std::string state, std::uint64_t retainedEntries)
+{
+    assert(this->output.committed.empty());
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->index = this->commit;
+    snapshot->term = this->entries.termAt(this->commit).value_or(0);
+    snapshot->record = this->committedRecord;
+    snapshot->state = std::move(state);
+    this->latestSnapshot = snapshot;
+    this->encodedSnapshot = nullptr;
+    if (this->commit > retainedEntries) {
+        this->entries.compactTo(this->commit - retainedEntries);
+    }
+    return snapshot;
+}
+
+void Core::persisted(std::uint64_t index, base::SteadyTime now)
+{
+    this->syncedEntries = std::max(this->syncedEntries, std::min(index, this->entries.lastIndex()));
+    if (this->currentRole == Role::Leader) {
+        this->updateCommit();
+        this->updateLease(now);
+        this->answerReads(now);
+    }
+}
+
+std::string Core::reason(base::SteadyTime now) const
+{
+    if (this->currentRole == Role::Leader) {
+        if (this->holdsLease(now)) {
+            return "";
+        }
+        return this->membership().find(this->options.ownVm) != nullptr && this->handingOver ? "Leadership is being handed over."
+                                                                                            : "The leader does not reach a majority of the members.";
+    }
+    if (!this->leader.empty() && this->hearsLeader(now, this->options.timings.electionMax)) {
+        return "";
+    }
+    std::string absent;
+    std::string absentDisks;
+    for (const Member &member : this->membership().all()) {
+        if (member.vm != this->options.ownVm && this->presences.count(member.vm) == 0) {
+            absent += " " + member.vm;
+            absentDisks += member.hasDisk ? " " + member.vm : "";
+        }
+    }
+    if (this->ownStanding == Standing::Blank) {
+        return absentDisks.empty() ? "No leader admits this member, which has no memory; not heard:" + (absent.empty() ? " nobody" : absent) + "."
+                                   : "No leader; a cold start needs the members with a disk; not heard:" + absentDisks + ".";
+    }
+    return "No leader; members not heard:" + (absent.empty() ? " nobody" : absent) + ".";
+}
+
+} // namespace cranberryreel::replication
--- /dev/null
+++ b/src/replication/CoreElection.cpp
@@ -0,0 +1,172 @@
+#include "replication/Core.h"
+
+#include <algorithm>
+
+namespace cranberryreel::replication
+{
+
+namespace
+{
+
+/// Terms of different members differ modulo this, so that a term names its leader.
+constexpr std::uint64_t TermStride = 16;
+
+} // namespace
+
+void Core::resetElectionDeadline(base::SteadyTime now)
+{
+    const GroupTimings &timings = this->options.timings;
+    std::uniform_int_distribution<std::int64_t> spread(timings.electionMin.count(), timings.electionMax.count());
+    this->electionDeadline = now + std::chrono::milliseconds(spread(this->random));
+    if (const Member *own = this->membership().find(this->options.ownVm); own != nullptr && own->witness) {
+        this->electionDeadline += timings.electionMax;
+    }
+}
+
+std::uint64_t Core::nextTerm(std::uint64_t above) const
+{
+    const std::uint64_t ordinal = this->membership().ordinal(this->options.ownVm) % TermStride;
+    const std::uint64_t term = above / TermStride * TermStride + ordinal;
+    return term > above ? term : term + TermStride;
+}
+
+void Core::tickElection(base::SteadyTime now)
+{
+    if (this->ownStanding == Standing::Unproven && !this->hearsLeader(now, this->options.timings.restartGrace)) {
+        this->setStanding(Standing::Full);
+    }
+    if (now < this->electionDeadline) {
+        return;
+    }
+    this->resetElectionDeadline(now);
+    this->leader.clear();
+    if (!this->safety.mayVote(this->ownStanding) || this->membership().find(this->options.ownVm) == nullptr) {
+        this->currentRole = Role::Follower;
+    } else if (this->safety.asksBeforeCampaign()) {
+        this->askBeforeCampaign(now);
+    } else {
+        this->campaign(this->hard.term, 0, now);
+    }
+}
+
+void Core::askBeforeCampaign(base::SteadyTime now)
+{
+    this->currentRole = Role::PreCandidate;
+    this->votes = {this->options.ownVm};
+    if (this->majorityOf(this->votes)) {
+        this->campaign(this->hard.term, 0, now);
+        return;
+    }
+    for (const std::string &vm : this->otherMembers()) {
+        Message message = this->messageTo(vm, MessageKind::PreVote);
+        message.term = this->nextTerm(this->hard.term);
+        message.index = this->entries.last().index;
+        message.logTerm = this->entries.last().term;
+        this->send(std::move(message));
+    }
+}
+
+void Core::campaign(std::uint64_t above, std::uint64_t handoverTerm, base::SteadyTime now)
+{
+    this->setTerm(this->nextTerm(std::max(above, this->hard.term)));
+    this->hard.votedFor = this->options.ownVm;
+    this->output.hardState = this->hard;
+    this->currentRole = Role::Candidate;
+    this->leader.clear();
+    this->votes = {this->options.ownVm};
+    this->resetElectionDeadline(now);
+    if (this->majorityOf(this->votes)) {
+        this->becomeLeader(EntryKind::Barrier, "", now);
+        return;
+    }
+    for (const std::string &vm : this->otherMembers()) {
+        Message message = this->messageTo(vm, MessageKind::Vote);
+        message.index = this->entries.last().index;
+        message.logTerm = this->entries.last().term;
+        message.handoverTerm = handoverTerm;
+        if (const auto known = this->acknowledged.find(vm); known != this->acknowledged.end()) {
+            message.acknowledged.insert(*known);
+        }
+        this->sendAfterSync(std::move(message));
+    }
+}
+
+void Core::handlePreVote(const Message &message, base::SteadyTime now)
+{
+    Message reply = this->messageTo(message.from, MessageKind::PreVoteReply);
+    const bool keepsLeader = this->safety.keepsLeaderWhileHeard() && this->hearsLeader(now, this->options.timings.electionMin);
+    const LogPosition candidate{message.logTerm, message.index};
+    reply.granted = this->safety.mayVote(this->ownStanding) && message.term > this->hard.term && !keepsLeader
+        && this->safety.logIsAdvancedEnough(candidate, this->entries.last());
+    reply.sequence = static_cast<std::int64_t>(message.term);
+    this->send(std::move(reply));
+}
+
+void Core::handlePreVoteReply(const Message &message, base::SteadyTime now)
+{
+    if (message.term > this->hard.term) {
+        this->becomeFollower(message.term, "", now);
+        return;
+    }
+    const bool asked = this->currentRole == Role::PreCandidate && static_cast<std::uint64_t>(message.sequence) == this->nextTerm(this->hard.term);
+    if (!asked || !message.granted) {
+        return;
+    }
+    this->votes.insert(message.from);
+    if (this->majorityOf(this->votes)) {
+        this->campaign(this->hard.term, 0, now);
+    }
+}
+
+void Core::handleVote(const Message &message, base::SteadyTime now)
+{
+    const bool handedOver = message.handoverTerm != 0 && message.handoverTerm == this->hard.term;
+    const bool keepsLeader = this->safety.keepsLeaderWhileHeard() && this->hearsLeader(now, this->options.timings.electionMin);
+    if (keepsLeader && !handedOver) {
+        return;
+    }
+    for (const auto &[vm, position] : message.acknowledged) {
+        if (vm == this->options.ownVm) {
+            this->distrustMemory(position);
+        }
+    }
+    if (message.term > this->hard.term) {
+        this->becomeFollower(message.term, "", now);
+    }
+    Message reply = this->messageTo(message.from, MessageKind::VoteReply);
+    const LogPosition candidate{message.logTerm, message.index};
+    reply.granted = message.term == this->hard.term && this->currentRole == Role::Follower && this->safety.mayVote(this->ownStanding)
+        && this->safety.voteIsFree(this->hard, message.from) && this->safety.logIsAdvancedEnough(candidate, this->entries.last());
+    if (reply.granted) {
+        this->hard.votedFor = message.from;
+        this->output.hardState = this->hard;
+        this->resetElectionDeadline(now);
+    }
+    this->sendAfterSync(std::move(reply));
+}
+
+void Core::handleVoteReply(const Message &message, base::SteadyTime now)
+{
+    if (message.term > this->hard.term) {
+        this->becomeFollower(message.term, "", now);
+        return;
+    }
+    if (this->currentRole != Role::Candidate || message.term < this->hard.term || !message.granted) {
+        return;
+    }
+    this->votes.insert(message.from);
+    if (this->majorityOf(this->votes)) {
+        this->becomeLeader(EntryKind::Barrier, "", now);
+    }
+}
+
+void Core::handleHandover(const Message &message, base::SteadyTime now)
+{
+    const Member *own = this->membership().find(this->options.ownVm);
+    const bool fromOwnLeader = message.term == this->hard.term && message.from == this->leader && this->currentRole == Role::Follower;
+    if (fromOwnLeader && this->safety.mayVote(this->ownStanding) && own != nullptr && !own->witness) {
+        this->campaign(this->hard.term, message.term, now);
+    }
+}
+
+} // namespace cranberryreel::replication
--- /dev/null
+++ b/src/replication/DataFolder.cpp
@@ -0,0 +1,95 @@
+#include "replication/DataFolder.h"
+
+#include "replication/FileDescriptor.h"
+
+#include "cranberryreel/base/Error.h"
+
+#include <fmt/format.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include <fcntl.h>
+
+namespace cranberryreel::replication
+{
+
+namespace
+{
+
+constexpr const char *TemporarySuffix = ".tmp";
+
+[[noreturn]] void fail(const std::string &path, const std::error_code &error)
+{
+    throw base::Error(base::ResultCode::StorageWriteFailed, fmt::format("Cannot change {}: {}.", path, error.message()));
+}
+
+} // namespace
+
+DataFolder::DataFolder(std::string folder)
+    : path(std::move(folder))
+{
+    std::error_code error;
+    std::filesystem::create_directories(this->path, error);
+    if (error) {
+        throw base::Error(base::ResultCode::DataFolderUnwritable, fmt::format("Cannot create the data folder {}: {}.", this->path, error.message()));
+    }
+    const std::filesystem::path parent = std::filesystem::absolute(this->path).parent_path();
+    FileDescriptor(parent.string(), O_RDONLY | O_DIRECTORY).sync();
+}
+
+std::vector<std::string> DataFolder::files() const
+{
+    std::vector<std::string> names;
+    std::error_code error;
+    for (const auto &item : std::filesystem::directory_iterator(this->path, error)) {
+        names.push_back(item.path().filename().string());
+    }
+    if (error) {
+        fail(this->path, error);
+    }
+    return names;
+}
+
+std::string DataFolder::read(const std::string &name) const
+{
+    std::ifstream file(this->pathOf(name), std::ios::binary);
+    if (!file) {
+        fail(this->pathOf(name), std::make_error_code(std::errc::io_error));
+    }
+    return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+}
+
+void DataFolder::replace(const std::string &name, std::string_view bytes) const
+{
+    const std::string target = this->pathOf(name);
+    const std::string temporary = target + TemporarySuffix;
+    const FileDescriptor file(temporary, O_WRONLY | O_CREAT | O_TRUNC);
+    file.writeAll(bytes);
+    file.sync();
+    std::error_code error;
+    std::filesystem::rename(temporary, target, error);
+    if (error) {
+        fail(target, error);
+    }
+    this->syncFolder();
+}
+
+void DataFolder::remove(const std::string &name) const
+{
+    std::error_code error;
+    std::filesystem::remove(this->pathOf(name), error);
+    if (error) {
+        fail(this->pathOf(name), error);
+    }
+    this->syncFolder();
+}
+
+void DataFolder::syncFolder() const
+{
+    FileDescriptor(this->path, O_RDONLY | O_DIRECTORY).sync();
+}
+
+} // namespace cranberryreel::replication
--- /dev/null
+++ b/src/replication/DiskLogStore.cpp
@@ -0,0 +1,185 @@
+#include "replication/DiskLogStore.h"
+
+#include "replication/Codec.h"
+#include "replication/LogFrame.h"
+
+#include "cranberryreel/base/Error.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/strip.h>
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include <fcntl.h>
+
+namespace cranberryreel::replication
+{
+
+namespace
+{
+
+constexpr const char *LogPrefix = "log-";
+constexpr const char *SnapshotPrefix = "snapshot-";
+
+std::string logName(std::uint64_t generation)
+{
+    return fmt::format("{}{:020}", LogPrefix, generation);
+}
+
+std::string snapshotName(LogPosition position)
+{
+    return fmt::format("{}{:020}-{:020}", SnapshotPrefix, position.index, position.term);
+}
+
+[[noreturn]] void refuse(base::ResultCode code, const std::string &name)
+{
+    throw base::Error(code, fmt::format("{} is damaged. Move the data folder away to let this member return without its memory.", name));
+}
+
+void addEntries(std::vector<Entry> entries, LogPosition base, Recovered &recovered, const std::string &name)
+{
+    for (Entry &entry : entries) {
+        const std::uint64_t last = base.index + recovered.entries.size();
+        if (entry.index <= base.index || entry.index > last + 1) {
+            refuse(base::ResultCode::LogCorrupt, name);
+        }
+        recovered.entries.resize(entry.index - base.index - 1);
+        recovered.entries.push_back(std::move(entry));
+    }
+}
+
+} // namespace
+
+DiskLogStore::DiskLogStore(const std::string &path)
+    : folder(path)
+{
+}
+
+DiskLogStore::Generations DiskLogStore::logFiles() const
+{
+    Generations generations;
+    for (const std::string &name : this->folder.files()) {
+        std::uint64_t number = 0;
+        if (absl::EndsWith(name, ".tmp")) {
+            this->folder.remove(name);
+        } else if (absl::StartsWith(name, LogPrefix) && absl::SimpleAtoi(name.substr(std::string_view(LogPrefix).size()), &number)) {
+            generations[number] = name;
+        }
+    }
+    return generations;
+}
+
+Recovered DiskLogStore::recover()
+{
+    const Generations generations = this->logFiles();
+    if (generations.empty()) {
+        LogBatch first;
+        first.base = LogPosition();
+        this->startFile(first);
+        return {};
+    }
+    const auto &[newest, name] = *generations.rbegin();
+    const std::string file = this->folder.read(name);
+    std::size_t validBytes = 0;
+    Recovered recovered = this->readLog(file, name, validBytes);
+    this->generation = newest;
+    this->hardState = recovered.hardState;
+    this->log = FileDescriptor(this->folder.pathOf(name), O_WRONLY | O_APPEND);
+    if (validBytes < file.size()) {
+        this->log.truncate(validBytes);
+        this->log.sync();
+    }
+    this->removeEarlier(recovered.snapshot ? recovered.snapshot->index : 0);
+    return recovered;
+}
+
+Recovered DiskLogStore::readLog(std::string_view file, const std::string &name, std::size_t &validBytes) const
+{
+    Recovered recovered;
+    LogPosition base;
+    std::size_t offset = 0;
+    while (const auto frame = LogFrame::read(file, offset)) {
+        auto batch = Codec::decodeBatch(frame->payload);
+        if (!batch || batch->base.has_value() != (offset == 0)) {
+            refuse(base::ResultCode::LogCorrupt, name);
+        }
+        base = batch->base.value_or(base);
+        recovered.hardState = batch->hardState.value_or(recovered.hardState);
+        addEntries(std::move(batch->entries), base, recovered, name);
+        offset = frame->next;
+    }
+    // The first frame was written with the file as a whole, so it cannot be torn.
+    if (offset == 0 || LogFrame::anyAfter(file, offset)) {
+        refuse(base::ResultCode::LogCorrupt, name);
+    }
+    validBytes = offset;
+    if (base.index > 0) {
+        const std::string snapshotFile = snapshotName(base);
+        std::optional<Snapshot> snapshot;
+        try {
+            snapshot = Codec::decodeSnapshot(this->folder.read(snapshotFile));
+        } catch (const base::Error &) {
+            refuse(base::ResultCode::SnapshotCorrupt, snapshotFile);
+        }
+        if (!snapshot || snapshot->index != base.index || snapshot->term != base.term) {
+            refuse(base::ResultCode::SnapshotCorrupt, snapshotFile);
+        }
+        recovered.snapshot = std::make_shared<const Snapshot>(std::move(*snapshot));
+    }
+    return recovered;
+}
+
+void DiskLogStore::write(const CoreOutput &output)
+{
+    this->hardState = output.hardState.value_or(this->hardState);
+    if (output.snapshot) {
+        this->compact(*output.snapshot, this->hardState, output.entries);
+        return;
+    }
+    LogBatch batch;
+    batch.hardState = output.hardState;
+    batch.entries = output.entries;
+    this->log.writeAll(LogFrame::encode(Codec::encode(batch)));
+    this->log.sync();
+}
+
+void DiskLogStore::compact(const Snapshot &snapshot, const HardState &state, const std::vector<Entry> &entriesAfter)
+{
+    this->hardState = state;
+    const LogPosition position{snapshot.term, snapshot.index};
+    if (snapshot.index > 0) {
+        this->folder.replace(snapshotName(position), Codec::encode(snapshot));
+    }
+    LogBatch first;
+    first.base = position;
+    first.hardState = state;
+    first.entries = entriesAfter;
+    this->startFile(first);
+    this->removeEarlier(snapshot.index);
+}
+
+void DiskLogStore::startFile(const LogBatch &first)
+{
+    ++this->generation;
+    const std::string name = logName(this->generation);
+    this->folder.replace(name, LogFrame::encode(Codec::encode(first)));
+    this->log = FileDescriptor(this->folder.pathOf(name), O_WRONLY | O_APPEND);
+}
+
+void DiskLogStore::removeEarlier(std::uint64_t snapshotIndex) const
+{
+    const std::string currentLog = logName(this->generation);
+    const std::string currentSnapshot = fmt::format("{}{:020}-", SnapshotPrefix, snapshotIndex);
+    for (const std::string &name : this->folder.files()) {
+        const bool oldLog = absl::StartsWith(name, LogPrefix) && name < currentLog;
+        const bool oldSnapshot = absl::StartsWith(name, SnapshotPrefix) && !absl::StartsWith(name, currentSnapshot);
+        if (oldLog || oldSnapshot) {
+            this->folder.remove(name);
+        }
+    }
+}
+
+} // namespace cranberryreel::replication
--- /dev/null
+++ b/src/replication/FileDescriptor.cpp
@@ -0,0 +1,87 @@
+#include "replication/FileDescriptor.h"
+
+#include "cranberryreel/base/Error.h"
+
+#include <fmt/format.h>
+
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace cranberryreel::replication
+{
+
+namespace
+{
+
+constexpr mode_t OwnerOnly = 0600;
+
+} // namespace
+
+FileDescriptor::FileDescriptor(const std::string &filePath, int flags)
+    : path(filePath)
+    , descriptor(::open(filePath.c_str(), flags | O_CLOEXEC, OwnerOnly))
+{
+    if (this->descriptor < 0) {
+        this->fail("open");
+    }
+}
+
+FileDescriptor::~FileDescriptor()
+{
+    if (this->descriptor >= 0) {
+        ::close(this->descriptor);
+    }
+}
+
+FileDescriptor::FileDescriptor(FileDescriptor &&other) noexcept
+    : path(std::move(other.path))
+    , descriptor(std::exchange(other.descriptor, -1))
+{
+}
+
+FileDescriptor &FileDescriptor::operator=(FileDescriptor &&other) noexcept
+{
+    std::swap(this->path, other.path);
+    std::swap(this->descriptor, other.descriptor);
+    return *this;
+}
+
+void FileDescriptor::writeAll(std::string_view bytes) const
+{
+    while (!bytes.empty()) {
+        const ssize_t written = ::write(this->descriptor, bytes.data(), bytes.size());
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            this->fail("write");
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+}
+
+void FileDescriptor::sync() const
+{
+    if (::fsync(this->descriptor) != 0) {
+        this->fail("sync");
+    }
+}
+
+void FileDescriptor::truncate(std::size_t bytes) const
+{
+    if (::ftruncate(this->descriptor, static_cast<off_t>(bytes)) != 0) {
+        this->fail("truncate");
+    }
+}
+
+void FileDescriptor::fail(const char *action) const
+{
+    const std::string cause = std::generic_category().message(errno);
+    throw base::Error(base::ResultCode::StorageWriteFailed, fmt::format("Cannot {} {}: {}.", action, this->path, cause));
+}
+
+} // namespace cranberryreel::replication
--- /dev/null
+++ b/src/replication/FileDescriptor.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace cranberryreel::replication
+{
+
+/// An open file or folder, closed with the object. Errors: base::Error(StorageWriteFailed).
+class FileDescriptor
+{
+public:
+    FileDescriptor() = default;
+    FileDescriptor(const std::string &path, int flags);
+    ~FileDescriptor();
+
+    FileDescriptor(const FileDescriptor &) = delete;
+    FileDescriptor &operator=(const FileDescriptor &) = delete;
+    FileDescriptor(FileDescriptor &&other) noexcept;
+    FileDescriptor &operator=(FileDescriptor &&other) noexcept;
+
+    void writeAll(std::string_view bytes) const;
+    void sync() const;
+    void truncate(std::size_t bytes) const;
+
+private:
+    [[noreturn]] void fail(const char *action) const;
+
+    std::string path;
+    int descriptor = -1;
+};
+
+} // namespace cranberryreel::replication
--- a/src/replication/Group.h
+++ b/src/replication/Group.h
@@ -2,11 +2,13 @@
 
 #include "cranberryreel/base/Clock.h"
 #include "cranberryreel/base/ResultCode.h"
+#include "replication/Member.h"
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cranberryreel::replication
@@ -36,9 +38,13 @@
     std::uint64_t applied = 0;
     std::vector<std::string> members;
     bool caughtUp = false; ///< False for a member that returned without its memory and may not vote yet.
+    std::string reason; ///< Why the group does not decide, as seen here; empty while it does.
+    std::uint64_t formationTerm = 0; ///< The term in which the group was formed anew from a cold start; 0 when none is known.
+    std::uint64_t droppedMessages = 0; ///< Received bytes that were no message of the group.
 };
 
-/// Told on the group's own thread. On gaining leadership every committed command of earlier terms has been applied already.
+/// Told on the group's own thread. On gaining leadership every committed command of earlier terms has been applied already. A lease that lapses and is
+/// renewed within one term is not told: ask Group::holdsLease before each act that needs it.
 class LeadershipListener
 {
 public:
@@ -67,6 +73,19 @@
     /// Bytes from another member, as its transport sent them. Any thread.
     virtual void receive(const std::string &fromVm, std::string bytes) = 0;
 
+    /// Makes these the members, through the log, one change at a time; only the leader can. A new member counts once a leader has caught it up. The callback
+    /// is that of propose(); GroupUnavailable also while an earlier change is under way.
+    virtual void changeMembers(std::vector<Member> members, ProposeCallback done)
+    {
+        members.clear();
+        std::move(done)(ProposeResult{base::ResultCode::NotLeader, ""});
+    }
+
+    /// Moves the leader to a term of at least `atLeast`, for a caller who met a higher one elsewhere; it loses leadership and gains it in the new term.
+    virtual void raiseTerm(std::uint64_t /*atLeast*/)
+    {
+    }
+
     virtual GroupStatus status() const = 0;
 
     /// True while this member leads and its lease provably holds at `now`. Cheap; any thread.
--- /dev/null
+++ b/src/replication/GroupBuilder.cpp
@@ -0,0 +1,139 @@
+#include "replication/GroupBuilder.h"
+
+#include "replication/DiskLogStore.h"
+#include "replication/GroupRunner.h"
+#include "replication/MemoryLogStore.h"
+
+#include "cranberryreel/base/Clock.h"
+#include "cranberryreel/base/Error.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace cranberryreel::replication
+{
+
+namespace
+{
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U | device()) | 1U;
+}
+
+std::uint64_t wallMilliseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+[[noreturn]] void refuse(const std::string &sentence)
+{
+    throw base::Error(base::ResultCode::SettingsInconsistent, sentence);
+}
+
+} // namespace
+
+GroupBuilder &GroupBuilder::ownVm(std::string name)
+{
+    this->vm = std::move(name);
+    return *this;
+}
+
+GroupBuilder &GroupBuilder::members(std::vector<Member> list)
+{
+    this->memberList = std::move(list);
+    return *this;
+}
+
+GroupBuilder &GroupBuilder::dataFolder(std::string path)
+{
+    this->folder = std::move(path);
+    return *this;
+}
+
+GroupBuilder &GroupBuilder::stateMachine(StateMachine &stateMachine)
+{
+    this->machine = &stateMachine;
+    return *this;
+}
+
+GroupBuilder &GroupBuilder::listener(LeadershipListener &leadershipListener)
+{
+    this->leadership = &leadershipListener;
+    return *this;
+}
+
+GroupBuilder &GroupBuilder::sendBy(SendToMember sendToMember)
+{
+    this->send = std::move(sendToMember);
+    return *this;
+}
+
+GroupBuilder &GroupBuilder::timings(GroupTimings times)
+{
+    this->groupTimings = times;
+    return *this;
+}
+
+GroupBuilder &GroupBuilder::termFloor(std::uint64_t term)
+{
+    this->floor = term;
+    return *this;
+}
+
+GroupBuilder &GroupBuilder::seed(std::uint64_t number)
+{
+    this->randomSeed = number;
+    return *this;
+}
+
+GroupBuilder &GroupBuilder::snapshotEvery(std::uint64_t entries)
+{
+    this->snapshotEveryEntries = entries;
+    return *this;
+}
+
+void GroupBuilder::check() const
+{
+    if (this->machine == nullptr || !this->send || this->vm.empty()) {
+        refuse("A group needs its own VM, a state machine and a way to its members.");
+    }
+    const GroupTimings &times = this->groupTimings;
+    if (times.driftMargin.count() <= 0 || times.lease() <= 2 * times.heartbeat || times.electionMax < times.electionMin) {
+        refuse("A group's lease needs a drift margin and must outlast two heartbeats.");
+    }
+    if (times.restartGrace < times.electionMax || times.formationSettle < times.electionMax) {
+        refuse("A group's restart grace and formation settle time must not be shorter than its longest election timeout.");
+    }
+}
+
+std::unique_ptr<Group> GroupBuilder::build()
+{
+    this->check();
+    GroupRunnerOptions options;
+    options.core.ownVm = this->vm;
+    options.core.boot = randomNumber();
+    options.core.members = Membership(this->memberList);
+    options.core.termFloor = this->floor.value_or(wallMilliseconds());
+    options.core.seed = this->randomSeed.value_or(randomNumber());
+    options.core.timings = this->groupTimings;
+    const Member *own = options.core.members.find(this->vm);
+    if (own == nullptr || own->hasDisk == this->folder.empty()) {
+        refuse("A group member must be listed by its VM, with a disk exactly when it has a data folder.");
+    }
+    if (this->folder.empty()) {
+        options.store = std::make_unique<MemoryLogStore>();
+    } else {
+        options.store = std::make_unique<DiskLogStore>(this->folder);
+    }
+    options.stateMachine = this->machine;
+    options.listener = this->leadership;
+    options.sendToMember = this->send;
+    options.snapshotEveryEntries = this->snapshotEveryEntries;
+    return std::make_unique<GroupRunner>(std::move(options));
+}
+
+} // namespace cranberryreel::replication
--- /dev/null
+++ b/src/replication/GroupRunner.cpp
@@ -0,0 +1,417 @@
+#include "replication/GroupRunner.h"
+
+#include "observe/Log.h"
+#include "replication/Codec.h"
+
+#include "cranberryreel/base/Error.h"
+
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace cranberryreel::replication
+{
+
+namespace
+{
+
+const observe::Log &log()
+{
+    static const observe::Log Instance("replication");
+    return Instance;
+}
+
+} // namespace
+
+GroupRunner::GroupRunner(GroupRunnerOptions runnerOptions)
+    : options(std::move(runnerOptions))
+{
+    Recovered recovered = this->options.store->recover();
+    this->initialState = this->options.stateMachine->snapshot();
+    if (recovered.snapshot) {
+        this->restore(*recovered.snapshot);
+    }
+    this->core = std::make_unique<Core>(this->options.core, std::move(recovered), this->safety, base::steadyNow());
+    this->publishStatus();
+}
+
+GroupRunner::~GroupRunner()
+{
+    this->stop(std::chrono::milliseconds(0));
+}
+
+void GroupRunner::start()
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->ended = false;
+    }
+    this->thread = std::thread([this] { this->run(); });
+}
+
+void GroupRunner::stop(std::chrono::milliseconds limit)
+{
+    if (!this->thread.joinable()) {
+        return;
+    }
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->inbox.stopBy = base::steadyNow() + limit;
+    }
+    this->thread.join();
+}
+
+void GroupRunner::propose(std::string command, Durability durability, ProposeCallback done)
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (!this->ended) {
+            this->inbox.proposals.push_back(GroupInbox::Proposal{std::move(command), durability, std::move(done)});
+            return;
+        }
+    }
+    done(ProposeResult{base::ResultCode::NotLeader, ""});
+}
+
+void GroupRunner::readBarrier(std::function<void(base::ResultCode)> done)
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (!this->ended) {
+            this->inbox.reads.push_back(std::move(done));
+            return;
+        }
+    }
+    done(base::ResultCode::GroupUnavailable);
+}
+
+void GroupRunner::changeMembers(std::vector<Member> members, ProposeCallback done)
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (!this->ended) {
+            this->inbox.changes.push_back(GroupInbox::MembersChange{std::move(members), std::move(done)});
+            return;
+        }
+    }
+    done(ProposeResult{base::ResultCode::NotLeader, ""});
+}
+
+void GroupRunner::raiseTerm(std::uint64_t atLeast)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->inbox.raiseTermTo = std::max(this->inbox.raiseTermTo, atLeast);
+}
+
+void GroupRunner::receive(const std::string &fromVm, std::string bytes)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (!this->ended) {
+        this->inbox.received.emplace_back(fromVm, std::move(bytes));
+    }
+}
+
+GroupStatus GroupRunner::status() const
+{
+    const bool leads = this->holdsLease(base::steadyNow());
+    const absl::MutexLock lock(&this->mutex);
+    GroupStatus status = this->published;
+    status.leader = leads;
+    status.droppedMessages = this->droppedMessages;
+    return status;
+}
+
+bool GroupRunner::holdsLease(base::SteadyTime now) const
+{
+    return now.time_since_epoch().count() < this->leaseEnd;
+}
+
+void GroupRunner::run()
+{
+    try {
+        while (!this->stopped(base::steadyNow())) {
+            GroupInbox work = this->waitForWork();
+            this->handleInbox(work);
+            this->processOutputs();
+        }
+    } catch (const base::Error &error) {
+        log().error("This member stops: {}", error.what());
+        this->failure = error.what();
+    }
+    this->leaseEnd = 0;
+    this->pending.abandon();
+    for (const auto &[id, done] : std::exchange(this->reads, {})) {
+        done(base::ResultCode::GroupUnavailable);
+    }
+    for (const WaitingRead &read : std::exchange(this->waitingReads, {})) {
+        read.done(base::ResultCode::GroupUnavailable);
+    }
+    if (this->announcedTerm != 0 && this->options.listener != nullptr) {
+        this->options.listener->leadershipLost(std::exchange(this->announcedTerm, 0));
+    }
+    GroupInbox rest;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->ended = true;
+        this->published.leaderVm.clear();
+        this->published.reason = this->failure.empty() ? "This member has stopped." : this->failure;
+        rest = std::exchange(this->inbox, GroupInbox());
+    }
+    this->refuse(rest);
+}
+
+GroupInbox GroupRunner::waitForWork()
+{
+    const base::SteadyTime now = base::steadyNow();
+    base::SteadyTime deadline = this->core->nextDeadline();
+    if (!this->pending.empty() || this->stopBy) {
+        deadline = std::min(deadline, now + this->options.core.timings.heartbeat);
+    }
+    const absl::MutexLock lock(&this->mutex);
+    this->mutex.AwaitWithTimeout(absl::Condition(
+                                     +[](GroupInbox *work) { return !work->empty(); }, &this->inbox),
+                                 absl::FromChrono(std::max(deadline - now, base::SteadyTime::duration::zero())));
+    return std::exchange(this->inbox, GroupInbox());
+}
+
+void GroupRunner::handleInbox(GroupInbox &work)
+{
+    const base::SteadyTime now = base::steadyNow();
+    for (auto &[from, bytes] : work.received) {
+        if (auto message = Codec::decodeMessage(bytes); message) {
+            message->from = from;
+            message->to = this->options.core.ownVm;
+            this->core->receive(*message, now);
+        } else {
+            ++this->droppedMessages;
+        }
+    }
+    if (work.raiseTermTo > 0) {
+        this->core->raiseTerm(work.raiseTermTo, now);
+    }
+    this->handleProposals(work.proposals, now);
+    for (GroupInbox::MembersChange &change : work.changes) {
+        this->handleChange(change);
+    }
+    this->core->flush(now);
+    for (auto &done : work.reads) {
+        const std::uint64_t id = ++this->lastReadId;
+        this->reads.emplace(id, std::move(done));
+        this->core->read(id, now);
+    }
+    if (work.stopBy) {
+        this->stopBy = this->core->role() == Role::Leader ? *work.stopBy : now;
+        this->core->handOver(now);
+    }
+    if (now >= this->core->nextDeadline()) {
+        this->core->tick(now);
+    }
+    this->pending.expire(now);
+}
+
+void GroupRunner::refuse(GroupInbox &work)
+{
+    for (const GroupInbox::Proposal &proposal : work.proposals) {
+        proposal.done(ProposeResult{base::ResultCode::NotLeader, ""});
+    }
+    for (const GroupInbox::MembersChange &change : work.changes) {
+        change.done(ProposeResult{base::ResultCode::NotLeader, ""});
+    }
+    for (const auto &done : work.reads) {
+        done(base::ResultCode::GroupUnavailable);
+    }
+}
+
+void GroupRunner::handleProposals(std::vector<GroupInbox::Proposal> &proposals, base::SteadyTime now)
+{
+    for (GroupInbox::Proposal &proposal : proposals) {
+        if (!this->core->holdsLease(now) || this->announcedTerm != this->core->hardState().term) {
+            proposal.done(ProposeResult{base::ResultCode::NotLeader, ""});
+        } else if (proposal.durability == Durability::SyncedDisk && !this->core->diskReachable(now)) {
+            proposal.done(ProposeResult{base::ResultCode::NoDurableStore, ""});
+        } else if (const auto index = this->core->propose(std::move(proposal.command)); index) {
+            this->proposedTerm = this->core->hardState().term;
+            this->pending.add(*index, this->proposedTerm, proposal.durability, std::move(proposal.done));
+        } else {
+            proposal.done(ProposeResult{base::ResultCode::NotLeader, ""});
+        }
+    }
+}
+
+void GroupRunner::handleChange(GroupInbox::MembersChange &change)
+{
+    std::uint64_t index = 0;
+    base::ResultCode code = base::ResultCode::Ok;
+    try {
+        code = this->core->changeMembers(Membership(std::move(change.members)), index);
+    } catch (const base::Error &error) {
+        code = error.code();
+    }
+    if (code != base::ResultCode::Ok) {
+        change.done(ProposeResult{code, ""});
+        return;
+    }
+    this->proposedTerm = this->core->hardState().term;
+    this->pending.add(index, this->proposedTerm, Durability::Majority, std::move(change.done));
+}
+
+void GroupRunner::processOutputs()
+{
+    CoreOutput output = this->core->take();
+    while (!output.empty()) {
+        this->processOutput(output);
+        output = this->core->take();
+    }
+    this->publishLease();
+    this->tellLeadership();
+    if (this->core->role() == Role::Leader) {
+        this->pending.synced(this->core->syncedIndex());
+    }
+    this->compactIfDue();
+    this->publishStatus();
+}
+
+void GroupRunner::processOutput(CoreOutput &output)
+{
+    this->publishLease(); // Before any message that lets another member lead.
+    this->sendAll(output.messages);
+    if (output.writes()) {
+        this->options.store->write(output);
+    }
+    this->sendAll(output.messagesAfterSync);
+    if (!output.entries.empty()) {
+        this->core->persisted(this->core->log().lastIndex(), base::steadyNow());
+    }
+    if (output.snapshot) {
+        this->restore(*output.snapshot);
+    }
+    for (const Entry &entry : output.committed) {
+        this->apply(entry);
+    }
+    for (const ReadOutcome &outcome : output.reads) {
+        this->answerRead(outcome);
+    }
+    this->answerAppliedReads();
+}
+
+void GroupRunner::restore(const Snapshot &snapshot)
+{
+    this->options.stateMachine->restore(snapshot.index == 0 ? this->initialState : snapshot.state);
+    this->applied = snapshot.index;
+    this->snapshotIndex = snapshot.index;
+}
+
+void GroupRunner::apply(const Entry &entry)
+{
+    std::string result;
+    if (entry.kind == EntryKind::Command) {
+        result = this->options.stateMachine->apply(entry.index, entry.data);
+    }
+    this->applied = entry.index;
+    this->pending.applied(entry.index, entry.term, std::move(result), base::steadyNow() + this->options.core.timings.requestLimit);
+}
+
+void GroupRunner::answerRead(const ReadOutcome &outcome)
+{
+    auto node = this->reads.extract(outcome.id);
+    if (node.empty()) {
+        return;
+    }
+    if (outcome.code == base::ResultCode::Ok && outcome.index > this->applied) {
+        this->waitingReads.push_back(WaitingRead{outcome.index, std::move(node.mapped())});
+    } else {
+        node.mapped()(outcome.code);
+    }
+}
+
+void GroupRunner::answerAppliedReads()
+{
+    const auto due =
+        std::stable_partition(this->waitingReads.begin(), this->waitingReads.end(), [this](const WaitingRead &read) { return read.index > this->applied; });
+    std::vector<WaitingRead> answered(std::make_move_iterator(due), std::make_move_iterator(this->waitingReads.end()));
+    this->waitingReads.erase(due, this->waitingReads.end());
+    for (const WaitingRead &read : answered) {
+        read.done(base::ResultCode::Ok);
+    }
+}
+
+void GroupRunner::compactIfDue()
+{
+    if (this->applied < this->snapshotIndex + this->options.snapshotEveryEntries) {
+        return;
+    }
+    const auto snapshot = this->core->compact(this->options.stateMachine->snapshot(), this->options.retainedEntries);
+    const std::vector<Entry> after =
+        this->core->log().slice(snapshot->index + 1, std::numeric_limits<std::size_t>::max(), std::numeric_limits<std::size_t>::max());
+    this->options.store->compact(*snapshot, this->core->hardState(), after);
+    this->snapshotIndex = snapshot->index;
+}
+
+void GroupRunner::publishLease()
+{
+    const bool announced = this->announcedTerm != 0 && this->announcedTerm == this->core->hardState().term;
+    this->leaseEnd = announced ? this->core->leaseEnd().time_since_epoch().count() : 0;
+}
+
+void GroupRunner::tellLeadership()
+{
+    const std::uint64_t term = this->core->hardState().term;
+    const bool leads = this->core->leaseEnd() != base::SteadyTime();
+    if (this->announcedTerm != 0 && (!leads || this->announcedTerm != term)) {
+        log().info("Leadership of term {} is over.", this->announcedTerm);
+        const std::uint64_t endedTerm = std::exchange(this->announcedTerm, 0);
+        if (this->options.listener != nullptr) {
+            this->options.listener->leadershipLost(endedTerm);
+        }
+    }
+    if (this->proposedTerm != term || this->core->role() != Role::Leader) {
+        this->pending.abandon();
+    }
+    if (this->announcedTerm == 0 && this->core->holdsLease(base::steadyNow()) && this->applied >= this->core->termStart()) {
+        log().info("This member leads term {}.", term);
+        this->announcedTerm = term;
+        this->publishLease();
+        if (this->options.listener != nullptr) {
+            this->options.listener->leadershipGained(term);
+        }
+    }
+}
+
+void GroupRunner::publishStatus()
+{
+    const base::SteadyTime now = base::steadyNow();
+    GroupStatus status;
+    status.term = this->core->hardState().term;
+    status.leaderVm = this->core->leaderVm();
+    status.committed = this->core->commitIndex();
+    status.applied = this->applied;
+    status.caughtUp = this->core->standing() == Standing::Full;
+    status.reason = this->core->reason(now);
+    status.formationTerm = this->core->record().formationTerm;
+    for (const Member &member : this->core->membership().all()) {
+        status.members.push_back(member.vm);
+    }
+    const absl::MutexLock lock(&this->mutex);
+    this->published = std::move(status);
+}
+
+void GroupRunner::sendAll(std::vector<Message> &messages)
+{
+    for (const Message &message : messages) {
+        this->options.sendToMember(message.to, Codec::encode(message));
+    }
+}
+
+bool GroupRunner::stopped(base::SteadyTime now)
+{
+    if (!this->stopBy) {
+        return false;
+    }
+    const bool handedOver = this->core->role() != Role::Leader && !this->core->leaderVm().empty();
+    const bool nothingToHandOver = this->core->role() == Role::Leader && this->core->leaseEnd() != base::SteadyTime();
+    return now >= *this->stopBy || handedOver || nothingToHandOver;
+}
+
+} // namespace cranberryreel::replication
--- /dev/null
+++ b/src/replication/MemberBoot.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace cranberryreel::replication
+{
+
+/// One run of a member's process: what it remembers in memory ends with it.
+struct MemberBoot {
+    std::string vm;
+    std::uint64_t boot = 0;
+
+    bool operator==(const MemberBoot &other) const
+    {
+        return this->vm == other.vm && this->boot == other.boot;
+    }
+};
+
+} // namespace cranberryreel::replication
--- /dev/null
+++ b/src/replication/ReplicatedLog.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "replication/Entry.h"
+#include "replication/LogPosition.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace cranberryreel::replication
+{
+
+/// The tail of the log that a member keeps in memory, after a base that a snapshot covers. Owned by the core.
+class ReplicatedLog
+{
+public:
+    std::uint64_t baseIndex() const
+    {
+        return this->base.index;
+    }
+
+    std::uint64_t lastIndex() const
+    {
+        return this->base.index + this->tail.size();
+    }
+
+    LogPosition last() const
+    {
+        return this->tail.empty() ? this->base : LogPosition{this->tail.back().term, this->tail.back().index};
+    }
+
+    /// None before the base and after the end.
+    std::optional<std::uint64_t> termAt(std::uint64_t index) const;
+
+    /// `index` must lie in the tail.
+    const Entry &at(std::uint64_t index) const;
+
+    /// `entry` must follow the last one.
+    void append(Entry entry);
+
+    /// Drops the entries from `index` on.
+    void truncateFrom(std::uint64_t index);
+
+    /// Drops the entries up to `index`, which becomes the base.
+    void compactTo(std::uint64_t index);
+
+    /// Starts over after a snapshot at `position`.
+    void reset(LogPosition position);
+
+    /// The entries from `from` on, at least one if there is any, else at most these many entries and bytes.
+    std::vector<Entry> slice(std::uint64_t from, std::size_t maxEntries, std::size_t maxBytes) const;
+
+private:
+    LogPosition base;
+    std::deque<Entry> tail;
+};
+
+} // namespace cranberryreel::replication
--- /dev/null
+++ b/tests/replication/TemporaryFolder.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+
+namespace cranberryreel::replication
+{
+
+/// A folder that goes away with the object.
+class TemporaryFolder
+{
+public:
+    TemporaryFolder()
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "cranberryreel-replication-XXXXXX").string();
+        this->path = ::mkdtemp(name.data());
+    }
+
+    ~TemporaryFolder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(this->path, ignored);
+    }
+
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+
+    const std::string &name() const
+    {
+        return this->path;
+    }
+
+private:
+    std::string path;
+};
+
+} // namespace cranberryreel::replication
