Let a stop bar late starts of its attempt, and reports name what was reserved

Cause: after a lost answer to a start, the upstream's not-found proves nothing while the start may still be under way; after a takeover the size of a request found running was known only by its lagging usage. Ruled out: clocks shared with upstreams (none are promised). Conclusion: stop names the attempt, renewals without a lease only fence and read back, task reports carry the reservation.

--- a/src/upstream/HttpUpstreamAdapter.cpp
+++ b/src/upstream/HttpUpstreamAdapter.cpp
@@ -179,11 +179,16 @@
                       [address, taskId, done = std::move(done)](const http::ClientResponse &response) { done(taskAnswerOf(address, taskId, response)); });
 }
 
-void HttpUpstreamAdapter::command(
-    const std::string &address, const std::string &taskId, TaskCommand command, std::uint64_t epoch, std::chrono::milliseconds limit, TaskDone done)
+void HttpUpstreamAdapter::command(const std::string &address,
+                                  const std::string &taskId,
+                                  std::uint32_t attempt,
+                                  TaskCommand command,
+                                  std::uint64_t epoch,
+                                  std::chrono::milliseconds limit,
+                                  TaskDone done)
 {
     const std::string target = "/v1/tasks/" + taskId + "/" + CommandPaths[static_cast<std::size_t>(command)];
-    this->client.call(post(address, target, {{"epoch", epoch}}, limit),
+    this->client.call(post(address, target, {{"epoch", epoch}, {"attempt", attempt}}, limit),
                       [address, taskId, done = std::move(done)](const http::ClientResponse &response) { done(taskAnswerOf(address, taskId, response)); });
 }
 
--- a/src/upstream/HttpUpstreamAdapter.h
+++ b/src/upstream/HttpUpstreamAdapter.h
@@ -20,6 +20,7 @@
     void ask(const std::string &address, const std::string &taskId, std::chrono::milliseconds limit, TaskDone done) override;
     void command(const std::string &address,
                  const std::string &taskId,
+                 std::uint32_t attempt,
                  TaskCommand command,
                  std::uint64_t epoch,
                  std::chrono::milliseconds limit,
--- a/src/upstream/ReportCodec.cpp
+++ b/src/upstream/ReportCodec.cpp
@@ -37,7 +37,10 @@
                            {"state", std::string(stateName(report.state))},
                            {"cpu_millis", report.usage.cpuMillis},
                            {"memory_mib", report.usage.memoryMiB},
-                           {"accelerators", report.usage.accelerators}};
+                           {"accelerators", report.usage.accelerators},
+                           {"reserved_cpu_millis", report.reserved.cpuMillis},
+                           {"reserved_memory_mib", report.reserved.memoryMiB},
+                           {"reserved_accelerators", report.reserved.accelerators}};
     if (!report.answer.empty()) {
         json["answer"] = report.answer;
     }
@@ -71,6 +74,9 @@
     report.usage.cpuMillis = reader.integerOr("cpu_millis", 0, 0, MostCpuMillis);
     report.usage.memoryMiB = reader.integerOr("memory_mib", 0, 0, MostMemoryMiB);
     report.usage.accelerators = reader.integerOr("accelerators", 0, 0, MostAccelerators);
+    report.reserved.cpuMillis = reader.integerOr("reserved_cpu_millis", 0, 0, MostCpuMillis);
+    report.reserved.memoryMiB = reader.integerOr("reserved_memory_mib", 0, 0, MostMemoryMiB);
+    report.reserved.accelerators = reader.integerOr("reserved_accelerators", 0, 0, MostAccelerators);
     report.answer = reader.textOr("answer", "", LongestAnswer);
     if (strictness == Strictness::Strict) {
         reader.finish();
--- a/src/upstream/UpstreamAdapter.h
+++ b/src/upstream/UpstreamAdapter.h
@@ -72,8 +72,15 @@
 
     /// Always on a new connection: the old one may be dead for good.
     virtual void ask(const std::string &address, const std::string &taskId, std::chrono::milliseconds limit, TaskDone done) = 0;
-    virtual void command(
-        const std::string &address, const std::string &taskId, TaskCommand command, std::uint64_t epoch, std::chrono::milliseconds limit, TaskDone done) = 0;
+
+    /// A stop also has the upstream refuse a start of this attempt, or an earlier one, that arrives late.
+    virtual void command(const std::string &address,
+                         const std::string &taskId,
+                         std::uint32_t attempt,
+                         TaskCommand command,
+                         std::uint64_t epoch,
+                         std::chrono::milliseconds limit,
+                         TaskDone done) = 0;
 };
 
 } // namespace cranberryreel::upstream
--- a/src/zone/LeaderTerm.cpp
+++ b/src/zone/LeaderTerm.cpp
@@ -260,7 +260,7 @@
     if (model::isFinal(task.state)) {
         this->fleet.acknowledge(report.id, task.taskId);
     } else {
-        this->commander.stopStray(report.id, task.taskId);
+        this->commander.stopStray(report.id, task.taskId, task.attempt);
     }
 }
 
@@ -279,7 +279,7 @@
     } else if (model::isFinal(task.state)) {
         this->fleet.acknowledge(report.id, task.taskId);
     } else {
-        this->commander.stopStray(report.id, task.taskId);
+        this->commander.stopStray(report.id, task.taskId, task.attempt);
     }
 }
 
--- a/src/zone/TaskCommander.cpp
+++ b/src/zone/TaskCommander.cpp
@@ -23,7 +23,7 @@
 void TaskCommander::stop(const ActiveJob &job, std::uint32_t index)
 {
     if (job.tasks[index].stage == TaskStage::Running) {
-        this->command(job.tasks[index].upstream, taskIdOf(job, index), upstream::TaskCommand::Stop, [] {});
+        this->command(job.tasks[index].upstream, taskIdOf(job, index), job.tasks[index].attempt, upstream::TaskCommand::Stop, [] {});
     }
 }
 
@@ -41,24 +41,29 @@
         return;
     }
     task.preempting = true;
-    this->command(task.upstream, taskIdOf(job, index), upstream::TaskCommand::Checkpoint, [this, upstream = task.upstream, taskId = taskIdOf(job, index)] {
-        this->command(upstream, taskId, upstream::TaskCommand::Stop, [] {});
-    });
+    this->command(task.upstream,
+                  taskIdOf(job, index),
+                  job.tasks[index].attempt,
+                  upstream::TaskCommand::Checkpoint,
+                  [this, upstream = task.upstream, taskId = taskIdOf(job, index), attempt = task.attempt] {
+                      this->command(upstream, taskId, attempt, upstream::TaskCommand::Stop, [] {});
+                  });
 }
 
 void TaskCommander::throttle(const ActiveJob &job, std::uint32_t index)
 {
     if (job.tasks[index].stage == TaskStage::Running) {
-        this->command(job.tasks[index].upstream, taskIdOf(job, index), upstream::TaskCommand::Throttle, [] {});
+        this->command(job.tasks[index].upstream, taskIdOf(job, index), job.tasks[index].attempt, upstream::TaskCommand::Throttle, [] {});
     }
 }
 
-void TaskCommander::stopStray(const std::string &upstream, const std::string &taskId)
+void TaskCommander::stopStray(const std::string &upstream, const std::string &taskId, std::uint32_t attempt)
 {
-    this->command(upstream, taskId, upstream::TaskCommand::Stop, [] {});
+    this->command(upstream, taskId, attempt, upstream::TaskCommand::Stop, [] {});
 }
 
-void TaskCommander::command(const std::string &upstream, const std::string &taskId, upstream::TaskCommand taskCommand, std::function<void()> then)
+void TaskCommander::command(
+    const std::string &upstream, const std::string &taskId, std::uint32_t attempt, upstream::TaskCommand taskCommand, std::function<void()> then)
 {
     const UpstreamEntry *entry = this->parts.fleet.find(upstream);
     if (entry == nullptr || !this->parts.context.mayAct()) {
@@ -66,6 +71,7 @@
     }
     this->parts.context.adapter.command(entry->record.address,
                                         taskId,
+                                        attempt,
                                         taskCommand,
                                         this->parts.context.epoch,
                                         this->parts.context.options.callLimit,
--- a/src/zone/TaskCommander.h
+++ b/src/zone/TaskCommander.h
@@ -23,10 +23,10 @@
     void throttle(const ActiveJob &job, std::uint32_t index);
 
     /// Stops something that this scheduler does not have in its hands.
-    void stopStray(const std::string &upstream, const std::string &taskId);
+    void stopStray(const std::string &upstream, const std::string &taskId, std::uint32_t attempt);
 
 private:
-    void command(const std::string &upstream, const std::string &taskId, upstream::TaskCommand taskCommand, std::function<void()> then);
+    void command(const std::string &upstream, const std::string &taskId, std::uint32_t attempt, upstream::TaskCommand taskCommand, std::function<void()> then);
 
     TermParts &parts;
 };
--- a/src/zone/TaskStarter.cpp
+++ b/src/zone/TaskStarter.cpp
@@ -236,6 +236,7 @@
     }
     this->parts.context.adapter.command(upstream->record.address,
                                         TaskName{id, index}.text(),
+                                        attempt,
                                         upstream::TaskCommand::Stop,
                                         this->parts.context.epoch,
                                         this->parts.context.options.callLimit,
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -1,5 +1,6 @@
 #include "support/FakeFleet.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cranberryreel::testsupport
@@ -146,8 +147,7 @@
         answer.code = base::ResultCode::UpstreamStaleEpoch;
         return answer;
     }
-    const std::string attemptName = order.taskId + '#' + std::to_string(order.attempt);
-    if (worker.barred.count(attemptName) > 0 || worker.barred.count(order.taskId) > 0) {
+    if (const auto barred = worker.barredUpTo.find(order.taskId); barred != worker.barredUpTo.end() && order.attempt <= barred->second) {
         answer.code = base::ResultCode::UpstreamRefused;
         return answer;
     }
@@ -225,6 +225,7 @@
 
 void FakeFleet::command(const std::string &address,
                         const std::string &taskId,
+                        std::uint32_t attempt,
                         upstream::TaskCommand taskCommand,
                         std::uint64_t /*epoch*/,
                         std::chrono::milliseconds /*limit*/,
@@ -235,10 +236,12 @@
         absl::MutexLock lock(&this->mutex);
         Worker &worker = this->workers[address];
         const auto place = worker.tasks.find(taskId);
+        if (reaches(worker.trouble) && taskCommand == upstream::TaskCommand::Stop) {
+            worker.barredUpTo[taskId] = std::max(worker.barredUpTo[taskId], attempt);
+        }
         if (!answers(worker.trouble)) {
             answer = lostAnswer();
         } else if (place == worker.tasks.end()) {
-            worker.barred.insert(taskId);
             answer.code = base::ResultCode::NotFound;
         } else {
             if (taskCommand == upstream::TaskCommand::Stop && place->second.state == model::JobState::Running) {
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -6,7 +6,6 @@
 #include <absl/synchronization/mutex.h>
 
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +52,7 @@
     void ask(const std::string &address, const std::string &taskId, std::chrono::milliseconds limit, upstream::TaskDone done) override;
     void command(const std::string &address,
                  const std::string &taskId,
+                 std::uint32_t attempt,
                  upstream::TaskCommand taskCommand,
                  std::uint64_t epoch,
                  std::chrono::milliseconds limit,
@@ -62,7 +62,7 @@
     struct Worker {
         model::UpstreamReport self;
         std::map<std::string, model::TaskReport> tasks;
-        std::set<std::string> barred;
+        std::map<std::string, std::uint32_t> barredUpTo;
         Trouble trouble = Trouble::None;
         int boots = 1;
     };
--- a/tests/support/FakeTaskTable.cpp
+++ b/tests/support/FakeTaskTable.cpp
@@ -87,6 +87,9 @@
     if (found != this->tasks.end() && (attempt < found->second.attempt || found->second.state == model::JobState::Running)) {
         return refused("Another attempt of this task is here.");
     }
+    if (const auto barred = this->barredUpTo.find(id); barred != this->barredUpTo.end() && attempt <= barred->second) {
+        return refused("This attempt was stopped before it began.");
+    }
     if (this->leaving) {
         return refused("This upstream is leaving.");
     }
@@ -193,8 +196,9 @@
             this->tasks.erase(found);
         }
     }
+    // A renewal without a lease fences and reads back only.
     for (auto &[id, task] : this->tasks) {
-        task.leaseUntil = now + milliseconds(order.at("lease_ms").get<std::int64_t>());
+        task.leaseUntil = std::max(task.leaseUntil, now + milliseconds(order.at("lease_ms").get<std::int64_t>()));
     }
     return {200, "application/json", http::jsonText(upstream::upstreamReportToJson(this->report(now))), false};
 }
@@ -210,6 +214,10 @@
     if (this->fenced(order)) {
         return this->staleEpoch();
     }
+    if (verb == "stop") {
+        std::uint32_t &barred = this->barredUpTo[taskId];
+        barred = std::max(barred, order.value("attempt", std::uint32_t{0}));
+    }
     const auto found = this->tasks.find(taskId);
     if (found == this->tasks.end()) {
         return http::errorResponse(ResultCode::NotFound, "No such task.");
@@ -261,7 +269,7 @@
 model::TaskReport FakeTaskTable::reportOf(const FakeTask &task, base::SteadyTime now) const
 {
     const bool known = now - task.startedAt >= this->options.usageLag;
-    return {task.id, task.attempt, task.state, known ? task.uses : model::Resources{}, task.answer};
+    return {task.id, task.attempt, task.state, known ? task.uses : model::Resources{}, task.reserved, task.answer};
 }
 
 http::Response FakeTaskTable::taskResponse(const FakeTask &task, base::SteadyTime now) const
@@ -295,6 +303,7 @@
         this->neverGiven.insert(this->neverGiven.end(), task.held.begin(), task.held.end());
     }
     this->tasks.clear();
+    this->barredUpTo.clear();
     this->epoch = 0;
     this->boot = newBootId();
 }
--- a/tests/support/FakeTaskTable.h
+++ b/tests/support/FakeTaskTable.h
@@ -60,6 +60,7 @@
     const FakeUpstreamOptions &options;
     FakeJournal &journal;
     std::map<std::string, FakeTask> tasks;
+    std::map<std::string, std::uint32_t> barredUpTo; ///< Attempts that were stopped, by task; a start of one that arrives late is refused.
     std::vector<HeldAnswer> neverGiven;
     std::uint64_t epoch = 0;
     std::uint64_t silencedConnection = 0;
