--- /dev/null
+++ b/bench/decisions/BaselinePlanner.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "policy/Planner.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <list>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cranberryreel::bench
+{
+
+enum class Baseline : std::uint8_t {
+    FirstFit,
+    BestFit,
+    WorstFit,
+    Random,
+    Fifo, ///< First fit, and nothing passes the oldest waiting task.
+};
+
+const char *baselineName(Baseline baseline);
+
+/// The textbook schedulers on the same interface: one queue in order of arrival, declared sizes, a scan of all VMs; tasks that don't fit are passed by, but for
+/// FIFO. Requests past their deadline are refused.
+class BaselinePlanner : public policy::Planner
+{
+public:
+    BaselinePlanner(Baseline chosen, std::uint64_t seed);
+
+    void setRules(const policy::RulesView &rules) override;
+    void setVm(const policy::VmView &vm) override;
+    void removeVm(const std::string &vm) override;
+    void setUpstream(const policy::UpstreamView &upstream, base::SteadyTime now) override;
+    void removeUpstream(const std::string &id, base::SteadyTime now) override;
+    policy::Decision enqueue(const model::JobSpec &spec, base::SteadyTime now) override;
+    void restore(const model::JobSpec &spec, base::SteadyTime now) override;
+    void adopt(const model::JobSpec &spec, std::uint32_t task, const std::string &upstream, const model::Resources &reserved, base::SteadyTime now) override;
+    void cancel(const model::JobId &job, base::SteadyTime now) override;
+    void started(const model::JobId &job, std::uint32_t task, base::SteadyTime now) override;
+    void ended(const model::JobId &job, std::uint32_t task, policy::TaskEnd end, bool again, base::SteadyTime now) override;
+    void usage(const model::JobId &job, std::uint32_t task, const model::Resources &used, base::SteadyTime now) override;
+    std::vector<policy::Decision> plan(base::SteadyTime now, std::size_t most) override;
+    std::string explain(const model::JobId &job, base::SteadyTime now) const override;
+    std::vector<policy::ShareRow> shares(base::SteadyTime now) const override;
+    policy::LoadView load(base::SteadyTime now) const override;
+
+private:
+    struct Vm {
+        std::string upstream;
+        model::Resources free;
+        std::uint32_t freeSlots = 0;
+        std::uint32_t tasks = 0;
+    };
+
+    struct Unit {
+        model::JobId job;
+        std::vector<std::uint32_t> tasks; ///< One, or all of a gang.
+    };
+
+    struct Job {
+        model::JobSpec spec;
+        base::SteadyTime deadline;
+        absl::flat_hash_map<std::uint32_t, std::size_t> places; ///< VM by running task.
+        bool cancelled = false;
+    };
+
+    std::size_t choose(const model::Resources &need);
+    bool place(const Unit &unit, std::vector<policy::Decision> &decisions);
+    void take(std::size_t vm, const model::Resources &size);
+    void giveBack(std::size_t vm, const model::Resources &size);
+
+    Baseline baseline;
+    std::mt19937_64 random;
+    std::vector<Vm> vms;
+    absl::flat_hash_map<std::string, std::size_t> vmByName;
+    absl::flat_hash_map<std::string, std::size_t> vmByUpstream;
+    absl::flat_hash_map<model::JobId, Job> jobs;
+    std::list<Unit> queue;
+};
+
+} // namespace cranberryreel::bench
--- a/src/policy/Learner.cpp
+++ b/src/policy/Learner.cpp
@@ -22,7 +22,7 @@
 {
     if (end == TaskEnd::Done) {
         this->zone.model.observeRunTime(job.name, std::chrono::duration_cast<std::chrono::milliseconds>(now - task.startedAt));
-        this->zone.model.observeSize(job.name, task.peak);
+        this->zone.model.observeSize(job.name, job.declared, task.peak);
         this->zone.model.observeSuccess(job.name);
         this->zone.health.succeeded(task.upstream, now);
     } else if (end == TaskEnd::NotStarted) {
--- a/src/policy/PlannerCore.cpp
+++ b/src/policy/PlannerCore.cpp
@@ -207,7 +207,7 @@
     task.peak = model::Resources::larger(task.peak, used);
     if (job.kind == model::JobKind::Service && now - task.sizeLearnedAt >= SizeLearnInterval) {
         task.sizeLearnedAt = now;
-        this->zone.model.observeSize(job.name, task.peak);
+        this->zone.model.observeSize(job.name, job.declared, task.peak);
     }
     if (used.fitsIn(task.reserved)) {
         task.throttled = false;
--- a/src/policy/Preemptor.cpp
+++ b/src/policy/Preemptor.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::chrono::milliseconds RetryInterval{100};
 constexpr std::chrono::seconds HoldTime{15};
+constexpr std::size_t JobsAsking = 8; ///< Jobs at the head of each queue for which room is made at once.
 constexpr std::size_t VictimsInSight = 32; ///< Newest preemptible tasks of a partner that are looked at.
 constexpr std::array<model::JobKind, 3> AskingKinds{model::JobKind::Request, model::JobKind::Service, model::JobKind::Batch};
 constexpr int AsksBackAfterPart = 4; ///< Work that is not urgent asks back what was lent after this part of the give-back time.
@@ -25,8 +26,9 @@
     for (const FairShares::Order &next : this->zone.shares.order()) {
         for (const model::JobKind kind : AskingKinds) {
             const WorkQueue &queue = this->zone.queues.of(next.partner, kind);
-            if (!queue.jobs.empty()) {
-                this->tryFor(queue.jobs.begin()->job, now);
+            std::size_t asking = 0;
+            for (auto at = queue.jobs.begin(); at != queue.jobs.end() && asking < JobsAsking; ++at, ++asking) {
+                this->tryFor(at->job, now);
             }
         }
     }
--- a/src/policy/WorkModel.cpp
+++ b/src/policy/WorkModel.cpp
@@ -12,11 +12,21 @@
 constexpr std::size_t MaxNames = 65536;
 constexpr std::uint32_t MinSamples = 3;
 constexpr double FadeFactor = 0.1;
-constexpr double SizeMargin = 2.5; ///< Mean absolute deviations above the mean; about two standard deviations.
+constexpr double MemoryMargin = 1.25; ///< Mean absolute deviations above the mean; about one standard deviation.
 constexpr double FewSamplesMargin = 4.0; ///< Added margin, divided by the root of the samples.
 constexpr double LongRunMargin = 2.1; ///< The 95th percentile of a normal spread, in mean absolute deviations.
 constexpr int UnprovenDeclaration = 2; ///< A declared run time is doubled where a bound is wanted.
 
+double ratio(std::int64_t used, std::int64_t declared)
+{
+    return static_cast<double>(used) / static_cast<double>(std::max<std::int64_t>(1, declared));
+}
+
+std::int64_t scaled(std::int64_t declared, double by)
+{
+    return static_cast<std::int64_t>(std::ceil(static_cast<double>(declared) * by));
+}
+
 std::chrono::milliseconds fromLog(double logMillis)
 {
     constexpr double MaxLog = 30.0;
@@ -51,15 +61,15 @@
     return index;
 }
 
-void WorkModel::observeSize(NameIndex name, const model::Resources &peak)
+void WorkModel::observeSize(NameIndex name, const model::Resources &declared, const model::Resources &peak)
 {
     if (name == 0 || peak.isZero()) {
         return;
     }
     Entry &entry = this->entries[name];
-    entry.sizes[0].add(static_cast<double>(peak.cpuMillis), entry.sizeSamples);
-    entry.sizes[1].add(static_cast<double>(peak.memoryMiB), entry.sizeSamples);
-    entry.sizes[2].add(static_cast<double>(peak.accelerators), entry.sizeSamples);
+    entry.ratios[0].add(ratio(peak.cpuMillis, declared.cpuMillis), entry.sizeSamples);
+    entry.ratios[1].add(ratio(peak.memoryMiB, declared.memoryMiB), entry.sizeSamples);
+    entry.ratios[2].add(ratio(peak.accelerators, declared.accelerators), entry.sizeSamples);
     ++entry.sizeSamples;
 }
 
@@ -97,15 +107,16 @@
     return {true, {}};
 }
 
-std::optional<model::Resources> WorkModel::learnedSize(NameIndex name) const
+std::optional<model::Resources> WorkModel::learnedSize(NameIndex name, const model::Resources &declared) const
 {
     const Entry &entry = this->entries[name];
     if (entry.sizeSamples < MinSamples) {
         return std::nullopt;
     }
-    const double margin = SizeMargin + FewSamplesMargin / std::sqrt(static_cast<double>(entry.sizeSamples));
-    const auto bound = [margin](const Spread &spread) { return static_cast<std::int64_t>(std::ceil(spread.mean + margin * spread.deviation)); };
-    return model::Resources{bound(entry.sizes[0]), bound(entry.sizes[1]), static_cast<std::int64_t>(std::llround(entry.sizes[2].mean))};
+    const double memoryRatio = entry.ratios[1].mean + MemoryMargin * entry.ratios[1].deviation;
+    return model::Resources{scaled(declared.cpuMillis, entry.ratios[0].mean),
+                            scaled(declared.memoryMiB, memoryRatio),
+                            static_cast<std::int64_t>(std::llround(static_cast<double>(declared.accelerators) * entry.ratios[2].mean))};
 }
 
 std::optional<std::chrono::milliseconds> WorkModel::typicalRunTime(NameIndex name, std::chrono::milliseconds declared) const
--- a/src/policy/WorkModel.h
+++ b/src/policy/WorkModel.h
@@ -24,7 +24,8 @@
 public:
     NameIndex name(PartnerIndex partner, const std::string &name);
 
-    void observeSize(NameIndex name, const model::Resources &peak);
+    /// A task that declared so much used at most so much.
+    void observeSize(NameIndex name, const model::Resources &declared, const model::Resources &peak);
     void observeRunTime(NameIndex name, std::chrono::milliseconds took);
     void observeSuccess(NameIndex name);
 
@@ -36,8 +37,9 @@
 
     Blame observeFailure(NameIndex name, UpstreamIndex upstream);
 
-    /// The size that most tasks of the name stay under; nothing before enough samples.
-    std::optional<model::Resources> learnedSize(NameIndex name) const;
+    /// What a task that declares so much is expected to use, by how the name's declarations turned out: processors at the mean, memory, which cannot be
+    /// throttled, with a margin. Nothing before enough samples. May be less than declared.
+    std::optional<model::Resources> learnedSize(NameIndex name, const model::Resources &declared) const;
 
     /// The run time of a typical task: learned, else declared, else nothing.
     std::optional<std::chrono::milliseconds> typicalRunTime(NameIndex name, std::chrono::milliseconds declared) const;
@@ -57,7 +59,7 @@
     };
 
     struct Entry {
-        std::array<Spread, SizeDimensions> sizes;
+        std::array<Spread, SizeDimensions> ratios; ///< Of used to declared.
         Spread logRunTime; ///< Of the logarithm of milliseconds.
         std::uint32_t sizeSamples = 0;
         std::uint32_t runTimeSamples = 0;
--- a/src/policy/ZoneState.cpp
+++ b/src/policy/ZoneState.cpp
@@ -7,7 +7,7 @@
 
 model::Resources ZoneState::sizeOf(const JobEntry &job) const
 {
-    if (const auto learned = this->model.learnedSize(job.name)) {
+    if (const auto learned = this->model.learnedSize(job.name, job.declared)) {
         const model::Resources both = model::Resources::larger(job.declared, *learned);
         const std::uint64_t together = job.kind == model::JobKind::Gang ? job.tasks.size() : 1;
         const model::Resources all = Demand{both, 0}.times(static_cast<std::int64_t>(together)).resources;
