--- a/bench/DecisionsBench.cpp
+++ b/bench/DecisionsBench.cpp
@@ -16,6 +16,9 @@
 
 constexpr Scenario Scenarios[] = {
     {"waiting", &cranberryreel::bench::runWaiting},
+    {"packing", &cranberryreel::bench::runPacking},
+    {"gangs", &cranberryreel::bench::runGangs},
+    {"fairness", &cranberryreel::bench::runFairness},
 };
 
 constexpr char Usage[] = "usage: DecisionsBench [--quick] [--json FILE] [--figures FOLDER] [--only SCENARIO]\n";
--- a/bench/decisions/ZoneSim.cpp
+++ b/bench/decisions/ZoneSim.cpp
@@ -94,6 +94,9 @@
     for (Task &task : this->tasks[index]) {
         task.left = job.runTime;
     }
+    if (this->onArrival) {
+        this->onArrival(job);
+    }
     if (this->subject.enqueue(job.spec, this->clock()).code != base::ResultCode::Ok) {
         this->refuse(index);
     }
--- a/bench/decisions/ZoneSim.h
+++ b/bench/decisions/ZoneSim.h
@@ -62,6 +62,9 @@
     /// Called at each sample, for scenarios that look at more.
     std::function<void(std::chrono::milliseconds)> onSample;
 
+    /// Called before each job is handed to the planner.
+    std::function<void(const SimJob &)> onArrival;
+
     /// True remaining run times, for ideals: when each running task of the VM ends, and what it holds.
     struct Running {
         std::uint32_t vm = 0;
