--- a/src/policy/PlannerCore.cpp
+++ b/src/policy/PlannerCore.cpp
@@ -316,6 +316,7 @@
     this->refuseWhatCannotRun();
     this->refuseLateRequests(now);
     this->drainer.move(now);
+    this->consolidator.advance(now);
     bool more = true;
     while (more && this->zone.decisions.size() < std::min(most, MaxDecisionsAhead)) {
         more = this->gangs.advance(now) || this->starter.startNext(now);
--- a/src/policy/PlannerCore.h
+++ b/src/policy/PlannerCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/Admission.h"
+#include "policy/Consolidator.h"
 #include "policy/Drainer.h"
 #include "policy/Explainer.h"
 #include "policy/GangReserver.h"
@@ -54,6 +55,7 @@
     Starter starter{zone, gangs, headroom};
     Preemptor preemptor{zone};
     Drainer drainer{zone};
+    Consolidator consolidator{zone};
     Explainer explainer{zone, gangs};
     bool limitsChanged = false;
 };
--- a/src/policy/Starter.cpp
+++ b/src/policy/Starter.cpp
@@ -96,6 +96,9 @@
     for (auto at = queue.jobs.begin(); at != queue.jobs.end() && count < JobsInSight; ++at) {
         inSight[count++] = at->job;
     }
+    if (kind == JobKind::Batch && this->zone.profile == Profile::Packing) {
+        this->sortBySize(inSight.data(), count, now);
+    }
     model::Resources leastNeed = this->zone.jobs.at(inSight[0]).need;
     bool roomOnly = true;
     for (std::size_t i = 0; i < count; ++i) {
@@ -115,6 +118,14 @@
     return false;
 }
 
+void Starter::sortBySize(JobIndex *first, std::size_t count, base::SteadyTime now) const
+{
+    const auto size = [this](JobIndex job) { return taskDemand(this->zone.jobs.at(job).need).dominantShareOf(this->zone.ledger.total()); };
+    const bool isOld = now - this->zone.jobs.at(*first).enqueuedAt >= StarvesAfter;
+    const std::size_t fixed = isOld ? 1 : 0; // The oldest keeps its place once it has waited for long.
+    std::stable_sort(first + fixed, first + count, [&](JobIndex left, JobIndex right) { return size(left) > size(right); });
+}
+
 Starter::Outcome Starter::tryJob(JobIndex index, base::SteadyTime now)
 {
     const JobEntry &job = this->zone.jobs.at(index);
