--- a/bench/decisions/CostScenario.cpp
+++ b/bench/decisions/CostScenario.cpp
@@ -1,5 +1,7 @@
 #include "Scenarios.h"
 
+#include <time.h>
+
 #include <algorithm>
 #include <cmath>
 #include <random>
@@ -14,7 +16,17 @@
 constexpr std::uint32_t Partners = 29;
 constexpr std::uint32_t TargetWorkers = 1200;
 
-using Clock = std::chrono::steady_clock;
+/// Processor time of this thread, so that what else the machine does is not counted.
+struct Clock {
+    using duration = std::chrono::nanoseconds;
+
+    static duration now()
+    {
+        timespec time{};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    }
+};
 
 double micros(Clock::duration duration)
 {
--- a/src/policy/GangReserver.cpp
+++ b/src/policy/GangReserver.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr std::chrono::milliseconds RechooseInterval{1000};
+constexpr std::chrono::milliseconds RechooseSingleInterval{5000}; ///< For a reservation of one task.
+constexpr VmIndex VmsPerSlice = 32; ///< Looked at in one call.
 constexpr std::chrono::milliseconds RetryInterval{200};
 constexpr std::chrono::seconds UnknownRemaining{600};
 constexpr std::chrono::seconds LeastRemaining{1};
@@ -99,7 +101,23 @@
     return times(entry.need, vm.free(), slots);
 }
 
-void GangReserver::roomEvents(VmIndex index, base::SteadyTime now, std::vector<RoomEvent> &events) const
+void GangReserver::addEvent(const RoomEvent &event)
+{
+    const std::uint32_t enough = this->wanted();
+    if (this->earliestTasks >= enough && this->earliest.front() < event) {
+        return;
+    }
+    this->earliest.push_back(event);
+    std::push_heap(this->earliest.begin(), this->earliest.end());
+    this->earliestTasks += event.tasks;
+    while (this->earliestTasks - this->earliest.front().tasks >= enough) {
+        this->earliestTasks -= this->earliest.front().tasks;
+        std::pop_heap(this->earliest.begin(), this->earliest.end());
+        this->earliest.pop_back();
+    }
+}
+
+void GangReserver::roomEvents(VmIndex index, base::SteadyTime now)
 {
     const JobEntry &entry = this->zone.jobs.at(this->job);
     const LedgerVm &vm = this->zone.ledger.vm(index);
@@ -116,7 +134,7 @@
     }
     std::uint32_t fit = times(entry.need, room, slots);
     if (fit > 0) {
-        events.push_back({now, index, fit});
+        this->addEvent({now, index, fit});
     }
     std::vector<std::pair<base::SteadyTime, model::Resources>> ends;
     for (const TaskRef &ref : vm.tasks) {
@@ -130,33 +148,44 @@
         room += freed;
         ++slots;
         if (const std::uint32_t more = times(entry.need, room, slots); more > fit) {
-            events.push_back({at, index, more - fit});
+            this->addEvent({at, index, more - fit});
             fit = more;
         }
     }
 }
 
-bool GangReserver::choose(base::SteadyTime now)
+void GangReserver::beginSweep()
 {
-    std::vector<RoomEvent> events;
-    for (VmIndex vm = 0; vm < this->zone.ledger.vmCount(); ++vm) {
-        this->roomEvents(vm, now, events);
+    this->sweptTo = 0;
+    this->earliest.clear();
+    this->earliestTasks = 0;
+}
+
+bool GangReserver::sweep(base::SteadyTime now)
+{
+    const auto count = static_cast<VmIndex>(this->zone.ledger.vmCount());
+    const VmIndex end = std::min(count, this->sweptTo + VmsPerSlice);
+    for (; this->sweptTo < end; ++this->sweptTo) {
+        this->roomEvents(this->sweptTo, now);
     }
-    std::sort(events.begin(), events.end());
-    std::uint32_t missing = this->wanted();
-    absl::flat_hash_map<VmIndex, std::uint32_t> chosen;
-    for (const RoomEvent &event : events) {
-        if (missing == 0) {
-            break;
-        }
-        chosen[event.vm] = 0;
-        missing -= std::min(missing, event.tasks);
-        this->needed = event.at;
+    if (this->sweptTo < count) {
+        return true;
     }
+    this->sweptTo = NoIndex;
+    return this->choose(now);
+}
+
+bool GangReserver::choose(base::SteadyTime now)
+{
     this->chosenAt = now;
-    if (missing > 0) {
+    if (this->earliestTasks < this->wanted()) {
         return false;
     }
+    this->needed = this->earliest.front().at;
+    absl::flat_hash_map<VmIndex, std::uint32_t> chosen;
+    for (const RoomEvent &event : this->earliest) {
+        chosen[event.vm] = 0;
+    }
     for (const auto &[vm, fits] : this->held) {
         if (!chosen.contains(vm)) {
             this->zone.ledger.releaseHold(vm);
@@ -181,7 +210,9 @@
     entry.nextReserveAt = now + RechooseInterval;
     this->zone.dropHold(entry);
     this->job = index;
-    if (!this->choose(now)) {
+    this->needed = now;
+    this->beginSweep();
+    if (!this->sweep(now)) {
         this->releaseAll();
     }
 }
@@ -238,8 +269,15 @@
         this->startOnHeld();
         return true;
     }
-    if (now - this->chosenAt >= RechooseInterval && !this->choose(now)) {
-        this->releaseAll();
+    const auto interval = this->zone.jobs.at(this->job).kind == model::JobKind::Gang ? RechooseInterval : RechooseSingleInterval;
+    if (this->sweptTo == NoIndex && now - this->chosenAt >= interval) {
+        this->beginSweep();
+    }
+    if (this->sweptTo != NoIndex && now != this->sweptAt) {
+        this->sweptAt = now;
+        if (!this->sweep(now)) {
+            this->releaseAll();
+        }
     }
     return false;
 }
@@ -276,6 +314,7 @@
         this->zone.ledger.releaseHold(vm);
     }
     this->held.clear();
+    this->sweptTo = NoIndex;
     this->job = NoIndex;
     this->seenVersion = 0;
     this->fitsTotal = 0;
--- a/src/policy/GangReserver.h
+++ b/src/policy/GangReserver.h
@@ -71,8 +71,13 @@
 
     std::uint32_t wanted() const;
     std::uint32_t fitting(VmIndex vm) const;
+    void beginSweep();
+
+    /// Looks at some more VMs, and chooses anew once all were seen. False when the zone cannot hold the job even in time.
+    bool sweep(base::SteadyTime now);
     bool choose(base::SteadyTime now);
-    void roomEvents(VmIndex vm, base::SteadyTime now, std::vector<RoomEvent> &events) const;
+    void addEvent(const RoomEvent &event);
+    void roomEvents(VmIndex vm, base::SteadyTime now);
     void updateFits();
     void startOnHeld();
     void releaseAll();
@@ -81,6 +86,10 @@
     JobIndex job = NoIndex;
     base::SteadyTime needed;
     base::SteadyTime chosenAt;
+    base::SteadyTime sweptAt;
+    VmIndex sweptTo = NoIndex; ///< The next VM to look at; NoIndex between sweeps.
+    std::vector<RoomEvent> earliest; ///< A heap with the latest on top: the earliest events of the sweep that together give enough room.
+    std::uint64_t earliestTasks = 0;
     std::uint64_t seenVersion = 0;
     std::uint64_t fitsTotal = 0;
     absl::flat_hash_map<VmIndex, std::uint32_t> held; ///< How many tasks fit on each held VM now.
--- a/src/policy/Preemptor.cpp
+++ b/src/policy/Preemptor.cpp
@@ -15,9 +15,9 @@
 constexpr std::chrono::milliseconds RetryInterval{100};
 constexpr std::chrono::seconds HoldTime{15};
 constexpr std::size_t JobsAsking = 8; ///< Jobs at the head of each queue for which room is made at once.
-constexpr std::size_t TriesPerCall = 8; ///< Jobs for which victims are looked for in one call.
-constexpr std::size_t VictimsInSight = 32; ///< Preemptible tasks that are looked at for one job.
-constexpr std::size_t VictimsPerPartner = 16; ///< Newest ones of each partner.
+constexpr std::size_t TriesPerCall = 4; ///< Jobs for which victims are looked for in one call.
+constexpr std::size_t VictimsInSight = 16; ///< Preemptible tasks that are looked at for one job.
+constexpr std::size_t VictimsPerPartner = 8; ///< Newest ones of each partner.
 constexpr std::array<model::JobKind, 3> AskingKinds{model::JobKind::Request, model::JobKind::Service, model::JobKind::Batch};
 constexpr int AsksBackAfterPart = 4; ///< Work that is not urgent asks back what was lent after this part of the give-back time.
 
