--- a/bench/DecisionsBench.cpp
+++ b/bench/DecisionsBench.cpp
@@ -18,6 +18,8 @@
     {"waiting", &cranberryreel::bench::runWaiting},
     {"packing", &cranberryreel::bench::runPacking},
     {"gangs", &cranberryreel::bench::runGangs},
+    {"overload", &cranberryreel::bench::runOverload},
+    {"spill", &cranberryreel::bench::runSpill},
     {"cost", &cranberryreel::bench::runCost},
     {"fairness", &cranberryreel::bench::runFairness},
 };
