--- a/src/policy/Planner.h
+++ b/src/policy/Planner.h
@@ -87,6 +87,7 @@
     double used = 0; ///< Dominant fraction of the accepting capacity that is reserved, 0 to 1.
     std::uint32_t waiting = 0; ///< Tasks.
     std::chrono::milliseconds expectedWait{0}; ///< Of an interactive task submitted now.
+    std::uint32_t room = 0; ///< About how many more interactive tasks of the usual size would start at once.
 };
 
 /// Decides what starts where, in which order, and what gives way. Holds one zone's ledger and queues in memory; no clock, I/O or threads in it, so that one
--- a/src/policy/PlannerCore.cpp
+++ b/src/policy/PlannerCore.cpp
@@ -347,9 +347,27 @@
         view.waiting += static_cast<std::uint32_t>(this->zone.shares.at(i).waitingDemand.slots);
     }
     view.expectedWait = this->admission.expectedWait(this->zone.requestsWaiting, this->zone.allRequestStarts, now);
+    view.room = this->requestRoom();
     return view;
 }
 
+std::uint32_t PlannerCore::requestRoom() const
+{
+    const Demand &held = this->zone.requestsReserved;
+    if (this->zone.requestsWaiting > 0) {
+        return 0;
+    }
+    Demand free = this->zone.ledger.total();
+    free -= this->zone.ledger.reserved();
+    const auto count = std::max<std::int64_t>(1, held.slots);
+    const model::Resources usual{held.resources.cpuMillis / count, held.resources.memoryMiB / count, held.resources.accelerators / count};
+    std::int64_t room = free.slots;
+    room = usual.cpuMillis > 0 ? std::min(room, free.resources.cpuMillis / usual.cpuMillis) : room;
+    room = usual.memoryMiB > 0 ? std::min(room, free.resources.memoryMiB / usual.memoryMiB) : room;
+    room = usual.accelerators > 0 ? std::min(room, free.resources.accelerators / usual.accelerators) : room;
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, room));
+}
+
 std::unique_ptr<Planner> makePlanner()
 {
     return std::make_unique<PlannerCore>();
--- a/src/policy/PlannerCore.h
+++ b/src/policy/PlannerCore.h
@@ -44,6 +44,7 @@
     void refuse(JobIndex job, base::ResultCode code, const std::string &reason);
     void refuseLateRequests(base::SteadyTime now);
     void refuseWhatCannotRun();
+    std::uint32_t requestRoom() const;
     std::vector<Decision> handOut(std::size_t most);
     bool isVoid(const Decision &decision);
 
--- a/src/policy/SpillChooser.cpp
+++ b/src/policy/SpillChooser.cpp
@@ -23,7 +23,8 @@
     const LoadView &load = remote.load;
     const std::chrono::milliseconds each =
         load.waiting > 0 ? std::max(load.expectedWait / load.waiting, std::chrono::milliseconds(1)) : this->options.waitPerTask;
-    return load.expectedWait + each * remote.sentSince + this->options.transferCost;
+    const std::uint32_t beyondRoom = remote.sentSince > load.room ? remote.sentSince - load.room : 0;
+    return load.expectedWait + each * beyondRoom + this->options.transferCost;
 }
 
 std::optional<std::string> SpillChooser::choose(const LoadView &local, base::SteadyTime now)
@@ -42,7 +43,7 @@
     Remote &one = this->remotes[this->fresh[first]];
     Remote &other = this->remotes[this->fresh[second]];
     Remote &better = this->expectedWait(other) < this->expectedWait(one) ? other : one;
-    if (this->expectedWait(better) >= local.expectedWait) {
+    if (better.load.expectedWait + this->options.transferCost >= local.expectedWait) {
         return std::nullopt;
     }
     ++better.sentSince;
--- a/src/policy/SpillChooser.h
+++ b/src/policy/SpillChooser.h
@@ -21,9 +21,9 @@
     std::uint64_t seed = 1;
 };
 
-/// Decides whether a waiting task should go to another zone, and to which. Of two zones drawn at random the one with the shorter expected wait is taken, and
-/// only when that, with the transfer, is shorter than the wait here. Tasks sent since a zone's last view count against it, as views lag. Owned by the zone
-/// scheduler; one thread.
+/// Decides whether a waiting task should go to another zone, and to which: only where the wait told by the other zone, with the transfer, is shorter than the
+/// wait here. Two zones are drawn at random and the better taken; tasks sent since a zone's last view weigh in that comparison once they exceed the room that
+/// it had, as views lag. Owned by the zone scheduler; one thread.
 class SpillChooser
 {
 public:
