--- a/bench/decisions/BaselinePlanner.cpp
+++ b/bench/decisions/BaselinePlanner.cpp
@@ -89,8 +89,8 @@
     }
 }
 
-void BaselinePlanner::adopt(const model::JobSpec & /*spec*/, std::uint32_t /*task*/, const std::string & /*upstream*/, const model::Resources & /*reserved*/,
-                            base::SteadyTime /*now*/)
+void BaselinePlanner::adopt(
+    const model::JobSpec & /*spec*/, std::uint32_t /*task*/, const std::string & /*upstream*/, const model::Resources & /*reserved*/, base::SteadyTime /*now*/)
 {
 }
 
@@ -184,8 +184,7 @@
     }
     for (std::size_t i = 0; i < unit.tasks.size(); ++i) {
         job.places[unit.tasks[i]] = chosen[i];
-        decisions.push_back(
-            {policy::DecisionKind::Start, unit.job, unit.tasks[i], this->vms[chosen[i]].upstream, job.spec.perTask, base::ResultCode::Ok, ""});
+        decisions.push_back({policy::DecisionKind::Start, unit.job, unit.tasks[i], this->vms[chosen[i]].upstream, job.spec.perTask, base::ResultCode::Ok, ""});
     }
     return true;
 }
--- a/bench/decisions/CostScenario.cpp
+++ b/bench/decisions/CostScenario.cpp
@@ -45,8 +45,7 @@
         this->shape.acceleratorVms = workers / 2;
         buildZone(*this->planner, this->shape, this->now);
         const auto running = static_cast<std::uint32_t>(RunningPerWorker * workers);
-        while (this->runningTasks.size() < running && this->submit()) {
-        }
+        while (this->runningTasks.size() < running && this->submit()) { }
         for (std::uint32_t i = 0; this->backlog && i < 5000; ++i) {
             this->submit();
         }
--- a/bench/decisions/FairnessScenario.cpp
+++ b/bench/decisions/FairnessScenario.cpp
@@ -76,7 +76,8 @@
             job.spec.tasks = sharer.tasksPerJob;
             job.spec.perTask = sharer.size;
             job.usage = sharer.size;
-            job.runTime = std::chrono::milliseconds(1 + std::llround(std::exponential_distribution<double>(1.0 / static_cast<double>(sharer.runMean.count()))(random)));
+            job.runTime =
+                std::chrono::milliseconds(1 + std::llround(std::exponential_distribution<double>(1.0 / static_cast<double>(sharer.runMean.count()))(random)));
             jobs.push_back(job);
         }
     }
--- a/bench/decisions/Report.cpp
+++ b/bench/decisions/Report.cpp
@@ -45,9 +45,11 @@
     for (const Target &target : this->targets) {
         met += target.met ? 1 : 0;
         missed += target.met ? "" : fmt::format("{}{}", missed.empty() ? "" : ", ", target.name);
-        fmt::print("  {:<6} {:<52} {:.5g} {} (limit {:.5g}) {}\n", target.met ? "met" : "MISSED", target.name, target.figure, target.unit, target.limit, target.note);
-        this->json << nlohmann::json{{"target", target.name}, {"figure", target.figure}, {"limit", target.limit}, {"unit", target.unit}, {"met", target.met}}.dump()
-                   << '\n';
+        fmt::print(
+            "  {:<6} {:<52} {:.5g} {} (limit {:.5g}) {}\n", target.met ? "met" : "MISSED", target.name, target.figure, target.unit, target.limit, target.note);
+        this->json
+            << nlohmann::json{{"target", target.name}, {"figure", target.figure}, {"limit", target.limit}, {"unit", target.unit}, {"met", target.met}}.dump()
+            << '\n';
     }
     fmt::print("targets: {} met, {} missed{}{}\n", met, this->targets.size() - met, missed.empty() ? "" : ": ", missed);
 }
--- a/bench/decisions/SpillScenario.cpp
+++ b/bench/decisions/SpillScenario.cpp
@@ -37,10 +37,10 @@
 };
 
 constexpr std::array<std::pair<SpillPolicy, const char *>, 5> Policies{{{SpillPolicy::Never, "never"},
-                                                                       {SpillPolicy::Random, "random"},
-                                                                       {SpillPolicy::LeastLoaded, "least-loaded view"},
-                                                                       {SpillPolicy::PowerOfTwo, "power of two"},
-                                                                       {SpillPolicy::Bandit, "bandit (UCB)"}}};
+                                                                        {SpillPolicy::Random, "random"},
+                                                                        {SpillPolicy::LeastLoaded, "least-loaded view"},
+                                                                        {SpillPolicy::PowerOfTwo, "power of two"},
+                                                                        {SpillPolicy::Bandit, "bandit (UCB)"}}};
 
 /// What one zone has learned of another from the tasks it sent there.
 struct Arm {
@@ -122,7 +122,8 @@
             this->views[zone] = this->expectedWait(zone, now);
             const auto busy = this->busy(zone, now);
             const auto waiting = static_cast<std::uint32_t>(this->views[zone] * Servers / ServiceMillis);
-            const policy::LoadView load{static_cast<double>(busy) / Servers, waiting, milliseconds(std::llround(this->views[zone])), static_cast<std::uint32_t>(Servers - busy)};
+            const policy::LoadView load{
+                static_cast<double>(busy) / Servers, waiting, milliseconds(std::llround(this->views[zone])), static_cast<std::uint32_t>(Servers - busy)};
             for (std::size_t other = 0; other < Zones; ++other) {
                 if (other != zone) {
                     this->choosers[other].setView(std::to_string(zone), load, clock(now));
--- a/src/policy/Consolidator.h
+++ b/src/policy/Consolidator.h
@@ -12,8 +12,8 @@
 namespace cranberryreel::policy
 {
 
-/// Under the packing profile: empties VMs that hold little but batch tasks, by checkpointing and moving these to VMs that are in use anyway. The number of moves
-/// is bounded, and none is made while other work waits. Owned by the planner.
+/// Under the packing profile: empties VMs that hold little but batch tasks, by checkpointing and moving these to VMs that are in use anyway. The number of
+/// moves is bounded, and none is made while other work waits. Owned by the planner.
 class Consolidator
 {
 public:
--- a/tests/policy/SpillAndRetryTest.cpp
+++ b/tests/policy/SpillAndRetryTest.cpp
@@ -51,8 +51,8 @@
         }
     }
     BOOST_TEST(sent["b"] + sent["c"] == 100);
-    BOOST_TEST(sent["b"] >= 50);
-    BOOST_TEST(sent["b"] <= 65);
+    BOOST_TEST(sent["b"] >= 64); // 15 for its lead of 300 ms, then 3 of 5: a task adds 20 ms there and 30 ms at the other.
+    BOOST_TEST(sent["b"] <= 68);
 }
 
 BOOST_AUTO_TEST_CASE(whatWasSentIntoFreeRoomDoesNotCount)
