--- a/bench/decisions/CostScenario.cpp
+++ b/bench/decisions/CostScenario.cpp
@@ -1,9 +1,8 @@
 #include "Scenarios.h"
 
-#include <time.h>
-
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 #include <random>
 
 namespace cranberryreel::bench
--- a/src/policy/Consolidator.cpp
+++ b/src/policy/Consolidator.cpp
@@ -60,6 +60,7 @@
     }
     std::sort(found.begin(), found.end());
     std::vector<VmIndex> vms;
+    vms.reserve(found.size());
     for (const auto &[use, vm] : found) {
         vms.push_back(vm);
     }
