Pack: match jobs to the VMs that they fill best

Cause: the largest task in sight was placed first, wherever that left one dimension over. Now the job whose best VM is left with least, and most in balance, goes first; one that opens another VM goes last.

--- a/src/policy/Starter.cpp
+++ b/src/policy/Starter.cpp
@@ -2,8 +2,11 @@
 
 #include "policy/ClassPolicy.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 
 namespace cranberryreel::policy
@@ -15,6 +18,8 @@
 using model::JobKind;
 
 constexpr std::chrono::seconds StarvesAfter{10}; ///< A single task without room for so long gets a reservation like a gang.
+constexpr double SizeWeight = 0.5; ///< Of a task's size by what it leaves free on its VM, when the best match is looked for.
+constexpr double OpensAnotherVm = 10.0; ///< Outweighs every difference in size and match.
 constexpr std::array<JobKind, 4> ServedKinds{JobKind::Request, JobKind::Service, JobKind::Gang, JobKind::Batch};
 constexpr std::array<JobKind, 3> ProbeKinds{JobKind::Batch, JobKind::Request, JobKind::Service};
 
@@ -87,7 +92,7 @@
     }
     std::vector<JobInSight> &sight = WorkQueues::sight(queue, this->zone.jobs);
     if (kind == JobKind::Batch && this->zone.profile == Profile::Packing) {
-        this->sortBySize(sight, now);
+        this->sortByFit(sight, now);
     }
     bool roomOnly = true;
     for (JobInSight &seen : sight) {
@@ -109,18 +114,39 @@
     return false;
 }
 
-void Starter::sortBySize(std::vector<JobInSight> &sight, base::SteadyTime now) const
+void Starter::sortByFit(std::vector<JobInSight> &sight, base::SteadyTime now) const
 {
     if (sight.empty()) {
         return;
     }
-    const auto size = [this](const JobInSight &seen) { return taskDemand(seen.need).dominantShareOf(this->zone.ledger.total()); };
+    absl::flat_hash_map<JobIndex, double> values;
+    for (const JobInSight &seen : sight) {
+        values[seen.job] = this->fitValue(seen);
+    }
     const auto oldest = std::min_element(sight.begin(), sight.end(), [this](const JobInSight &left, const JobInSight &right) {
         return this->zone.jobs.at(left.job).sequence < this->zone.jobs.at(right.job).sequence;
     });
     std::iter_swap(sight.begin(), oldest);
     const bool isOld = now - this->zone.jobs.at(sight.front().job).enqueuedAt >= StarvesAfter; // It goes first once it has waited for long.
-    std::stable_sort(sight.begin() + (isOld ? 1 : 0), sight.end(), [&](const JobInSight &left, const JobInSight &right) { return size(left) > size(right); });
+    std::stable_sort(sight.begin() + (isOld ? 1 : 0), sight.end(), [&values](const JobInSight &left, const JobInSight &right) {
+        return values.at(left.job) > values.at(right.job);
+    });
+}
+
+double Starter::fitValue(const JobInSight &seen) const
+{
+    const Ledger &ledger = this->zone.ledger;
+    const bool mayFit = seen.blockedVersion == 0 || ledger.mayFitSince(seen.blockedVersion, seen.service, seen.need);
+    const VmIndex vm = mayFit ? this->findVm(this->zone.jobs.at(seen.job)) : NoIndex;
+    if (vm == NoIndex) {
+        return -std::numeric_limits<double>::infinity();
+    }
+    const LedgerVm &place = ledger.vm(vm);
+    const Demand whole{place.capacity, 0};
+    const auto left = Demand{place.free() - seen.need, 0}.fractionsOf(whole);
+    const auto taken = Demand{seen.need, 0}.fractionsOf(whole);
+    const double opens = place.tasks.empty() ? OpensAnotherVm : 0;
+    return SizeWeight * (taken[0] + taken[1]) - (left[0] + left[1]) - std::abs(left[0] - left[1]) - opens;
 }
 
 Starter::Outcome Starter::tryJob(JobIndex index, base::SteadyTime now)
--- a/src/policy/Starter.h
+++ b/src/policy/Starter.h
@@ -44,7 +44,9 @@
     bool startProbe(base::SteadyTime now);
     bool startTier(Tier tier, base::SteadyTime now);
     bool startFromQueue(PartnerIndex partner, model::JobKind kind, Tier tier, base::SteadyTime now);
-    void sortBySize(std::vector<JobInSight> &sight, base::SteadyTime now) const;
+    /// Puts first the job that fills a VM best.
+    void sortByFit(std::vector<JobInSight> &sight, base::SteadyTime now) const;
+    double fitValue(const JobInSight &seen) const;
     Outcome tryJob(JobIndex job, base::SteadyTime now);
     Outcome tryGang(JobIndex job, base::SteadyTime now);
     Outcome tryTask(JobIndex job, base::SteadyTime now);
