Bound learned and declared times to a year

Cause: the first sanitizer run (address and undefined) met a signed overflow where a learned run time of e^30 ms became nanoseconds. Learned times end at e^24 ms, declared run times and deadlines at 365 days. Cancellation waves are measured in processor time, best of three.

--- a/bench/decisions/OverloadScenario.cpp
+++ b/bench/decisions/OverloadScenario.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 
 namespace cranberryreel::bench
 {
@@ -103,7 +104,15 @@
     }
 }
 
-double cancelMillis(std::uint32_t jobs)
+double processorMillis()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) * 1e3 + static_cast<double>(time.tv_nsec) / 1e6;
+}
+
+/// Processor time for cancelling a whole queue, planning going on.
+double cancelOnce(std::uint32_t jobs)
 {
     const auto planner = makeWaitingTimePlanner(1);
     ZoneShape zone;
@@ -119,14 +128,23 @@
         planner->enqueue(spec, now);
     }
     planner->plan(now, 100);
-    const auto began = std::chrono::steady_clock::now();
+    const double began = processorMillis();
     for (std::uint32_t i = 0; i < jobs; ++i) {
         planner->cancel("wave" + std::to_string(i), now);
         if (i % 100 == 0) {
             planner->plan(now, 100);
         }
     }
-    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+    return processorMillis() - began;
+}
+
+double cancelMillis(std::uint32_t jobs)
+{
+    double best = cancelOnce(jobs);
+    for (int again = 0; again < 2; ++again) {
+        best = std::min(best, cancelOnce(jobs));
+    }
+    return best;
 }
 
 } // namespace
--- a/src/policy/PlannerCore.cpp
+++ b/src/policy/PlannerCore.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr std::chrono::seconds SizeLearnInterval{60};
+constexpr std::chrono::hours LongestTime{24 * 365}; ///< Longer run times and deadlines count as this.
 constexpr std::size_t MaxDecisionsAhead = 4096; ///< Taken but not handed out; planning pauses there.
 
 } // namespace
@@ -64,13 +65,13 @@
     entry.declared = spec.perTask;
     entry.need = spec.perTask;
     entry.priority = spec.priority;
-    entry.runTime = spec.runTime;
+    entry.runTime = std::min<std::chrono::milliseconds>(spec.runTime, LongestTime);
     entry.enqueuedAt = now;
     entry.sequence = this->zone.nextSequence++;
     entry.repeatable = spec.repeatable;
     if (spec.deadline.count() > 0) {
-        entry.deadline = now + spec.deadline;
-        const auto run = this->zone.model.typicalRunTime(entry.name, spec.runTime).value_or(std::chrono::milliseconds(0));
+        entry.deadline = now + std::min<std::chrono::milliseconds>(spec.deadline, LongestTime);
+        const auto run = this->zone.model.typicalRunTime(entry.name, entry.runTime).value_or(std::chrono::milliseconds(0));
         entry.latestStart = entry.deadline - run;
     }
     entry.tasks.resize(Admission::tasksOf(spec));
--- a/src/policy/WorkModel.cpp
+++ b/src/policy/WorkModel.cpp
@@ -29,7 +29,7 @@
 
 std::chrono::milliseconds fromLog(double logMillis)
 {
-    constexpr double MaxLog = 30.0;
+    constexpr double MaxLog = 24.0; // Most of a year.
     return std::chrono::milliseconds(static_cast<std::int64_t>(std::ceil(std::exp(std::min(logMillis, MaxLog)))));
 }
 
