--- a/src/policy/Preemptor.cpp
+++ b/src/policy/Preemptor.cpp
@@ -65,17 +65,21 @@
     }
     job.nextPreemptAt = now + RetryInterval;
     const bool withinDue = this->zone.shares.isWithinDue(job.partner, taskDemand(job.need));
+    this->takeable.assign(this->zone.shares.size(), false);
+    for (PartnerIndex partner = 0; partner < this->zone.preemptible.size(); ++partner) {
+        this->takeable[partner] = !this->zone.preemptible[partner].empty() && this->mayTakeFrom(job, withinDue, partner);
+    }
     Plan best;
     std::size_t looked = 0;
     for (PartnerIndex partner = 0; partner < this->zone.preemptible.size() && looked < VictimsInSight; ++partner) {
         const auto &tasks = this->zone.preemptible[partner];
-        if (tasks.empty() || !this->mayTakeFrom(job, withinDue, partner)) {
+        if (!this->takeable[partner]) {
             continue;
         }
         for (std::size_t i = 0; i < std::min(tasks.size(), VictimsPerPartner); ++i, ++looked) {
             const TaskRef ref = tasks[tasks.size() - 1 - i];
             const VmIndex vm = this->zone.jobs.at(ref.job).tasks[ref.task].vm;
-            Plan plan = this->planOn(vm, job, withinDue, now);
+            Plan plan = this->planOn(vm, job, now);
             if (plan.vm != NoIndex && (best.vm == NoIndex || plan.cost < best.cost)) {
                 best = std::move(plan);
             }
@@ -99,7 +103,7 @@
     this->holders.push_back(index);
 }
 
-Preemptor::Plan Preemptor::planOn(VmIndex vmIndex, const JobEntry &job, bool withinDue, base::SteadyTime now) const
+Preemptor::Plan Preemptor::planOn(VmIndex vmIndex, const JobEntry &job, base::SteadyTime now) const
 {
     const Ledger &ledger = this->zone.ledger;
     const LedgerVm &vm = ledger.vm(vmIndex);
@@ -124,7 +128,7 @@
         if (task.preempting) {
             room += task.reserved;
             slots += serves(ledger.upstream(task.upstream)) ? 1 : 0;
-        } else if (this->mayTakeFrom(job, withinDue, other.partner)) {
+        } else if (this->takeable[other.partner]) {
             candidates.push_back(ref);
         }
     }
--- a/src/policy/Preemptor.h
+++ b/src/policy/Preemptor.h
@@ -38,10 +38,11 @@
     bool mayAsk(const JobEntry &job, base::SteadyTime now) const;
     bool mayTakeFrom(const JobEntry &job, bool withinDue, PartnerIndex victim) const;
     void preemptFor(JobIndex job, const Plan &plan, base::SteadyTime now);
-    Plan planOn(VmIndex vm, const JobEntry &job, bool withinDue, base::SteadyTime now) const;
+    Plan planOn(VmIndex vm, const JobEntry &job, base::SteadyTime now) const;
 
     ZoneState &zone;
     std::vector<JobIndex> holders;
+    std::vector<bool> takeable; ///< By partner: whose tasks the job at hand may take the place of.
 };
 
 } // namespace cranberryreel::policy
