--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -11,7 +11,7 @@
 namespace cranberryreel::replication
 {
 
-Core::Core(CoreOptions coreOptions, Recovered recovered, const CoreSafety &coreSafety, base::SteadyTime now)
+Core::Core(CoreOptions coreOptions, const Recovered &recovered, const CoreSafety &coreSafety, base::SteadyTime now)
     : options(std::move(coreOptions))
     , safety(coreSafety)
     , random(this->options.seed)
@@ -43,7 +43,7 @@
 void Core::receive(const Message &message, base::SteadyTime now)
 {
     using Handler = void (Core::*)(const Message &, base::SteadyTime);
-    static const std::map<MessageKind, Handler> Handlers{
+    static const std::map<MessageKind, Handler> handlers{
         {MessageKind::PreVote, &Core::handlePreVote},
         {MessageKind::PreVoteReply, &Core::handlePreVoteReply},
         {MessageKind::Vote, &Core::handleVote},
@@ -61,7 +61,7 @@
     };
     if (message.kind == MessageKind::ReadReply) {
         this->handleReadReply(message);
-    } else if (const auto found = Handlers.find(message.kind); found != Handlers.end()) {
+    } else if (const auto found = handlers.find(message.kind); found != handlers.end()) {
         (this->*found->second)(message, now);
     }
     this->answerReads(now);
--- a/src/replication/Core.h
+++ b/src/replication/Core.h
@@ -32,7 +32,7 @@
 {
 public:
     /// `safety` must outlive the core.
-    Core(CoreOptions options, Recovered recovered, const CoreSafety &safety, base::SteadyTime now);
+    Core(CoreOptions options, const Recovered &recovered, const CoreSafety &safety, base::SteadyTime now);
 
     void receive(const Message &message, base::SteadyTime now);
     void tick(base::SteadyTime now);
