Fuzz the replication core over a simulated group and mend what it found

Ruled out: trusting only what others remember of a member's acknowledgements (it lags by a heartbeat). Conclusion: a member that trusts its disk without a leader votes for none below what the others showed; changes need a majority that counts; a cold start also serves a group with a change under way.

--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -80,7 +80,10 @@
 
 CoreOutput Core::take()
 {
-    return std::exchange(this->output, CoreOutput());
+    CoreOutput taken = std::exchange(this->output, CoreOutput());
+    const bool keepsEntries = taken.snapshot || !taken.entries.empty();
+    taken.mustSync = (taken.hardState && this->safety.syncsVotes()) || (keepsEntries && this->safety.syncsEntries());
+    return taken;
 }
 
 base::SteadyTime Core::nextDeadline() const
@@ -88,8 +91,6 @@
     base::SteadyTime deadline = std::min(this->electionDeadline, this->nextProbe);
     if (this->currentRole == Role::Leader) {
         deadline = this->nextHeartbeat;
-    } else if (this->ownStanding == Standing::Unproven) {
-        deadline = std::min(deadline, this->heardLeaderAt + this->options.timings.restartGrace);
     }
     for (const PendingRead &read : this->pendingReads) {
         deadline = std::min({deadline, read.since + this->options.timings.requestLimit, read.askedAt + this->options.timings.heartbeat});
@@ -225,9 +226,17 @@
     }
 }
 
-void Core::distrustMemory(LogPosition position)
+void Core::noteAcknowledged(const std::string &vm, LogPosition position)
 {
-    if (this->ownStanding == Standing::Unproven && this->entries.last() < position && this->safety.distrustsRolledBackDisk()) {
+    LogPosition &known = this->acknowledged[vm];
+    known = std::max(known, position);
+}
+
+void Core::distrustMemory(const Message &message)
+{
+    const auto own = message.acknowledged.find(this->options.ownVm);
+    const bool goneBack = own != message.acknowledged.end() && this->entries.last() < own->second;
+    if (goneBack && this->ownStanding == Standing::Unproven && this->safety.distrustsRolledBackDisk()) {
         this->setStanding(Standing::Blank);
     }
 }
--- a/src/replication/Core.h
+++ b/src/replication/Core.h
@@ -20,6 +20,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -43,8 +44,9 @@
     /// Sends what was proposed; one call for a batch of proposals.
     void flush(base::SteadyTime now);
 
-    /// One change at a time: NotLeader, GroupUnavailable while an earlier change is under way, else Ok and the index of the change.
-    base::ResultCode changeMembers(const Membership &members, std::uint64_t &index);
+    /// One change at a time: NotLeader, GroupUnavailable while an earlier change is under way or when no majority of the new members counts and answers,
+    /// else Ok and the index of the change.
+    base::ResultCode changeMembers(const Membership &members, std::uint64_t &index, base::SteadyTime now);
 
     /// Answered by CoreOutput::reads under the same id.
     void read(std::uint64_t id, base::SteadyTime now);
@@ -136,7 +138,8 @@
     void noteLeader(const std::string &vm, base::SteadyTime now);
     bool hearsLeader(base::SteadyTime now, std::chrono::milliseconds within) const;
     void setStanding(Standing standing);
-    void distrustMemory(LogPosition acknowledged);
+    void noteAcknowledged(const std::string &vm, LogPosition position);
+    void distrustMemory(const Message &message);
     void appendOwn(EntryKind kind, std::string data);
     void append(Entry entry);
     void truncateFrom(std::uint64_t index);
@@ -152,6 +155,9 @@
     // CoreElection.cpp
     void tickElection(base::SteadyTime now);
     void resetElectionDeadline(base::SteadyTime now);
+    bool mayTrustDisk(base::SteadyTime now) const;
+    bool isAdvancedEnough(LogPosition candidate, base::SteadyTime now) const;
+    bool hasGoneBack(const std::string &vm, LogPosition position) const;
     std::uint64_t nextTerm(std::uint64_t above) const;
     void askBeforeCampaign(base::SteadyTime now);
     void campaign(std::uint64_t above, std::uint64_t handoverTerm, base::SteadyTime now);
@@ -174,6 +180,7 @@
     bool noteAnswer(MemberProgress &progress, const Message &message);
     void admitIfCaughtUp(const std::string &vm, MemberProgress &progress);
     bool counts(const Member &member) const;
+    bool answers(const Member &member, base::SteadyTime now) const;
     void updateCommit();
     void updateLease(base::SteadyTime now);
     void continueHandover(base::SteadyTime now);
@@ -192,8 +199,19 @@
     void tickFormation(base::SteadyTime now);
     void handleProbe(const Message &message, base::SteadyTime now);
     void handleProbeReply(const Message &message, base::SteadyTime now);
+    struct Attendance {
+        std::size_t present = 0;
+        bool allDisks = true; ///< No member with a disk is absent.
+        bool leaderHeard = false;
+        bool majorityLost = false; ///< So many have lost their memory that the rest cannot be a majority.
+    };
+    bool isPresent(const Member &member, base::SteadyTime now) const;
+    Attendance attendanceOf(const Membership &members, base::SteadyTime now) const;
     bool mayForm(base::SteadyTime now) const;
-    bool everyPresentIsBehind() const;
+
+    /// By it the one who forms the group is chosen: the log, then whether it stays a member, then whether it may go on leading.
+    std::tuple<LogPosition, bool, bool> formationRank(const std::string &vm, LogPosition position) const;
+    bool everyPresentIsBehind(base::SteadyTime now) const;
     void form(base::SteadyTime now);
     void handleForm(const Message &message, base::SteadyTime now);
     void handleFormReply(const Message &message, base::SteadyTime now);
@@ -227,6 +245,7 @@
     std::shared_ptr<const Snapshot> latestSnapshot;
     std::shared_ptr<const std::string> encodedSnapshot; ///< Of latestSnapshot; made when first sent.
     std::map<std::string, LogPosition> acknowledged; ///< How far each member is known to have acknowledged.
+    LogPosition voteFloor; ///< The most advanced log seen when this member trusted its disk without a leader: it votes for none below.
     base::SteadyTime heardLeaderAt; ///< Or the start of this boot.
     base::SteadyTime electionDeadline;
     std::string incomingSnapshot;
--- a/src/replication/CoreElection.cpp
+++ b/src/replication/CoreElection.cpp
@@ -23,6 +23,20 @@
     }
 }
 
+bool Core::mayTrustDisk(base::SteadyTime now) const
+{
+    const GroupTimings &timings = this->options.timings;
+    if (this->hearsLeader(now, timings.restartGrace)) {
+        return false;
+    }
+    const std::vector<std::string> others = this->otherMembers();
+    const bool allAnswered = std::all_of(others.begin(), others.end(), [this](const std::string &vm) {
+        const auto found = this->presences.find(vm);
+        return found != this->presences.end() && !found->second.hearsLeader;
+    });
+    return allAnswered || !this->hearsLeader(now, timings.formationPatience);
+}
+
 std::uint64_t Core::nextTerm(std::uint64_t above) const
 {
     const std::uint64_t ordinal = this->membership().ordinal(this->options.ownVm) % TermStride;
@@ -32,15 +46,19 @@
 
 void Core::tickElection(base::SteadyTime now)
 {
-    if (this->ownStanding == Standing::Unproven && !this->hearsLeader(now, this->options.timings.restartGrace)) {
+    if (this->ownStanding == Standing::Unproven && this->mayTrustDisk(now)) {
         this->setStanding(Standing::Full);
+        for (const auto &[vm, presence] : this->presences) {
+            this->voteFloor = std::max(this->voteFloor, presence.position);
+        }
     }
     if (now < this->electionDeadline) {
         return;
     }
     this->resetElectionDeadline(now);
     this->leader.clear();
-    if (!this->safety.mayVote(this->ownStanding) || this->membership().find(this->options.ownVm) == nullptr) {
+    const bool mayLead = this->safety.mayVote(this->ownStanding) && this->membership().find(this->options.ownVm) != nullptr;
+    if (!mayLead || !this->isAdvancedEnough(this->entries.last(), now)) {
         this->currentRole = Role::Follower;
     } else if (this->safety.asksBeforeCampaign()) {
         this->askBeforeCampaign(now);
@@ -96,8 +114,8 @@
     Message reply = this->messageTo(message.from, MessageKind::PreVoteReply);
     const bool keepsLeader = this->safety.keepsLeaderWhileHeard() && this->hearsLeader(now, this->options.timings.electionMin);
     const LogPosition candidate{message.logTerm, message.index};
-    reply.granted = this->safety.mayVote(this->ownStanding) && message.term > this->hard.term && !keepsLeader
-        && this->safety.logIsAdvancedEnough(candidate, this->entries.last());
+    reply.granted = this->safety.mayVote(this->ownStanding) && message.term > this->hard.term && !keepsLeader && this->isAdvancedEnough(candidate, now)
+        && !this->hasGoneBack(message.from, candidate);
     reply.sequence = static_cast<std::int64_t>(message.term);
     this->send(std::move(reply));
 }
@@ -125,18 +143,14 @@
     if (keepsLeader && !handedOver) {
         return;
     }
-    for (const auto &[vm, position] : message.acknowledged) {
-        if (vm == this->options.ownVm) {
-            this->distrustMemory(position);
-        }
-    }
+    this->distrustMemory(message);
     if (message.term > this->hard.term) {
         this->becomeFollower(message.term, "", now);
     }
     Message reply = this->messageTo(message.from, MessageKind::VoteReply);
     const LogPosition candidate{message.logTerm, message.index};
     reply.granted = message.term == this->hard.term && this->currentRole == Role::Follower && this->safety.mayVote(this->ownStanding)
-        && this->safety.voteIsFree(this->hard, message.from) && this->safety.logIsAdvancedEnough(candidate, this->entries.last());
+        && this->safety.voteIsFree(this->hard, message.from) && this->isAdvancedEnough(candidate, now) && !this->hasGoneBack(message.from, candidate);
     if (reply.granted) {
         this->hard.votedFor = message.from;
         this->output.hardState = this->hard;
@@ -145,6 +159,18 @@
     this->sendAfterSync(std::move(reply));
 }
 
+bool Core::isAdvancedEnough(LogPosition candidate, base::SteadyTime now) const
+{
+    const bool belowFloor = candidate < this->voteFloor && this->hearsLeader(now, this->options.timings.formationPatience);
+    return this->safety.logIsAdvancedEnough(candidate, this->entries.last()) && !(belowFloor && this->safety.distrustsRolledBackDisk());
+}
+
+bool Core::hasGoneBack(const std::string &vm, LogPosition position) const
+{
+    const auto known = this->acknowledged.find(vm);
+    return known != this->acknowledged.end() && position < known->second && this->safety.distrustsRolledBackDisk();
+}
+
 void Core::handleVoteReply(const Message &message, base::SteadyTime now)
 {
     if (message.term > this->hard.term) {
--- a/src/replication/CoreFollower.cpp
+++ b/src/replication/CoreFollower.cpp
@@ -33,12 +33,9 @@
         return;
     }
     for (const auto &[vm, position] : message.acknowledged) {
-        LogPosition &known = this->acknowledged[vm];
-        known = std::max(known, position);
-        if (vm == this->options.ownVm) {
-            this->distrustMemory(position);
-        }
+        this->noteAcknowledged(vm, position);
     }
+    this->distrustMemory(message);
     Message reply = this->messageTo(message.from, MessageKind::AppendReply);
     reply.sequence = message.sequence;
     if (this->contradictsCommitted(message)) {
--- a/src/replication/CoreFormation.cpp
+++ b/src/replication/CoreFormation.cpp
@@ -8,6 +8,14 @@
 namespace cranberryreel::replication
 {
 
+namespace
+{
+
+/// For so many heartbeats an answer to a probe tells that its sender is there.
+constexpr int PresenceHeartbeats = 6;
+
+} // namespace
+
 void Core::tickFormation(base::SteadyTime now)
 {
     if (this->currentRole == Role::Leader || now < this->nextProbe) {
@@ -39,6 +47,9 @@
     reply.logTerm = this->entries.last().term;
     reply.granted = this->hearsLeader(now, this->options.timings.formationSettle);
     reply.standing = this->ownStanding;
+    if (const auto known = this->acknowledged.find(message.from); known != this->acknowledged.end()) {
+        reply.acknowledged.insert(*known);
+    }
     this->send(std::move(reply));
 }
 
@@ -47,54 +58,74 @@
     if (this->currentRole == Role::Leader || message.sequence < this->probeRound - 1) {
         return;
     }
+    this->distrustMemory(message);
     const LogPosition position{message.logTerm, message.index};
     this->presences[message.from] = Presence{message.boot, message.standing, position, message.term, message.granted, now};
 }
 
+bool Core::isPresent(const Member &member, base::SteadyTime now) const
+{
+    const auto found = this->presences.find(member.vm);
+    return member.vm == this->options.ownVm
+        || (found != this->presences.end() && now < found->second.at + PresenceHeartbeats * this->options.timings.heartbeat);
+}
+
+Core::Attendance Core::attendanceOf(const Membership &members, base::SteadyTime now) const
+{
+    Attendance attendance;
+    std::size_t blank = 0;
+    for (const Member &member : members.all()) {
+        if (!this->isPresent(member, now)) {
+            attendance.allDisks = attendance.allDisks && !member.hasDisk;
+            continue;
+        }
+        const auto found = this->presences.find(member.vm);
+        const bool own = found == this->presences.end();
+        ++attendance.present;
+        attendance.leaderHeard = attendance.leaderHeard || (!own && found->second.hearsLeader);
+        blank += (own ? this->ownStanding : found->second.standing) == Standing::Blank ? 1 : 0;
+    }
+    attendance.majorityLost = blank > members.size() - members.majority();
+    return attendance;
+}
+
 bool Core::mayForm(base::SteadyTime now) const
 {
     const GroupTimings &timings = this->options.timings;
-    const Membership &members = this->membership();
     const bool idle = this->currentRole == Role::Follower || this->currentRole == Role::PreCandidate;
-    if (!idle || !this->proposedMemberships.empty() || this->hearsLeader(now, timings.formationSettle) || members.find(this->options.ownVm) == nullptr) {
+    if (!idle || this->hearsLeader(now, timings.formationSettle)) {
         return false;
     }
-    std::size_t present = 0;
-    std::size_t blank = 0;
-    for (const Member &member : members.all()) {
-        const bool own = member.vm == this->options.ownVm;
-        const auto found = this->presences.find(member.vm);
-        const bool fresh = own || (found != this->presences.end() && now < found->second.at + 6 * timings.heartbeat);
-        if (!fresh) {
-            if (member.hasDisk && this->safety.formationNeedsAllDisks()) {
-                return false;
-            }
-            continue;
-        }
-        if (!own && found->second.hearsLeader) {
+    const bool patient = !this->hearsLeader(now, timings.formationPatience);
+    bool ownGroup = false;
+    bool majorityLost = false;
+    for (const Membership *members : this->activeMemberships()) {
+        const Attendance attendance = this->attendanceOf(*members, now);
+        const bool enough = attendance.present >= members->majority() && (patient || attendance.present == members->size());
+        if (!enough || attendance.leaderHeard || (!attendance.allDisks && this->safety.formationNeedsAllDisks())) {
             return false;
         }
-        ++present;
-        const Standing standing = own ? this->ownStanding : found->second.standing;
-        blank += standing == Standing::Blank ? 1 : 0;
+        ownGroup = ownGroup || members->find(this->options.ownVm) != nullptr;
+        majorityLost = majorityLost || attendance.majorityLost;
     }
-    const bool quorumLost = blank > members.size() - members.majority();
-    const bool patient = present == members.size() || !this->hearsLeader(now, timings.formationPatience);
-    return present >= members.majority() && quorumLost && patient && (this->everyPresentIsBehind() || !this->safety.formationTakesMostAdvanced());
+    return ownGroup && majorityLost && (this->everyPresentIsBehind(now) || !this->safety.formationTakesMostAdvanced());
+}
+
+std::tuple<LogPosition, bool, bool> Core::formationRank(const std::string &vm, LogPosition position) const
+{
+    const Member *member = this->membership().find(vm);
+    return {position, member != nullptr, member != nullptr && !member->witness};
 }
 
-bool Core::everyPresentIsBehind() const
+bool Core::everyPresentIsBehind(base::SteadyTime now) const
 {
-    const LogPosition own = this->entries.last();
-    const Member *self = this->membership().find(this->options.ownVm);
-    for (const auto &[vm, presence] : this->presences) {
-        const Member *other = this->membership().find(vm);
-        if (other == nullptr || presence.position < own) {
+    const auto own = this->formationRank(this->options.ownVm, this->entries.last());
+    for (const std::string &vm : this->otherMembers()) {
+        if (!this->isPresent(Member{vm}, now)) {
             continue;
         }
-        const bool tie = presence.position == own;
-        const bool preferOwn = self->witness == other->witness ? this->options.ownVm < vm : other->witness;
-        if (!tie || !preferOwn) {
+        const auto other = this->formationRank(vm, this->presences.at(vm).position);
+        if (own < other || (own == other && vm < this->options.ownVm)) {
             return false;
         }
     }
@@ -105,8 +136,9 @@
 {
     std::uint64_t highest = std::max(this->hard.term, this->options.termFloor);
     std::map<std::string, std::uint64_t> boots{{this->options.ownVm, this->options.boot}};
-    for (const auto &[vm, presence] : this->presences) {
-        if (this->membership().find(vm) != nullptr && now < presence.at + 6 * this->options.timings.heartbeat) {
+    for (const std::string &vm : this->otherMembers()) {
+        if (this->isPresent(Member{vm}, now)) {
+            const Presence &presence = this->presences.at(vm);
             highest = std::max(highest, presence.term);
             boots[vm] = presence.boot;
         }
--- a/src/replication/CoreLeader.cpp
+++ b/src/replication/CoreLeader.cpp
@@ -92,12 +92,14 @@
     }
 }
 
-base::ResultCode Core::changeMembers(const Membership &members, std::uint64_t &index)
+base::ResultCode Core::changeMembers(const Membership &members, std::uint64_t &index, base::SteadyTime now)
 {
     if (!this->leadsEstablished()) {
         return base::ResultCode::NotLeader;
     }
-    if (!this->proposedMemberships.empty()) {
+    const auto &all = members.all();
+    const auto answering = std::count_if(all.begin(), all.end(), [this, now](const Member &member) { return this->answers(member, now); });
+    if (!this->proposedMemberships.empty() || static_cast<std::size_t>(answering) < members.majority()) {
         return base::ResultCode::GroupUnavailable;
     }
     GroupRecord record;
@@ -158,6 +160,9 @@
                 message.acknowledged[member] = LogPosition{*term, known.match};
             }
         }
+        if (const auto term = this->entries.termAt(this->syncedEntries); term) {
+            message.acknowledged[this->options.ownVm] = LogPosition{*term, this->syncedEntries};
+        }
     }
     message.entries = std::move(batch);
     this->send(std::move(message));
@@ -228,6 +233,9 @@
     }
     if (message.granted) {
         progress.match = std::max(progress.match, std::min(message.index, this->entries.lastIndex()));
+        if (const auto term = this->entries.termAt(progress.match); term) {
+            this->noteAcknowledged(message.from, LogPosition{*term, progress.match});
+        }
         progress.next = std::max(progress.next, progress.match + 1);
         progress.probing = false;
         if (progress.snapshot && progress.match >= progress.snapshotIndex) {
@@ -308,6 +316,14 @@
     return former != this->formationBoots.end() && former->second == boot;
 }
 
+bool Core::answers(const Member &member, base::SteadyTime now) const
+{
+    if (!this->counts(member)) {
+        return false;
+    }
+    return member.vm == this->options.ownVm || now < fromNanoseconds(this->progresses.at(member.vm).answered) + this->options.timings.electionMin;
+}
+
 void Core::updateCommit()
 {
     const std::int64_t reached = this->majorityValue([this](const Member &member) -> std::int64_t {
@@ -362,12 +378,7 @@
 bool Core::diskReachable(base::SteadyTime now) const
 {
     const auto &members = this->membership().all();
-    return std::any_of(members.begin(), members.end(), [this, now](const Member &member) {
-        if (!member.hasDisk || !this->counts(member)) {
-            return false;
-        }
-        return member.vm == this->options.ownVm || now < fromNanoseconds(this->progresses.at(member.vm).answered) + this->options.timings.electionMin;
-    });
+    return std::any_of(members.begin(), members.end(), [this, now](const Member &member) { return member.hasDisk && this->answers(member, now); });
 }
 
 std::uint64_t Core::syncedIndex() const
--- a/src/replication/CoreOutput.h
+++ b/src/replication/CoreOutput.h
@@ -28,6 +28,7 @@
     std::shared_ptr<const Snapshot> snapshot; ///< Received from a leader; replaces the whole log and state.
     std::optional<HardState> hardState;
     std::vector<Entry> entries; ///< The first one replaces all from its index on.
+    bool mustSync = false; ///< What is written must be synced before anything further is done.
     std::vector<Message> messagesAfterSync;
     std::vector<Entry> committed;
     std::vector<ReadOutcome> reads;
--- a/src/replication/DiskLogStore.cpp
+++ b/src/replication/DiskLogStore.cpp
@@ -143,7 +143,9 @@
     batch.hardState = output.hardState;
     batch.entries = output.entries;
     this->log.writeAll(LogFrame::encode(Codec::encode(batch)));
-    this->log.sync();
+    if (output.mustSync) {
+        this->log.sync();
+    }
 }
 
 void DiskLogStore::compact(const Snapshot &snapshot, const HardState &state, const std::vector<Entry> &entriesAfter)
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -245,7 +245,7 @@
     std::uint64_t index = 0;
     base::ResultCode code = base::ResultCode::Ok;
     try {
-        code = this->core->changeMembers(Membership(std::move(change.members)), index);
+        code = this->core->changeMembers(Membership(std::move(change.members)), index, base::steadyNow());
     } catch (const base::Error &error) {
         code = error.code();
     }
--- a/src/replication/LogStore.h
+++ b/src/replication/LogStore.h
@@ -18,7 +18,8 @@
     /// What survived. Once, before anything else. Throws base::Error(LogCorrupt) or base::Error(SnapshotCorrupt).
     virtual Recovered recover() = 0;
 
-    /// Writes and syncs the output's snapshot, hard state and entries; they are safe when it returns. Throws base::Error(StorageWriteFailed).
+    /// Writes the output's snapshot, hard state and entries and, where it says so, syncs them: they are safe when it returns. Throws
+    /// base::Error(StorageWriteFailed).
     virtual void write(const CoreOutput &output) = 0;
 
     /// Replaces all that is kept by this. Throws base::Error(StorageWriteFailed).
--- /dev/null
+++ b/tests/replication/Simulation.cpp
@@ -0,0 +1,613 @@
+#include "Simulation.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstring>
+#include <limits>
+
+namespace cranberryreel::replication
+{
+
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds Step{2};
+constexpr milliseconds CheckpointInterval{700};
+constexpr std::uint64_t RetainedEntries = 20;
+constexpr std::uint64_t Everything = std::numeric_limits<std::uint32_t>::max();
+
+std::uint64_t hashOf(std::uint64_t state, const std::string &command)
+{
+    return XXH3_64bits_withSeed(command.data(), command.size(), state);
+}
+
+std::string bytesOf(std::uint64_t number)
+{
+    return std::string(reinterpret_cast<const char *>(&number), sizeof(number));
+}
+
+} // namespace
+
+Simulation::Simulation(Options simulationOptions, const CoreSafety &coreSafety)
+    : options(std::move(simulationOptions))
+    , safety(coreSafety)
+    , random(this->options.seed)
+{
+    for (const Member &member : this->options.members) {
+        Node &node = this->nodes[member.vm];
+        node.member = member;
+        const double spread = static_cast<double>(this->roll(2001)) / 1000.0 - 1.0;
+        node.clockRate = 1.0 + spread * this->options.clockDrift;
+        this->start(node);
+    }
+}
+
+std::uint64_t Simulation::roll(std::uint64_t below)
+{
+    return this->random() % below;
+}
+
+base::SteadyTime Simulation::localTime(const Node &node) const
+{
+    // An hour of uptime first, so that no time lies before the clock's epoch.
+    const double elapsed = static_cast<double>((this->now + std::chrono::hours(1)).count()) * node.clockRate;
+    return base::SteadyTime(std::chrono::microseconds(static_cast<std::int64_t>(elapsed * 1000.0)));
+}
+
+void Simulation::start(Node &node)
+{
+    CoreOptions core;
+    core.ownVm = node.member.vm;
+    core.boot = this->nextBoot++;
+    std::vector<Member> members = this->options.members;
+    if (this->options.spare && this->options.spare->vm == node.member.vm) {
+        members.push_back(*this->options.spare);
+    }
+    core.members = Membership(std::move(members));
+    core.termFloor = 1000 + static_cast<std::uint64_t>(this->now.count());
+    core.seed = this->random();
+    core.maxEntriesPerMessage = 8;
+    core.snapshotChunkBytes = 64;
+    const Recovered recovered = node.member.hasDisk ? node.disk.crash() : Recovered();
+    node.stateHash = 0;
+    node.applied = 0;
+    node.snapshotIndex = 0;
+    node.pending.clear();
+    node.reads.clear();
+    node.awaitingDisk.clear();
+    node.crashBeforeSync = false;
+    if (recovered.snapshot) {
+        this->restore(node, *recovered.snapshot);
+    }
+    node.core = std::make_unique<Core>(core, recovered, this->safety, this->localTime(node));
+    this->process(node);
+}
+
+void Simulation::crash(Node &node, milliseconds down)
+{
+    if (node.core == nullptr) {
+        return;
+    }
+    if (!node.member.hasDisk) {
+        node.lostMemory = true;
+    }
+    node.core = nullptr;
+    node.downUntil = this->now + down;
+}
+
+bool Simulation::mayLoseMemory(const Node &node) const
+{
+    if (this->options.disasters) {
+        return true;
+    }
+    std::size_t lost = 0;
+    for (const auto &[vm, other] : this->nodes) {
+        const bool counts = other.core != nullptr && other.core->standing() == Standing::Full;
+        lost += other.lostMemory || (!other.member.hasDisk && !counts) || (other.core != nullptr && other.core->standing() == Standing::Blank) ? 1 : 0;
+    }
+    const bool alreadyLost = node.lostMemory || node.core == nullptr || node.core->standing() == Standing::Blank;
+    const std::size_t size = this->options.members.size();
+    return alreadyLost ? node.lostMemory : lost + 1 <= size - (size / 2 + 1);
+}
+
+void Simulation::inflict(const Fault &fault)
+{
+    this->runFor(fault.wait);
+    Node &node = this->pick(fault.member);
+    Node &other = this->pick(fault.other);
+    Node *leaderNode = this->leading();
+    const milliseconds until = this->now + fault.duration;
+    switch (fault.kind) {
+    case FaultKind::None:
+        break;
+    case FaultKind::Crash:
+        if (node.member.hasDisk || this->mayLoseMemory(node)) {
+            this->crash(node, fault.duration);
+        }
+        break;
+    case FaultKind::CrashLeader:
+        if (leaderNode != nullptr && (leaderNode->member.hasDisk || this->mayLoseMemory(*leaderNode))) {
+            this->crash(*leaderNode, fault.duration);
+        }
+        break;
+    case FaultKind::CrashBeforeSync:
+        node.crashBeforeSync = node.member.hasDisk;
+        break;
+    case FaultKind::WipeDisk:
+        if (node.member.hasDisk && this->mayLoseMemory(node)) {
+            this->crash(node, fault.duration);
+            node.disk.wipe();
+            node.lostMemory = true;
+        }
+        break;
+    case FaultKind::RollBackDisk:
+        // A disk that went back is noticed as long as the others can be asked; so nothing else is broken meanwhile.
+        if (node.member.hasDisk && this->mayLoseMemory(node)) {
+            this->cuts.clear();
+            for (Node *each : this->all()) {
+                each->pausedUntil = each->mutedUntil = each->deafUntil = milliseconds(0);
+                each->downUntil = std::min(each->downUntil, this->now);
+                each->crashBeforeSync = false;
+            }
+            this->lossyUntil = milliseconds(0);
+            this->crash(node, fault.duration);
+            node.lostMemory = node.disk.rollBack() || node.lostMemory;
+            if (!this->options.disasters) {
+                this->runFor(fault.duration + milliseconds(12000));
+            }
+        }
+        break;
+    case FaultKind::Pause:
+        node.pausedUntil = until;
+        break;
+    case FaultKind::PauseLeader:
+        (leaderNode != nullptr ? *leaderNode : node).pausedUntil = until;
+        break;
+    case FaultKind::Isolate:
+        node.mutedUntil = node.deafUntil = until;
+        break;
+    case FaultKind::IsolateLeader:
+        (leaderNode != nullptr ? *leaderNode : node).mutedUntil = until;
+        (leaderNode != nullptr ? *leaderNode : node).deafUntil = until;
+        break;
+    case FaultKind::CutPair:
+        this->cuts[{node.member.vm, other.member.vm}] = until;
+        this->cuts[{other.member.vm, node.member.vm}] = until;
+        break;
+    case FaultKind::CutOneWay:
+        node.mutedUntil = until;
+        break;
+    case FaultKind::Lossy:
+        this->lossyUntil = until;
+        break;
+    case FaultKind::ChangeMembers:
+        this->changeMembers(fault);
+        break;
+    case FaultKind::HandOver:
+        if (leaderNode != nullptr) {
+            leaderNode->core->handOver(this->localTime(*leaderNode));
+            this->process(*leaderNode);
+        }
+        break;
+    case FaultKind::RaiseTerm:
+        if (leaderNode != nullptr) {
+            leaderNode->core->raiseTerm(leaderNode->core->hardState().term + 50, this->localTime(*leaderNode));
+            this->process(*leaderNode);
+        }
+        break;
+    case FaultKind::RestartRepaired:
+        this->killAfterRepair = true;
+        break;
+    }
+}
+
+void Simulation::changeMembers(const Fault &fault)
+{
+    Node *leaderNode = this->leading();
+    if (leaderNode == nullptr || !this->options.spare) {
+        return;
+    }
+    const Member spare = *this->options.spare;
+    const Membership &present = leaderNode->core->membership();
+    std::vector<Member> next = present.all();
+    if (present.find(spare.vm) != nullptr) {
+        next = this->options.members;
+    } else {
+        next.erase(next.begin() + fault.other % next.size());
+        next.push_back(spare);
+    }
+    std::uint64_t index = 0;
+    leaderNode->core->changeMembers(Membership(next), index, this->localTime(*leaderNode));
+    leaderNode->core->flush(this->localTime(*leaderNode));
+    this->process(*leaderNode);
+    if (this->nodes.count(spare.vm) == 0) {
+        Node &node = this->nodes[spare.vm];
+        node.member = spare;
+        this->start(node);
+    }
+}
+
+void Simulation::runFor(milliseconds duration)
+{
+    const milliseconds end = this->now + duration;
+    while (this->now < end && !this->violated()) {
+        this->advance();
+    }
+}
+
+void Simulation::advance()
+{
+    this->now += Step;
+    for (auto &[vm, node] : this->nodes) {
+        if (node.core == nullptr && this->now >= node.downUntil) {
+            this->start(node);
+        }
+    }
+    if (this->now >= this->nextCheckpoint) {
+        this->nextCheckpoint = this->now + CheckpointInterval;
+        for (auto &[vm, node] : this->nodes) {
+            node.disk.checkpoint();
+        }
+    }
+    this->deliver();
+    this->tickAll();
+    this->work();
+    this->check();
+}
+
+void Simulation::deliver()
+{
+    const auto due = std::stable_partition(this->flights.begin(), this->flights.end(), [this](const Flight &flight) { return flight.at > this->now; });
+    std::vector<Flight> arriving(std::make_move_iterator(due), std::make_move_iterator(this->flights.end()));
+    this->flights.erase(due, this->flights.end());
+    for (Flight &flight : arriving) {
+        const auto found = this->nodes.find(flight.message.to);
+        if (found == this->nodes.end() || found->second.core == nullptr) {
+            continue;
+        }
+        Node &node = found->second;
+        if (this->now < node.pausedUntil) {
+            flight.at = node.pausedUntil;
+            this->flights.push_back(std::move(flight));
+            continue;
+        }
+        ++this->stepCount;
+        node.core->receive(flight.message, this->localTime(node));
+        this->process(node);
+    }
+}
+
+void Simulation::tickAll()
+{
+    for (auto &[vm, node] : this->nodes) {
+        if (node.core == nullptr || this->now < node.pausedUntil) {
+            continue;
+        }
+        if (const base::SteadyTime local = this->localTime(node); local >= node.core->nextDeadline()) {
+            ++this->stepCount;
+            node.core->tick(local);
+            this->process(node);
+        }
+    }
+}
+
+void Simulation::work()
+{
+    for (auto &[vm, node] : this->nodes) {
+        if (node.core == nullptr || this->now < node.pausedUntil) {
+            continue;
+        }
+        if (this->roll(8) == 0 && node.core->holdsLease(this->localTime(node))) {
+            this->propose(node);
+        }
+        if (node.core != nullptr && this->roll(50) == 0) {
+            const std::uint64_t id = this->nextRead++;
+            node.reads[id] = this->judge.highestAcknowledged();
+            node.core->read(id, this->localTime(node));
+            this->process(node);
+        }
+    }
+}
+
+void Simulation::propose(Node &node)
+{
+    const bool needsDisk = this->roll(3) == 0 && node.core->diskReachable(this->localTime(node));
+    const std::uint64_t batch = 1 + this->roll(3);
+    for (std::uint64_t i = 0; i < batch; ++i) {
+        if (const auto index = node.core->propose("command " + std::to_string(this->nextCommand++)); index) {
+            node.pendingTerm = node.core->hardState().term;
+            node.pending[*index] = needsDisk;
+        }
+    }
+    node.core->flush(this->localTime(node));
+    this->process(node);
+}
+
+void Simulation::process(Node &node)
+{
+    while (node.core != nullptr) {
+        CoreOutput output = node.core->take();
+        if (output.empty()) {
+            break;
+        }
+        this->processOutput(node, output);
+    }
+    if (node.core == nullptr) {
+        return;
+    }
+    if (node.core->role() != Role::Leader || node.core->hardState().term != node.pendingTerm) {
+        node.pending.clear();
+        node.awaitingDisk.clear();
+    }
+    this->acknowledgeSynced(node);
+    if (node.core->leadsEstablished()) {
+        this->judge.leads(node.member.vm, node.core->hardState().term, node.core->commitIndex());
+    }
+    if (node.core->standing() == Standing::Full) {
+        node.lostMemory = false;
+    }
+    this->compactIfDue(node);
+}
+
+void Simulation::processOutput(Node &node, CoreOutput &output)
+{
+    for (const Message &message : output.messages) {
+        this->send(message);
+    }
+    if (node.crashBeforeSync && output.writes()) {
+        this->crash(node, milliseconds(300));
+        return;
+    }
+    if (output.writes() && node.member.hasDisk) {
+        node.disk.write(output);
+    }
+    for (const Message &message : output.messagesAfterSync) {
+        this->send(message);
+    }
+    if (!output.entries.empty()) {
+        node.core->persisted(node.core->log().lastIndex(), this->localTime(node));
+    }
+    if (output.snapshot) {
+        this->restore(node, *output.snapshot);
+    }
+    for (const Entry &entry : output.committed) {
+        this->apply(node, entry);
+    }
+    for (const ReadOutcome &outcome : output.reads) {
+        if (const auto found = node.reads.find(outcome.id); found != node.reads.end()) {
+            if (outcome.code == base::ResultCode::Ok) {
+                this->judge.readAnswered(node.member.vm, outcome.index, found->second);
+            }
+            node.reads.erase(found);
+        }
+    }
+}
+
+void Simulation::apply(Node &node, const Entry &entry)
+{
+    if (entry.index != node.applied + 1) {
+        this->judge.violated("in order: " + node.member.vm + " applied " + std::to_string(entry.index) + " after " + std::to_string(node.applied));
+    }
+    this->judge.committed(node.member.vm, entry);
+    node.applied = entry.index;
+    if (entry.kind == EntryKind::Command) {
+        node.stateHash = hashOf(node.stateHash, entry.data);
+    }
+    this->judge.applied(node.member.vm, entry.index, node.stateHash);
+    const auto found = node.pending.find(entry.index);
+    if (found == node.pending.end() || node.pendingTerm != entry.term) {
+        return;
+    }
+    if (found->second) {
+        node.awaitingDisk[entry.index] = entry.term;
+    } else {
+        this->judge.acknowledged(entry.index, entry.term, false, false);
+    }
+    node.pending.erase(found);
+}
+
+void Simulation::acknowledgeSynced(Node &node)
+{
+    const std::uint64_t synced = node.awaitingDisk.empty() ? 0 : node.core->syncedIndex();
+    while (!node.awaitingDisk.empty() && node.awaitingDisk.begin()->first <= synced) {
+        const auto [index, term] = *node.awaitingDisk.begin();
+        const bool onDisk = std::any_of(this->nodes.begin(), this->nodes.end(), [index = index, term = term](const auto &item) {
+            return item.second.member.hasDisk && item.second.disk.hasSynced(index, term);
+        });
+        this->judge.acknowledged(index, term, true, onDisk);
+        node.awaitingDisk.erase(node.awaitingDisk.begin());
+    }
+}
+
+void Simulation::restore(Node &node, const Snapshot &snapshot)
+{
+    node.stateHash = 0;
+    if (snapshot.state.size() == sizeof(node.stateHash)) {
+        std::memcpy(&node.stateHash, snapshot.state.data(), sizeof(node.stateHash));
+    }
+    node.applied = snapshot.index;
+    node.snapshotIndex = snapshot.index;
+    if (snapshot.index > 0) {
+        this->judge.applied(node.member.vm, snapshot.index, node.stateHash);
+    }
+}
+
+void Simulation::compactIfDue(Node &node)
+{
+    if (node.applied < node.snapshotIndex + this->options.snapshotEvery) {
+        return;
+    }
+    const auto snapshot = node.core->compact(bytesOf(node.stateHash), RetainedEntries);
+    node.snapshotIndex = snapshot->index;
+    if (node.member.hasDisk) {
+        node.disk.compact(snapshot, node.core->hardState(), node.core->log().slice(snapshot->index + 1, Everything, Everything));
+    }
+}
+
+void Simulation::send(const Message &message)
+{
+    if (this->isCut(message.from, message.to)) {
+        return;
+    }
+    const bool lossy = this->now < this->lossyUntil;
+    if (lossy && this->roll(4) == 0) {
+        return;
+    }
+    const std::uint64_t copies = lossy && this->roll(6) == 0 ? 2 : 1;
+    for (std::uint64_t i = 0; i < copies; ++i) {
+        const std::uint64_t delay = lossy ? 1 + this->roll(300) : 1 + this->roll(4);
+        this->flights.push_back(Flight{this->now + milliseconds(delay), message});
+    }
+}
+
+bool Simulation::isCut(const std::string &from, const std::string &to) const
+{
+    const auto sender = this->nodes.find(from);
+    const auto receiver = this->nodes.find(to);
+    const auto cut = this->cuts.find({from, to});
+    return (sender != this->nodes.end() && this->now < sender->second.mutedUntil) || (receiver != this->nodes.end() && this->now < receiver->second.deafUntil)
+        || (cut != this->cuts.end() && this->now < cut->second);
+}
+
+void Simulation::check()
+{
+    std::map<std::string, std::uint64_t> leases;
+    for (const auto &[vm, node] : this->nodes) {
+        if (node.core != nullptr && node.core->holdsLease(this->localTime(node))) {
+            leases[vm] = node.core->hardState().term;
+        }
+    }
+    this->judge.leasesHeld(leases);
+    this->repairIfDue();
+}
+
+void Simulation::repairIfDue()
+{
+    if (!this->killAfterRepair) {
+        return;
+    }
+    const bool allCount = std::all_of(
+        this->nodes.begin(), this->nodes.end(), [](const auto &item) { return item.second.core != nullptr && item.second.core->standing() == Standing::Full; });
+    if (Node *leaderNode = this->leading(); allCount && leaderNode != nullptr) {
+        this->killAfterRepair = false;
+        if (leaderNode->member.hasDisk || this->mayLoseMemory(*leaderNode)) {
+            this->crash(*leaderNode, milliseconds(1500));
+        }
+    }
+}
+
+void Simulation::recover(milliseconds limit)
+{
+    this->cuts.clear();
+    this->lossyUntil = milliseconds(0);
+    this->killAfterRepair = false;
+    for (Node *node : this->all()) {
+        node->pausedUntil = node->mutedUntil = node->deafUntil = milliseconds(0);
+        node->downUntil = std::min(node->downUntil, this->now);
+        node->crashBeforeSync = false;
+    }
+    const milliseconds end = this->now + limit;
+    while (this->now < end && !this->violated() && !this->settled()) {
+        this->runFor(milliseconds(50));
+    }
+    if (!this->violated() && !this->settled()) {
+        this->judge.violated("recovery: the group does not decide with all members, or not all of them count, " + std::to_string(limit.count())
+                             + " ms after the last fault");
+    }
+}
+
+bool Simulation::settled() const
+{
+    const std::string vm = this->leader();
+    if (vm.empty()) {
+        return false;
+    }
+    const Core &leaderCore = this->core(vm);
+    if (leaderCore.commitIndex() + 20 < leaderCore.log().lastIndex() || leaderCore.commitIndex() == leaderCore.termStart()) {
+        return false;
+    }
+    for (const Member &member : leaderCore.membership().all()) {
+        const auto found = this->nodes.find(member.vm);
+        const bool counts = found != this->nodes.end() && found->second.core != nullptr && found->second.core->standing() == Standing::Full;
+        if (!counts || found->second.applied + 200 < leaderCore.commitIndex()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string Simulation::leader() const
+{
+    for (const auto &[vm, node] : this->nodes) {
+        if (node.core != nullptr && node.core->holdsLease(this->localTime(node))) {
+            return vm;
+        }
+    }
+    return "";
+}
+
+const Core &Simulation::core(const std::string &vm) const
+{
+    return *this->nodes.at(vm).core;
+}
+
+std::uint64_t Simulation::highestTerm() const
+{
+    std::uint64_t highest = 0;
+    for (const auto &[vm, node] : this->nodes) {
+        highest = std::max(highest, node.core == nullptr ? 0 : node.core->hardState().term);
+    }
+    return highest;
+}
+
+std::string Simulation::describe() const
+{
+    std::string text;
+    for (const auto &[vm, node] : this->nodes) {
+        text += vm + ": ";
+        if (node.core == nullptr) {
+            text += "down\n";
+            continue;
+        }
+        const Core &core = *node.core;
+        text += fmt::format("role {}, standing {}, term {}, last ({}, {}), commit {}, members",
+                            static_cast<int>(core.role()),
+                            static_cast<int>(core.standing()),
+                            core.hardState().term,
+                            core.log().last().term,
+                            core.log().last().index,
+                            core.commitIndex());
+        for (const Member &member : core.membership().all()) {
+            text += " " + member.vm;
+        }
+        text += "; " + core.reason(this->localTime(node)) + "\n";
+    }
+    return text;
+}
+
+std::vector<Simulation::Node *> Simulation::all()
+{
+    std::vector<Node *> list;
+    for (auto &[vm, node] : this->nodes) {
+        list.push_back(&node);
+    }
+    return list;
+}
+
+Simulation::Node &Simulation::pick(std::uint32_t number)
+{
+    const std::vector<Node *> list = this->all();
+    return *list[number % list.size()];
+}
+
+Simulation::Node *Simulation::leading()
+{
+    const std::string vm = this->leader();
+    return vm.empty() ? nullptr : &this->nodes.at(vm);
+}
+
+} // namespace cranberryreel::replication
--- /dev/null
+++ b/tests/replication/SimulationLayouts.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Simulation.h"
+
+#include <string>
+#include <vector>
+
+namespace cranberryreel::replication
+{
+
+/// A kind of group that the proofs run over.
+struct Layout {
+    std::string name;
+    Simulation::Options options;
+};
+
+/// Two members without a disk and a witness with one.
+inline Layout zoneOfTwo()
+{
+    Layout layout{"a zone of two with a witness", {}};
+    layout.options.members = {{"a1", false, false}, {"a2", false, false}, {"w1", true, true}};
+    return layout;
+}
+
+inline Layout zoneOfThree()
+{
+    Layout layout{"a zone of three without disks", {}};
+    layout.options.members = {{"a1", false, false}, {"a2", false, false}, {"a3", false, false}};
+    return layout;
+}
+
+inline Layout threeDisks()
+{
+    Layout layout{"three disks and a spare", {}};
+    layout.options.members = {{"c1", true, false}, {"c2", true, false}, {"c3", true, false}};
+    layout.options.spare = Member{"c4", true, false};
+    return layout;
+}
+
+inline Layout fiveMixed()
+{
+    Layout layout{"five, two with disks", {}};
+    layout.options.members = {{"b1", true, false}, {"b2", false, false}, {"b3", true, false}, {"b4", false, false}, {"b5", false, false}};
+    layout.options.spare = Member{"b6", false, false};
+    return layout;
+}
+
+inline std::vector<Layout> allLayouts()
+{
+    return {zoneOfTwo(), zoneOfThree(), threeDisks(), fiveMixed()};
+}
+
+} // namespace cranberryreel::replication
