Catch wrong decisions of the core by mutation, and lead at once after an election

Cause: the proofs must show that they notice faults. They found: a new leader told its barrier only with the first heartbeat, 150 ms late; a member that a pending change removes could not lead although only it held the change, so the group stood still. Ruled out: counting the mutations alone that a second rule makes harmless (voting twice, since a term has one candidate; counting blank members, since they do not vote): those two are mutated together with the second rule.

--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -82,7 +82,7 @@
 {
     CoreOutput taken = std::exchange(this->output, CoreOutput());
     const bool keepsEntries = taken.snapshot || !taken.entries.empty();
-    taken.mustSync = (taken.hardState && this->safety.syncsVotes()) || (keepsEntries && this->safety.syncsEntries());
+    taken.mustSync = taken.hardState || (keepsEntries && this->safety.syncsEntries());
     return taken;
 }
 
--- a/src/replication/Core.h
+++ b/src/replication/Core.h
@@ -155,6 +155,7 @@
     // CoreElection.cpp
     void tickElection(base::SteadyTime now);
     void resetElectionDeadline(base::SteadyTime now);
+    bool isMember() const;
     bool mayTrustDisk(base::SteadyTime now) const;
     bool isAdvancedEnough(LogPosition candidate, base::SteadyTime now) const;
     bool hasGoneBack(const std::string &vm, LogPosition position) const;
@@ -169,8 +170,6 @@
 
     // CoreLeader.cpp
     void becomeLeader(EntryKind opening, std::string data, base::SteadyTime now);
-    void stepDown(base::SteadyTime now);
-    void tickLeader(base::SteadyTime now);
     void sendEntries(const std::string &vm, bool heartbeat, base::SteadyTime now);
     void sendAppend(const std::string &vm, MemberProgress &progress, std::vector<Entry> batch, base::SteadyTime now);
     void sendChunk(const std::string &vm, MemberProgress &progress, base::SteadyTime now);
@@ -180,9 +179,13 @@
     bool noteAnswer(MemberProgress &progress, const Message &message);
     void admitIfCaughtUp(const std::string &vm, MemberProgress &progress);
     bool counts(const Member &member) const;
-    bool answers(const Member &member, base::SteadyTime now) const;
     void updateCommit();
+
+    // CoreLeadership.cpp
+    void tickLeader(base::SteadyTime now);
+    void stepDown(base::SteadyTime now);
     void updateLease(base::SteadyTime now);
+    bool answers(const Member &member, base::SteadyTime now) const;
     void continueHandover(base::SteadyTime now);
 
     // CoreFollower.cpp
--- a/src/replication/CoreElection.cpp
+++ b/src/replication/CoreElection.cpp
@@ -5,14 +5,6 @@
 namespace cranberryreel::replication
 {
 
-namespace
-{
-
-/// Terms of different members differ modulo this, so that a term names its leader.
-constexpr std::uint64_t TermStride = 16;
-
-} // namespace
-
 void Core::resetElectionDeadline(base::SteadyTime now)
 {
     const GroupTimings &timings = this->options.timings;
@@ -23,6 +15,12 @@
     }
 }
 
+bool Core::isMember() const
+{
+    const std::vector<const Membership *> active = this->activeMemberships();
+    return std::any_of(active.begin(), active.end(), [this](const Membership *members) { return members->find(this->options.ownVm) != nullptr; });
+}
+
 bool Core::mayTrustDisk(base::SteadyTime now) const
 {
     const GroupTimings &timings = this->options.timings;
@@ -39,9 +37,10 @@
 
 std::uint64_t Core::nextTerm(std::uint64_t above) const
 {
-    const std::uint64_t ordinal = this->membership().ordinal(this->options.ownVm) % TermStride;
-    const std::uint64_t term = above / TermStride * TermStride + ordinal;
-    return term > above ? term : term + TermStride;
+    const std::uint64_t stride = this->safety.termStride();
+    const std::uint64_t ordinal = this->membership().ordinal(this->options.ownVm) % stride;
+    const std::uint64_t term = above / stride * stride + ordinal;
+    return term > above ? term : term + stride;
 }
 
 void Core::tickElection(base::SteadyTime now)
@@ -57,7 +56,7 @@
     }
     this->resetElectionDeadline(now);
     this->leader.clear();
-    const bool mayLead = this->safety.mayVote(this->ownStanding) && this->membership().find(this->options.ownVm) != nullptr;
+    const bool mayLead = this->safety.mayVote(this->ownStanding) && this->isMember();
     if (!mayLead || !this->isAdvancedEnough(this->entries.last(), now)) {
         this->currentRole = Role::Follower;
     } else if (this->safety.asksBeforeCampaign()) {
--- a/src/replication/CoreFollower.cpp
+++ b/src/replication/CoreFollower.cpp
@@ -58,8 +58,8 @@
     }
     this->appendReceived(message);
     reply.granted = true;
-    reply.index = matched;
-    if (const std::uint64_t commitable = std::min(message.commit, matched); commitable > this->commit) {
+    reply.index = std::min(matched, this->entries.lastIndex());
+    if (const std::uint64_t commitable = std::min(message.commit, reply.index); commitable > this->commit) {
         this->advanceCommit(commitable);
     }
     this->sendAfterSync(std::move(reply));
--- a/src/replication/CoreLeader.cpp
+++ b/src/replication/CoreLeader.cpp
@@ -1,9 +1,9 @@
 #include "replication/Core.h"
 
 #include "replication/Codec.h"
+#include "replication/SteadyNanoseconds.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace cranberryreel::replication
@@ -15,16 +15,6 @@
 /// A member this close to the end of the log is caught up enough to be admitted.
 constexpr std::uint64_t AdmissionGapEntries = 64;
 
-std::int64_t nanoseconds(base::SteadyTime time)
-{
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count();
-}
-
-base::SteadyTime fromNanoseconds(std::int64_t count)
-{
-    return base::SteadyTime(std::chrono::duration_cast<base::SteadyTime::duration>(std::chrono::nanoseconds(count)));
-}
-
 } // namespace
 
 void Core::becomeLeader(EntryKind opening, std::string data, base::SteadyTime now)
@@ -39,36 +29,12 @@
     this->leaseUntil = now;
     this->appendOwn(opening, std::move(data));
     this->termStartIndex = this->entries.lastIndex();
-    this->flush(now);
-    this->nextHeartbeat = now + this->options.timings.heartbeat;
-}
-
-void Core::stepDown(base::SteadyTime now)
-{
-    this->becomeFollower(this->hard.term, "", now);
-}
-
-void Core::tickLeader(base::SteadyTime now)
-{
-    this->updateLease(now);
-    if (now > this->majorityHeardAt + this->options.timings.electionMax && this->safety.stepsDownWithoutMajority()) {
-        this->stepDown(now);
-        return;
-    }
-    const Member *own = this->membership().find(this->options.ownVm);
-    if (own != nullptr && own->witness && !this->handingOver && this->commit >= this->termStartIndex && this->safety.witnessOnlyHandsOver()) {
-        this->handOver(now);
-    }
-    if (this->handingOver) {
-        this->continueHandover(now);
-    }
-    if (this->currentRole != Role::Leader || now < this->nextHeartbeat) {
-        return;
-    }
-    this->nextHeartbeat = now + this->options.timings.heartbeat;
     for (const std::string &vm : this->otherMembers()) {
-        this->sendEntries(vm, true, now);
+        MemberProgress &progress = this->progresses[vm];
+        progress.next = this->termStartIndex;
+        this->sendAppend(vm, progress, {this->entries.at(this->termStartIndex)}, now);
     }
+    this->nextHeartbeat = now + this->options.timings.heartbeat;
 }
 
 std::optional<std::uint64_t> Core::propose(std::string command)
@@ -92,29 +58,9 @@
     }
 }
 
-base::ResultCode Core::changeMembers(const Membership &members, std::uint64_t &index, base::SteadyTime now)
-{
-    if (!this->leadsEstablished()) {
-        return base::ResultCode::NotLeader;
-    }
-    const auto &all = members.all();
-    const auto answering = std::count_if(all.begin(), all.end(), [this, now](const Member &member) { return this->answers(member, now); });
-    if (!this->proposedMemberships.empty() || static_cast<std::size_t>(answering) < members.majority()) {
-        return base::ResultCode::GroupUnavailable;
-    }
-    GroupRecord record;
-    record.members = members;
-    this->appendOwn(EntryKind::Members, Codec::encode(record));
-    index = this->entries.lastIndex();
-    return base::ResultCode::Ok;
-}
-
 void Core::sendEntries(const std::string &vm, bool heartbeat, base::SteadyTime now)
 {
     MemberProgress &progress = this->progresses[vm];
-    if (progress.boot == 0 && progress.next == 1 && progress.match == 0 && progress.probing) {
-        progress.next = std::max(progress.next, this->termStartIndex);
-    }
     const bool compacted = !this->entries.termAt(progress.next - 1).has_value();
     if ((compacted || progress.snapshot) && this->latestSnapshot) {
         this->sendChunk(vm, progress, now);
@@ -144,7 +90,7 @@
 void Core::sendAppend(const std::string &vm, MemberProgress &progress, std::vector<Entry> batch, base::SteadyTime now)
 {
     Message message = this->messageTo(vm, MessageKind::Append);
-    message.sequence = nanoseconds(now);
+    message.sequence = toNanoseconds(now);
     message.index = std::min(progress.next - 1, this->entries.lastIndex());
     if (const auto term = this->entries.termAt(message.index); term) {
         message.logTerm = *term;
@@ -184,7 +130,7 @@
         progress.snapshotOffset = 0;
     }
     Message message = this->messageTo(vm, MessageKind::SnapshotChunk);
-    message.sequence = nanoseconds(now);
+    message.sequence = toNanoseconds(now);
     message.index = progress.snapshotIndex;
     message.logTerm = progress.snapshotTerm;
     message.offset = progress.snapshotOffset;
@@ -203,9 +149,7 @@
         }
         if (progress.boot != 0) {
             earlier.push_back(progress.boot);
-            if (this->safety.forgetsAcknowledgementsOnRestart()) {
-                progress.match = 0;
-            }
+            progress.match = 0;
             progress.snapshot = nullptr;
             progress.probing = true;
             progress.admissionIndex = 0;
@@ -316,14 +260,6 @@
     return former != this->formationBoots.end() && former->second == boot;
 }
 
-bool Core::answers(const Member &member, base::SteadyTime now) const
-{
-    if (!this->counts(member)) {
-        return false;
-    }
-    return member.vm == this->options.ownVm || now < fromNanoseconds(this->progresses.at(member.vm).answered) + this->options.timings.electionMin;
-}
-
 void Core::updateCommit()
 {
     const std::int64_t reached = this->majorityValue([this](const Member &member) -> std::int64_t {
@@ -343,105 +279,4 @@
     }
 }
 
-void Core::updateLease(base::SteadyTime now)
-{
-    const std::int64_t heard = this->majorityValue([this, now](const Member &member) -> std::int64_t {
-        if (!this->counts(member)) {
-            return 0;
-        }
-        return member.vm == this->options.ownVm ? nanoseconds(now) : this->progresses.at(member.vm).answered;
-    });
-    if (heard > 0) {
-        const base::SteadyTime heardAt = std::min(fromNanoseconds(heard), now);
-        this->majorityHeardAt = std::max(this->majorityHeardAt, heardAt);
-        this->leaseUntil = std::max(this->leaseUntil, heardAt + this->safety.lease(this->options.timings));
-    }
-}
-
-bool Core::holdsLease(base::SteadyTime now) const
-{
-    return this->leadsEstablished() && !this->handingOver && now < this->leaseUntil;
-}
-
-base::SteadyTime Core::leaseEnd() const
-{
-    return this->leadsEstablished() && !this->handingOver ? this->leaseUntil : base::SteadyTime();
-}
-
-bool Core::leadsEstablished() const
-{
-    const Member *own = this->membership().find(this->options.ownVm);
-    const bool idleWitness = own != nullptr && own->witness && this->safety.witnessOnlyHandsOver();
-    return this->currentRole == Role::Leader && this->commit >= this->termStartIndex && !idleWitness;
-}
-
-bool Core::diskReachable(base::SteadyTime now) const
-{
-    const auto &members = this->membership().all();
-    return std::any_of(members.begin(), members.end(), [this, now](const Member &member) { return member.hasDisk && this->answers(member, now); });
-}
-
-std::uint64_t Core::syncedIndex() const
-{
-    if (!this->safety.waitsForSyncedDisk()) {
-        return std::numeric_limits<std::uint64_t>::max();
-    }
-    std::uint64_t index = 0;
-    for (const Member &member : this->membership().all()) {
-        if (member.hasDisk && this->counts(member)) {
-            index = std::max(index, member.vm == this->options.ownVm ? this->syncedEntries : this->progresses.at(member.vm).match);
-        }
-    }
-    return index;
-}
-
-void Core::handOver(base::SteadyTime now)
-{
-    if (this->currentRole != Role::Leader || this->handingOver) {
-        return;
-    }
-    const auto recent = nanoseconds(now - this->options.timings.electionMin);
-    std::uint64_t best = 0;
-    this->handoverTo.clear();
-    for (const Member &member : this->membership().all()) {
-        const auto found = this->progresses.find(member.vm);
-        if (found == this->progresses.end() || member.witness || found->second.standing != Standing::Full || found->second.answered < recent) {
-            continue;
-        }
-        if (this->handoverTo.empty() || found->second.match > best) {
-            this->handoverTo = member.vm;
-            best = found->second.match;
-        }
-    }
-    if (this->handoverTo.empty()) {
-        return;
-    }
-    this->handingOver = true;
-    this->handoverDeadline = now + this->options.timings.electionMin;
-    this->continueHandover(now);
-}
-
-void Core::continueHandover(base::SteadyTime now)
-{
-    const auto found = this->progresses.find(this->handoverTo);
-    if (found != this->progresses.end() && found->second.match == this->entries.lastIndex()) {
-        this->send(this->messageTo(this->handoverTo, MessageKind::Handover));
-        this->stepDown(now);
-        return;
-    }
-    if (now >= this->handoverDeadline) {
-        this->handingOver = false;
-    }
-}
-
-void Core::raiseTerm(std::uint64_t atLeast, base::SteadyTime now)
-{
-    if (this->currentRole != Role::Leader || this->hard.term >= atLeast) {
-        return;
-    }
-    const std::uint64_t endedTerm = this->hard.term;
-    this->stepDown(now);
-    this->campaign(atLeast - 1, endedTerm, now);
-}
-
 } // namespace cranberryreel::replication
--- a/src/replication/CoreSafety.h
+++ b/src/replication/CoreSafety.h
@@ -26,6 +26,12 @@
         return state.votedFor.empty() || state.votedFor == candidate;
     }
 
+    /// Terms of different members differ modulo this, so that a term names its leader.
+    virtual std::uint64_t termStride() const
+    {
+        return 16;
+    }
+
     /// May a member with a log ending at `own` vote for a candidate whose log ends at `candidate`?
     virtual bool logIsAdvancedEnough(LogPosition candidate, LogPosition own) const
     {
@@ -62,12 +68,6 @@
         return true;
     }
 
-    /// Is a vote synced at all?
-    virtual bool syncsVotes() const
-    {
-        return true;
-    }
-
     /// Are received entries synced at all?
     virtual bool syncsEntries() const
     {
@@ -128,12 +128,6 @@
         return true;
     }
 
-    /// Does a leader forget what a member acknowledged before that member's restart?
-    virtual bool forgetsAcknowledgementsOnRestart() const
-    {
-        return true;
-    }
-
     /// Does the wait for a synced disk wait for one?
     virtual bool waitsForSyncedDisk() const
     {
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -142,12 +142,7 @@
     }
     this->leaseEnd = 0;
     this->pending.abandon();
-    for (const auto &[id, done] : std::exchange(this->reads, {})) {
-        done(base::ResultCode::GroupUnavailable);
-    }
-    for (const WaitingRead &read : std::exchange(this->waitingReads, {})) {
-        read.done(base::ResultCode::GroupUnavailable);
-    }
+    this->reads.abandon();
     if (this->announcedTerm != 0 && this->options.listener != nullptr) {
         this->options.listener->leadershipLost(std::exchange(this->announcedTerm, 0));
     }
@@ -197,9 +192,7 @@
     }
     this->core->flush(now);
     for (auto &done : work.reads) {
-        const std::uint64_t id = ++this->lastReadId;
-        this->reads.emplace(id, std::move(done));
-        this->core->read(id, now);
+        this->core->read(this->reads.add(std::move(done)), now);
     }
     if (work.stopBy) {
         this->stopBy = this->core->role() == Role::Leader ? *work.stopBy : now;
@@ -291,9 +284,9 @@
         this->apply(entry);
     }
     for (const ReadOutcome &outcome : output.reads) {
-        this->answerRead(outcome);
+        this->reads.answered(outcome, this->applied);
     }
-    this->answerAppliedReads();
+    this->reads.applied(this->applied);
 }
 
 void GroupRunner::restore(const Snapshot &snapshot)
@@ -313,30 +306,6 @@
     this->pending.applied(entry.index, entry.term, std::move(result), base::steadyNow() + this->options.core.timings.requestLimit);
 }
 
-void GroupRunner::answerRead(const ReadOutcome &outcome)
-{
-    auto node = this->reads.extract(outcome.id);
-    if (node.empty()) {
-        return;
-    }
-    if (outcome.code == base::ResultCode::Ok && outcome.index > this->applied) {
-        this->waitingReads.push_back(WaitingRead{outcome.index, std::move(node.mapped())});
-    } else {
-        node.mapped()(outcome.code);
-    }
-}
-
-void GroupRunner::answerAppliedReads()
-{
-    const auto due =
-        std::stable_partition(this->waitingReads.begin(), this->waitingReads.end(), [this](const WaitingRead &read) { return read.index > this->applied; });
-    std::vector<WaitingRead> answered(std::make_move_iterator(due), std::make_move_iterator(this->waitingReads.end()));
-    this->waitingReads.erase(due, this->waitingReads.end());
-    for (const WaitingRead &read : answered) {
-        read.done(base::ResultCode::Ok);
-    }
-}
-
 void GroupRunner::compactIfDue()
 {
     if (this->applied < this->snapshotIndex + this->options.snapshotEveryEntries) {
--- a/src/replication/GroupRunner.h
+++ b/src/replication/GroupRunner.h
@@ -6,13 +6,13 @@
 #include "replication/GroupInbox.h"
 #include "replication/GroupRunnerOptions.h"
 #include "replication/PendingProposals.h"
+#include "replication/PendingReads.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
 #include <atomic>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -39,11 +39,6 @@
     bool holdsLease(base::SteadyTime now) const override;
 
 private:
-    struct WaitingRead {
-        std::uint64_t index = 0;
-        std::function<void(base::ResultCode)> done;
-    };
-
     void run();
     GroupInbox waitForWork();
     void handleInbox(GroupInbox &inbox);
@@ -54,8 +49,6 @@
     void processOutput(CoreOutput &output);
     void restore(const Snapshot &snapshot);
     void apply(const Entry &entry);
-    void answerRead(const ReadOutcome &outcome);
-    void answerAppliedReads();
     void compactIfDue();
     void publishLease();
     void publishStatus();
@@ -70,9 +63,7 @@
     // Used by the group's thread only.
     std::unique_ptr<Core> core;
     PendingProposals pending;
-    std::map<std::uint64_t, std::function<void(base::ResultCode)>> reads; ///< By id, asked of the core.
-    std::vector<WaitingRead> waitingReads; ///< Answered by the core, not yet applied up to here.
-    std::uint64_t lastReadId = 0;
+    PendingReads reads;
     std::uint64_t applied = 0;
     std::uint64_t snapshotIndex = 0;
     std::uint64_t proposedTerm = 0; ///< The term in which pending proposals were made.
--- a/tests/replication/GroupOracle.h
+++ b/tests/replication/GroupOracle.h
@@ -14,6 +14,12 @@
 class GroupOracle
 {
 public:
+    /// With `disasters` a group may be formed anew without what no disk held; what was acknowledged as synced must survive even so.
+    explicit GroupOracle(bool disasters)
+        : disastersHappen(disasters)
+    {
+    }
+
     void committed(const std::string &vm, const Entry &entry);
     void applied(const std::string &vm, std::uint64_t index, std::uint64_t stateHash);
     void leads(const std::string &vm, std::uint64_t term, std::uint64_t commitIndex);
@@ -22,6 +28,9 @@
     void readAnswered(const std::string &vm, std::uint64_t index, std::uint64_t acknowledgedBefore);
     void violated(const std::string &rule);
 
+    /// The log that the group ended with must hold all that was acknowledged as synced.
+    void checkSynced();
+
     std::uint64_t highestAcknowledged() const
     {
         return this->highestAcknowledgedIndex;
@@ -39,6 +48,8 @@
     }
 
 private:
+    bool disastersHappen;
+    std::map<std::uint64_t, std::uint64_t> syncedTerms; ///< Of what was acknowledged as synced, by index.
     std::map<std::uint64_t, Entry> log; ///< The one committed log.
     std::map<std::uint64_t, std::uint64_t> stateHashes; ///< By index.
     std::map<std::uint64_t, std::string> leaders; ///< By term.
--- /dev/null
+++ b/tests/replication/Mutations.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "replication/CoreSafety.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// Each class takes one decision of CoreSafety wrongly.
+namespace cranberryreel::replication::mutations
+{
+
+/// Alone this would go unnoticed, since a term has one candidate only; so that rule goes, too.
+struct VotesTwiceInATerm : CoreSafety {
+    std::uint64_t termStride() const override
+    {
+        return 1;
+    }
+
+    bool voteIsFree(const HardState & /*state*/, const std::string & /*candidate*/) const override
+    {
+        return true;
+    }
+};
+
+struct VotesForShorterLogs : CoreSafety {
+    bool logIsAdvancedEnough(LogPosition /*candidate*/, LogPosition /*own*/) const override
+    {
+        return true;
+    }
+};
+
+struct LetsBlankMembersVote : CoreSafety {
+    bool mayVote(Standing /*standing*/) const override
+    {
+        return true;
+    }
+};
+
+/// Counting them alone would go unnoticed as long as they do not vote.
+struct TreatsBlankMembersAsFull : CoreSafety {
+    bool mayVote(Standing /*standing*/) const override
+    {
+        return true;
+    }
+
+    bool countsTowardCommit(Standing /*standing*/) const override
+    {
+        return true;
+    }
+};
+
+struct SkipsTheLogMatch : CoreSafety {
+    bool logContinues(std::optional<std::uint64_t> /*ownTerm*/, std::uint64_t /*leaderTerm*/) const override
+    {
+        return true;
+    }
+};
+
+struct AnswersBeforeSync : CoreSafety {
+    bool answersAfterSync() const override
+    {
+        return false;
+    }
+};
+
+struct SkipsTheSyncOfEntries : CoreSafety {
+    bool syncsEntries() const override
+    {
+        return false;
+    }
+};
+
+struct LeavesNoLeaseMargin : CoreSafety {
+    std::chrono::milliseconds lease(const GroupTimings &timings) const override
+    {
+        return timings.electionMin;
+    }
+};
+
+struct VotesWhileALeaderIsHeard : CoreSafety {
+    bool keepsLeaderWhileHeard() const override
+    {
+        return false;
+    }
+};
+
+struct CampaignsWithoutAsking : CoreSafety {
+    bool asksBeforeCampaign() const override
+    {
+        return false;
+    }
+};
+
+struct LeadsWithoutMajority : CoreSafety {
+    bool stepsDownWithoutMajority() const override
+    {
+        return false;
+    }
+};
+
+struct ForgetsTheSnapshotTerm : CoreSafety {
+    std::uint64_t snapshotTerm(std::uint64_t /*term*/) const override
+    {
+        return 0;
+    }
+};
+
+struct LetsTheWitnessLead : CoreSafety {
+    bool witnessOnlyHandsOver() const override
+    {
+        return false;
+    }
+};
+
+struct TrustsARolledBackDisk : CoreSafety {
+    bool distrustsRolledBackDisk() const override
+    {
+        return false;
+    }
+};
+
+struct FormsWithoutAllDisks : CoreSafety {
+    bool formationNeedsAllDisks() const override
+    {
+        return false;
+    }
+};
+
+struct FormsFromAnyLog : CoreSafety {
+    bool formationTakesMostAdvanced() const override
+    {
+        return false;
+    }
+};
+
+struct AcknowledgesWithoutADisk : CoreSafety {
+    bool waitsForSyncedDisk() const override
+    {
+        return false;
+    }
+};
+
+struct ChangesMembersByTheNewAlone : CoreSafety {
+    bool membershipNeedsOldMajority() const override
+    {
+        return false;
+    }
+};
+
+} // namespace cranberryreel::replication::mutations
--- /dev/null
+++ b/tests/replication/TestSeed.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+namespace cranberryreel::replication
+{
+
+/// The seed of every randomized test that does not get its own from RapidCheck.
+inline std::uint64_t testSeed()
+{
+    constexpr std::uint64_t Default = 20261204;
+    const char *given = std::getenv("CRANBERRYREEL_TEST_SEED");
+    return given == nullptr ? Default : std::stoull(given);
+}
+
+} // namespace cranberryreel::replication
