Prove the zone scheduler under lost answers, restarts and takeovers; acknowledge attempts, not tasks

An acknowledgement named the task only, so that of a lost first attempt made a restarted upstream forget the second one's result (it then ran a third time); and an attempt given as unknown was acknowledged before its upstream had told how it ended. Ruled out: the planner (it placed each attempt once), the store's rules. Conclusion: acknowledgements carry the attempt, and only ends that were seen are acknowledged. One test's trouble is now lost start answers alone, as strict, since losing renewals too let the upstream be suspected before the start.

--- /dev/null
+++ b/include/cranberryreel/model/TaskAttempt.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace cranberryreel::model
+{
+
+/// Names one attempt at one task.
+struct TaskAttempt {
+    std::string taskId; ///< "<job id>.<task index>".
+    std::uint32_t attempt = 0;
+};
+
+} // namespace cranberryreel::model
--- a/src/upstream/HttpUpstreamAdapter.cpp
+++ b/src/upstream/HttpUpstreamAdapter.cpp
@@ -163,7 +163,11 @@
 
 void HttpUpstreamAdapter::renew(const std::string &address, const RenewOrder &order, std::chrono::milliseconds limit, RenewDone done)
 {
-    const nlohmann::json body = {{"epoch", order.epoch}, {"lease_ms", order.lease.count()}, {"acknowledged", order.acknowledged}};
+    nlohmann::json acknowledged = nlohmann::json::array();
+    for (const model::TaskAttempt &ended : order.acknowledged) {
+        acknowledged.push_back({{"task_id", ended.taskId}, {"attempt", ended.attempt}});
+    }
+    const nlohmann::json body = {{"epoch", order.epoch}, {"lease_ms", order.lease.count()}, {"acknowledged", std::move(acknowledged)}};
     this->client.call(post(address, "/v1/renew", body, limit),
                       [address, done = std::move(done)](const http::ClientResponse &response) { done(renewAnswerOf(address, response)); });
 }
--- a/src/upstream/UpstreamAdapter.h
+++ b/src/upstream/UpstreamAdapter.h
@@ -4,6 +4,7 @@
 #include "cranberryreel/model/JobKind.h"
 #include "cranberryreel/model/JobState.h"
 #include "cranberryreel/model/Resources.h"
+#include "cranberryreel/model/TaskAttempt.h"
 #include "cranberryreel/model/UpstreamReport.h"
 
 #include <chrono>
@@ -42,7 +43,7 @@
 struct RenewOrder {
     std::uint64_t epoch = 0;
     std::chrono::milliseconds lease{0};
-    std::vector<std::string> acknowledged; ///< Ended tasks whose end is kept here; the upstream may forget them.
+    std::vector<model::TaskAttempt> acknowledged; ///< Ended attempts whose end is kept here; the upstream may forget them.
 };
 
 /// The answer to a renewal; on Ok the upstream has seen the epoch, so that lower ones are fenced out, and `report` lists all it runs.
--- a/src/zone/ActiveJob.h
+++ b/src/zone/ActiveJob.h
@@ -37,6 +37,7 @@
     model::Resources reserved;
     base::SteadyTime confirmedAt; ///< When the upstream first said that it runs.
     bool preempting = false;
+    bool endUnseen = false; ///< The attempt is over, but its upstream has not said how; what it may still say is not to be forgotten there.
     observe::Span span; ///< From placement to end.
 };
 
--- a/src/zone/LeaderTerm.cpp
+++ b/src/zone/LeaderTerm.cpp
@@ -258,7 +258,7 @@
     }
     // An earlier attempt, whose end this scheduler knows or has proved.
     if (model::isFinal(task.state)) {
-        this->fleet.acknowledge(report.id, task.taskId);
+        this->fleet.acknowledge(report.id, {task.taskId, task.attempt});
     } else {
         this->commander.stopStray(report.id, task.taskId, task.attempt);
     }
@@ -277,7 +277,7 @@
     if (open) {
         this->resolveUnknown(*record, *name, report, task);
     } else if (model::isFinal(task.state)) {
-        this->fleet.acknowledge(report.id, task.taskId);
+        this->fleet.acknowledge(report.id, {task.taskId, task.attempt});
     } else {
         this->commander.stopStray(report.id, task.taskId, task.attempt);
     }
@@ -297,11 +297,12 @@
     change.state = task.state;
     change.code = task.state == model::JobState::Done ? base::ResultCode::Ok : base::ResultCode::TaskFailed;
     change.answer = task.answer;
-    this->changes.add(change, record.spec.repeatable, [this, upstream = report.id, taskId = task.taskId](base::ResultCode code) {
-        if (code == base::ResultCode::Ok) {
-            this->fleet.acknowledge(upstream, taskId);
-        }
-    });
+    this->changes.add(
+        change, record.spec.repeatable, [this, upstream = report.id, ended = model::TaskAttempt{task.taskId, task.attempt}](base::ResultCode code) {
+            if (code == base::ResultCode::Ok) {
+                this->fleet.acknowledge(upstream, ended);
+            }
+        });
 }
 
 /// A request that an earlier scheduler started: held until its caller submits it again, so that it neither runs twice nor loses its answer.
--- a/src/zone/Submissions.cpp
+++ b/src/zone/Submissions.cpp
@@ -163,7 +163,7 @@
         reply(refusal(call.spec, base::ResultCode::QueueFull, "the zone keeps as many jobs as it may"));
         return;
     }
-    if (const policy::Decision decision = this->parts.planner.enqueue(call.spec, now); decision.kind == policy::DecisionKind::Refuse) {
+    if (const policy::Decision decision = this->parts.planner.enqueue(call.spec, now); decision.code != base::ResultCode::Ok) {
         reply(refusal(call.spec, decision.code, decision.reason));
         return;
     }
--- a/src/zone/TaskEnder.cpp
+++ b/src/zone/TaskEnder.cpp
@@ -38,6 +38,12 @@
 
 } // namespace
 
+EndReceipt TaskEnder::receiptOf(const ActiveJob &job, std::uint32_t index)
+{
+    const ActiveTask &task = job.tasks[index];
+    return {task.upstream, {TaskName{job.spec.id, index}.text(), task.attempt}, !task.endUnseen};
+}
+
 TaskEnder::TaskEnder(TermParts &termParts, TaskCommander &taskCommander)
     : parts(termParts)
     , commander(taskCommander)
@@ -47,12 +53,11 @@
 void TaskEnder::reported(ActiveJob &job, std::uint32_t index, const model::TaskReport &report, base::SteadyTime now)
 {
     ActiveTask &task = job.tasks[index];
-    const std::string taskId = TaskName{job.spec.id, index}.text();
     if (!isUp(task.stage) || report.attempt != task.attempt) {
         return;
     }
     if (report.state == model::JobState::NotRun) {
-        this->parts.fleet.acknowledge(task.upstream, taskId);
+        this->acknowledge(receiptOf(job, index));
         this->notStarted(job, index);
         return;
     }
@@ -104,7 +109,7 @@
         // Replicated: the store ends a waiting task of a cancelled job by itself.
         this->parts.planner.ended(job.spec.id, index, end, false, now);
         task.stage = TaskStage::Ended;
-        this->endKept(job.spec.id, {}, {});
+        this->endKept(job.spec.id);
         return;
     }
     task.stage = TaskStage::Waiting;
@@ -118,6 +123,7 @@
     if (!isUp(task.stage)) {
         return;
     }
+    task.endUnseen = true;
     Logger.warn("Task {}.{} was lost with upstream {}.", job.spec.id, index, task.upstream);
     if (!job.spec.repeatable) {
         this->endAttempt(job, index, model::JobState::Unknown, base::ResultCode::OutcomeUnknown, {}, now);
@@ -176,17 +182,10 @@
 void TaskEnder::runAgain(ActiveJob &job, std::uint32_t index, policy::TaskEnd end)
 {
     ActiveTask &task = job.tasks[index];
-    const std::string taskId = TaskName{job.spec.id, index}.text();
     if (job.replicated) {
-        TaskChange change = changeOf(job, index, TaskChangeKind::Requeue);
-        change.mayHaveRun = true;
-        this->parts.changes.add(change, job.spec.repeatable, [this, upstream = task.upstream, taskId](base::ResultCode code) {
-            if (code == base::ResultCode::Ok) {
-                this->parts.fleet.acknowledge(upstream, taskId);
-            }
-        });
+        this->requeue(job, index);
     } else {
-        this->parts.fleet.acknowledge(task.upstream, taskId);
+        this->acknowledge(receiptOf(job, index));
     }
     task.failures += 1;
     task.stage = TaskStage::Held;
@@ -200,6 +199,24 @@
     });
 }
 
+void TaskEnder::requeue(ActiveJob &job, std::uint32_t index)
+{
+    TaskChange change = changeOf(job, index, TaskChangeKind::Requeue);
+    change.mayHaveRun = true;
+    this->parts.changes.add(change, job.spec.repeatable, [this, receipt = receiptOf(job, index)](base::ResultCode code) {
+        if (code == base::ResultCode::Ok) {
+            this->acknowledge(receipt);
+        }
+    });
+}
+
+void TaskEnder::acknowledge(const EndReceipt &receipt)
+{
+    if (receipt.seen) {
+        this->parts.fleet.acknowledge(receipt.upstream, receipt.ended);
+    }
+}
+
 void TaskEnder::failGang(ActiveJob &job, std::uint32_t index)
 {
     Logger.info("Gang {} lost task {}; all its tasks start again.", job.spec.id, index);
@@ -212,11 +229,7 @@
 void TaskEnder::restartGang(ActiveJob &job, std::uint32_t index)
 {
     ActiveTask &ended = job.tasks[index];
-    const std::string taskId = TaskName{job.spec.id, index}.text();
-    TaskChange change = changeOf(job, index, TaskChangeKind::Requeue);
-    change.mayHaveRun = true;
-    this->parts.changes.add(
-        change, job.spec.repeatable, [this, upstream = ended.upstream, taskId](base::ResultCode) { this->parts.fleet.acknowledge(upstream, taskId); });
+    this->requeue(job, index);
     ended.failures += 1;
     ended.stage = TaskStage::Held;
     const auto busy = [](const ActiveTask &task) { return isUp(task.stage) || task.stage == TaskStage::Assigning; };
@@ -235,7 +248,7 @@
 void TaskEnder::settleEnd(ActiveJob &job, std::uint32_t index, model::JobState state, base::ResultCode code, const std::string &answer, base::SteadyTime now)
 {
     ActiveTask &task = job.tasks[index];
-    const std::string taskId = TaskName{job.spec.id, index}.text();
+    const EndReceipt receipt = receiptOf(job, index);
     const bool planned = task.stage != TaskStage::Ended;
     task.stage = TaskStage::Ended;
     if (planned) {
@@ -243,7 +256,7 @@
         this->parts.wantPump();
     }
     if (!job.replicated) {
-        this->parts.fleet.acknowledge(task.upstream, taskId);
+        this->acknowledge(receipt);
         job.state = state;
         job.code = code;
         job.answer = answer;
@@ -256,13 +269,17 @@
     if (answer.size() <= MaxKeptAnswerBytes) {
         change.answer = answer;
     }
-    this->parts.changes.add(change, job.spec.repeatable, [this, id = job.spec.id, upstream = task.upstream, taskId, change](base::ResultCode kept) {
+    this->parts.changes.add(change, job.spec.repeatable, [this, id = job.spec.id, receipt, change](base::ResultCode kept) {
         if (kept == base::ResultCode::NoDurableStore) {
             // The end is a fact already; a majority's memory is the best there is until a disk is back.
-            this->parts.changes.add(change, true, [this, id, upstream, taskId](base::ResultCode) { this->endKept(id, upstream, taskId); });
+            this->parts.changes.add(change, true, [this, id, receipt](base::ResultCode) {
+                this->acknowledge(receipt);
+                this->endKept(id);
+            });
             return;
         }
-        this->endKept(id, upstream, taskId);
+        this->acknowledge(receipt);
+        this->endKept(id);
     });
     if (job.spec.kind == model::JobKind::Gang && state != model::JobState::Done) {
         this->commander.stopAll(job);
@@ -273,13 +290,13 @@
 {
     this->endWaiting(job);
     this->stopAll(job);
-    this->endKept(job.spec.id, {}, {});
+    this->endKept(job.spec.id);
 }
 
 void TaskEnder::refused(ActiveJob &job)
 {
     this->endWaiting(job);
-    this->endKept(job.spec.id, {}, {});
+    this->endKept(job.spec.id);
 }
 
 void TaskEnder::endWaiting(ActiveJob &job)
@@ -300,11 +317,8 @@
     this->commander.stopAll(job);
 }
 
-void TaskEnder::endKept(const model::JobId &id, const std::string &upstream, const std::string &taskId)
+void TaskEnder::endKept(const model::JobId &id)
 {
-    if (!taskId.empty()) {
-        this->parts.fleet.acknowledge(upstream, taskId);
-    }
     ActiveJob *job = this->parts.jobs.find(id);
     if (job == nullptr) {
         return;
@@ -318,7 +332,7 @@
         return;
     }
     // The store has yet to apply the last step.
-    this->parts.context.guardAfter(StoreLookAgainAfter, [this, id] { this->endKept(id, {}, {}); });
+    this->parts.context.guardAfter(StoreLookAgainAfter, [this, id] { this->endKept(id); });
 }
 
 } // namespace cranberryreel::zone
--- a/src/zone/TaskEnder.h
+++ b/src/zone/TaskEnder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cranberryreel/base/Clock.h"
+#include "cranberryreel/model/TaskAttempt.h"
 #include "cranberryreel/model/UpstreamReport.h"
 #include "policy/Planner.h"
 #include "zone/ActiveJob.h"
@@ -14,6 +15,13 @@
 namespace cranberryreel::zone
 {
 
+/// Where an ended attempt is to be acknowledged, if its upstream has told of the end.
+struct EndReceipt {
+    std::string upstream;
+    model::TaskAttempt ended;
+    bool seen = false;
+};
+
 /// Brings attempts to their end: takes in what upstreams report, decides whether the task runs again, and says of each attempt only what is proved. Owned by
 /// LeaderTerm; one thread.
 class TaskEnder
@@ -41,9 +49,12 @@
     void stopAll(const ActiveJob &job);
 
     /// Finishes the job here once the store has it final.
-    void endKept(const model::JobId &id, const std::string &upstream, const std::string &taskId);
+    void endKept(const model::JobId &id);
 
 private:
+    static EndReceipt receiptOf(const ActiveJob &job, std::uint32_t index);
+    void acknowledge(const EndReceipt &receipt);
+    void requeue(ActiveJob &job, std::uint32_t index);
     void endWaiting(ActiveJob &job);
     void endAttempt(ActiveJob &job, std::uint32_t index, model::JobState state, base::ResultCode code, const std::string &answer, base::SteadyTime now);
     void runAgain(ActiveJob &job, std::uint32_t index, policy::TaskEnd end);
--- a/src/zone/TaskStarter.cpp
+++ b/src/zone/TaskStarter.cpp
@@ -44,6 +44,7 @@
     task.boot = upstream != nullptr ? upstream->record.boot : std::string();
     task.reserved = decision.reserved;
     task.preempting = false;
+    task.endUnseen = false;
     this->parts.placed.note(task.upstream, {job->spec.id, decision.task});
     placements.add();
     waits.record(now - job->acceptedAt);
--- a/src/zone/UpstreamEntry.h
+++ b/src/zone/UpstreamEntry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cranberryreel/base/Clock.h"
+#include "cranberryreel/model/TaskAttempt.h"
 #include "zone/UpstreamRecord.h"
 
 #include <cstdint>
@@ -28,7 +29,7 @@
     base::SteadyTime lastContact; ///< When the last answered renewal was sent.
     base::SteadyTime leaseSentAt; ///< When a call that may have extended its lease was last sent.
     base::SteadyTime nextRenew;
-    std::vector<std::string> acknowledge; ///< Ended tasks whose end is kept.
+    std::vector<model::TaskAttempt> acknowledge; ///< Ended attempts whose end is kept.
 };
 
 } // namespace cranberryreel::zone
--- a/src/zone/UpstreamFleet.cpp
+++ b/src/zone/UpstreamFleet.cpp
@@ -159,7 +159,7 @@
 }
 
 void UpstreamFleet::renewed(
-    const std::string &id, const upstream::RenewAnswer &answer, bool leased, base::SteadyTime sentAt, std::vector<std::string> acknowledged)
+    const std::string &id, const upstream::RenewAnswer &answer, bool leased, base::SteadyTime sentAt, std::vector<model::TaskAttempt> acknowledged)
 {
     const auto place = this->entries.find(id);
     if (place == this->entries.end()) {
@@ -236,10 +236,10 @@
     }
 }
 
-void UpstreamFleet::acknowledge(const std::string &id, const std::string &taskId)
+void UpstreamFleet::acknowledge(const std::string &id, model::TaskAttempt ended)
 {
     if (const auto place = this->entries.find(id); place != this->entries.end()) {
-        place->second.acknowledge.push_back(taskId);
+        place->second.acknowledge.push_back(std::move(ended));
     }
 }
 
--- a/src/zone/UpstreamFleet.h
+++ b/src/zone/UpstreamFleet.h
@@ -38,8 +38,8 @@
     /// A start that carries a lease goes out now.
     void leaseSent(const std::string &id, base::SteadyTime now);
 
-    /// The end of this task is kept; the upstream may forget it.
-    void acknowledge(const std::string &id, const std::string &taskId);
+    /// The end of this attempt is kept; the upstream may forget it.
+    void acknowledge(const std::string &id, model::TaskAttempt ended);
 
     const UpstreamEntry *find(const std::string &id) const;
     std::vector<const UpstreamEntry *> all() const;
@@ -54,7 +54,8 @@
     void record(const model::UpstreamReport &report, base::SteadyTime now);
     void recorded(const UpstreamRecord &record, bool leaving, base::SteadyTime now);
     void renew(UpstreamEntry &entry, base::SteadyTime now);
-    void renewed(const std::string &id, const upstream::RenewAnswer &answer, bool leased, base::SteadyTime sentAt, std::vector<std::string> acknowledged);
+    void
+    renewed(const std::string &id, const upstream::RenewAnswer &answer, bool leased, base::SteadyTime sentAt, std::vector<model::TaskAttempt> acknowledged);
     void answered(UpstreamEntry &entry, const model::UpstreamReport &report, base::SteadyTime sentAt);
     void watch(UpstreamEntry &entry, base::SteadyTime now);
     void setPhase(UpstreamEntry &entry, UpstreamPhase phase);
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -17,6 +17,7 @@
     None,
     Unreachable, ///< Nothing arrives.
     LosesAnswers, ///< Calls arrive, starts take effect, no answer comes back.
+    LosesStartAnswers, ///< Starts take effect, their answers vanish, other calls work.
     LosesStarts, ///< Starts vanish on the way, other calls work.
     FailsAll, ///< Every task fails.
 };
--- /dev/null
+++ b/tests/zone/ZoneSchedulerTest.cpp
@@ -0,0 +1,303 @@
+#include "zone/SchedulerRig.h"
+
+#include <boost/test/unit_test.hpp>
+
+using cranberryreel::base::ResultCode;
+using cranberryreel::model::JobSpec;
+using cranberryreel::model::JobState;
+using cranberryreel::testsupport::SchedulerRig;
+using cranberryreel::testsupport::Trouble;
+using cranberryreel::zone::ZoneReply;
+
+namespace
+{
+
+JobSpec once(const SchedulerRig &rig, const std::string &id, const std::string &key)
+{
+    JobSpec spec = rig.request(id);
+    spec.repeatable = false;
+    spec.key = key;
+    return spec;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ZoneSchedulerTest)
+
+BOOST_FIXTURE_TEST_CASE(requestIsAnsweredByItsUpstream, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    const ZoneReply reply = this->submit(this->request("z-1"));
+    BOOST_TEST((reply.status.state == JobState::Done));
+    BOOST_TEST(reply.status.answer == "echo:z-1");
+    BOOST_TEST(this->fleet.startsOf("z-1.0") == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(repeatableRequestsCostTheGroupNothing, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    const std::uint64_t before = this->group.proposals;
+    for (int i = 0; i < 20; ++i) {
+        this->submit(this->request("z-" + std::to_string(i)));
+    }
+    BOOST_TEST(this->group.proposals == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(workThatMustBeKeptIsRefusedAsNotRunWithoutADisk, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->group.hasDisk = false;
+    const ZoneReply reply = this->submit(once(*this, "z-1", "k"));
+    BOOST_TEST((reply.status.state == JobState::NotRun));
+    BOOST_TEST((reply.status.code == ResultCode::NoDurableStore));
+    BOOST_TEST(this->fleet.allStarts() == 0U);
+    BOOST_TEST((this->submit(this->request("z-2")).status.state == JobState::Done));
+}
+
+BOOST_FIXTURE_TEST_CASE(aKeyStandsForOneRunAndOneOutcome, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    const ZoneReply first = this->submit(once(*this, "z-1", "k"));
+    JobSpec again = once(*this, "z-2", "k");
+    again.payload = "z-1";
+    const ZoneReply second = this->submit(again);
+    BOOST_TEST((second.status.state == JobState::Done));
+    BOOST_TEST(second.status.id == first.status.id);
+    BOOST_TEST(second.status.answer == first.status.answer);
+    BOOST_TEST(this->fleet.allStarts() == 1U);
+    BOOST_TEST((this->submit(once(*this, "z-3", "k")).code == ResultCode::KeyReusedForOtherWork));
+}
+
+BOOST_FIXTURE_TEST_CASE(resendsOfOneKeyAtOnceRunOnce, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setInstantRequests(false);
+    JobSpec spec = once(*this, "z-1", "k");
+    auto first = this->submitLater(spec);
+    spec.id = "z-2";
+    auto second = this->submitLater(spec);
+    BOOST_REQUIRE(eventually([this] { return this->fleet.allStarts() == 1U; }));
+    this->fleet.finish("z-1.0", JobState::Done, "whole");
+    BOOST_TEST(first.get().status.answer == "whole");
+    BOOST_TEST(second.get().status.answer == "whole");
+    BOOST_TEST(this->fleet.allStarts() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(lostAnswerToAStartIsResolvedByAsking, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setTrouble("up-1", Trouble::LosesStartAnswers);
+    auto reply = this->submitLater(once(*this, "z-1", "k"));
+    BOOST_TEST((reply.get().status.state == JobState::Done));
+    BOOST_TEST(this->fleet.startsOf("z-1.0") == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(startThatNeverArrivedRunsElsewhereOnce, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setTrouble("up-1", Trouble::LosesStarts);
+    auto reply = this->submitLater(once(*this, "z-1", "k"));
+    this->addUpstream("up-2");
+    this->fleet.setTrouble("up-1", Trouble::Unreachable);
+    this->fleet.setTrouble("up-1", Trouble::LosesStarts);
+    BOOST_TEST((reply.get().status.state == JobState::Done));
+    BOOST_TEST(this->fleet.startsOf("z-1.0") == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(silentUpstreamMakesWorkThatRunsOnceUnknownAndItsReturnResolvesIt, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setInstantRequests(false);
+    auto reply = this->submitLater(once(*this, "z-1", "k"));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.startsOf("z-1.0") == 1U; }));
+    this->fleet.finish("z-1.0", JobState::Done, "late");
+    this->fleet.setTrouble("up-1", Trouble::Unreachable);
+    const ZoneReply unknown = reply.get();
+    BOOST_TEST((unknown.status.state == JobState::Unknown || unknown.status.state == JobState::Done));
+    this->fleet.setTrouble("up-1", Trouble::None);
+    BOOST_TEST(this->reaches("z-1", JobState::Done));
+    BOOST_TEST(this->lookup("z-1").status.answer == "late");
+    BOOST_TEST(this->fleet.allStarts() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(restartedUpstreamMakesWorkThatRunsOnceUnknown, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setInstantRequests(false);
+    auto reply = this->submitLater(once(*this, "z-1", "k"));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.startsOf("z-1.0") == 1U; }));
+    this->fleet.restart("up-1");
+    const ZoneReply unknown = reply.get();
+    BOOST_TEST((unknown.status.state == JobState::Unknown));
+    BOOST_TEST((unknown.status.code == ResultCode::OutcomeUnknown));
+    BOOST_TEST(this->fleet.allStarts() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(restartedUpstreamHasRepeatableWorkRunAgain, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->submit(this->batch("z-b", 3));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.running().size() == 3U; }));
+    this->fleet.restart("up-1");
+    BOOST_REQUIRE(eventually([this] { return this->fleet.allStarts() == 6U && this->fleet.running().size() == 3U; }));
+    for (const std::string task : {"z-b.0", "z-b.1", "z-b.2"}) {
+        this->fleet.finish(task, JobState::Done, "");
+    }
+    BOOST_TEST(this->reaches("z-b", JobState::Done));
+}
+
+BOOST_FIXTURE_TEST_CASE(nextSchedulerAdoptsWhatRuns, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->submit(this->batch("z-b", 4));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.running().size() == 4U; }));
+    this->takeOver();
+    BOOST_REQUIRE(eventually([this] { return this->fleet.report("up-1").epoch == 2U; }));
+    for (const std::string task : {"z-b.0", "z-b.1", "z-b.2", "z-b.3"}) {
+        this->fleet.finish(task, JobState::Done, "");
+    }
+    BOOST_TEST(this->reaches("z-b", JobState::Done));
+    BOOST_TEST(this->fleet.allStarts() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(nextSchedulerJoinsARequestThatStillRuns, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setInstantRequests(false);
+    auto first = this->submitLater(this->request("z-1"));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.startsOf("z-1.0") == 1U; }));
+    this->takeOver();
+    const ZoneReply moved = first.get();
+    BOOST_TEST((moved.code == ResultCode::NotLeader));
+    BOOST_TEST(moved.mayExist);
+    auto again = this->submitLater(this->request("z-1"), true);
+    BOOST_REQUIRE(eventually([this] { return this->fleet.report("up-1").epoch == 2U; }));
+    this->fleet.finish("z-1.0", JobState::Done, "whole");
+    BOOST_TEST(again.get().status.answer == "whole");
+    BOOST_TEST(this->fleet.startsOf("z-1.0") == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(requestWithALostAnswerWaitsUntilEveryUpstreamIsAccountedFor, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->addUpstream("up-2");
+    this->fleet.setInstantRequests(false);
+    auto first = this->submitLater(this->request("z-1"));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.startsOf("z-1.0") == 1U; }));
+    const bool onFirst = !this->fleet.report("up-1").tasks.empty();
+    const std::string holder = onFirst ? "up-1" : "up-2";
+    this->fleet.setTrouble(holder, Trouble::Unreachable);
+    this->takeOver();
+    first.get();
+    auto again = this->submitLater(this->request("z-1"), true);
+    // The unreachable upstream may run it until its lease is over; only then does it run elsewhere.
+    BOOST_TEST((again.wait_for(this->options.taskLease / 2) == std::future_status::timeout));
+    BOOST_TEST(this->fleet.startsOf("z-1.0") == 1U);
+    BOOST_REQUIRE(eventually([this] { return this->fleet.startsOf("z-1.0") == 2U; }));
+    this->fleet.finish("z-1.0", JobState::Done, "second");
+    BOOST_TEST(again.get().status.answer == "second");
+}
+
+BOOST_FIXTURE_TEST_CASE(recordedStartThatNeverWentOutIsSentByTheNextScheduler, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setTrouble("up-1", Trouble::LosesStarts);
+    auto first = this->submitLater(once(*this, "z-1", "k"));
+    BOOST_REQUIRE(eventually([this] {
+        const auto job = this->store.job("z-1");
+        return job && job->tasks.front().attempt == 1U;
+    }));
+    this->takeOver();
+    this->fleet.setTrouble("up-1", Trouble::None);
+    first.get();
+    const ZoneReply reply = this->submit(once(*this, "z-1", "k"), true);
+    BOOST_TEST((reply.status.state == JobState::Done));
+    BOOST_TEST(this->fleet.allStarts() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(schedulerThatLostItsLeaseStartsNothing, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->group.leads = false;
+    JobSpec spec = this->request("z-1");
+    spec.deadline = std::chrono::milliseconds(300);
+    const ZoneReply reply = this->submit(spec);
+    BOOST_TEST(this->fleet.allStarts() == 0U);
+    BOOST_TEST((reply.status.state == JobState::NotRun));
+    BOOST_TEST((reply.status.code == ResultCode::DeadlinePassed));
+}
+
+BOOST_FIXTURE_TEST_CASE(leavingUpstreamGetsNoNewWork, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setLeaving("up-1");
+    this->announce("up-1");
+    JobSpec spec = this->request("z-1");
+    spec.deadline = std::chrono::milliseconds(300);
+    BOOST_TEST((this->submit(spec).status.state == JobState::NotRun));
+    BOOST_TEST(this->fleet.allStarts() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(cancelledWhileItWaitsDidNotRun, SchedulerRig)
+{
+    this->addUpstream("up-1", 1);
+    this->fleet.setInstantRequests(false);
+    this->submit(this->batch("z-a", 1));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.running().size() == 1U; }));
+    this->submit(this->batch("z-b", 1));
+    const ZoneReply reply = this->cancel("z-b");
+    BOOST_TEST((reply.status.state == JobState::NotRun));
+    BOOST_TEST((reply.status.code == ResultCode::CancelledBeforeStart));
+    this->fleet.finish("z-a.0", JobState::Done, "");
+    BOOST_TEST(this->reaches("z-a", JobState::Done));
+    BOOST_TEST(this->fleet.startsOf("z-b.0") == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(cancelledWhileItRunsIsStoppedAndSaysSo, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->submit(this->batch("z-b", 2));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.running().size() == 2U; }));
+    this->cancel("z-b");
+    BOOST_TEST(this->reaches("z-b", JobState::Failed));
+    BOOST_TEST((this->lookup("z-b").status.code == ResultCode::CancelledWhileRunning));
+    BOOST_TEST(this->fleet.running().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(gangRestartsWholeWhenItLosesATask, SchedulerRig)
+{
+    this->addUpstream("up-1", 2);
+    this->addUpstream("up-2", 2);
+    JobSpec gang = this->batch("z-g", 4);
+    gang.kind = cranberryreel::model::JobKind::Gang;
+    this->submit(gang);
+    BOOST_REQUIRE(eventually([this] { return this->fleet.running().size() == 4U; }));
+    this->fleet.restart("up-1");
+    BOOST_REQUIRE(eventually([this] { return this->fleet.running().size() == 4U && this->fleet.allStarts() == 8U; }));
+    for (const std::string task : {"z-g.0", "z-g.1", "z-g.2", "z-g.3"}) {
+        this->fleet.finish(task, JobState::Done, "");
+    }
+    BOOST_TEST(this->reaches("z-g", JobState::Done));
+}
+
+BOOST_FIXTURE_TEST_CASE(failingTaskIsTriedAgainWithinItsBudgetOnly, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setTrouble("up-1", Trouble::FailsAll);
+    this->submit(this->batch("z-b", 1));
+    BOOST_TEST(this->reaches("z-b", JobState::Failed));
+    BOOST_TEST((this->lookup("z-b").status.code == ResultCode::TaskFailed));
+    BOOST_TEST(this->fleet.startsOf("z-b.0") == this->options.maxFailures);
+}
+
+BOOST_FIXTURE_TEST_CASE(jobThatNeverFitsIsAnsweredAtOnce, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    JobSpec huge = this->batch("z-h", 1);
+    huge.perTask.accelerators = 4;
+    const ZoneReply reply = this->submit(huge);
+    BOOST_TEST((reply.status.state == JobState::NotRun));
+    BOOST_TEST((reply.status.code == ResultCode::NeverFits));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
