Serve the configuration: group, exchange, start check, routing, survey

Cause: every VM must move to each accepted revision within seconds, never back, and operators must learn where it is in force. Ruled out: an ordered push with acknowledgements, since announcements with periodic comparing also repair lost frames and heals.

--- a/src/config/ConfigStore.cpp
+++ b/src/config/ConfigStore.cpp
@@ -1,5 +1,6 @@
 #include "config/ConfigStore.h"
 
+#include "config/TextDelta.h"
 #include "config/WireCodec.h"
 #include "cranberryreel/base/Error.h"
 
@@ -14,21 +15,6 @@
 
 constexpr std::uint32_t SnapshotFormat = 1;
 
-Change changeOf(const wire::ChangeCommandT &command)
-{
-    return {command.id, command.from_revision, static_cast<ChangePart>(command.part), command.text};
-}
-
-wire::ChangeCommandT commandOf(const Change &change)
-{
-    wire::ChangeCommandT command;
-    command.id = change.id;
-    command.from_revision = change.fromRevision;
-    command.part = static_cast<std::uint8_t>(change.part);
-    command.text = change.text;
-    return command;
-}
-
 std::string resultOf(const ChangeReply &reply)
 {
     wire::ChangeAnswerT answer;
@@ -40,6 +26,18 @@
 
 } // namespace
 
+ChangeDigest ChangeDigest::of(const Change &change)
+{
+    wire::ChangeCallT whole;
+    whole.id = change.id;
+    whole.from_revision = change.fromRevision;
+    whole.part = static_cast<std::uint8_t>(change.part);
+    whole.text = change.text;
+    const std::string bytes = encode(whole);
+    const XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
+    return {hash.low64, hash.high64};
+}
+
 ConfigStore::ConfigStore(const ConfigStoreOptions &storeOptions)
     : options(storeOptions)
 {
@@ -50,9 +48,23 @@
     this->listener = std::move(revisionListener);
 }
 
-std::string ConfigStore::command(const Change &change)
-{
-    return encode(commandOf(change));
+std::string ConfigStore::command(const Change &change, const RevisionTexts &now)
+{
+    const ChangeDigest digest = ChangeDigest::of(change);
+    wire::ChangeEntryT entry;
+    entry.id = change.id;
+    entry.from_revision = change.fromRevision;
+    entry.part = static_cast<std::uint8_t>(change.part);
+    entry.digest_low = digest.low;
+    entry.digest_high = digest.high;
+    if (change.fromRevision == now.revision) {
+        const TextDelta delta = TextDelta::between(change.part == ChangePart::Register ? now.registerText : now.rulesText, change.text);
+        entry.delta = std::make_unique<wire::DeltaT>();
+        entry.delta->prefix_bytes = delta.prefixBytes;
+        entry.delta->suffix_bytes = delta.suffixBytes;
+        entry.delta->middle = delta.middle;
+    }
+    return encode(entry);
 }
 
 ChangeReply ConfigStore::reply(std::string_view result)
@@ -66,7 +78,7 @@
 
 std::string ConfigStore::apply(std::uint64_t /*index*/, std::string_view command)
 {
-    const auto decoded = decode<wire::ChangeCommandT>(command);
+    const auto decoded = decode<wire::ChangeEntryT>(command);
     if (!decoded) {
         return resultOf({base::ResultCode::Internal, "the command cannot be read", 0, {}});
     }
@@ -75,7 +87,7 @@
     {
         absl::MutexLock lock(&this->mutex);
         const std::uint64_t before = this->current.revision;
-        reply = this->decide(changeOf(*decoded));
+        reply = this->decide(*decoded);
         if (this->current.revision > before) {
             made = this->current;
         }
@@ -86,22 +98,30 @@
     return resultOf(reply);
 }
 
-ChangeReply ConfigStore::decide(const Change &change)
+ChangeReply ConfigStore::decide(const wire::ChangeEntryT &entry)
 {
-    if (const auto kept = this->keptReply(change)) {
+    const ChangeDigest digest{entry.digest_low, entry.digest_high};
+    if (const auto kept = this->keptReply(entry.id, digest)) {
         return *kept;
     }
-    base::ResultCode code = base::ResultCode::RevisionConflict;
-    if (change.fromRevision == this->current.revision) {
-        std::string &text = change.part == ChangePart::Register ? this->current.registerText : this->current.rulesText;
-        text = change.text;
-        this->current.revision++;
-        code = base::ResultCode::Ok;
-    }
-    this->keep(change.id, {digestOf(change), code, this->current.revision});
+    const base::ResultCode code = entry.from_revision == this->current.revision ? this->take(entry) : base::ResultCode::RevisionConflict;
+    this->keep(entry.id, {digest, code, this->current.revision});
     return replyOf(code, this->current.revision);
 }
 
+base::ResultCode ConfigStore::take(const wire::ChangeEntryT &entry)
+{
+    std::string &text = static_cast<ChangePart>(entry.part) == ChangePart::Register ? this->current.registerText : this->current.rulesText;
+    const auto changed =
+        entry.delta ? TextDelta{entry.delta->prefix_bytes, entry.delta->suffix_bytes, entry.delta->middle}.appliedTo(text) : std::nullopt;
+    if (!changed) {
+        return base::ResultCode::RevisionConflict;
+    }
+    text = *changed;
+    this->current.revision++;
+    return base::ResultCode::Ok;
+}
+
 std::string ConfigStore::snapshot() const
 {
     absl::ReaderMutexLock lock(&this->mutex);
@@ -153,28 +173,21 @@
 std::optional<ChangeReply> ConfigStore::answerTo(const Change &change) const
 {
     absl::ReaderMutexLock lock(&this->mutex);
-    return this->keptReply(change);
+    return this->keptReply(change.id, ChangeDigest::of(change));
 }
 
-std::optional<ChangeReply> ConfigStore::keptReply(const Change &change) const
+std::optional<ChangeReply> ConfigStore::keptReply(const std::string &id, const ChangeDigest &digest) const
 {
-    const auto found = this->answers.find(change.id);
+    const auto found = this->answers.find(id);
     if (found == this->answers.end()) {
         return std::nullopt;
     }
-    if (!(found->second.digest == digestOf(change))) {
+    if (!(found->second.digest == digest)) {
         return ChangeReply{base::ResultCode::ChangeIdReused, "this change id stands for another change; choose a new one", this->current.revision, {}};
     }
     return replyOf(found->second.code, found->second.revision);
 }
 
-ConfigStore::Digest ConfigStore::digestOf(const Change &change)
-{
-    const std::string bytes = command(change);
-    const XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
-    return {hash.low64, hash.high64};
-}
-
 ChangeReply ConfigStore::replyOf(base::ResultCode code, std::uint64_t revision)
 {
     std::string reason;
--- a/src/config/ConfigStore.h
+++ b/src/config/ConfigStore.h
@@ -17,6 +17,24 @@
 namespace cranberryreel::config
 {
 
+namespace wire
+{
+struct ChangeEntryT;
+}
+
+/// Tells two changes with one id apart.
+struct ChangeDigest {
+    std::uint64_t low = 0;
+    std::uint64_t high = 0;
+
+    static ChangeDigest of(const Change &change);
+
+    friend bool operator==(const ChangeDigest &left, const ChangeDigest &right)
+    {
+        return left.low == right.low && left.high == right.high;
+    }
+};
+
 /// One revision's texts, unread.
 struct RevisionTexts {
     std::uint64_t revision = 0;
@@ -29,8 +47,8 @@
 };
 
 /// The replicated configuration: compare-and-set on the revision, and the answer to each recent change id. Commands are changes that the leader has
-/// checked already, so that applying them reads no INI and daemons of unlike versions stay alike. Owned by the member's config service; applied by its
-/// group's thread, read by any.
+/// checked already, so that applying them reads no INI and daemons of unlike versions stay alike. They hold differences: the compared revision says from
+/// what. Owned by the member's config service; applied by its group's thread, read by any.
 class ConfigStore : public replication::StateMachine
 {
 public:
@@ -39,7 +57,8 @@
     /// Called after each new revision and restore, on the group's thread, without any lock. Before the group starts only.
     void onRevision(std::function<void(const RevisionTexts &)> listener);
 
-    static std::string command(const Change &change);
+    /// The log entry for a change. It holds only the difference from `now`, so `now` must be the state at the change's revision where that has one here.
+    static std::string command(const Change &change, const RevisionTexts &now);
 
     /// Reads what apply() returned.
     static ChangeReply reply(std::string_view result);
@@ -54,27 +73,17 @@
     std::optional<ChangeReply> answerTo(const Change &change) const;
 
 private:
-    struct Digest {
-        std::uint64_t low = 0;
-        std::uint64_t high = 0;
-
-        bool operator==(const Digest &other) const
-        {
-            return this->low == other.low && this->high == other.high;
-        }
-    };
-
     struct KeptAnswer {
-        Digest digest; ///< Of the change, so that its id cannot stand for another.
+        ChangeDigest digest; ///< Of the change, so that its id cannot stand for another.
         base::ResultCode code = base::ResultCode::Ok;
         std::uint64_t revision = 0;
     };
 
-    static Digest digestOf(const Change &change);
     static ChangeReply replyOf(base::ResultCode code, std::uint64_t revision);
 
-    std::optional<ChangeReply> keptReply(const Change &change) const ABSL_SHARED_LOCKS_REQUIRED(mutex);
-    ChangeReply decide(const Change &change) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    std::optional<ChangeReply> keptReply(const std::string &id, const ChangeDigest &digest) const ABSL_SHARED_LOCKS_REQUIRED(mutex);
+    ChangeReply decide(const wire::ChangeEntryT &entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    base::ResultCode take(const wire::ChangeEntryT &entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void keep(const std::string &id, const KeptAnswer &answer) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const ConfigStoreOptions options;
--- a/src/config/InForce.cpp
+++ b/src/config/InForce.cpp
@@ -4,12 +4,16 @@
 #include "cranberryreel/base/Error.h"
 #include "observe/Log.h"
 
+#include <algorithm>
+
 namespace cranberryreel::config
 {
 
 namespace
 {
 
+constexpr std::size_t KeptRevisions = 8;
+
 const observe::Log &log()
 {
     static const observe::Log instance("config");
@@ -57,17 +61,24 @@
     return this->current()->revision;
 }
 
+std::shared_ptr<const Configuration> InForce::recent(std::uint64_t revision) const
+{
+    absl::ReaderMutexLock lock(&this->mutex);
+    const auto found = std::find_if(this->history.begin(), this->history.end(), [&](const auto &kept) { return kept->revision == revision; });
+    return found == this->history.end() ? nullptr : *found;
+}
+
 void InForce::moveTo(const RevisionTexts &texts)
 {
     if (texts.revision <= this->revision()) {
         return;
     }
     try {
-        auto next = readConfiguration(texts.revision, texts.registerText, texts.rulesText);
+        const auto next = readConfiguration(texts.revision, texts.registerText, texts.rulesText);
         if (this->file) {
             this->file->save(texts);
         }
-        this->put(std::move(next));
+        this->put(next);
     } catch (const base::Error &error) {
         log().error("Revision {} cannot be put in force: {}", texts.revision, error.what());
         return;
@@ -92,11 +103,15 @@
     });
 }
 
-void InForce::put(std::shared_ptr<const Configuration> next)
+void InForce::put(const std::shared_ptr<const Configuration> &next)
 {
     {
         absl::MutexLock lock(&this->mutex);
         this->configuration = next;
+        this->history.push_back(next);
+        if (this->history.size() > KeptRevisions) {
+            this->history.pop_front();
+        }
     }
     for (const Listener &listener : this->listeners) {
         listener(next);
--- a/src/config/InForce.h
+++ b/src/config/InForce.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
@@ -38,6 +39,9 @@
     std::shared_ptr<const Configuration> current() const;
     std::uint64_t revision() const;
 
+    /// One of the last few revisions that were in force here; null for any other. Any thread.
+    std::shared_ptr<const Configuration> recent(std::uint64_t revision) const;
+
     /// Brings the texts in force if their revision is higher. On a text that cannot be read, or a disk that cannot be written, the old one stays in force.
     void moveTo(const RevisionTexts &texts);
 
@@ -50,7 +54,7 @@
         RevisionDone done;
     };
 
-    void put(std::shared_ptr<const Configuration> configuration);
+    void put(const std::shared_ptr<const Configuration> &next);
     void answerWaiters();
 
     const std::shared_ptr<SerialWorker> worker;
@@ -59,6 +63,7 @@
     std::list<std::shared_ptr<Waiter>> waiters;
     mutable absl::Mutex mutex;
     std::shared_ptr<const Configuration> configuration ABSL_GUARDED_BY(mutex);
+    std::deque<std::shared_ptr<const Configuration>> history ABSL_GUARDED_BY(mutex); ///< Newest last.
 };
 
 } // namespace cranberryreel::config
--- /dev/null
+++ b/src/config/ReplicatedConfigService.cpp
@@ -0,0 +1,267 @@
+#include "config/ReplicatedConfigService.h"
+
+#include "config/TextDelta.h"
+#include "config/WireCodec.h"
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+
+#include <algorithm>
+
+namespace cranberryreel::config
+{
+
+namespace
+{
+
+const observe::Log &log()
+{
+    static const observe::Log instance("config");
+    return instance;
+}
+
+std::unique_ptr<RevisionFile> revisionFileIn(const std::string &folder)
+{
+    return folder.empty() ? nullptr : std::make_unique<RevisionFile>(folder);
+}
+
+std::unique_ptr<wire::DeltaT> wireDelta(const std::string &base, const std::string &text)
+{
+    const TextDelta delta = TextDelta::between(base, text);
+    auto packed = std::make_unique<wire::DeltaT>();
+    packed->prefix_bytes = delta.prefixBytes;
+    packed->suffix_bytes = delta.suffixBytes;
+    packed->middle = delta.middle;
+    return packed;
+}
+
+std::string fetchRefusal(base::ResultCode code)
+{
+    wire::FetchAnswerT refused;
+    refused.code = static_cast<std::int32_t>(code);
+    return encode(refused);
+}
+
+std::string encodeReply(const MemberReply &reply)
+{
+    wire::ChangeAnswerT answer;
+    answer.code = static_cast<std::int32_t>(reply.reply.code);
+    answer.reason = reply.reply.reason;
+    answer.revision = reply.reply.revision;
+    answer.leader = reply.leader;
+    return encode(answer);
+}
+
+} // namespace
+
+ReplicatedConfigService::ReplicatedConfigService(const ConfigServiceOptions &serviceOptions, link::LinkHub &linkHub, const GroupFactory &makeGroup)
+    : options(serviceOptions)
+    , hub(linkHub)
+    , worker(std::make_shared<SerialWorker>())
+    , inForce(std::make_shared<InForce>(worker, revisionFileIn(serviceOptions.dataFolder)))
+    , peers(linkHub, worker, serviceOptions.vm)
+    , exchange(options, peers, *inForce)
+    , startCheck(options, peers, exchange, *inForce)
+    , router(options, peers, worker)
+    , survey(options, peers, exchange)
+{
+    const std::vector<std::string> &members = this->options.groupMembers;
+    if (std::find(members.begin(), members.end(), this->options.vm) != members.end()) {
+        this->makeMember(makeGroup);
+    }
+    this->receiveMessages();
+    this->receiveCalls();
+    observe::gauge("cranberryreel_config_revision", "Revision in force at this VM.", "", [weak = std::weak_ptr<InForce>(this->inForce)] {
+        const auto alive = weak.lock();
+        return alive ? static_cast<double>(alive->revision()) : 0.0;
+    });
+}
+
+ReplicatedConfigService::~ReplicatedConfigService()
+{
+    this->stop(std::chrono::milliseconds(0));
+}
+
+void ReplicatedConfigService::makeMember(const GroupFactory &makeGroup)
+{
+    this->store = std::make_unique<ConfigStore>();
+    this->store->onRevision([this](const RevisionTexts &texts) {
+        this->worker->post([this, texts] {
+            this->inForce->moveTo(texts);
+            if (this->group->status().leader) {
+                this->exchange.announceToAll();
+            }
+        });
+    });
+    this->group = makeGroup(*this->store, [this](const std::string &toVm, std::string bytes) {
+        this->hub.send(toVm, link::Channel::ConfigGroup, std::move(bytes));
+    });
+    this->keeper = std::make_unique<ChangeKeeper>(this->worker, *this->store, *this->group);
+    this->hub.onMessage(link::Channel::ConfigGroup, [this](const std::string &fromVm, std::string bytes) { this->group->receive(fromVm, std::move(bytes)); });
+}
+
+void ReplicatedConfigService::receiveMessages()
+{
+    this->hub.onMessage(link::Channel::Config, [this](const std::string &fromVm, const std::string &payload) {
+        if (const auto announcement = decode<wire::AnnouncementT>(payload)) {
+            this->worker->post([this, fromVm, revision = announcement->revision] { this->exchange.heard(fromVm, revision); });
+        }
+    });
+}
+
+void ReplicatedConfigService::receiveCalls()
+{
+    this->hub.onCall(link::Channel::Config,
+                     [this](const std::string & /*fromVm*/, std::string payload, const std::string & /*traceparent*/, link::Responder respond) {
+                         this->worker->post([this, payload = std::move(payload), respond = std::move(respond)] { this->answer(payload, respond); });
+                     });
+}
+
+void ReplicatedConfigService::start()
+{
+    if (this->group) {
+        this->group->start();
+    }
+    this->worker->post([this] {
+        this->startCheck.begin(this->inForce->loadKept());
+        this->tick();
+    });
+}
+
+void ReplicatedConfigService::stop(std::chrono::milliseconds limit)
+{
+    if (this->group) {
+        this->group->stop(limit);
+    }
+    this->worker->stop();
+}
+
+bool ReplicatedConfigService::isReady() const
+{
+    return this->startCheck.isReady();
+}
+
+std::shared_ptr<const Configuration> ReplicatedConfigService::current() const
+{
+    return this->inForce->current();
+}
+
+void ReplicatedConfigService::onChange(std::function<void(std::shared_ptr<const Configuration>)> listener)
+{
+    this->inForce->onChange(std::move(listener));
+}
+
+void ReplicatedConfigService::change(Change change, ChangeDone done)
+{
+    this->worker->post([this, change = std::move(change), done = std::move(done)] {
+        log().info("Change '{}' from revision {} came.", change.id, change.fromRevision);
+        this->router.route(change, [this, id = change.id, done](const ChangeReply &reply) {
+            log().info("Change '{}' is answered: {}, revision {}.", id, base::resultName(reply.code), reply.revision);
+            this->tellWhereInForce(reply, done);
+        });
+    });
+}
+
+void ReplicatedConfigService::status(StatusDone done)
+{
+    this->worker->post([this, done = std::move(done)] {
+        const auto limit = this->options.timings.statusLimit;
+        this->survey.take(0, std::chrono::milliseconds(0), limit, done);
+    });
+}
+
+void ReplicatedConfigService::tellWhereInForce(const ChangeReply &reply, const ChangeDone &done)
+{
+    if (reply.code != base::ResultCode::Ok) {
+        done(reply);
+        return;
+    }
+    const auto wait = this->options.timings.inForceWait;
+    const auto limit = wait + this->options.timings.retryDelay;
+    this->survey.take(reply.revision, wait, limit, [reply, done](const std::vector<VmRevision> &vms) {
+        ChangeReply told = reply;
+        for (const VmRevision &row : vms) {
+            if (row.reachable && row.revision >= reply.revision) {
+                told.inForceAt.push_back(row.vm);
+            }
+        }
+        done(told);
+    });
+}
+
+void ReplicatedConfigService::tick()
+{
+    this->startCheck.step();
+    this->exchange.round();
+    this->worker->postAfter(this->options.timings.exchangeInterval, [this] { this->tick(); });
+}
+
+void ReplicatedConfigService::answer(const std::string &payload, const link::Responder &respond)
+{
+    const auto call = decode<wire::CallT>(payload);
+    if (!call) {
+        log().warn("A call could not be read.");
+        respond("");
+        return;
+    }
+    if (const wire::FetchCallT *fetch = call->body.AsFetchCall()) {
+        this->answerFetch(fetch->have_revision, fetch->confirmed, respond);
+    } else if (const wire::RevisionCallT *revision = call->body.AsRevisionCall()) {
+        this->inForce->whenAtLeast(revision->at_least, std::chrono::milliseconds(revision->wait_ms), [respond](std::uint64_t now) {
+            wire::RevisionAnswerT answer;
+            answer.revision = now;
+            respond(encode(answer));
+        });
+    } else if (const wire::ChangeCallT *change = call->body.AsChangeCall()) {
+        this->answerChange({change->id, change->from_revision, static_cast<ChangePart>(change->part), change->text}, respond);
+    } else {
+        respond("");
+    }
+}
+
+void ReplicatedConfigService::answerFetch(std::uint64_t have, bool confirmed, const link::Responder &respond)
+{
+    if (!confirmed) {
+        this->answerFetchNow(have, respond);
+        return;
+    }
+    if (!this->group) {
+        respond(fetchRefusal(base::ResultCode::GroupUnavailable));
+        return;
+    }
+    this->group->readBarrier([this, serial = this->worker, have, respond](base::ResultCode code) {
+        serial->post([this, have, respond, code] {
+            if (code == base::ResultCode::Ok && this->inForce->revision() >= this->store->texts().revision) {
+                this->answerFetchNow(have, respond);
+            } else {
+                respond(fetchRefusal(base::ResultCode::GroupUnavailable));
+            }
+        });
+    });
+}
+
+void ReplicatedConfigService::answerFetchNow(std::uint64_t have, const link::Responder &respond)
+{
+    const auto now = this->inForce->current();
+    wire::FetchAnswerT answer;
+    answer.ready = this->startCheck.isReady();
+    answer.revision = now->revision;
+    answer.newer = now->revision > have;
+    if (answer.newer) {
+        const auto base = this->inForce->recent(have);
+        answer.base_revision = base ? have : 0;
+        answer.register_delta = wireDelta(base ? base->registerText : "", now->registerText);
+        answer.rules_delta = wireDelta(base ? base->rulesText : "", now->rulesText);
+    }
+    respond(encode(answer));
+}
+
+void ReplicatedConfigService::answerChange(const Change &change, const link::Responder &respond)
+{
+    if (!this->keeper) {
+        respond(encodeReply({{base::ResultCode::NotLeader, "", 0, {}}, "", true}));
+        return;
+    }
+    this->keeper->keep(change, [respond](const MemberReply &reply) { respond(encodeReply(reply)); });
+}
+
+} // namespace cranberryreel::config
--- a/tests/config/ConfigStoreFaults.h
+++ b/tests/config/ConfigStoreFaults.h
@@ -12,7 +12,7 @@
 class FaultyConfigStore : public cranberryreel::replication::StateMachine
 {
 public:
-    using Command = cranberryreel::config::wire::ChangeCommandT;
+    using Command = cranberryreel::config::wire::ChangeEntryT;
     using Snapshot = cranberryreel::config::wire::SnapshotT;
 
     struct Fault {
@@ -86,7 +86,7 @@
         answers.erase(std::remove_if(answers.begin(), answers.end(), [](const auto &answer) { return answer->code != 0; }), answers.end());
     };
     faults[5].name = "does not notice an id that stands for another change";
-    faults[5].onCommand = [](Command &command, std::uint64_t /*revision*/) { command.text = "same"; };
+    faults[5].onCommand = [](Command &command, std::uint64_t /*revision*/) { command.digest_low = command.digest_high = 1; };
     faults[6].name = "loses the rules on compaction";
     faults[6].onSnapshot = [](Snapshot &snapshot) { snapshot.rules_text.clear(); };
     faults[7].name = "falls back by one revision on restart";
--- a/tests/config/ConfigStoreModel.h
+++ b/tests/config/ConfigStoreModel.h
@@ -2,7 +2,10 @@
 
 #include "config/ConfigStore.h"
 
+#include <algorithm>
+#include <functional>
 #include <map>
+#include <memory>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -13,6 +16,7 @@
     std::uint64_t revision = 0;
     std::string registerText;
     std::string rulesText;
+    std::vector<cranberryreel::config::RevisionTexts> history{{}}; ///< By revision.
     std::vector<cranberryreel::config::Change> sent; ///< In order of their first sending.
     std::map<std::string, std::pair<cranberryreel::config::Change, cranberryreel::config::ChangeReply>> answered; ///< By change id.
 
@@ -34,11 +38,18 @@
         if (change.fromRevision == this->revision) {
             (change.part == cranberryreel::config::ChangePart::Register ? this->registerText : this->rulesText) = change.text;
             reply = {ResultCode::Ok, "", ++this->revision, {}};
+            this->history.push_back({this->revision, this->registerText, this->rulesText});
         }
         this->sent.push_back(change);
         this->answered[change.id] = {change, reply};
         return reply;
     }
+
+    /// What the leader held when it proposed the change; the change may be applied after others of the same revision.
+    cranberryreel::config::RevisionTexts whenProposed(const cranberryreel::config::Change &change) const
+    {
+        return this->history[std::min<std::size_t>(change.fromRevision, this->history.size() - 1)];
+    }
 };
 
 /// A store as its group drives it: a log, a snapshot, and the state machine that a restart builds anew from both.
@@ -51,9 +62,10 @@
     {
     }
 
-    cranberryreel::config::ChangeReply apply(const cranberryreel::config::Change &change)
+    /// `now` is what the leader holds when it proposes the change.
+    cranberryreel::config::ChangeReply apply(const cranberryreel::config::Change &change, const cranberryreel::config::RevisionTexts &now)
     {
-        this->log.push_back(cranberryreel::config::ConfigStore::command(change));
+        this->log.push_back(cranberryreel::config::ConfigStore::command(change, now));
         return cranberryreel::config::ConfigStore::reply(this->machine->apply(++this->index, this->log.back()));
     }
 
--- a/tests/config/ConfigStoreTest.cpp
+++ b/tests/config/ConfigStoreTest.cpp
@@ -60,7 +60,7 @@
     {
         ConfigStoreModel after = model;
         const auto expected = after.apply(this->change);
-        const auto got = sut.apply(this->change);
+        const auto got = sut.apply(this->change, model.whenProposed(this->change));
         RC_ASSERT(got.code == expected.code);
         RC_ASSERT(got.revision == expected.revision);
         requireSameState(after, *sut.machine);
@@ -133,11 +133,11 @@
     std::vector<Change> changes;
     for (std::uint64_t number = 0; number < 4; number++) {
         changes.push_back({"id-" + std::to_string(number), number, ChangePart::Rules, "text"});
-        store.apply(number + 1, config::ConfigStore::command(changes.back()));
+        store.apply(number + 1, config::ConfigStore::command(changes.back(), store.texts()));
     }
     BOOST_TEST(!store.answerTo(changes[0]).has_value());
     BOOST_TEST(store.answerTo(changes[3]).has_value());
-    const auto late = config::ConfigStore::reply(store.apply(5, config::ConfigStore::command(changes[0])));
+    const auto late = config::ConfigStore::reply(store.apply(5, config::ConfigStore::command(changes[0], store.texts())));
     BOOST_TEST((late.code == base::ResultCode::RevisionConflict));
     BOOST_TEST(store.texts().revision == 4U);
 }
@@ -145,7 +145,7 @@
 BOOST_AUTO_TEST_CASE(damagedSnapshotsAndCommandsAreRefused)
 {
     config::ConfigStore store;
-    store.apply(1, config::ConfigStore::command({"a", 0, ChangePart::Register, "x"}));
+    store.apply(1, config::ConfigStore::command({"a", 0, ChangePart::Register, "x"}, store.texts()));
     const std::string whole = store.snapshot();
     for (std::size_t length = 0; length < whole.size(); length++) {
         config::ConfigStore other;
