--- a/src/zone/TaskEnder.cpp
+++ b/src/zone/TaskEnder.cpp
@@ -270,6 +270,19 @@
 }
 
 void TaskEnder::cancelled(ActiveJob &job)
+{
+    this->endWaiting(job);
+    this->stopAll(job);
+    this->endKept(job.spec.id, {}, {});
+}
+
+void TaskEnder::refused(ActiveJob &job)
+{
+    this->endWaiting(job);
+    this->endKept(job.spec.id, {}, {});
+}
+
+void TaskEnder::endWaiting(ActiveJob &job)
 {
     for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
         ActiveTask &task = job.tasks[index];
@@ -280,8 +293,6 @@
             task.stage = TaskStage::Ended;
         }
     }
-    this->stopAll(job);
-    this->endKept(job.spec.id, {}, {});
 }
 
 void TaskEnder::stopAll(const ActiveJob &job)
--- a/src/zone/TaskStarter.cpp
+++ b/src/zone/TaskStarter.cpp
@@ -32,7 +32,8 @@
     static observe::DurationHistogram &waits = observe::durations("cranberryreel_wait_seconds", "From acceptance to placement.");
     ActiveJob *job = this->parts.jobs.find(decision.job);
     if (job == nullptr || decision.task >= job->tasks.size() || job->tasks[decision.task].stage != TaskStage::Waiting) {
-        Logger.error("Placed task {} of {} is not waiting.", decision.task, decision.job);
+        Logger.warn("Placed task {} of {} does not wait.", decision.task, decision.job);
+        this->parts.planner.ended(decision.job, decision.task, policy::TaskEnd::Lost, false, now);
         return;
     }
     ActiveTask &task = job->tasks[decision.task];
