--- a/src/config/RevisionFile.cpp
+++ b/src/config/RevisionFile.cpp
@@ -1,19 +1,11 @@
 #include "config/RevisionFile.h"
 
 #include "config/WireCodec.h"
-#include "cranberryreel/base/Error.h"
 #include "observe/Log.h"
 
-#include <fmt/format.h>
 #include <xxhash.h>
 
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <cerrno>
-#include <cstring>
-#include <fstream>
-#include <sstream>
+#include <algorithm>
 
 namespace cranberryreel::config
 {
@@ -24,7 +16,6 @@
 constexpr const char *FileName = "configuration.revision";
 constexpr std::uint32_t FileFormat = 1;
 constexpr std::size_t ChecksumBytes = sizeof(XXH64_hash_t);
-constexpr mode_t OwnerOnly = 0600;
 
 const observe::Log &log()
 {
@@ -32,46 +23,6 @@
     return instance;
 }
 
-/// Closes its descriptor.
-class Descriptor
-{
-public:
-    Descriptor(const std::string &path, int flags)
-        : number(::open(path.c_str(), flags | O_CLOEXEC, OwnerOnly))
-    {
-    }
-
-    ~Descriptor()
-    {
-        if (this->number >= 0) {
-            ::close(this->number);
-        }
-    }
-
-    Descriptor(const Descriptor &) = delete;
-    Descriptor &operator=(const Descriptor &) = delete;
-
-    bool writeAll(const std::string &bytes) const
-    {
-        for (std::size_t written = 0; written < bytes.size();) {
-            const ssize_t step = ::write(this->number, bytes.data() + written, bytes.size() - written);
-            if (step < 0 && errno != EINTR) {
-                return false;
-            }
-            written += step < 0 ? 0 : static_cast<std::size_t>(step);
-        }
-        return true;
-    }
-
-    bool sync() const
-    {
-        return this->number >= 0 && ::fsync(this->number) == 0;
-    }
-
-private:
-    const int number;
-};
-
 std::string checksumOf(const std::string &payload)
 {
     const XXH64_hash_t hash = XXH3_64bits(payload.data(), payload.size());
@@ -82,7 +33,6 @@
 
 RevisionFile::RevisionFile(const std::string &dataFolder)
     : folder(dataFolder)
-    , path(dataFolder + "/" + FileName)
 {
 }
 
@@ -94,28 +44,16 @@
     snapshot.register_text = texts.registerText;
     snapshot.rules_text = texts.rulesText;
     const std::string payload = encode(snapshot);
-    this->replaceWith(checksumOf(payload) + payload);
-}
-
-void RevisionFile::replaceWith(const std::string &bytes) const
-{
-    const std::string fresh = this->path + ".new";
-    const Descriptor file(fresh, O_WRONLY | O_CREAT | O_TRUNC);
-    const bool written = file.writeAll(bytes) && file.sync() && ::rename(fresh.c_str(), this->path.c_str()) == 0;
-    if (!written || !Descriptor(this->folder, O_RDONLY | O_DIRECTORY).sync()) {
-        throw base::Error(base::ResultCode::StorageWriteFailed, fmt::format("'{}' cannot be written: {}", this->path, std::strerror(errno)));
-    }
+    this->folder.replace(FileName, checksumOf(payload) + payload);
 }
 
 std::optional<RevisionTexts> RevisionFile::load() const
 {
-    std::ifstream file(this->path, std::ios::binary);
-    if (!file) {
+    const std::vector<std::string> files = this->folder.files();
+    if (std::find(files.begin(), files.end(), FileName) == files.end()) {
         return std::nullopt;
     }
-    std::ostringstream whole;
-    whole << file.rdbuf();
-    const std::string bytes = whole.str();
+    const std::string bytes = this->folder.read(FileName);
     if (bytes.size() > ChecksumBytes) {
         const std::string payload = bytes.substr(ChecksumBytes);
         const auto snapshot = decode<wire::SnapshotT>(payload);
@@ -123,7 +61,7 @@
             return RevisionTexts{snapshot->revision, snapshot->register_text, snapshot->rules_text};
         }
     }
-    log().warn("'{}' is damaged and not used.", this->path);
+    log().warn("'{}' is damaged and not used.", this->folder.pathOf(FileName));
     return std::nullopt;
 }
 
--- a/src/config/RevisionFile.h
+++ b/src/config/RevisionFile.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/ConfigStore.h"
+#include "replication/DataFolder.h"
 
 #include <optional>
 #include <string>
@@ -13,7 +14,8 @@
 class RevisionFile
 {
 public:
-    explicit RevisionFile(const std::string &folder);
+    /// Creates the folder where it is missing. Throws base::Error(DataFolderUnwritable).
+    explicit RevisionFile(const std::string &dataFolder);
 
     /// Throws base::Error(StorageWriteFailed); the old file stays.
     void save(const RevisionTexts &texts) const;
@@ -22,10 +24,7 @@
     std::optional<RevisionTexts> load() const;
 
 private:
-    void replaceWith(const std::string &bytes) const;
-
-    const std::string folder;
-    const std::string path;
+    const replication::DataFolder folder;
 };
 
 } // namespace cranberryreel::config
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -35,8 +35,8 @@
     SocketAddress listen;
     std::string keyFile;
     std::string nextKeyFile; ///< Also accepted, during a rotation; empty when none.
-    std::chrono::milliseconds heartbeat{500};
-    std::chrono::milliseconds deadAfter{1800};
+    std::chrono::milliseconds heartbeat{400};
+    std::chrono::milliseconds deadAfter{1200};
 };
 
 struct PeerSettings {
@@ -59,8 +59,8 @@
 
 struct TimingSettings {
     std::chrono::milliseconds taskLease{5000};
-    std::chrono::milliseconds electionMin{600};
-    std::chrono::milliseconds electionMax{1200};
+    std::chrono::milliseconds electionMin{500};
+    std::chrono::milliseconds electionMax{900};
     std::chrono::milliseconds groupHeartbeat{150};
     std::chrono::milliseconds upstreamSilentAfter{2500};
     std::chrono::milliseconds upstreamCallLimit{2000};
@@ -72,7 +72,7 @@
     std::uint64_t maxQueuedTasks = 50000;
     std::uint64_t maxLinkQueueBytes = std::uint64_t{8} << 20U;
     std::uint64_t maxAnswerMemoryBytes = std::uint64_t{32} << 20U;
-    std::uint64_t snapshotAfterEntries = 4096;
+    std::uint64_t snapshotAfterEntries = 8192;
     std::chrono::seconds requestRetention{600};
     std::chrono::seconds keyRetention{86400};
 };
