--- a/src/config/ChangeRouter.cpp
+++ b/src/config/ChangeRouter.cpp
@@ -71,7 +71,7 @@
 
 std::string ChangeRouter::nextMember(Journey &journey) const
 {
-    if (const std::string hinted = std::exchange(journey.next, ""); !hinted.empty() && this->peers.isUp(hinted)) {
+    if (std::string hinted = std::exchange(journey.next, ""); !hinted.empty() && this->peers.isUp(hinted)) {
         return hinted;
     }
     const std::vector<std::string> &members = this->options.groupMembers;
--- a/src/config/ConfigPeers.cpp
+++ b/src/config/ConfigPeers.cpp
@@ -75,8 +75,7 @@
     this->hub.send(vm, link::Channel::Config, encode(announcement));
 }
 
-void ConfigPeers::fetch(
-    const std::string &vm, const RevisionTexts &have, bool confirmed, std::chrono::milliseconds limit, std::function<void(FetchReply)> done)
+void ConfigPeers::fetch(const std::string &vm, const RevisionTexts &have, bool confirmed, std::chrono::milliseconds limit, std::function<void(FetchReply)> done)
 {
     wire::FetchCallT body;
     body.have_revision = have.revision;
--- a/src/config/ConfigStore.cpp
+++ b/src/config/ConfigStore.cpp
@@ -112,8 +112,7 @@
 base::ResultCode ConfigStore::take(const wire::ChangeEntryT &entry)
 {
     std::string &text = static_cast<ChangePart>(entry.part) == ChangePart::Register ? this->current.registerText : this->current.rulesText;
-    const auto changed =
-        entry.delta ? TextDelta{entry.delta->prefix_bytes, entry.delta->suffix_bytes, entry.delta->middle}.appliedTo(text) : std::nullopt;
+    const auto changed = entry.delta ? TextDelta{entry.delta->prefix_bytes, entry.delta->suffix_bytes, entry.delta->middle}.appliedTo(text) : std::nullopt;
     if (!changed) {
         return base::ResultCode::RevisionConflict;
     }
--- a/src/config/ReplicatedConfigService.cpp
+++ b/src/config/ReplicatedConfigService.cpp
@@ -92,9 +92,8 @@
             }
         });
     });
-    this->group = makeGroup(*this->store, [this](const std::string &toVm, std::string bytes) {
-        this->hub.send(toVm, link::Channel::ConfigGroup, std::move(bytes));
-    });
+    this->group =
+        makeGroup(*this->store, [this](const std::string &toVm, std::string bytes) { this->hub.send(toVm, link::Channel::ConfigGroup, std::move(bytes)); });
     this->keeper = std::make_unique<ChangeKeeper>(this->worker, *this->store, *this->group);
     this->hub.onMessage(link::Channel::ConfigGroup, [this](const std::string &fromVm, std::string bytes) { this->group->receive(fromVm, std::move(bytes)); });
 }
