Run the config service on base::Mailbox; give spans as one document

Cause: base::Mailbox came with the zone scheduler and does what SerialWorker did; one of them must go.

--- a/src/config/ChangeKeeper.cpp
+++ b/src/config/ChangeKeeper.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::size_t MaxIdBytes = 100;
+constexpr std::size_t MaxIdBytes = 128;
 
 MemberReply refusal(base::ResultCode code, const std::string &reason, std::uint64_t revision)
 {
@@ -46,8 +46,8 @@
 
 } // namespace
 
-ChangeKeeper::ChangeKeeper(std::shared_ptr<SerialWorker> serialWorker, const ConfigStore &configStore, replication::Group &configGroup)
-    : worker(std::move(serialWorker))
+ChangeKeeper::ChangeKeeper(std::shared_ptr<base::Mailbox> mailbox, const ConfigStore &configStore, replication::Group &configGroup)
+    : worker(std::move(mailbox))
     , store(configStore)
     , group(configGroup)
 {
@@ -83,8 +83,8 @@
 
 void ChangeKeeper::propose(const Change &change, const RevisionTexts &now, KeepDone done)
 {
-    auto decided = [serial = this->worker, done = std::move(done)](replication::ProposeResult result) {
-        serial->post([done, result = std::move(result)] { done({replyTo(result), "", true}); });
+    auto decided = [mailbox = this->worker, done = std::move(done)](replication::ProposeResult result) {
+        mailbox->post([done, result = std::move(result)] { done({replyTo(result), "", true}); });
     };
     this->group.propose(ConfigStore::command(change, now), replication::Durability::SyncedDisk, std::move(decided));
 }
--- a/src/config/ChangeKeeper.h
+++ b/src/config/ChangeKeeper.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/Mailbox.h"
 #include "config/ConfigPeers.h"
 #include "config/ConfigStore.h"
-#include "config/SerialWorker.h"
 #include "replication/Group.h"
 
 #include <functional>
@@ -17,14 +17,14 @@
 public:
     using KeepDone = std::function<void(MemberReply)>;
 
-    ChangeKeeper(std::shared_ptr<SerialWorker> worker, const ConfigStore &store, replication::Group &group);
+    ChangeKeeper(std::shared_ptr<base::Mailbox> worker, const ConfigStore &store, replication::Group &group);
 
     void keep(const Change &change, KeepDone done);
 
 private:
     void propose(const Change &change, const RevisionTexts &now, KeepDone done);
 
-    const std::shared_ptr<SerialWorker> worker;
+    const std::shared_ptr<base::Mailbox> worker;
     const ConfigStore &store;
     replication::Group &group;
 };
--- a/src/config/ChangeRouter.cpp
+++ b/src/config/ChangeRouter.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-ChangeRouter::ChangeRouter(const ConfigServiceOptions &serviceOptions, ConfigPeers &configPeers, std::shared_ptr<SerialWorker> serialWorker)
+ChangeRouter::ChangeRouter(const ConfigServiceOptions &serviceOptions, ConfigPeers &configPeers, std::shared_ptr<base::Mailbox> mailbox)
     : options(serviceOptions)
     , peers(configPeers)
-    , worker(std::move(serialWorker))
+    , worker(std::move(mailbox))
 {
 }
 
--- a/src/config/ChangeRouter.h
+++ b/src/config/ChangeRouter.h
@@ -15,7 +15,7 @@
 class ChangeRouter
 {
 public:
-    ChangeRouter(const ConfigServiceOptions &options, ConfigPeers &peers, std::shared_ptr<SerialWorker> worker);
+    ChangeRouter(const ConfigServiceOptions &options, ConfigPeers &peers, std::shared_ptr<base::Mailbox> worker);
 
     void route(const Change &change, ChangeDone done);
 
@@ -36,7 +36,7 @@
 
     const ConfigServiceOptions &options;
     ConfigPeers &peers;
-    const std::shared_ptr<SerialWorker> worker;
+    const std::shared_ptr<base::Mailbox> worker;
 };
 
 } // namespace cranberryreel::config
--- a/src/config/ConfigPeers.cpp
+++ b/src/config/ConfigPeers.cpp
@@ -56,9 +56,9 @@
 
 } // namespace
 
-ConfigPeers::ConfigPeers(link::LinkHub &linkHub, std::shared_ptr<SerialWorker> serialWorker, std::string vm)
+ConfigPeers::ConfigPeers(link::LinkHub &linkHub, std::shared_ptr<base::Mailbox> mailbox, std::string vm)
     : hub(linkHub)
-    , worker(std::move(serialWorker))
+    , worker(std::move(mailbox))
     , ownVm(std::move(vm))
 {
 }
@@ -110,8 +110,8 @@
 
 void ConfigPeers::call(const std::string &vm, std::string payload, std::chrono::milliseconds limit, std::function<void(const link::CallResult &)> done)
 {
-    auto answered = [serial = this->worker, done = std::move(done)](link::CallResult result) {
-        serial->post([done, result = std::move(result)] { done(result); });
+    auto answered = [mailbox = this->worker, done = std::move(done)](link::CallResult result) {
+        mailbox->post([done, result = std::move(result)] { done(result); });
     };
     this->hub.call(vm, link::Channel::Config, std::move(payload), limit, "", std::move(answered));
 }
--- a/src/config/ConfigPeers.h
+++ b/src/config/ConfigPeers.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/Mailbox.h"
 #include "config/ConfigService.h"
 #include "config/ConfigStore.h"
-#include "config/SerialWorker.h"
 #include "link/LinkHub.h"
 
 #include <chrono>
@@ -34,7 +34,7 @@
 class ConfigPeers
 {
 public:
-    ConfigPeers(link::LinkHub &hub, std::shared_ptr<SerialWorker> worker, std::string ownVm);
+    ConfigPeers(link::LinkHub &hub, std::shared_ptr<base::Mailbox> worker, std::string ownVm);
 
     bool isUp(const std::string &vm) const;
     void announce(const std::string &vm, std::uint64_t revision);
@@ -55,7 +55,7 @@
     void call(const std::string &vm, std::string payload, std::chrono::milliseconds limit, std::function<void(const link::CallResult &)> done);
 
     link::LinkHub &hub;
-    const std::shared_ptr<SerialWorker> worker;
+    const std::shared_ptr<base::Mailbox> worker;
     const std::string ownVm;
 };
 
--- a/src/config/InForce.cpp
+++ b/src/config/InForce.cpp
@@ -22,8 +22,8 @@
 
 } // namespace
 
-InForce::InForce(std::shared_ptr<SerialWorker> serialWorker, std::unique_ptr<RevisionFile> revisionFile)
-    : worker(std::move(serialWorker))
+InForce::InForce(std::shared_ptr<base::Mailbox> mailbox, std::unique_ptr<RevisionFile> revisionFile)
+    : worker(std::move(mailbox))
     , file(std::move(revisionFile))
     , configuration(std::make_shared<Configuration>())
 {
--- a/src/config/InForce.h
+++ b/src/config/InForce.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/Mailbox.h"
 #include "config/Configuration.h"
 #include "config/RevisionFile.h"
-#include "config/SerialWorker.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -28,7 +28,7 @@
     using RevisionDone = std::function<void(std::uint64_t revision)>;
 
     /// `file` is null on a VM without a disk.
-    InForce(std::shared_ptr<SerialWorker> worker, std::unique_ptr<RevisionFile> file);
+    InForce(std::shared_ptr<base::Mailbox> worker, std::unique_ptr<RevisionFile> file);
 
     void onChange(Listener listener); ///< Before any move only.
 
@@ -57,7 +57,7 @@
     void put(const std::shared_ptr<const Configuration> &next);
     void answerWaiters();
 
-    const std::shared_ptr<SerialWorker> worker;
+    const std::shared_ptr<base::Mailbox> worker;
     const std::unique_ptr<RevisionFile> file;
     std::vector<Listener> listeners;
     std::list<std::shared_ptr<Waiter>> waiters;
--- a/src/config/ReplicatedConfigService.cpp
+++ b/src/config/ReplicatedConfigService.cpp
@@ -56,7 +56,7 @@
 ReplicatedConfigService::ReplicatedConfigService(const ConfigServiceOptions &serviceOptions, link::LinkHub &linkHub, const GroupFactory &makeGroup)
     : options(serviceOptions)
     , hub(linkHub)
-    , worker(std::make_shared<SerialWorker>())
+    , worker(std::make_shared<base::Mailbox>())
     , inForce(std::make_shared<InForce>(worker, revisionFileIn(serviceOptions.dataFolder)))
     , peers(linkHub, worker, serviceOptions.vm)
     , exchange(options, peers, *inForce)
@@ -117,6 +117,7 @@
 
 void ReplicatedConfigService::start()
 {
+    this->worker->start();
     if (this->group) {
         this->group->start();
     }
@@ -227,8 +228,8 @@
         respond(fetchRefusal(base::ResultCode::GroupUnavailable));
         return;
     }
-    this->group->readBarrier([this, serial = this->worker, have, respond](base::ResultCode code) {
-        serial->post([this, have, respond, code] {
+    this->group->readBarrier([this, mailbox = this->worker, have, respond](base::ResultCode code) {
+        mailbox->post([this, have, respond, code] {
             if (code == base::ResultCode::Ok && this->inForce->revision() >= this->store->texts().revision) {
                 this->answerFetchNow(have, respond);
             } else {
--- a/src/config/ReplicatedConfigService.h
+++ b/src/config/ReplicatedConfigService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Mailbox.h"
 #include "config/ChangeKeeper.h"
 #include "config/ChangeRouter.h"
 #include "config/ConfigPeers.h"
@@ -9,7 +10,6 @@
 #include "config/InForce.h"
 #include "config/RevisionExchange.h"
 #include "config/RevisionSurvey.h"
-#include "config/SerialWorker.h"
 #include "config/StartCheck.h"
 #include "link/LinkHub.h"
 #include "replication/Group.h"
@@ -61,7 +61,7 @@
 
     const ConfigServiceOptions options;
     link::LinkHub &hub;
-    const std::shared_ptr<SerialWorker> worker;
+    const std::shared_ptr<base::Mailbox> worker;
     const std::shared_ptr<InForce> inForce;
     ConfigPeers peers;
     RevisionExchange exchange;
--- a/src/observe/SpanRing.cpp
+++ b/src/observe/SpanRing.cpp
@@ -74,6 +74,18 @@
     return found;
 }
 
+std::string SpanRing::otlpJson(const std::string &id) const
+{
+    nlohmann::json resourceSpans = nlohmann::json::array();
+    for (const std::string &line : this->find(id)) {
+        const nlohmann::json parsed = nlohmann::json::parse(line, nullptr, false);
+        if (parsed.contains("resourceSpans")) {
+            resourceSpans.push_back(parsed["resourceSpans"][0]);
+        }
+    }
+    return resourceSpans.empty() ? std::string() : nlohmann::json{{"resourceSpans", std::move(resourceSpans)}}.dump();
+}
+
 std::vector<std::string> SpanRing::linesWith(const std::string &text) const
 {
     std::vector<std::string> found;
--- a/src/observe/SpanRing.h
+++ b/src/observe/SpanRing.h
@@ -26,6 +26,9 @@
     /// All kept spans of the trace `id`, or of the traces in which a span has the attribute work.id = `id`. In no order.
     std::vector<std::string> find(const std::string &id) const;
 
+    /// The same as one OTLP/JSON document; empty when there is none.
+    std::string otlpJson(const std::string &id) const;
+
 private:
     static constexpr std::size_t ShardCount = 8;
 
--- a/tests/observe/SpanSinkTest.cpp
+++ b/tests/observe/SpanSinkTest.cpp
@@ -61,6 +61,8 @@
     BOOST_TEST(ring->find("rey-0000000000000001").size() == 2U);
     BOOST_TEST(ring->find("rey-000000000000000").empty());
     BOOST_TEST(ring->find("").empty());
+    BOOST_TEST(nlohmann::json::parse(ring->otlpJson(trace))["resourceSpans"].size() == 2U);
+    BOOST_TEST(ring->otlpJson("none").empty());
 }
 
 BOOST_AUTO_TEST_CASE(ringIsBounded)
