--- a/src/http/ClientWorker.cpp
+++ b/src/http/ClientWorker.cpp
@@ -139,6 +139,7 @@
         this->waitForSockets();
         this->takeCalls();
         this->takeFinished();
+        this->endOverdue();
     }
     for (auto &[transfer, owned] : this->active) {
         curl_multi_remove_handle(this->multi, transfer->handle());
@@ -155,10 +156,14 @@
 
 int ClientWorker::waitTimeoutMs() const
 {
-    if (!this->timer) {
-        return LongestWaitMs;
+    base::SteadyTime wake = base::steadyNow() + std::chrono::milliseconds(LongestWaitMs);
+    if (this->timer) {
+        wake = std::min(wake, *this->timer);
     }
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(*this->timer - base::steadyNow()).count();
+    if (!this->deadlines.empty()) {
+        wake = std::min(wake, this->deadlines.begin()->first);
+    }
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(wake - base::steadyNow()).count();
     return static_cast<int>(std::clamp<std::int64_t>(left, 0, LongestWaitMs));
 }
 
@@ -206,6 +211,7 @@
     transfer->prepare(std::move(call.request), std::move(call.done), this->options, fresh);
     Transfer *key = transfer.get();
     this->active.emplace(key, std::move(transfer));
+    this->deadlines.insert({key->deadline(), key});
     curl_multi_add_handle(this->multi, key->handle());
 }
 
@@ -232,18 +238,39 @@
         const CURLcode result = message->data.result;
         Transfer *transfer = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
-        curl_multi_remove_handle(this->multi, message->easy_handle);
-        const auto found = this->active.find(transfer);
-        std::unique_ptr<Transfer> owned = std::move(found->second);
-        this->active.erase(found);
+        std::unique_ptr<Transfer> owned = this->release(transfer);
         if (owned->endedSilently(result) && this->doubtfulUntil.size() < DoubtfulHosts) {
             // The host's other pooled connections may be as dead; none is used again until all of them have idled out.
             this->doubtfulUntil[owned->host()] = base::steadyNow() + this->options.maxIdle + std::chrono::seconds(1);
         }
         owned->finish(result);
-        if (this->idle.size() < IdleHandles) {
-            this->idle.push_back(std::move(owned));
-        }
+        this->keepIdle(std::move(owned));
+    }
+}
+
+void ClientWorker::endOverdue()
+{
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= base::steadyNow()) {
+        std::unique_ptr<Transfer> owned = this->release(this->deadlines.begin()->second);
+        owned->finish(CURLE_OPERATION_TIMEDOUT);
+        this->keepIdle(std::move(owned));
+    }
+}
+
+std::unique_ptr<Transfer> ClientWorker::release(Transfer *transfer)
+{
+    curl_multi_remove_handle(this->multi, transfer->handle());
+    this->deadlines.erase({transfer->deadline(), transfer});
+    const auto found = this->active.find(transfer);
+    std::unique_ptr<Transfer> owned = std::move(found->second);
+    this->active.erase(found);
+    return owned;
+}
+
+void ClientWorker::keepIdle(std::unique_ptr<Transfer> transfer)
+{
+    if (this->idle.size() < IdleHandles) {
+        this->idle.push_back(std::move(transfer));
     }
 }
 
--- a/src/http/ClientWorker.h
+++ b/src/http/ClientWorker.h
@@ -5,14 +5,15 @@
 #include "http/Transfer.h"
 
 #include <absl/base/thread_annotations.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 #include <absl/synchronization/mutex.h>
 
 #include <memory>
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace cranberryreel::http
@@ -47,6 +48,9 @@
     void takeCalls();
     void begin(Call call);
     void takeFinished();
+    void endOverdue();
+    std::unique_ptr<Transfer> release(Transfer *transfer);
+    void keepIdle(std::unique_ptr<Transfer> transfer);
     static void refuse(const std::vector<Call> &refused);
     bool inDoubt(const std::string &host);
     int waitTimeoutMs() const;
@@ -58,6 +62,7 @@
     std::optional<base::SteadyTime> timer;
     std::vector<std::unique_ptr<Transfer>> idle;
     absl::flat_hash_map<Transfer *, std::unique_ptr<Transfer>> active;
+    absl::btree_set<std::pair<base::SteadyTime, Transfer *>> deadlines; ///< Of the active ones.
     absl::flat_hash_map<std::string, base::SteadyTime> doubtfulUntil; ///< Hosts with a pooled connection that went silent.
     absl::Mutex mutex;
     std::vector<Call> calls ABSL_GUARDED_BY(mutex);
--- a/src/http/Transfer.cpp
+++ b/src/http/Transfer.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr std::chrono::milliseconds DeadlineSlack{20};
+
 CallOutcome outcomeOf(CURLcode result)
 {
     switch (result) {
@@ -40,6 +42,7 @@
     this->request = std::move(newRequest);
     this->done = std::move(newDone);
     this->response = {};
+    this->latestEnd = base::steadyNow() + this->request.limit + DeadlineSlack;
     this->maxAnswerBytes = options.maxAnswerBytes;
     curl_easy_reset(this->curl);
     const std::string url = "http://" + this->request.host + this->request.target;
--- a/src/http/Transfer.h
+++ b/src/http/Transfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cranberryreel/base/Clock.h"
 #include "http/ClientOptions.h"
 #include "http/ClientRequest.h"
 #include "http/ClientResponse.h"
@@ -35,6 +36,12 @@
         return this->curl;
     }
 
+    /// The latest end of the call; libcurl's own limit comes a little earlier, but does not hold for calls that wait for a connection.
+    base::SteadyTime deadline() const
+    {
+        return this->latestEnd;
+    }
+
     const std::string &host() const
     {
         return this->request.host;
@@ -52,6 +59,7 @@
     ClientResponse response;
     ClientDone done;
     std::size_t maxAnswerBytes = 0;
+    base::SteadyTime latestEnd;
 };
 
 } // namespace cranberryreel::http
--- /dev/null
+++ b/tests/entry/EntryStopTest.cpp
@@ -0,0 +1,80 @@
+#include "EntryFixture.h"
+#include "support/Eventually.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+using cranberryreel::base::ResultCode;
+using cranberryreel::testsupport::eventually;
+using Json = nlohmann::json;
+
+namespace
+{
+
+cranberryreel::entry::EntryOptions briefGrace()
+{
+    cranberryreel::entry::EntryOptions options;
+    options.stopGrace = std::chrono::milliseconds(100);
+    return options;
+}
+
+struct StopFixture : EntryFixture {
+    StopFixture()
+        : EntryFixture(briefGrace())
+    {
+    }
+
+    std::future<cranberryreel::http::ClientResponse> submitHeld()
+    {
+        this->dispatcher->hold(true);
+        auto answer = std::async(std::launch::async, [this] { return this->call("POST", "/v1/requests", requestBody().dump()); });
+        BOOST_TEST(eventually([this] { return this->dispatcher->heldCount() == 1; }));
+        return answer;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EntryStopTest, StopFixture)
+
+BOOST_AUTO_TEST_CASE(notReadyFirstThenNewWorkIsRefusedAndWorkInFlightFinishes)
+{
+    auto answer = this->submitHeld();
+    BOOST_TEST(this->call("GET", "/readyz", "", "").status == 200);
+    this->server->beginStop();
+    BOOST_TEST(this->call("GET", "/readyz", "", "").status == 503);
+    this->dispatcher->hold(false);
+    BOOST_TEST(eventually([this] { return codeOf(this->call("POST", "/v1/requests", requestBody().dump())) == static_cast<int>(ResultCode::ShuttingDown); }));
+    this->dispatcher->releaseAll();
+    BOOST_TEST(answer.get().status == 200);
+    BOOST_TEST(this->server->stop(std::chrono::seconds(30)));
+}
+
+BOOST_AUTO_TEST_CASE(whatCannotFinishIsToldAsUnknown)
+{
+    auto answer = this->submitHeld();
+    BOOST_TEST(!this->server->stop(std::chrono::milliseconds(50)));
+    BOOST_TEST(codeOf(answer.get()) == static_cast<int>(ResultCode::OutcomeUnknown));
+    this->dispatcher->releaseAll();
+}
+
+BOOST_AUTO_TEST_CASE(aVmThatIsNotReadyYetSaysSo)
+{
+    cranberryreel::entry::EntryOptions options;
+    options.ready = [] { return false; };
+    EntryFixture starting(options);
+    BOOST_TEST(starting.call("GET", "/readyz", "", "").status == 503);
+    BOOST_TEST(starting.call("GET", "/healthz", "", "").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(upstreamsNeedTheirKeyWhereOneIsSet)
+{
+    cranberryreel::entry::EntryOptions options;
+    options.upstreamKeyHash = cranberryreel::entry::sha256Hex("up-key");
+    EntryFixture keyed(options);
+    BOOST_TEST(keyed.call("POST", "/v1/upstreams", "{}", "north-key").status == 401);
+    BOOST_TEST(codeOf(keyed.call("POST", "/v1/upstreams", "{}", "up-key")) == static_cast<int>(ResultCode::MissingField));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
