--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -1,5 +1,6 @@
 #include "entry/EntryServer.h"
 
+#include "config/KeyHash.h"
 #include "cranberryreel/base/Error.h"
 #include "http/JsonReader.h"
 #include "http/ServerBuilder.h"
@@ -132,7 +133,7 @@
 void EntryServer::checkUpstreamKey(const http::Request &request) const
 {
     const std::string &wanted = this->options.upstreamKeyHash;
-    if (!wanted.empty() && sha256Hex(bearerKey(request.authorization)) != wanted) {
+    if (!wanted.empty() && config::keyHash(bearerKey(request.authorization)) != wanted) {
         throw base::Error(ResultCode::Unauthorized, "The upstreams' key is wrong or absent.");
     }
 }
--- a/src/entry/KeyRing.h
+++ b/src/entry/KeyRing.h
@@ -15,9 +15,6 @@
 namespace cranberryreel::entry
 {
 
-/// SHA-256 in lower-case hex.
-std::string sha256Hex(std::string_view text);
-
 /// The key in "Bearer KEY"; empty for anything else.
 std::string_view bearerKey(std::string_view authorization);
 
--- a/tests/entry/CodecFuzzTest.cpp
+++ b/tests/entry/CodecFuzzTest.cpp
@@ -21,7 +21,8 @@
                                  R"("run_time_ms":20,"priority":3,"repeatable":false,"key":"z1:k","payload":"{\"echo\":\"\u00e6\"}"})";
 const std::string ValidJob = R"({"kind":"batch","name":"sweep","tasks":20,"cpu_millis":1000,"memory_mib":512,"payload":""})";
 const std::string ValidReport = R"({"id":"up-1","vm":"vm-1","zone":"z1","boot":"b","address":"127.0.0.1:1","service":"","slots":8,"leaving":false,"epoch":3,)"
-                                R"("tasks":[{"task_id":"z1-00.0","attempt":1,"state":"running","cpu_millis":1,"memory_mib":2,"accelerators":0}]})";
+                                R"("tasks":[{"task_id":"z1-00.0","attempt":1,"state":"running","cpu_millis":1,"memory_mib":2,"accelerators":0,)"
+                                R"("reserved_cpu_millis":3,"reserved_memory_mib":4,"reserved_accelerators":1}]})";
 
 /// Every codec either reads the text or throws a numbered error that belongs to the caller's input.
 void readByAll(const std::string &text)
--- a/tests/entry/EntryStopTest.cpp
+++ b/tests/entry/EntryStopTest.cpp
@@ -6,7 +6,7 @@
 #include <future>
 
 using cranberryreel::base::ResultCode;
-using cranberryreel::testsupport::eventually;
+using cranberryreel::support::eventually;
 using Json = nlohmann::json;
 
 namespace
@@ -71,7 +71,7 @@
 BOOST_AUTO_TEST_CASE(upstreamsNeedTheirKeyWhereOneIsSet)
 {
     cranberryreel::entry::EntryOptions options;
-    options.upstreamKeyHash = cranberryreel::entry::sha256Hex("up-key");
+    options.upstreamKeyHash = cranberryreel::config::keyHash("up-key");
     EntryFixture keyed(options);
     BOOST_TEST(keyed.call("POST", "/v1/upstreams", "{}", "north-key").status == 401);
     BOOST_TEST(codeOf(keyed.call("POST", "/v1/upstreams", "{}", "up-key")) == static_cast<int>(ResultCode::MissingField));
--- a/tests/http/ClientTest.cpp
+++ b/tests/http/ClientTest.cpp
@@ -8,7 +8,7 @@
 #include <unistd.h>
 
 using namespace cranberryreel::http;
-using cranberryreel::testsupport::eventually;
+using cranberryreel::support::eventually;
 
 BOOST_FIXTURE_TEST_SUITE(ClientTest, ServerFixture)
 
--- a/tests/http/ServerTest.cpp
+++ b/tests/http/ServerTest.cpp
@@ -8,7 +8,7 @@
 #include <future>
 
 using cranberryreel::base::ResultCode;
-using cranberryreel::testsupport::eventually;
+using cranberryreel::support::eventually;
 using cranberryreel::testsupport::RawConnection;
 using namespace cranberryreel::http;
 
--- a/tests/support/Eventually.h
+++ b/tests/support/Eventually.h
@@ -1,25 +1,23 @@
 #pragma once
 
-#include "cranberryreel/base/Clock.h"
-
 #include <chrono>
+#include <functional>
 #include <thread>
 
-namespace cranberryreel::testsupport
+namespace cranberryreel::support
 {
 
-/// Polls until the condition holds; false when it did not within the limit.
-template<typename Condition>
-bool eventually(Condition condition, std::chrono::milliseconds limit = std::chrono::seconds(30))
+/// Polls a condition; false when it did not come true within the limit.
+inline bool eventually(const std::function<bool()> &condition, std::chrono::milliseconds limit = std::chrono::seconds(20))
 {
-    const base::SteadyTime until = base::steadyNow() + limit;
+    const auto deadline = std::chrono::steady_clock::now() + limit;
     while (!condition()) {
-        if (base::steadyNow() > until) {
+        if (std::chrono::steady_clock::now() >= deadline) {
             return false;
         }
-        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
     return true;
 }
 
-} // namespace cranberryreel::testsupport
+} // namespace cranberryreel::support
--- a/tests/upstream/HttpUpstreamAdapterTest.cpp
+++ b/tests/upstream/HttpUpstreamAdapterTest.cpp
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 using cranberryreel::base::ResultCode;
 using cranberryreel::model::JobState;
-using cranberryreel::testsupport::eventually;
+using cranberryreel::support::eventually;
 using namespace cranberryreel::upstream;
 
 namespace
@@ -58,7 +58,7 @@
     {
         std::promise<TaskAnswer> answer;
         this->adapter.command(
-            this->fake.address(), order("").taskId, command, epoch, Patience, [&answer](TaskAnswer given) { answer.set_value(std::move(given)); });
+            this->fake.address(), order("").taskId, 1, command, epoch, Patience, [&answer](TaskAnswer given) { answer.set_value(std::move(given)); });
         return answer.get_future().get();
     }
 
@@ -135,6 +135,13 @@
     BOOST_TEST((this->command(TaskCommand::Stop).report.state == JobState::Failed));
 }
 
+BOOST_AUTO_TEST_CASE(aStopBarsLateStartsOfItsAttempt)
+{
+    BOOST_TEST((this->command(TaskCommand::Stop).code == ResultCode::NotFound));
+    BOOST_TEST((this->start(order("", 1)).code == ResultCode::UpstreamRefused));
+    BOOST_TEST((this->start(order("", 2)).report.state == JobState::Done));
+}
+
 BOOST_AUTO_TEST_CASE(anExpiredStartIsDropped)
 {
     this->fake.fault({{"freeze", true}});
