Record how long each route and each call to an upstream takes

Cause: /metrics told nothing of the entry and of calls to upstreams, and spans named the work by another attribute than the trace command looks for. Conclusion: a duration per route and per sort of upstream call, counters for refusals and failed calls; spans carry work.id.

--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -5,6 +5,7 @@
 #include "http/JsonReader.h"
 #include "http/ServerBuilder.h"
 #include "observe/Log.h"
+#include "observe/Metrics.h"
 #include "upstream/ReportCodec.h"
 
 namespace cranberryreel::entry
@@ -43,6 +44,15 @@
     return options;
 }
 
+/// Passes the answer on and records how long it took.
+http::Responder timed(const http::Responder &respond, const Route &route)
+{
+    return [respond, durations = route.durations, begin = base::steadyNow()](http::Response response) {
+        durations->record(base::steadyNow() - begin);
+        respond(std::move(response));
+    };
+}
+
 http::Response announceResponse(const AnnounceReply &reply)
 {
     if (reply.code != ResultCode::Ok) {
@@ -106,9 +116,15 @@
 
 void EntryServer::serve(const std::shared_ptr<const http::Request> &request, const http::Responder &respond)
 {
-    auto [route, id] = this->router.find(request->method, request->path);
-    const Identity identity = this->identityFor(*route, *request);
-    route->handle({request, std::move(id), identity, respond});
+    static observe::Counter &refused = observe::counter("cranberryreel_entry_refused_total", "Requests answered with an error before any work was done.");
+    try {
+        auto [route, id] = this->router.find(request->method, request->path);
+        const Identity identity = this->identityFor(*route, *request);
+        route->handle({request, std::move(id), identity, timed(respond, *route)});
+    } catch (const base::Error &) {
+        refused.add();
+        throw;
+    }
 }
 
 Identity EntryServer::identityFor(const Route &route, const http::Request &request)
--- a/src/entry/Route.h
+++ b/src/entry/Route.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/Call.h"
+#include "observe/Metrics.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,6 +24,7 @@
     std::string path; ///< "ID" as a whole segment stands for any one segment.
     Access access = Access::Open;
     std::function<void(Call)> handle;
+    observe::DurationHistogram *durations = nullptr; ///< From receipt to answer; set by the Router.
 };
 
 } // namespace cranberryreel::entry
--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -40,6 +40,8 @@
 
 void Router::add(Route route)
 {
+    const std::string label = "route=\"" + route.method + ' ' + route.path + '"';
+    route.durations = &observe::durations("cranberryreel_entry_request_seconds", "From a whole request received to its answer.", label);
     this->routes.push_back(std::move(route));
 }
 
--- a/src/entry/WorkHandlers.cpp
+++ b/src/entry/WorkHandlers.cpp
@@ -34,7 +34,7 @@
 /// Ends the span and answers with the status, or with the error where there is none.
 void respondStatus(const http::Responder &respond, const DispatchReply &reply, observe::Span &span, unsigned int status)
 {
-    span.set("job.id", reply.status.id);
+    span.set("work.id", reply.status.id);
     const std::string traceId = span.traceId();
     span.end(reply.code == ResultCode::Ok ? reply.status.code : reply.code);
     if (reply.code != ResultCode::Ok) {
@@ -128,6 +128,7 @@
     }
     const SharedSpan span = beginSpan(hop, call);
     const std::string traceparent = span->traceparent();
+    span->set("work.id", call.id);
     this->dispatcher->lookup(call.id, wait, traceparent, [call, span, next = std::move(next)](DispatchReply reply) {
         if (reply.code != ResultCode::Ok) {
             span->end(reply.code);
--- a/src/upstream/HttpUpstreamAdapter.cpp
+++ b/src/upstream/HttpUpstreamAdapter.cpp
@@ -1,7 +1,9 @@
 #include "upstream/HttpUpstreamAdapter.h"
 
+#include "cranberryreel/base/Clock.h"
 #include "cranberryreel/base/Error.h"
 #include "observe/Log.h"
+#include "observe/Metrics.h"
 #include "upstream/ReportCodec.h"
 #include "upstream/WireNames.h"
 
@@ -29,6 +31,30 @@
     return instance;
 }
 
+/// The figures of one sort of call.
+struct CallFigures {
+    explicit CallFigures(const std::string &call)
+        : durations(observe::durations("cranberryreel_upstream_call_seconds", "From a call to an upstream to its answer.", "call=\"" + call + '"'))
+        , failures(observe::counter("cranberryreel_upstream_calls_failed_total", "Calls to upstreams without a whole answer.", "call=\"" + call + '"'))
+    {
+    }
+
+    /// The callback, after recording the call that begins now.
+    http::ClientDone recording(http::ClientDone done)
+    {
+        return [this, begin = base::steadyNow(), done = std::move(done)](http::ClientResponse response) {
+            this->durations.record(base::steadyNow() - begin);
+            if (response.outcome != http::CallOutcome::Answered) {
+                this->failures.add();
+            }
+            done(std::move(response));
+        };
+    }
+
+    observe::DurationHistogram &durations;
+    observe::Counter &failures;
+};
+
 ResultCode refusalCode(const std::string &body)
 {
     try {
@@ -86,6 +112,24 @@
     return answer;
 }
 
+TaskAnswer startAnswerOf(const std::string &address, const std::string &taskId, std::uint32_t attempt, const http::ClientResponse &response)
+{
+    TaskAnswer answer = taskAnswerOf(address, taskId, response);
+    if (answer.code == ResultCode::NotFound) {
+        answer.code = ResultCode::UpstreamRefused;
+    }
+    if (answer.code == ResultCode::Ok && answer.report.attempt != attempt) {
+        log().warn("{} answered the start of task {} with another attempt.", address, taskId);
+        answer.code = ResultCode::UpstreamProtocol;
+    }
+    return answer;
+}
+
+http::ClientDone taskAnswered(const std::string &address, const std::string &taskId, TaskDone done)
+{
+    return [address, taskId, done = std::move(done)](const http::ClientResponse &response) { done(taskAnswerOf(address, taskId, response)); };
+}
+
 RenewAnswer renewAnswerOf(const std::string &address, const http::ClientResponse &response)
 {
     RenewAnswer answer;
@@ -147,25 +191,19 @@
 {
     http::ClientRequest request = post(address, "/v1/tasks", startToJson(order), limit);
     request.traceparent = traceparent;
-    this->client.call(std::move(request),
-                      [address, taskId = order.taskId, attempt = order.attempt, done = std::move(done)](const http::ClientResponse &response) {
-                          TaskAnswer answer = taskAnswerOf(address, taskId, response);
-                          if (answer.code == ResultCode::NotFound) {
-                              answer.code = ResultCode::UpstreamRefused;
-                          }
-                          if (answer.code == ResultCode::Ok && answer.report.attempt != attempt) {
-                              log().warn("{} answered the start of task {} with another attempt.", address, taskId);
-                              answer.code = ResultCode::UpstreamProtocol;
-                          }
-                          done(std::move(answer));
-                      });
+    static CallFigures figures("start");
+    const auto answered = [address, taskId = order.taskId, attempt = order.attempt, done = std::move(done)](const http::ClientResponse &response) {
+        done(startAnswerOf(address, taskId, attempt, response));
+    };
+    this->client.call(std::move(request), figures.recording(answered));
 }
 
 void HttpUpstreamAdapter::renew(const std::string &address, const RenewOrder &order, std::chrono::milliseconds limit, RenewDone done)
 {
     const nlohmann::json body = {{"epoch", order.epoch}, {"lease_ms", order.lease.count()}, {"acknowledged", order.acknowledged}};
-    this->client.call(post(address, "/v1/renew", body, limit),
-                      [address, done = std::move(done)](const http::ClientResponse &response) { done(renewAnswerOf(address, response)); });
+    static CallFigures figures("renew");
+    const auto answered = [address, done = std::move(done)](const http::ClientResponse &response) { done(renewAnswerOf(address, response)); };
+    this->client.call(post(address, "/v1/renew", body, limit), figures.recording(answered));
 }
 
 void HttpUpstreamAdapter::ask(const std::string &address, const std::string &taskId, std::chrono::milliseconds limit, TaskDone done)
@@ -175,8 +213,8 @@
     request.target = "/v1/tasks/" + taskId;
     request.limit = limit;
     request.freshConnection = true;
-    this->client.call(std::move(request),
-                      [address, taskId, done = std::move(done)](const http::ClientResponse &response) { done(taskAnswerOf(address, taskId, response)); });
+    static CallFigures figures("ask");
+    this->client.call(std::move(request), figures.recording(taskAnswered(address, taskId, std::move(done))));
 }
 
 void HttpUpstreamAdapter::command(const std::string &address,
@@ -188,8 +226,9 @@
                                   TaskDone done)
 {
     const std::string target = "/v1/tasks/" + taskId + "/" + CommandPaths[static_cast<std::size_t>(command)];
-    this->client.call(post(address, target, {{"epoch", epoch}, {"attempt", attempt}}, limit),
-                      [address, taskId, done = std::move(done)](const http::ClientResponse &response) { done(taskAnswerOf(address, taskId, response)); });
+    static CallFigures figures("command");
+    http::ClientRequest request = post(address, target, {{"epoch", epoch}, {"attempt", attempt}}, limit);
+    this->client.call(std::move(request), figures.recording(taskAnswered(address, taskId, std::move(done))));
 }
 
 void HttpUpstreamAdapter::stop()
--- a/tests/entry/EntryServerTest.cpp
+++ b/tests/entry/EntryServerTest.cpp
@@ -1,4 +1,5 @@
 #include "EntryFixture.h"
+#include "observe/Metrics.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -155,4 +156,11 @@
     BOOST_TEST(this->call("POST", "/v1/ops/drain/vm-b", R"({"draining":true})", "root-key").status == 404);
 }
 
+BOOST_AUTO_TEST_CASE(everyRouteRecordsItsDurations)
+{
+    this->call("POST", "/v1/requests", requestBody().dump());
+    const std::string text = cranberryreel::observe::prometheusText();
+    BOOST_TEST(text.find("cranberryreel_entry_request_seconds_count{route=\"POST /v1/requests\"}") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
