Parse the scenario language

Ruled out: one grammar of nested automatic rules; its types grew until the compiler ran out of memory. Each statement has a parser of its own now.

--- /dev/null
+++ b/tests/scenario/ScriptParser.cpp
@@ -0,0 +1,233 @@
+#include "scenario/ScriptParser.h"
+
+#include "cranberryreel/base/Error.h"
+
+#include <boost/fusion/include/adapt_struct.hpp>
+#include <boost/spirit/home/x3.hpp>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
+
+#include <fmt/format.h>
+
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::Member, vm, hasDisk)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::Place, kind, name)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::ZoneStep, zone, members)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::UpstreamStep, name, zone, slots)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::ActionStep, action, place)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::LinkStep, action, left, right)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::LetStep, alias, place)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::WorkOptions, kind, tasks, running, deadline, keyZone, once)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::SubmitStep, name, at, count, options)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::LoadStep, name, at, every, options)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::ResendStep, name, at)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::CancelStep, name, at)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::RaceStep, operators, at)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::LeaderCondition, zone, other, name)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::PlacesCondition, zone, at)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::StateCondition, name, states)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::StartedCondition, name, times)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::NoStartCondition, at, time)
+BOOST_FUSION_ADAPT_STRUCT(cranberryreel::scenario::ExitCondition, name, status)
+
+namespace cranberryreel::scenario
+{
+
+namespace
+{
+
+namespace x3 = boost::spirit::x3;
+using x3::alnum;
+using x3::char_;
+using x3::lexeme;
+using x3::matches;
+using x3::uint_;
+
+/// A whole word, so that "at" does not match the beginning of "attic".
+auto word(const char *text)
+{
+    return lexeme[x3::lit(text) >> !(alnum | '_' | '-')];
+}
+
+struct UnitTable : x3::symbols<unsigned> {
+    UnitTable()
+    {
+        this->add("ms", 1)("s", 1000);
+    }
+} const unit;
+
+struct ActionTable : x3::symbols<Action> {
+    ActionTable()
+    {
+        this->add("start", Action::Start)("kill", Action::Kill)("freeze", Action::Freeze)("thaw", Action::Thaw)("stop", Action::Stop);
+        this->add("restart", Action::Restart)("snapshot disk of", Action::SnapshotDisk)("wipe disk of", Action::WipeDisk);
+        this->add("roll back disk of", Action::RollBackDisk)("leave", Action::Leave)("silence", Action::Silence);
+        this->add("fail all at", Action::FailAll)("recover", Action::Recover);
+    }
+} const action;
+
+struct LinkActionTable : x3::symbols<LinkAction> {
+    LinkActionTable()
+    {
+        this->add("cut", LinkAction::Cut)("cut one way", LinkAction::CutOneWay)("blackhole", LinkAction::Blackhole)("heal", LinkAction::Heal);
+    }
+} const linkAction;
+
+// Rules with definitions of their own keep the types of the statements' parsers small.
+const x3::rule<struct NameRule, std::string> name = "name";
+const auto name_def = lexeme[x3::lower >> *(char_('-') | char_('_') | alnum)];
+
+const auto toMilliseconds = [](auto &context) {
+    const auto &amount = x3::_attr(context);
+    x3::_val(context) = Milliseconds(boost::fusion::at_c<0>(amount) * boost::fusion::at_c<1>(amount));
+};
+const x3::rule<struct DurationRule, Milliseconds> duration = "duration";
+const auto duration_def = (uint_ >> unit)[toMilliseconds];
+
+const x3::rule<struct PlaceRule, Place> place = "place";
+const auto place_def = (word("leader") >> word("of") >> word("zone") >> x3::attr(PlaceKind::Leader) >> name)
+    | (word("follower") >> word("of") >> word("zone") >> x3::attr(PlaceKind::Follower) >> name) | (word("zone") >> x3::attr(PlaceKind::Zone) >> name)
+    | (word("the") >> word("rest") >> x3::attr(PlaceKind::Rest) >> x3::attr(std::string()))
+    | (word("every") >> word("vm") >> x3::attr(PlaceKind::EveryVm) >> x3::attr(std::string()))
+    | (word("every") >> word("upstream") >> x3::attr(PlaceKind::EveryUpstream) >> x3::attr(std::string())) | (x3::attr(PlaceKind::Named) >> name);
+
+const x3::rule<struct MemberRule, Member> member = "member";
+const auto member_def = name >> matches[word("disk")];
+
+const x3::rule<struct WorkRule, WorkOptions> work = "work";
+const auto work_def = -(word("as") >> name) >> -(word("tasks") >> uint_) >> -(word("running") >> duration) >> -(word("deadline") >> duration)
+    >> -(word("kept") >> word("by") >> name) >> matches[word("once")];
+
+BOOST_SPIRIT_DEFINE(name, duration, place, member, work)
+
+/// Reads the whole text as one kind of statement or condition.
+template<typename Made, typename Into, typename Parser>
+bool readWhole(const std::string &text, const Parser &parser, Into &into)
+{
+    Made made{};
+    auto next = text.begin();
+    if (!x3::phrase_parse(next, text.end(), parser, x3::blank, made) || next != text.end()) {
+        return false;
+    }
+    into = std::move(made);
+    return true;
+}
+
+/// The same for a kind with a single member.
+template<typename Made, auto Field, typename Into, typename Parser>
+bool readOnly(const std::string &text, const Parser &parser, Into &into)
+{
+    Made made{};
+    auto next = text.begin();
+    if (!x3::phrase_parse(next, text.end(), parser, x3::blank, made.*Field) || next != text.end()) {
+        return false;
+    }
+    into = std::move(made);
+    return true;
+}
+
+using ReadCondition = bool (*)(const std::string &, Condition &);
+
+const std::vector<ReadCondition> conditionReaders{
+    [](const std::string &text, Condition &into) {
+        const auto isNot = matches[word("not")];
+        return readWhole<LeaderCondition>(text, word("leader") >> word("of") >> word("zone") >> name >> word("is") >> isNot >> name, into);
+    },
+    [](const std::string &text, Condition &into) {
+        const auto parser = word("epoch") >> word("of") >> word("zone") >> name >> word("is") >> word("unchanged");
+        return readOnly<EpochCondition, &EpochCondition::zone>(text, parser, into);
+    },
+    [](const std::string &text, Condition &into) {
+        return readWhole<PlacesCondition>(text, word("zone") >> name >> word("places") >> word("work") >> word("at") >> place, into);
+    },
+    [](const std::string &text, Condition &into) {
+        return readWhole<NoStartCondition>(text, word("no") >> word("start") >> word("at") >> place >> word("for") >> duration, into);
+    },
+    [](const std::string &text, Condition &into) {
+        return readOnly<RevisionCondition, &RevisionCondition::at>(text, word("one") >> word("revision") >> word("at") >> place, into);
+    },
+    [](const std::string &text, Condition &into) {
+        return readOnly<WinnerCondition, &WinnerCondition::phrase>(text, word("one") >> x3::string("winner"), into);
+    },
+    [](const std::string &text, Condition &into) { return readWhole<ExitCondition>(text, name >> word("exited") >> word("with") >> uint_, into); },
+    [](const std::string &text, Condition &into) { return readWhole<StartedCondition>(text, name >> word("started") >> uint_ >> word("times"), into); },
+    [](const std::string &text, Condition &into) {
+        return readOnly<ReadyCondition, &ReadyCondition::place>(text, place >> word("is") >> word("ready"), into);
+    },
+    [](const std::string &text, Condition &into) { return readWhole<StateCondition>(text, name >> word("is") >> (name % word("or")), into); },
+};
+
+bool readExpect(const std::string &text, Step &into)
+{
+    ExpectStep expect;
+    auto next = text.begin();
+    if (!x3::phrase_parse(next, text.end(), -(word("within") >> duration) >> word("expect"), x3::blank, expect.within)) {
+        return false;
+    }
+    const std::string rest(next, text.end());
+    for (const ReadCondition read : conditionReaders) {
+        if (read(rest, expect.condition)) {
+            into = expect;
+            return true;
+        }
+    }
+    return false;
+}
+
+using ReadStep = bool (*)(const std::string &, Step &);
+
+const std::vector<ReadStep> stepReaders{
+    [](const std::string &text, Step &into) { return readWhole<ZoneStep>(text, word("zone") >> name >> ':' >> (member % ','), into); },
+    [](const std::string &text, Step &into) {
+        return readWhole<UpstreamStep>(text, word("upstream") >> name >> word("in") >> name >> -(word("slots") >> uint_), into);
+    },
+    [](const std::string &text, Step &into) {
+        return readWhole<LinkStep>(text, lexeme[linkAction >> &x3::blank] >> place >> (word("from") | word("to")) >> place, into);
+    },
+    [](const std::string &text, Step &into) { return readWhole<LetStep>(text, word("let") >> name >> '=' >> place, into); },
+    [](const std::string &text, Step &into) {
+        return readOnly<NoteEpochStep, &NoteEpochStep::zone>(text, word("note") >> word("epoch") >> word("of") >> word("zone") >> name, into);
+    },
+    [](const std::string &text, Step &into) {
+        return readWhole<SubmitStep>(text, word("submit") >> name >> word("at") >> place >> -(word("count") >> uint_) >> work, into);
+    },
+    [](const std::string &text, Step &into) {
+        return readWhole<LoadStep>(text, word("load") >> name >> word("at") >> place >> word("every") >> duration >> work, into);
+    },
+    [](const std::string &text, Step &into) { return readOnly<EndLoadStep, &EndLoadStep::name>(text, word("end") >> word("load") >> name, into); },
+    [](const std::string &text, Step &into) { return readWhole<ResendStep>(text, word("resend") >> name >> word("at") >> place, into); },
+    [](const std::string &text, Step &into) { return readWhole<CancelStep>(text, word("cancel") >> name >> word("at") >> place, into); },
+    [](const std::string &text, Step &into) { return readWhole<RaceStep>(text, word("race") >> uint_ >> word("operators") >> word("at") >> place, into); },
+    [](const std::string &text, Step &into) { return readOnly<WaitStep, &WaitStep::time>(text, word("wait") >> duration, into); },
+    [](const std::string &text, Step &into) { return readWhole<ActionStep>(text, lexeme[action >> &x3::blank] >> place, into); },
+    readExpect,
+};
+
+Step parseStep(const std::string &text, const std::string &where)
+{
+    Step parsed;
+    for (const ReadStep read : stepReaders) {
+        if (read(text, parsed)) {
+            return parsed;
+        }
+    }
+    throw base::Error(base::ResultCode::UsageError, fmt::format("{}: '{}' is no statement of the scenario language.", where, text));
+}
+
+} // namespace
+
+Script parseScript(const std::string &scriptName, const std::string &text)
+{
+    Script script{scriptName, {}};
+    unsigned number = 0;
+    for (const absl::string_view raw : absl::StrSplit(text, '\n')) {
+        ++number;
+        const std::string statement(absl::StripAsciiWhitespace(raw.substr(0, raw.find('#'))));
+        if (!statement.empty()) {
+            script.lines.push_back({number, statement, parseStep(statement, fmt::format("{}:{}", scriptName, number))});
+        }
+    }
+    return script;
+}
+
+} // namespace cranberryreel::scenario
