--- a/src/config/InForce.h
+++ b/src/config/InForce.h
@@ -1,14 +1,15 @@
 #pragma once
 
+#include "base/Mailbox.h"
 #include "config/Configuration.h"
 #include "config/RevisionFile.h"
-#include "config/SerialWorker.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
@@ -27,7 +28,7 @@
     using RevisionDone = std::function<void(std::uint64_t revision)>;
 
     /// `file` is null on a VM without a disk.
-    InForce(std::shared_ptr<SerialWorker> worker, std::unique_ptr<RevisionFile> file);
+    InForce(std::shared_ptr<base::Mailbox> worker, std::unique_ptr<RevisionFile> file);
 
     void onChange(Listener listener); ///< Before any move only.
 
@@ -38,6 +39,9 @@
     std::shared_ptr<const Configuration> current() const;
     std::uint64_t revision() const;
 
+    /// One of the last few revisions that were in force here; null for any other. Any thread.
+    std::shared_ptr<const Configuration> recent(std::uint64_t revision) const;
+
     /// Brings the texts in force if their revision is higher. On a text that cannot be read, or a disk that cannot be written, the old one stays in force.
     void moveTo(const RevisionTexts &texts);
 
@@ -50,15 +54,16 @@
         RevisionDone done;
     };
 
-    void put(std::shared_ptr<const Configuration> configuration);
+    void put(const std::shared_ptr<const Configuration> &next);
     void answerWaiters();
 
-    const std::shared_ptr<SerialWorker> worker;
+    const std::shared_ptr<base::Mailbox> worker;
     const std::unique_ptr<RevisionFile> file;
     std::vector<Listener> listeners;
     std::list<std::shared_ptr<Waiter>> waiters;
     mutable absl::Mutex mutex;
     std::shared_ptr<const Configuration> configuration ABSL_GUARDED_BY(mutex);
+    std::deque<std::shared_ptr<const Configuration>> history ABSL_GUARDED_BY(mutex); ///< Newest last.
 };
 
 } // namespace cranberryreel::config
