--- /dev/null
+++ b/src/daemon/ZoneFrame.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace cranberryreel::daemon
+{
+
+/// A message between members of one zone group, on the links' shared channel: the zone's name, a zero byte, the group's own bytes.
+struct ZoneFrame {
+    std::string zone;
+    std::string bytes;
+
+    std::string encode() const
+    {
+        return this->zone + '\0' + this->bytes;
+    }
+
+    /// Nothing when no zone is named.
+    static std::optional<ZoneFrame> decode(const std::string &payload)
+    {
+        const std::size_t end = payload.find('\0');
+        if (end == std::string::npos) {
+            return std::nullopt;
+        }
+        return ZoneFrame{payload.substr(0, end), payload.substr(end + 1)};
+    }
+};
+
+} // namespace cranberryreel::daemon
--- a/src/replication/Codec.cpp
+++ b/src/replication/Codec.cpp
@@ -77,6 +77,7 @@
         return 0;
     }
     std::vector<flatbuffers::Offset<wire::MemberBoot>> offsets;
+    offsets.reserve(boots.size());
     for (const auto &[vm, boot] : boots) {
         offsets.push_back(wire::CreateMemberBoot(builder, builder.CreateString(vm), boot));
     }
@@ -89,6 +90,7 @@
         return 0;
     }
     std::vector<flatbuffers::Offset<wire::LogPosition>> offsets;
+    offsets.reserve(positions.size());
     for (const auto &[vm, position] : positions) {
         offsets.push_back(wire::CreateLogPosition(builder, builder.CreateString(vm), position.term, position.index));
     }
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -19,8 +19,8 @@
 
 const observe::Log &log()
 {
-    static const observe::Log Instance("replication");
-    return Instance;
+    static const observe::Log replicationLog("replication");
+    return replicationLog;
 }
 
 } // namespace
@@ -28,12 +28,12 @@
 GroupRunner::GroupRunner(GroupRunnerOptions runnerOptions)
     : options(std::move(runnerOptions))
 {
-    Recovered recovered = this->options.store->recover();
+    const Recovered recovered = this->options.store->recover();
     this->initialState = this->options.stateMachine->snapshot();
     if (recovered.snapshot) {
         this->restore(*recovered.snapshot);
     }
-    this->core = std::make_unique<Core>(this->options.core, std::move(recovered), this->safety, base::steadyNow());
+    this->core = std::make_unique<Core>(this->options.core, recovered, this->safety, base::steadyNow());
     this->publishStatus();
 }
 
@@ -245,7 +245,7 @@
     std::uint64_t index = 0;
     base::ResultCode code = base::ResultCode::Ok;
     try {
-        code = this->core->changeMembers(Membership(std::move(change.members)), index);
+        code = this->core->changeMembers(Membership(std::move(change.members)), index, base::steadyNow());
     } catch (const base::Error &error) {
         code = error.code();
     }
--- a/tests/support/FakeGroup.h
+++ b/tests/support/FakeGroup.h
@@ -23,6 +23,7 @@
     void propose(std::string command, replication::Durability durability, replication::ProposeCallback done) override;
     void readBarrier(std::function<void(base::ResultCode)> done) override;
     void receive(const std::string &fromVm, std::string bytes) override;
+    void changeMembers(std::vector<replication::Member> members, replication::ProposeCallback done) override;
     void raiseTerm(std::uint64_t atLeast) override;
     replication::GroupStatus status() const override;
     bool holdsLease(base::SteadyTime now) const override;
