Give operators and callers their tool

Cause: all work and all operators' acts go through one command-line tool that people and machines can read. Commands stand in one table that drives parsing (getopt_long), help and the bash completion. Result code 1022 WaitTimedOut is new: no code said that the tool's own wait ended.

--- a/include/cranberryreel/base/ResultCode.h
+++ b/include/cranberryreel/base/ResultCode.h
@@ -23,6 +23,7 @@
     DataFolderUnwritable = 1011,
     UsageError = 1020,
     EntryUnreachable = 1021,
+    WaitTimedOut = 1022,
 
     MalformedJson = 2001,
     UnknownField = 2002,
--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -32,6 +32,8 @@
         return "UsageError";
     case ResultCode::EntryUnreachable:
         return "EntryUnreachable";
+    case ResultCode::WaitTimedOut:
+        return "WaitTimedOut";
     case ResultCode::MalformedJson:
         return "MalformedJson";
     case ResultCode::UnknownField:
--- /dev/null
+++ b/src/cli/LocalCommands.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "cli/Session.h"
+
+namespace cranberryreel::cli
+{
+
+/// Commands that ask no entry VM.
+base::ResultCode hashKey(Session &session, const Arguments &arguments);
+base::ResultCode showSettingsTable(Session &session, const Arguments &arguments);
+base::ResultCode completeBash(Session &session, const Arguments &arguments);
+
+} // namespace cranberryreel::cli
--- /dev/null
+++ b/src/cli/ViewCommands.cpp
@@ -0,0 +1,185 @@
+#include "cli/ViewCommands.h"
+
+#include "cli/TextTable.h"
+#include "cli/WorkCommands.h"
+#include "cli/WorkStatus.h"
+
+#include <fmt/format.h>
+
+namespace cranberryreel::cli
+{
+
+namespace
+{
+
+/// How one column of a view is read from a row.
+struct Field {
+    Column column;
+    const char *key;
+    std::string (*format)(const nlohmann::json &value);
+    Tint (*tint)(const std::string &text);
+};
+
+std::string asText(const nlohmann::json &value)
+{
+    return value.is_null() ? "" : value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+std::string asPercent(const nlohmann::json &value)
+{
+    return value.is_number() ? fmt::format("{:.1f}%", value.get<double>() * 100) : "";
+}
+
+std::string asMilliseconds(const nlohmann::json &value)
+{
+    return value.is_number() ? fmt::format("{} ms", value.get<std::int64_t>()) : "";
+}
+
+std::string asYes(const nlohmann::json &value)
+{
+    return value.is_boolean() ? (value.get<bool>() ? "yes" : "no") : "";
+}
+
+Tint plain(const std::string & /*text*/)
+{
+    return Tint::Plain;
+}
+
+Tint noIsWarning(const std::string &text)
+{
+    return text == "no" ? Tint::Warning : Tint::Plain;
+}
+
+void printRows(Session &session, const nlohmann::json &rows, const std::vector<Field> &fields)
+{
+    std::vector<Column> columns;
+    columns.reserve(fields.size());
+    for (const Field &field : fields) {
+        columns.push_back(field.column);
+    }
+    TextTable table(columns);
+    for (const nlohmann::json &row : rows) {
+        std::vector<Cell> cells;
+        for (const Field &field : fields) {
+            const std::string text = field.format(row.contains(field.key) ? row[field.key] : nlohmann::json(nullptr));
+            cells.push_back({text, field.tint(text)});
+        }
+        table.add(std::move(cells));
+    }
+    session.out() << table.toString(session.palette());
+}
+
+base::ResultCode showView(Session &session, const Arguments &arguments, const std::string &what, const std::vector<Field> &fields)
+{
+    return session.show(arguments, [&] {
+        EntryCall call;
+        call.target = "/v1/ops/" + what;
+        if (const std::string filter = arguments.operand(0); !filter.empty()) {
+            call.target += "?filter=" + pathPart(filter);
+        }
+        const nlohmann::json view = session.entries().call(call);
+        if (session.wantsJson()) {
+            session.printJson(view);
+            return true;
+        }
+        printRows(session, view.value(what, nlohmann::json::array()), fields);
+        for (const nlohmann::json &zone : view.value("unreachable_zones", nlohmann::json::array())) {
+            session.out() << session.palette().paint(fmt::format("zone {} gave no answer\n", asText(zone)), Tint::Bad);
+        }
+        return true;
+    });
+}
+
+} // namespace
+
+base::ResultCode showUpstreams(Session &session, const Arguments &arguments)
+{
+    return showView(session,
+                    arguments,
+                    "upstreams",
+                    {{{"upstream", Align::Left, true}, "id", asText, plain},
+                     {{"vm", Align::Left, true}, "vm", asText, plain},
+                     {{"zone"}, "zone", asText, plain},
+                     {{"state"}, "state", asText, tintOfState},
+                     {{"accepting"}, "accepting", asYes, noIsWarning},
+                     {{"registered"}, "registered", asYes, noIsWarning},
+                     {{"slots", Align::Right}, "slots", asText, plain}});
+}
+
+base::ResultCode showJobs(Session &session, const Arguments &arguments)
+{
+    return showView(session,
+                    arguments,
+                    "jobs",
+                    {{{"id"}, "id", asText, plain},
+                     {{"kind"}, "kind", asText, plain},
+                     {{"partner", Align::Left, true}, "partner", asText, plain},
+                     {{"name", Align::Left, true}, "name", asText, plain},
+                     {{"state"}, "state", asText, tintOfState},
+                     {{"tasks", Align::Right}, "tasks", asText, plain},
+                     {{"running", Align::Right}, "running", asText, plain}});
+}
+
+base::ResultCode showShares(Session &session, const Arguments &arguments)
+{
+    return showView(session,
+                    arguments,
+                    "shares",
+                    {{{"partner", Align::Left, true}, "partner", asText, plain},
+                     {{"zone"}, "zone", asText, plain},
+                     {{"due", Align::Right}, "due", asPercent, plain},
+                     {{"used", Align::Right}, "used", asPercent, plain},
+                     {{"waiting", Align::Right}, "waiting", asText, plain},
+                     {{"running", Align::Right}, "running", asText, plain}});
+}
+
+base::ResultCode showZones(Session &session, const Arguments &arguments)
+{
+    return showView(session,
+                    arguments,
+                    "zones",
+                    {{{"zone"}, "zone", asText, plain},
+                     {{"scheduler", Align::Left, true}, "leader", asText, plain},
+                     {{"epoch", Align::Right, true}, "epoch", asText, plain},
+                     {{"placing"}, "placing", asYes, noIsWarning},
+                     {{"used", Align::Right}, "used", asPercent, plain},
+                     {{"waiting", Align::Right}, "waiting", asText, plain},
+                     {{"wait", Align::Right}, "expected_wait_ms", asMilliseconds, plain},
+                     {{"jobs", Align::Right}, "jobs", asText, plain},
+                     {{"upstreams", Align::Right}, "upstreams", asText, plain}});
+}
+
+base::ResultCode explainWork(Session &session, const Arguments &arguments)
+{
+    EntryCall call;
+    call.target = "/v1/ops/explain/" + pathPart(arguments.operand(0));
+    const nlohmann::json explained = session.entries().call(call);
+    if (session.wantsJson()) {
+        session.printJson(explained);
+        return base::ResultCode::Ok;
+    }
+    const std::string state = explained.value("state", "");
+    session.out() << fmt::format(
+        "{} ({}): {}\n", explained.value("id", arguments.operand(0)), session.palette().paint(state, tintOfState(state)), explained.value("reason", ""));
+    return base::ResultCode::Ok;
+}
+
+base::ResultCode drainVm(Session &session, const Arguments &arguments)
+{
+    const bool draining = !arguments.has("undo");
+    EntryCall call;
+    call.method = "POST";
+    call.target = "/v1/ops/drain/" + pathPart(arguments.operand(0));
+    call.body = {{"draining", draining}};
+    const nlohmann::json reply = session.entries().call(call);
+    if (session.wantsJson()) {
+        session.printJson(reply);
+    } else if (draining) {
+        session.out() << fmt::format("{} gets no new work; `cranberryreel jobs` shows what still runs\n", arguments.operand(0));
+    } else {
+        session.out() << fmt::format("{} gets work again\n", arguments.operand(0));
+    }
+    return base::ResultCode::Ok;
+}
+
+} // namespace cranberryreel::cli
