--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,251 @@
+#include "daemon/Daemon.h"
+
+#include "config/ConfigServiceBuilder.h"
+#include "config/KeyHash.h"
+#include "cranberryreel/base/Error.h"
+#include "daemon/KeyFile.h"
+#include "daemon/ZoneFrame.h"
+#include "entry/EntryServerBuilder.h"
+#include "link/LinkHubBuilder.h"
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+#include "observe/SpanFanOut.h"
+#include "observe/SpanFile.h"
+#include "zone/CallCodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace cranberryreel::daemon
+{
+
+namespace
+{
+
+const observe::Log Logger("daemon");
+
+constexpr std::chrono::milliseconds HandOverLimit{3000};
+constexpr std::chrono::milliseconds BalancerGrace{1000};
+
+std::map<std::string, std::vector<std::string>> zoneMembers(const settings::Settings &settings)
+{
+    std::map<std::string, std::vector<std::string>> members;
+    for (const auto &[name, zone] : settings.zones) {
+        members[name] = zone.members;
+    }
+    return members;
+}
+
+link::LinkKeys linkKeys(const settings::LinkSettings &settings)
+{
+    return {readKeyFile(settings.keyFile), settings.nextKeyFile.empty() ? std::string() : readKeyFile(settings.nextKeyFile)};
+}
+
+std::string spansAsJson(const std::vector<std::string> &lines)
+{
+    nlohmann::json all = nlohmann::json::array();
+    for (const std::string &line : lines) {
+        if (nlohmann::json span = nlohmann::json::parse(line, nullptr, false); !span.is_discarded()) {
+            all.push_back(std::move(span));
+        }
+    }
+    return all.dump();
+}
+
+} // namespace
+
+Daemon::Daemon(settings::Settings daemonSettings)
+    : settings(std::move(daemonSettings))
+    , directory(zoneMembers(settings))
+{
+    this->observe();
+    this->buildLinks();
+    this->configuration = config::ConfigServiceBuilder().settings(this->settings).hub(*this->hub).build();
+    this->adapter = std::make_unique<upstream::HttpUpstreamAdapter>();
+    this->buildZones();
+    this->buildEntry();
+    this->receiveGroupMessages();
+    this->receiveZoneCalls();
+}
+
+Daemon::~Daemon()
+{
+    if (this->started) {
+        this->stopGracefully();
+    }
+}
+
+void Daemon::observe()
+{
+    this->spans = std::make_shared<observe::SpanRing>(this->settings.trace.keepSpans);
+    std::vector<std::shared_ptr<observe::SpanSink>> sinks{this->spans};
+    if (!this->settings.trace.file.empty()) {
+        sinks.push_back(std::make_shared<observe::SpanFile>(this->settings.trace.file));
+    }
+    observe::setSpanService(this->settings.daemon.vm);
+    observe::setSpanSink(std::make_shared<observe::SpanFanOut>(std::move(sinks)));
+}
+
+void Daemon::buildLinks()
+{
+    link::LinkHubBuilder builder;
+    builder.vm(this->settings.daemon.vm)
+        .cluster(this->settings.daemon.cluster)
+        .listen(this->settings.link.listen.toString())
+        .keys(linkKeys(this->settings.link));
+    link::LinkTimings timings;
+    timings.heartbeatInterval = this->settings.link.heartbeat;
+    timings.deadLimit = this->settings.link.deadAfter;
+    builder.timings(timings);
+    link::LinkLimits limits;
+    limits.queueBytes = this->settings.limits.maxLinkQueueBytes;
+    builder.limits(limits);
+    for (const auto &[vm, peer] : this->settings.peers) {
+        builder.peer(vm, peer.address.toString());
+    }
+    this->hub = builder.build();
+}
+
+void Daemon::buildZones()
+{
+    for (const auto &[name, zone] : this->settings.zones) {
+        const bool isMember = std::find(zone.members.begin(), zone.members.end(), this->settings.daemon.vm) != zone.members.end();
+        if (!isMember && zone.witness != this->settings.daemon.vm) {
+            continue;
+        }
+        this->zones[name] = std::make_unique<ZoneMember>(
+            this->settings, zone, *this->hub, *this->adapter, *this->configuration, [this](const zone::Beacon &beacon) { this->sendBeacon(beacon); });
+    }
+    this->configuration->onChange([this](const std::shared_ptr<const config::Configuration> &) {
+        for (auto &[name, member] : this->zones) {
+            member->configurationChanged();
+        }
+    });
+}
+
+void Daemon::buildEntry()
+{
+    routing::RoutingOptions routing;
+    routing.ownVm = this->settings.daemon.vm;
+    routing.ownZone = this->settings.daemon.zone;
+    routing.transferCost = this->settings.timing.transferCost;
+    const auto dispatcher = std::make_shared<routing::RoutedDispatcher>(routing, *this->hub, this->directory, this->timers);
+    entry::EntryOptions options;
+    options.server.address = this->settings.entry.listen.host;
+    options.server.port = this->settings.entry.listen.port;
+    options.server.maxConnections = static_cast<unsigned int>(this->settings.entry.maxConnections);
+    options.server.maxBodyBytes = this->settings.entry.maxBodyBytes;
+    options.server.headerLimit = this->settings.entry.requestRead;
+    options.server.bodyLimit = this->settings.entry.requestRead;
+    options.zone = this->settings.daemon.zone;
+    options.zones = this->directory.zones();
+    options.operatorKeyHash = this->settings.entry.operatorKeyHash;
+    if (!this->settings.entry.upstreamKeyFile.empty()) {
+        options.upstreamKeyHash = config::keyHash(readKeyFile(this->settings.entry.upstreamKeyFile));
+    }
+    options.stopGrace = BalancerGrace;
+    options.ready = [this] { return this->isReady(); };
+    options.metricsText = [] { return observe::prometheusText(); };
+    options.spans = [this](const std::string &id) { return spansAsJson(this->spans->find(id)); };
+    this->entry = entry::EntryServerBuilder().options(options).dispatcher(dispatcher).configuration(this->configuration).build();
+}
+
+void Daemon::receiveGroupMessages()
+{
+    this->hub->onMessage(link::Channel::ZoneGroup, [this](const std::string &fromVm, const std::string &payload) {
+        std::optional<ZoneFrame> frame = ZoneFrame::decode(payload);
+        if (!frame) {
+            return;
+        }
+        if (const auto member = this->zones.find(frame->zone); member != this->zones.end()) {
+            member->second->receive(fromVm, std::move(frame->bytes));
+        }
+    });
+    this->hub->onMessage(link::Channel::Gossip, [this](const std::string & /*fromVm*/, const std::string &payload) {
+        if (const std::optional<zone::Beacon> beacon = zone::decodeBeacon(payload)) {
+            this->directory.heard(*beacon, base::steadyNow());
+        }
+    });
+}
+
+void Daemon::receiveZoneCalls()
+{
+    this->hub->onCall(link::Channel::Zone,
+                      [this](const std::string & /*fromVm*/, const std::string &payload, const std::string &traceparent, const link::Responder &respond) {
+                          const zone::Reply reply = [respond](const zone::ZoneReply &answer) { respond(zone::encodeReply(answer)); };
+                          std::optional<zone::ZoneCall> call = zone::decodeCall(payload);
+                          const auto member = call ? this->zones.find(call->zone) : this->zones.end();
+                          if (member == this->zones.end()) {
+                              zone::ZoneReply wrongVm;
+                              wrongVm.code = base::ResultCode::NotLeader;
+                              reply(wrongVm);
+                              return;
+                          }
+                          member->second->call(std::move(*call), traceparent, reply);
+                      });
+}
+
+void Daemon::sendBeacon(const zone::Beacon &beacon)
+{
+    this->directory.heard(beacon, base::steadyNow());
+    const std::string payload = zone::encodeBeacon(beacon);
+    for (const auto &[vm, peer] : this->settings.peers) {
+        if (vm != this->settings.daemon.vm) {
+            this->hub->send(vm, link::Channel::Gossip, payload);
+        }
+    }
+}
+
+bool Daemon::isReady() const
+{
+    return this->configuration->isReady() && this->directory.load(this->settings.daemon.zone, base::steadyNow()).has_value();
+}
+
+void Daemon::start()
+{
+    this->timers.start();
+    this->hub->start();
+    this->configuration->start();
+    for (auto &[name, member] : this->zones) {
+        member->start();
+    }
+    this->entry->start();
+    this->started = true;
+    Logger.info("Serves {} in zone {} on {}.", this->settings.daemon.vm, this->settings.daemon.zone, this->settings.entry.listen.toString());
+}
+
+bool Daemon::stopGracefully()
+{
+    this->started = false;
+    Logger.info("Stops: not ready, leadership handed over, requests in flight finished.");
+    this->entry->beginStop();
+    std::this_thread::sleep_for(BalancerGrace);
+    for (auto &[name, member] : this->zones) {
+        member->leave(HandOverLimit);
+    }
+    const bool finished = this->entry->stop(this->settings.daemon.stopLimit);
+    this->configuration->stop(HandOverLimit);
+    for (auto &[name, member] : this->zones) {
+        member->stop();
+    }
+    this->timers.stop();
+    this->adapter->stop();
+    this->hub->stop();
+    Logger.info(finished ? "Stopped; every request was answered." : "Stopped; some requests were answered as unknown.");
+    return finished;
+}
+
+void Daemon::reloadKeys()
+{
+    try {
+        this->hub->setKeys(linkKeys(this->settings.link));
+        Logger.info("Link keys are read anew.");
+    } catch (const cranberryreel::base::Error &error) {
+        Logger.error("Link keys stay as they were: {}", error.what());
+    }
+}
+
+} // namespace cranberryreel::daemon
--- /dev/null
+++ b/src/daemon/ZoneMember.cpp
@@ -0,0 +1,142 @@
+#include "daemon/ZoneMember.h"
+
+#include "daemon/ZoneFrame.h"
+#include "replication/GroupBuilder.h"
+
+#include <utility>
+
+namespace cranberryreel::daemon
+{
+
+namespace
+{
+
+zone::SchedulerOptions schedulerOptions(const settings::Settings &settings)
+{
+    zone::SchedulerOptions options;
+    options.zone = settings.daemon.zone;
+    options.ownVm = settings.daemon.vm;
+    options.taskLease = settings.timing.taskLease;
+    options.silentAfter = settings.timing.upstreamSilentAfter;
+    options.startExpiry = settings.timing.startExpiry;
+    options.renewEvery = std::min(options.renewEvery, settings.timing.taskLease / 4);
+    options.resultRetention = settings.limits.requestRetention;
+    options.keyRetention = settings.limits.keyRetention;
+    return options;
+}
+
+std::vector<replication::Member> membersOf(const settings::Settings &settings, const settings::ZoneSettings &ofZone)
+{
+    std::vector<replication::Member> members;
+    for (const std::string &vm : ofZone.members) {
+        members.push_back({vm, settings.peers.at(vm).hasDisk, false});
+    }
+    if (!ofZone.witness.empty()) {
+        members.push_back({ofZone.witness, settings.peers.at(ofZone.witness).hasDisk, true});
+    }
+    return members;
+}
+
+replication::GroupTimings groupTimings(const settings::Settings &settings)
+{
+    replication::GroupTimings timings;
+    timings.heartbeat = settings.timing.groupHeartbeat;
+    timings.electionMin = settings.timing.electionMin;
+    timings.electionMax = settings.timing.electionMax;
+    return timings;
+}
+
+} // namespace
+
+ZoneMember::ZoneMember(const settings::Settings &settings,
+                       const settings::ZoneSettings &ofZone,
+                       link::LinkHub &linkHub,
+                       upstream::UpstreamAdapter &adapter,
+                       config::ConfigService &configService,
+                       const BeaconSender &beaconSender)
+    : zoneSettings(ofZone)
+    , ownVm(settings.daemon.vm)
+{
+    replication::GroupBuilder builder;
+    builder.ownVm(this->ownVm)
+        .members(membersOf(settings, ofZone))
+        .stateMachine(this->store)
+        .timings(groupTimings(settings))
+        .snapshotEvery(settings.limits.snapshotAfterEntries)
+        .sendBy([&linkHub, zone = ofZone.zone](const std::string &toVm, std::string bytes) {
+            linkHub.send(toVm, link::Channel::ZoneGroup, ZoneFrame{zone, std::move(bytes)}.encode());
+        });
+    if (!settings.daemon.dataFolder.empty()) {
+        builder.dataFolder(settings.daemon.dataFolder + "/zone-" + ofZone.zone);
+    }
+    if (!this->isWitness()) {
+        this->scheduler =
+            std::make_unique<zone::ZoneScheduler>(schedulerOptions(settings), this->store, adapter, [&configService] { return configService.current(); });
+        builder.listener(*this->scheduler);
+    }
+    this->group = builder.build();
+    if (this->scheduler) {
+        this->scheduler->attach(*this->group, beaconSender);
+    }
+}
+
+ZoneMember::~ZoneMember()
+{
+    this->stop();
+}
+
+bool ZoneMember::isWitness() const
+{
+    return this->zoneSettings.witness == this->ownVm;
+}
+
+void ZoneMember::start()
+{
+    if (this->scheduler) {
+        this->scheduler->start();
+    }
+    this->group->start();
+}
+
+void ZoneMember::leave(std::chrono::milliseconds limit)
+{
+    this->group->stop(limit);
+}
+
+void ZoneMember::stop()
+{
+    if (this->scheduler) {
+        this->scheduler->stop();
+    }
+}
+
+void ZoneMember::receive(const std::string &fromVm, std::string bytes)
+{
+    this->group->receive(fromVm, std::move(bytes));
+}
+
+void ZoneMember::call(zone::ZoneCall zoneCall, std::string traceparent, zone::Reply reply)
+{
+    if (this->scheduler) {
+        this->scheduler->call(std::move(zoneCall), std::move(traceparent), std::move(reply));
+        return;
+    }
+    zone::ZoneReply elsewhere;
+    elsewhere.code = base::ResultCode::NotLeader;
+    elsewhere.leader = this->group->status().leaderVm;
+    reply(elsewhere);
+}
+
+void ZoneMember::configurationChanged()
+{
+    if (this->scheduler) {
+        this->scheduler->configurationChanged();
+    }
+}
+
+replication::GroupStatus ZoneMember::status() const
+{
+    return this->group->status();
+}
+
+} // namespace cranberryreel::daemon
--- a/src/upstream/UpstreamAdapter.h
+++ b/src/upstream/UpstreamAdapter.h
@@ -4,6 +4,7 @@
 #include "cranberryreel/model/JobKind.h"
 #include "cranberryreel/model/JobState.h"
 #include "cranberryreel/model/Resources.h"
+#include "cranberryreel/model/TaskAttempt.h"
 #include "cranberryreel/model/UpstreamReport.h"
 
 #include <chrono>
@@ -42,7 +43,7 @@
 struct RenewOrder {
     std::uint64_t epoch = 0;
     std::chrono::milliseconds lease{0};
-    std::vector<std::string> acknowledged; ///< Ended tasks whose end is kept here; the upstream may forget them.
+    std::vector<model::TaskAttempt> acknowledged; ///< Ended attempts whose end is kept here; the upstream may forget them.
 };
 
 /// The answer to a renewal; on Ok the upstream has seen the epoch, so that lower ones are fenced out, and `report` lists all it runs.
@@ -72,8 +73,15 @@
 
     /// Always on a new connection: the old one may be dead for good.
     virtual void ask(const std::string &address, const std::string &taskId, std::chrono::milliseconds limit, TaskDone done) = 0;
-    virtual void command(
-        const std::string &address, const std::string &taskId, TaskCommand command, std::uint64_t epoch, std::chrono::milliseconds limit, TaskDone done) = 0;
+
+    /// A stop also has the upstream refuse a start of this attempt, or an earlier one, that arrives late.
+    virtual void command(const std::string &address,
+                         const std::string &taskId,
+                         std::uint32_t attempt,
+                         TaskCommand command,
+                         std::uint64_t epoch,
+                         std::chrono::milliseconds limit,
+                         TaskDone done) = 0;
 };
 
 } // namespace cranberryreel::upstream
--- a/src/zone/Submissions.cpp
+++ b/src/zone/Submissions.cpp
@@ -163,7 +163,7 @@
         reply(refusal(call.spec, base::ResultCode::QueueFull, "the zone keeps as many jobs as it may"));
         return;
     }
-    if (const policy::Decision decision = this->parts.planner.enqueue(call.spec, now); decision.kind == policy::DecisionKind::Refuse) {
+    if (const policy::Decision decision = this->parts.planner.enqueue(call.spec, now); decision.code != base::ResultCode::Ok) {
         reply(refusal(call.spec, decision.code, decision.reason));
         return;
     }
@@ -272,8 +272,7 @@
                                                   return;
                                               }
                                               this->parts.planner.cancel(id, base::steadyNow());
-                                              refused->code = this->replyFor(id).status.code;
-                                              this->parts.jobs.finish(*refused, base::steadyNow());
+                                              this->ender.refused(*refused);
                                           });
                                       });
 }
@@ -340,6 +339,7 @@
         return;
     }
     job->cancelled = true;
+    this->parts.planner.cancel(call.id, base::steadyNow());
     if (job->submitting) {
         reply(this->replyFor(call.id));
     } else if (job->replicated) {
@@ -355,7 +355,6 @@
     ActiveTask &task = job.tasks.front();
     if (task.stage == TaskStage::Waiting || task.stage == TaskStage::Held) {
         const bool waits = task.stage == TaskStage::Waiting;
-        this->parts.planner.cancel(id, base::steadyNow());
         if (waits && task.failures == 0) {
             this->drop(job, base::ResultCode::CancelledBeforeStart, "cancelled while it waited");
         } else {
@@ -379,7 +378,6 @@
                                                   return;
                                               }
                                               if (job != nullptr) {
-                                                  this->parts.planner.cancel(id, base::steadyNow());
                                                   this->ender.cancelled(*job);
                                               }
                                               reply(this->replyFor(id));
--- a/src/zone/TaskStarter.cpp
+++ b/src/zone/TaskStarter.cpp
@@ -32,7 +32,8 @@
     static observe::DurationHistogram &waits = observe::durations("cranberryreel_wait_seconds", "From acceptance to placement.");
     ActiveJob *job = this->parts.jobs.find(decision.job);
     if (job == nullptr || decision.task >= job->tasks.size() || job->tasks[decision.task].stage != TaskStage::Waiting) {
-        Logger.error("Placed task {} of {} is not waiting.", decision.task, decision.job);
+        Logger.warn("Placed task {} of {} does not wait.", decision.task, decision.job);
+        this->parts.planner.ended(decision.job, decision.task, policy::TaskEnd::Lost, false, now);
         return;
     }
     ActiveTask &task = job->tasks[decision.task];
@@ -43,6 +44,7 @@
     task.boot = upstream != nullptr ? upstream->record.boot : std::string();
     task.reserved = decision.reserved;
     task.preempting = false;
+    task.endUnseen = false;
     this->parts.placed.note(task.upstream, {job->spec.id, decision.task});
     placements.add();
     waits.record(now - job->acceptedAt);
@@ -235,6 +237,7 @@
     }
     this->parts.context.adapter.command(upstream->record.address,
                                         TaskName{id, index}.text(),
+                                        attempt,
                                         upstream::TaskCommand::Stop,
                                         this->parts.context.epoch,
                                         this->parts.context.options.callLimit,
--- a/src/zone/ZoneStore.cpp
+++ b/src/zone/ZoneStore.cpp
@@ -129,12 +129,15 @@
     Shard &shard = this->shardOf(command.job);
     absl::MutexLock lock(&shard.mutex);
     const auto place = shard.jobs.find(command.job);
-    if (place == shard.jobs.end() || place->second.state != model::JobState::Accepted) {
+    if (place == shard.jobs.end() || model::isFinal(place->second.state)) {
         return "0";
     }
     JobRecord &job = place->second;
     job.reason = command.reason;
     for (TaskRecord &task : job.tasks) {
+        if (task.state != model::JobState::Accepted) {
+            continue;
+        }
         task.state = task.failures > 0 ? model::JobState::Failed : model::JobState::NotRun;
         task.code = static_cast<base::ResultCode>(command.code);
     }
