--- /dev/null
+++ b/tests/replication/DiskLogStoreTest.cpp
@@ -0,0 +1,231 @@
+#include "TemporaryFolder.h"
+#include "TestSeed.h"
+
+#include "replication/DiskLogStore.h"
+
+#include "cranberryreel/base/Error.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+
+using namespace cranberryreel;
+using namespace cranberryreel::replication;
+
+namespace
+{
+
+CoreOutput entriesFrom(std::uint64_t first, std::uint64_t count, std::uint64_t term = 1)
+{
+    CoreOutput output;
+    for (std::uint64_t index = first; index < first + count; ++index) {
+        output.entries.push_back(Entry{index, term, EntryKind::Command, "command " + std::to_string(index)});
+    }
+    output.mustSync = true;
+    return output;
+}
+
+CoreOutput vote(std::uint64_t term, const std::string &candidate)
+{
+    CoreOutput output;
+    output.hardState = HardState{term, candidate, true};
+    output.mustSync = true;
+    return output;
+}
+
+/// The one file whose name begins so.
+std::string fileNamed(const TemporaryFolder &folder, const std::string &prefix)
+{
+    for (const auto &item : std::filesystem::directory_iterator(folder.name())) {
+        if (item.path().filename().string().rfind(prefix, 0) == 0) {
+            return item.path().string();
+        }
+    }
+    return "";
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+}
+
+void writeFile(const std::string &path, const std::string &bytes)
+{
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+/// Three batches of five entries after a vote.
+void fill(const TemporaryFolder &folder)
+{
+    DiskLogStore store(folder.name());
+    store.recover();
+    store.write(vote(7, "c2"));
+    store.write(entriesFrom(1, 5));
+    store.write(entriesFrom(6, 5));
+    store.write(entriesFrom(11, 5));
+}
+
+auto withCode(base::ResultCode code)
+{
+    return [code](const base::Error &error) { return error.code() == code; };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DiskLogStoreTest)
+
+BOOST_AUTO_TEST_CASE(aRestartReadsWhatWasWritten)
+{
+    const TemporaryFolder folder;
+    fill(folder);
+    DiskLogStore store(folder.name());
+    const Recovered recovered = store.recover();
+    BOOST_TEST(recovered.hardState.term == 7U);
+    BOOST_TEST(recovered.hardState.votedFor == "c2");
+    BOOST_TEST(recovered.entries.size() == 15U);
+    BOOST_TEST(recovered.entries.back().data == "command 15");
+}
+
+BOOST_AUTO_TEST_CASE(aLaterEntryReplacesAllFromItsIndexOn)
+{
+    const TemporaryFolder folder;
+    fill(folder);
+    {
+        DiskLogStore store(folder.name());
+        store.recover();
+        store.write(entriesFrom(4, 1, 2));
+    }
+    DiskLogStore store(folder.name());
+    const Recovered recovered = store.recover();
+    BOOST_TEST(recovered.entries.size() == 4U);
+    BOOST_TEST(recovered.entries.back().term == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aTornEndIsCut)
+{
+    const TemporaryFolder folder;
+    fill(folder);
+    const std::string path = fileNamed(folder, "log-");
+    const std::string whole = readFile(path);
+    std::size_t lastWhole = 15;
+    for (std::size_t length = whole.size() - 1; length > whole.size() - 350; length -= 7) {
+        writeFile(path, whole.substr(0, length));
+        DiskLogStore store(folder.name());
+        const std::size_t entries = store.recover().entries.size();
+        BOOST_TEST_REQUIRE(entries <= lastWhole);
+        BOOST_TEST_REQUIRE(entries % 5 == 0U);
+        lastWhole = entries;
+        store.write(entriesFrom(entries + 1, 1));
+        BOOST_TEST_REQUIRE(DiskLogStore(folder.name()).recover().entries.size() == entries + 1);
+    }
+    BOOST_TEST(lastWhole < 15U);
+}
+
+BOOST_AUTO_TEST_CASE(aDamagedMiddleIsRefused)
+{
+    const TemporaryFolder folder;
+    fill(folder);
+    const std::string path = fileNamed(folder, "log-");
+    std::string bytes = readFile(path);
+    bytes[bytes.size() / 2] ^= 1;
+    writeFile(path, bytes);
+    DiskLogStore store(folder.name());
+    BOOST_CHECK_EXCEPTION(store.recover(), base::Error, withCode(base::ResultCode::LogCorrupt));
+}
+
+BOOST_AUTO_TEST_CASE(aCompactionLeavesOnlyWhatIsAlive)
+{
+    const TemporaryFolder folder;
+    fill(folder);
+    Snapshot snapshot;
+    snapshot.index = 12;
+    snapshot.term = 1;
+    snapshot.record.members = Membership({Member{"c1", true, false}});
+    snapshot.state = "state";
+    {
+        DiskLogStore store(folder.name());
+        const Recovered recovered = store.recover();
+        store.compact(snapshot, recovered.hardState, {recovered.entries.begin() + 12, recovered.entries.end()});
+        store.write(entriesFrom(16, 1));
+    }
+    DiskLogStore store(folder.name());
+    const Recovered recovered = store.recover();
+    BOOST_TEST_REQUIRE(recovered.snapshot != nullptr);
+    BOOST_TEST(recovered.snapshot->state == "state");
+    BOOST_TEST(recovered.hardState.term == 7U);
+    BOOST_TEST(recovered.entries.size() == 4U);
+    BOOST_TEST(recovered.entries.front().index == 13U);
+    BOOST_TEST(std::distance(std::filesystem::directory_iterator(folder.name()), std::filesystem::directory_iterator()) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(aDamagedOrMissingSnapshotIsRefused)
+{
+    const TemporaryFolder folder;
+    Snapshot snapshot;
+    snapshot.index = 3;
+    snapshot.term = 1;
+    snapshot.record.members = Membership({Member{"c1", true, false}});
+    snapshot.state = "state";
+    {
+        DiskLogStore store(folder.name());
+        store.recover();
+        store.compact(snapshot, HardState(), {});
+    }
+    const std::string path = fileNamed(folder, "snapshot-");
+    std::string bytes = readFile(path);
+    bytes.back() ^= 1;
+    writeFile(path, bytes);
+    DiskLogStore damaged(folder.name());
+    BOOST_CHECK_EXCEPTION(damaged.recover(), base::Error, withCode(base::ResultCode::SnapshotCorrupt));
+    std::filesystem::remove(path);
+    DiskLogStore missing(folder.name());
+    BOOST_CHECK_EXCEPTION(missing.recover(), base::Error, withCode(base::ResultCode::SnapshotCorrupt));
+}
+
+BOOST_AUTO_TEST_CASE(anInterruptedCompactionIsForgotten)
+{
+    const TemporaryFolder folder;
+    fill(folder);
+    writeFile(folder.name() + "/log-00000000000000000002.tmp", "half");
+    writeFile(folder.name() + "/snapshot-00000000000000000012-00000000000000000001", "never referred to");
+    DiskLogStore store(folder.name());
+    BOOST_TEST(store.recover().entries.size() == 15U);
+    BOOST_TEST(std::distance(std::filesystem::directory_iterator(folder.name()), std::filesystem::directory_iterator()) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aFolderThatCannotBeMadeIsRefused)
+{
+    const TemporaryFolder folder;
+    writeFile(folder.name() + "/file", "");
+    BOOST_CHECK_EXCEPTION(DiskLogStore(folder.name() + "/file/data"), base::Error, withCode(base::ResultCode::DataFolderUnwritable));
+}
+
+BOOST_AUTO_TEST_CASE(changedBytesNeverCrashTheReader)
+{
+    constexpr int Rounds = 400;
+    std::mt19937_64 random(testSeed());
+    const TemporaryFolder folder;
+    fill(folder);
+    const std::string path = fileNamed(folder, "log-");
+    const std::string whole = readFile(path);
+    for (int round = 0; round < Rounds; ++round) {
+        std::string bytes = whole;
+        for (std::uint64_t change = 1 + random() % 4; change > 0; --change) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        bytes.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+        writeFile(path, bytes);
+        try {
+            DiskLogStore store(folder.name());
+            BOOST_TEST_REQUIRE(store.recover().entries.size() <= 15U);
+        } catch (const base::Error &error) {
+            BOOST_TEST_REQUIRE((error.code() == base::ResultCode::LogCorrupt || error.code() == base::ResultCode::SnapshotCorrupt));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
