Fuzz the zone's store and soak its takeovers; mend three faults they showed

Conclusion: ids are looked at before keys, empty unions are dropped, and what an earlier scheduler may have run is unknown, never not run.

--- a/src/zone/ActiveJob.h
+++ b/src/zone/ActiveJob.h
@@ -55,6 +55,7 @@
     bool submitting = false; ///< The group has yet to keep it; nothing of it may be dispatched.
     bool cancelled = false;
     bool restarting = false; ///< A gang that lost a task: all its tasks end, then all start again.
+    bool mayHaveRun = false; ///< Under an earlier scheduler, whose memory of it is gone; it can no more be called not run.
     bool inherited = false; ///< Found running on an upstream after a takeover, before any caller asked for it.
     std::vector<ActiveTask> tasks;
     model::JobState state = model::JobState::Accepted; ///< Of jobs that are not replicated.
--- a/src/zone/CallCodec.cpp
+++ b/src/zone/CallCodec.cpp
@@ -82,6 +82,9 @@
 
 std::optional<CallBody> bodyOf(const wire::CallBodyUnion &body)
 {
+    if (body.value == nullptr) {
+        return std::nullopt;
+    }
     switch (body.type) {
     case wire::CallBody::SubmitCall:
         if (const wire::SubmitCallT *call = body.AsSubmitCall(); call->spec) {
--- a/src/zone/Submissions.cpp
+++ b/src/zone/Submissions.cpp
@@ -43,6 +43,13 @@
     return reply;
 }
 
+ZoneReply unknown(const model::JobSpec &spec, const std::string &reason)
+{
+    ZoneReply reply = refusal(spec, base::ResultCode::OutcomeUnknown, reason);
+    reply.status.state = model::JobState::Unknown;
+    return reply;
+}
+
 ZoneReply failure(base::ResultCode code, const std::string &reason)
 {
     ZoneReply reply;
@@ -141,9 +148,7 @@
 void Submissions::parkUntilRecovered(SubmitCall call, const std::string &traceparent, const Reply &reply)
 {
     if (call.spec.deadline <= LookAgainAfter) {
-        ZoneReply unknown = refusal(call.spec, base::ResultCode::OutcomeUnknown, "the zone is still finding out what runs; ask again by id");
-        unknown.status.state = model::JobState::Unknown;
-        reply(unknown);
+        reply(unknown(call.spec, "the zone is still finding out what runs; ask again by id"));
         return;
     }
     call.spec.deadline -= LookAgainAfter;
@@ -164,10 +169,11 @@
         return;
     }
     if (const policy::Decision decision = this->parts.planner.enqueue(call.spec, now); decision.code != base::ResultCode::Ok) {
-        reply(refusal(call.spec, decision.code, decision.reason));
+        reply(call.mayExist && !replicated ? unknown(call.spec, decision.reason) : refusal(call.spec, decision.code, decision.reason));
         return;
     }
     ActiveJob &job = this->parts.jobs.add(call.spec, replicated, now);
+    job.mayHaveRun = call.mayExist && !replicated;
     job.traceparent = traceparent;
     job.span = observe::Span("zone.work", traceparent);
     job.span.set("work.id", job.spec.id);
@@ -247,6 +253,11 @@
     job.state = ran ? model::JobState::Failed : model::JobState::NotRun;
     job.code = code;
     job.reason = reason;
+    if (job.mayHaveRun && !ran) {
+        job.state = model::JobState::Unknown;
+        job.code = base::ResultCode::OutcomeUnknown;
+        job.reason = "an earlier scheduler may have run it; now: " + reason;
+    }
     for (ActiveTask &task : job.tasks) {
         task.stage = TaskStage::Ended;
     }
--- a/src/zone/TaskRules.h
+++ b/src/zone/TaskRules.h
@@ -3,6 +3,8 @@
 #include "zone/JobRecord.h"
 #include "zone/TaskChange.h"
 
+#include <array>
+
 namespace cranberryreel::zone
 {
 
@@ -20,4 +22,12 @@
 /// Ends every waiting task; those that run go on until their upstream has stopped them.
 void cancel(JobRecord &job);
 
+/// The rules as a table, by TaskChangeKind; proofs replace single ones to show that their oracles notice.
+struct TaskRules {
+    using Rule = bool (*)(JobRecord &, const TaskChange &);
+
+    std::array<Rule, 3> ofKind = {&assign, &end, &requeue};
+    void (*cancel)(JobRecord &) = &zone::cancel;
+};
+
 } // namespace cranberryreel::zone
--- a/src/zone/ZoneStore.cpp
+++ b/src/zone/ZoneStore.cpp
@@ -1,7 +1,6 @@
 #include "zone/ZoneStore.h"
 
 #include "cranberryreel/base/Error.h"
-#include "zone/TaskRules.h"
 #include "zone/WireCodec.h"
 
 #include <absl/hash/hash.h>
@@ -14,10 +13,6 @@
 namespace
 {
 
-using Rule = bool (*)(JobRecord &, const TaskChange &);
-
-constexpr std::array<Rule, 3> RuleOfKind = {&assign, &end, &requeue};
-
 std::string keyOf(const std::string &partner, const std::string &key)
 {
     return partner + '\n' + key;
@@ -30,10 +25,15 @@
 
 } // namespace
 
+ZoneStore::ZoneStore(const TaskRules &taskRules)
+    : rules(taskRules)
+{
+}
+
 std::string ZoneStore::apply(std::uint64_t /*index*/, std::string_view command)
 {
     wire::CommandT native;
-    if (!unpacked<wire::Command>(command, native)) {
+    if (!unpacked<wire::Command>(command, native) || native.body.value == nullptr) {
         return {};
     }
     switch (native.body.type) {
@@ -65,6 +65,9 @@
         return {};
     }
     const model::JobSpec spec = fromWire(*command.spec);
+    if (this->job(spec.id)) {
+        return SubmitOutcome{SubmitVerdict::KnownAlready, spec.id}.encode();
+    }
     if (!spec.key.empty()) {
         absl::MutexLock lock(&this->keysMutex);
         const auto [place, isNew] = this->keys.try_emplace(keyOf(spec.partner, spec.key), spec.id);
@@ -76,11 +79,7 @@
     }
     Shard &shard = this->shardOf(spec.id);
     absl::MutexLock lock(&shard.mutex);
-    const auto [place, isNew] = shard.jobs.try_emplace(spec.id);
-    if (!isNew) {
-        return SubmitOutcome{SubmitVerdict::KnownAlready, spec.id}.encode();
-    }
-    JobRecord &job = place->second;
+    JobRecord &job = shard.jobs[spec.id];
     job.spec = spec;
     job.tasks.resize(spec.tasks);
     job.acceptedAt = millis(command.now_unix_ms);
@@ -102,7 +101,7 @@
     absl::MutexLock lock(&shard.mutex);
     const auto place = shard.jobs.find(change.job);
     const auto rule = static_cast<std::size_t>(change.kind);
-    if (place == shard.jobs.end() || rule >= RuleOfKind.size() || !RuleOfKind[rule](place->second, change)) {
+    if (place == shard.jobs.end() || rule >= this->rules.ofKind.size() || !this->rules.ofKind[rule](place->second, change)) {
         return false;
     }
     settle(place->second, now);
@@ -118,7 +117,7 @@
         return "0";
     }
     if (!model::isFinal(place->second.state)) {
-        cancel(place->second);
+        this->rules.cancel(place->second);
         settle(place->second, millis(command.now_unix_ms));
     }
     return "1";
--- a/src/zone/ZoneStore.h
+++ b/src/zone/ZoneStore.h
@@ -4,6 +4,7 @@
 #include "zone/JobRecord.h"
 #include "zone/SubmitOutcome.h"
 #include "zone/TaskChange.h"
+#include "zone/TaskRules.h"
 #include "zone/UpstreamRecord.h"
 
 #include <absl/base/thread_annotations.h>
@@ -40,6 +41,8 @@
 class ZoneStore : public replication::StateMachine
 {
 public:
+    explicit ZoneStore(const TaskRules &taskRules = {});
+
     std::string apply(std::uint64_t index, std::string_view command) override;
     std::string snapshot() const override;
     void restore(std::string_view bytes) override;
@@ -77,6 +80,7 @@
     std::string applyExpire(const wire::ExpireT &command);
     bool change(const TaskChange &change, std::chrono::milliseconds now);
 
+    const TaskRules rules;
     std::array<Shard, ShardCount> shards;
     mutable absl::Mutex keysMutex;
     absl::flat_hash_map<std::string, model::JobId> keys ABSL_GUARDED_BY(keysMutex);
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -106,6 +106,35 @@
     return count;
 }
 
+std::size_t FakeFleet::overlaps() const
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->overlapCount;
+}
+
+void FakeFleet::endWhatLostItsLease()
+{
+    const base::SteadyTime now = base::steadyNow();
+    for (auto &[id, worker] : this->workers) {
+        for (auto &[taskId, task] : worker.tasks) {
+            if (task.state == model::JobState::Running && worker.leaseUntil < now) {
+                task.state = model::JobState::Failed;
+            }
+        }
+    }
+}
+
+bool FakeFleet::runsElsewhere(const Worker &here, const std::string &taskId) const
+{
+    for (const auto &[id, worker] : this->workers) {
+        const auto place = worker.tasks.find(taskId);
+        if (&worker != &here && place != worker.tasks.end() && place->second.state == model::JobState::Running) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::vector<std::string> FakeFleet::running() const
 {
     absl::MutexLock lock(&this->mutex);
@@ -129,6 +158,7 @@
     upstream::TaskAnswer answer;
     {
         absl::MutexLock lock(&this->mutex);
+        this->endWhatLostItsLease();
         Worker &worker = this->workers[address];
         if (reaches(worker.trouble) && worker.trouble != Trouble::LosesStarts) {
             answer = this->startHere(worker, order);
@@ -152,7 +182,9 @@
         return answer;
     }
     model::TaskReport &task = worker.tasks[order.taskId];
+    worker.leaseUntil = std::max(worker.leaseUntil, base::steadyNow() + order.lease);
     if (task.attempt != order.attempt) {
+        this->overlapCount += this->runsElsewhere(worker, order.taskId) ? 1 : 0;
         task = {};
         task.taskId = order.taskId;
         task.attempt = order.attempt;
@@ -174,6 +206,7 @@
     upstream::RenewAnswer answer;
     {
         absl::MutexLock lock(&this->mutex);
+        this->endWhatLostItsLease();
         Worker &worker = this->workers[address];
         if (reaches(worker.trouble)) {
             answer = this->renewHere(worker, order);
@@ -194,6 +227,7 @@
         return answer;
     }
     worker.self.epoch = order.epoch;
+    worker.leaseUntil = std::max(worker.leaseUntil, base::steadyNow() + order.lease);
     for (const model::TaskAttempt &ended : order.acknowledged) {
         const auto place = worker.tasks.find(ended.taskId);
         if (place != worker.tasks.end() && place->second.attempt == ended.attempt && model::isFinal(place->second.state)) {
@@ -212,6 +246,7 @@
     upstream::TaskAnswer answer;
     {
         absl::MutexLock lock(&this->mutex);
+        this->endWhatLostItsLease();
         Worker &worker = this->workers[address];
         if (!answers(worker.trouble)) {
             answer = lostAnswer();
@@ -235,6 +270,7 @@
     upstream::TaskAnswer answer;
     {
         absl::MutexLock lock(&this->mutex);
+        this->endWhatLostItsLease();
         Worker &worker = this->workers[address];
         const auto place = worker.tasks.find(taskId);
         if (reaches(worker.trouble) && taskCommand == upstream::TaskCommand::Stop) {
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cranberryreel/base/Clock.h"
 #include "upstream/UpstreamAdapter.h"
 
 #include <absl/base/thread_annotations.h>
@@ -42,6 +43,9 @@
     model::UpstreamReport report(const std::string &id) const;
     std::size_t startsOf(const std::string &taskId) const;
     std::size_t allStarts() const;
+
+    /// Starts that took effect while another upstream still ran the same task within its lease.
+    std::size_t overlaps() const;
     std::vector<std::string> running() const;
 
     void start(const std::string &address,
@@ -65,15 +69,19 @@
         std::map<std::string, model::TaskReport> tasks;
         std::map<std::string, std::uint32_t> barredUpTo;
         Trouble trouble = Trouble::None;
+        base::SteadyTime leaseUntil;
         int boots = 1;
     };
 
+    void endWhatLostItsLease() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    bool runsElsewhere(const Worker &here, const std::string &taskId) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     upstream::TaskAnswer startHere(Worker &worker, const upstream::StartOrder &order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     upstream::RenewAnswer renewHere(Worker &worker, const upstream::RenewOrder &order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     mutable absl::Mutex mutex;
     std::map<std::string, Worker> workers ABSL_GUARDED_BY(mutex); ///< By id, which is the address too.
     std::map<std::string, std::size_t> starts ABSL_GUARDED_BY(mutex);
+    std::size_t overlapCount ABSL_GUARDED_BY(mutex) = 0;
     bool instantRequests ABSL_GUARDED_BY(mutex) = true;
 };
 
--- a/tests/zone/ZoneSchedulerTest.cpp
+++ b/tests/zone/ZoneSchedulerTest.cpp
@@ -227,6 +227,21 @@
     BOOST_TEST((reply.status.code == ResultCode::DeadlinePassed));
 }
 
+BOOST_FIXTURE_TEST_CASE(requestThatAnEarlierSchedulerMayHaveRunIsNeverCalledNotRun, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setLeaving("up-1");
+    this->announce("up-1");
+    JobSpec spec = this->request("z-1");
+    spec.deadline = std::chrono::milliseconds(300);
+    const ZoneReply reply = this->submit(spec, true);
+    BOOST_TEST((reply.status.state == JobState::Unknown));
+    BOOST_TEST((reply.status.code == ResultCode::OutcomeUnknown));
+    spec.id = "z-2";
+    spec.perTask.accelerators = 9;
+    BOOST_TEST((this->submit(spec, true).status.state == JobState::Unknown));
+}
+
 BOOST_FIXTURE_TEST_CASE(leavingUpstreamGetsNoNewWork, SchedulerRig)
 {
     this->addUpstream("up-1");
