--- a/tests/upstream/HttpUpstreamAdapterTest.cpp
+++ b/tests/upstream/HttpUpstreamAdapterTest.cpp
@@ -62,7 +62,7 @@
         return answer.get_future().get();
     }
 
-    RenewAnswer renew(std::uint64_t epoch, std::chrono::milliseconds lease = 20s, std::vector<std::string> acknowledged = {})
+    RenewAnswer renew(std::uint64_t epoch, std::chrono::milliseconds lease = 20s, std::vector<cranberryreel::model::TaskAttempt> acknowledged = {})
     {
         std::promise<RenewAnswer> answer;
         this->adapter.renew(
@@ -113,7 +113,7 @@
     this->start(order(R"({"run_ms":1,"echo":"kept"})"));
     BOOST_TEST(this->ask().report.answer == "kept");
     BOOST_TEST(this->renew(5).report.tasks.size() == 1U);
-    BOOST_TEST(this->renew(5, 20s, {order("").taskId}).report.tasks.empty());
+    BOOST_TEST(this->renew(5, 20s, {{order("").taskId, 1}}).report.tasks.empty());
     BOOST_TEST((this->ask().code == ResultCode::NotFound));
 }
 
