Never send a request that changes something twice

Cause: libcurl sends a request again by itself when a pooled connection breaks before any answer. A start, or a caller's request, could so be read twice, by an upstream's old and new process even. Ruled out: an option of libcurl against it (there is none); fresh connections for every call (their cost). Before: the test's server read 3 requests for 2 calls. After: 2, and the call ends as unreachable with sent = true. The second attempt is stopped in libcurl's callback ahead of sending. Conclusion: http_tests 26 cases green.

--- a/src/http/Transfer.cpp
+++ b/src/http/Transfer.cpp
@@ -1,6 +1,7 @@
 #include "http/Transfer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberryreel::http
 {
@@ -53,6 +54,11 @@
     curl_easy_setopt(this->curl, CURLOPT_PRIVATE, this);
     curl_easy_setopt(this->curl, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
     curl_easy_setopt(this->curl, CURLOPT_WRITEDATA, this);
+    this->sentOnce = false;
+    if (this->request.method != "GET") {
+        curl_easy_setopt(this->curl, CURLOPT_PREREQFUNCTION, &Transfer::onReadyToSend);
+        curl_easy_setopt(this->curl, CURLOPT_PREREQDATA, this);
+    }
     const auto limit = std::max<std::chrono::milliseconds::rep>(this->request.limit.count(), 1);
     curl_easy_setopt(this->curl, CURLOPT_TIMEOUT_MS, static_cast<long>(limit));
     curl_easy_setopt(this->curl, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(options.connectLimit.count()));
@@ -84,6 +90,13 @@
     curl_easy_setopt(this->curl, CURLOPT_HTTPHEADER, this->headers);
 }
 
+/// libcurl sends a request again by itself when a pooled connection broke before any answer; what changes something must not go out twice, as the first may
+/// have been read.
+int Transfer::onReadyToSend(void *self, char *, char *, int, int)
+{
+    return std::exchange(static_cast<Transfer *>(self)->sentOnce, true) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 std::size_t Transfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
 {
     auto *transfer = static_cast<Transfer *>(self);
--- a/src/http/Transfer.h
+++ b/src/http/Transfer.h
@@ -49,6 +49,7 @@
 
 private:
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
+    static int onReadyToSend(void *self, char *remoteAddress, char *localAddress, int remotePort, int localPort);
     bool sentAnything() const;
     void setHeaders();
     void deliver();
@@ -60,6 +61,7 @@
     ClientDone done;
     std::size_t maxAnswerBytes = 0;
     base::SteadyTime latestEnd;
+    bool sentOnce = false; ///< A connection was ready for it and got it, in part at least.
 };
 
 } // namespace cranberryreel::http
--- a/tests/http/ClientTest.cpp
+++ b/tests/http/ClientTest.cpp
@@ -5,11 +5,91 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace cranberryreel::http;
 using cranberryreel::support::eventually;
 
+namespace
+{
+
+/// Answers the first request of each connection and breaks the connection when it has read the second.
+class BreakingServer
+{
+public:
+    BreakingServer()
+        : listening(openListenSocket("127.0.0.1", 0))
+        , thread([this] { this->run(); })
+    {
+    }
+
+    ~BreakingServer()
+    {
+        this->stopping = true;
+        this->thread.join();
+        ::close(this->listening.descriptor);
+    }
+
+    BreakingServer(const BreakingServer &) = delete;
+    BreakingServer &operator=(const BreakingServer &) = delete;
+
+    std::uint16_t port() const
+    {
+        return this->listening.port;
+    }
+
+    int requests() const
+    {
+        return this->count;
+    }
+
+private:
+    void run()
+    {
+        while (!this->stopping) {
+            pollfd watched{this->listening.descriptor, POLLIN, 0};
+            if (::poll(&watched, 1, 10) > 0) {
+                this->serve(::accept4(this->listening.descriptor, nullptr, nullptr, SOCK_CLOEXEC));
+            }
+        }
+    }
+
+    void serve(int connection)
+    {
+        if (this->readRequest(connection)) {
+            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            static_cast<void>(::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL));
+            this->readRequest(connection);
+        }
+        ::close(connection);
+    }
+
+    /// Requests are short enough to arrive in one piece.
+    bool readRequest(int connection)
+    {
+        char buffer[4096];
+        pollfd watched{connection, POLLIN, 0};
+        while (!this->stopping) {
+            if (::poll(&watched, 1, 10) > 0) {
+                const bool any = ::recv(connection, buffer, sizeof(buffer), 0) > 0;
+                this->count += any ? 1 : 0;
+                return any;
+            }
+        }
+        return false;
+    }
+
+    ListenSocket listening;
+    std::atomic<bool> stopping{false};
+    std::atomic<int> count{0};
+    std::thread thread;
+};
+
+} // namespace
+
 BOOST_FIXTURE_TEST_SUITE(ClientTest, ServerFixture)
 
 BOOST_AUTO_TEST_CASE(connectionsAreReusedUnlessAFreshOneIsAsked)
@@ -56,6 +136,18 @@
     BOOST_TEST(this->client.callAndWait(this->request("/connection")).body != next);
 }
 
+BOOST_AUTO_TEST_CASE(aRequestThatChangesSomethingIsNeverSentTwice)
+{
+    const BreakingServer breaking;
+    ClientRequest request = this->request("/echo", "body");
+    request.host = "127.0.0.1:" + std::to_string(breaking.port());
+    BOOST_TEST((this->client.callAndWait(request).outcome == CallOutcome::Answered));
+    const ClientResponse second = this->client.callAndWait(request);
+    BOOST_TEST((second.outcome == CallOutcome::Unreachable));
+    BOOST_TEST(second.sent);
+    BOOST_TEST(breaking.requests() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(anAnswerBeyondTheLimitFailsTheCall)
 {
     ClientOptions options;
