Let a start name the boot id that it is meant for

Cause: a start that reaches an upstream after its restart could run there, though the restart had freed its task to be placed elsewhere. Ruled out: the epoch (a restarted upstream has forgotten it) and the expiry (it bounds the time only as far as the upstream can tell). StartOrder has a field boot, empty for any; the zone scheduler does not fill it yet. upstream_fake refuses a start for another boot, remembers ended attempts that were acknowledged, and a stop of an earlier attempt leaves a later one alone.

--- a/src/upstream/HttpUpstreamAdapter.cpp
+++ b/src/upstream/HttpUpstreamAdapter.cpp
@@ -167,6 +167,7 @@
     return {{"task_id", order.taskId},
             {"attempt", order.attempt},
             {"epoch", order.epoch},
+            {"boot", order.boot},
             {"expires_in_ms", order.expiresIn.count()},
             {"lease_ms", order.lease.count()},
             {"wait_ms", order.waitForEnd.count()},
--- a/src/upstream/UpstreamAdapter.h
+++ b/src/upstream/UpstreamAdapter.h
@@ -21,6 +21,7 @@
     std::string taskId; ///< "<job id>.<task index>"; a second start of the same task and attempt is answered like the first, not run again.
     std::uint32_t attempt = 1;
     std::uint64_t epoch = 0; ///< The upstream refuses epochs lower than the highest it has seen.
+    std::string boot; ///< The boot id for which it is meant; an upstream that has another by now refuses it. Empty: any.
     std::chrono::milliseconds expiresIn{0}; ///< The upstream drops a start that it reads later than this after it was sent, as far as it can tell.
     std::chrono::milliseconds lease{0}; ///< The upstream ends the task when no renewal of its lease came for so long.
     std::chrono::milliseconds waitForEnd{0}; ///< The upstream may hold its answer so long, to answer with the end of the task.
--- a/tests/support/FakeTaskTable.cpp
+++ b/tests/support/FakeTaskTable.cpp
@@ -87,8 +87,8 @@
     if (found != this->tasks.end() && (attempt < found->second.attempt || found->second.state == model::JobState::Running)) {
         return refused("Another attempt of this task is here.");
     }
-    if (const auto barred = this->barredUpTo.find(id); barred != this->barredUpTo.end() && attempt <= barred->second) {
-        return refused("This attempt was stopped before it began.");
+    if (this->bars.holds(id, attempt)) {
+        return refused("This attempt was stopped before it began, or has ended.");
     }
     if (this->leaving) {
         return refused("This upstream is leaving.");
@@ -114,6 +114,10 @@
             this->give(answer, refused("The start has expired."));
             return;
         }
+        if (const auto meant = order.value("boot", std::string()); !meant.empty() && meant != this->boot) {
+            this->give(answer, refused("The start was meant for this upstream before its restart."));
+            return;
+        }
         if (const auto reason = this->refusal(id, attempt, sizeOf(order))) {
             this->give(answer, *reason);
             return;
@@ -195,6 +199,7 @@
         const auto found = this->tasks.find(ended.at("task_id").get<std::string>());
         const bool same = found != this->tasks.end() && found->second.attempt == ended.at("attempt").get<std::uint32_t>();
         if (same && found->second.state != model::JobState::Running) {
+            this->bars.bar(found->first, found->second.attempt, now);
             this->tasks.erase(found);
         }
     }
@@ -216,16 +221,16 @@
     if (this->fenced(order)) {
         return this->staleEpoch();
     }
+    const auto attempt = order.value("attempt", std::uint32_t{0});
     if (verb == "stop") {
-        std::uint32_t &barred = this->barredUpTo[taskId];
-        barred = std::max(barred, order.value("attempt", std::uint32_t{0}));
+        this->bars.bar(taskId, attempt, now);
     }
     const auto found = this->tasks.find(taskId);
     if (found == this->tasks.end()) {
         return http::errorResponse(ResultCode::NotFound, "No such task.");
     }
     FakeTask &task = found->second;
-    if (verb == "stop" && task.state == model::JobState::Running) {
+    if (verb == "stop" && task.state == model::JobState::Running && task.attempt <= attempt) {
         this->end(task, model::JobState::Failed, now, "stopped", now);
     } else if (verb == "throttle") {
         task.uses.cpuMillis = std::min(task.uses.cpuMillis, task.reserved.cpuMillis);
@@ -305,7 +310,7 @@
         this->neverGiven.insert(this->neverGiven.end(), task.held.begin(), task.held.end());
     }
     this->tasks.clear();
-    this->barredUpTo.clear();
+    this->bars.clear();
     this->epoch = 0;
     this->boot = newBootId();
 }
--- a/tests/support/FakeTaskTable.h
+++ b/tests/support/FakeTaskTable.h
@@ -3,6 +3,7 @@
 #include "cranberryreel/base/Clock.h"
 #include "cranberryreel/model/UpstreamReport.h"
 #include "http/Response.h"
+#include "support/FakeBars.h"
 #include "support/FakeJournal.h"
 #include "support/FakeTask.h"
 #include "support/FakeUpstreamOptions.h"
@@ -60,7 +61,7 @@
     const FakeUpstreamOptions &options;
     FakeJournal &journal;
     std::map<std::string, FakeTask> tasks;
-    std::map<std::string, std::uint32_t> barredUpTo; ///< Attempts that were stopped, by task; a start of one that arrives late is refused.
+    FakeBars bars;
     std::vector<HeldAnswer> neverGiven;
     std::uint64_t epoch = 0;
     std::uint64_t silencedConnection = 0;
--- a/tests/upstream/HttpUpstreamAdapterTest.cpp
+++ b/tests/upstream/HttpUpstreamAdapterTest.cpp
@@ -142,6 +142,31 @@
     BOOST_TEST((this->start(order("", 2)).report.state == JobState::Done));
 }
 
+BOOST_AUTO_TEST_CASE(aLateStopLeavesALaterAttemptAlone)
+{
+    StartOrder second = order(R"({"run_ms":60000})", 2);
+    second.waitForEnd = 0ms;
+    BOOST_TEST((this->start(second).report.state == JobState::Running));
+    BOOST_TEST((this->command(TaskCommand::Stop).report.state == JobState::Running));
+}
+
+BOOST_AUTO_TEST_CASE(anAcknowledgedAttemptDoesNotRunAgain)
+{
+    this->start(order(R"({"run_ms":1})"));
+    BOOST_TEST(this->renew(5, 20s, {{order("").taskId, 1}}).report.tasks.empty());
+    BOOST_TEST((this->start(order("")).code == ResultCode::UpstreamRefused));
+}
+
+BOOST_AUTO_TEST_CASE(aStartMeantForAnEarlierBootIsRefused)
+{
+    StartOrder meant = order("");
+    meant.boot = this->fake.report().boot;
+    this->fake.fault({{"restart", true}});
+    BOOST_TEST((this->start(meant).code == ResultCode::UpstreamRefused));
+    meant.boot = this->fake.report().boot;
+    BOOST_TEST((this->start(meant).report.state == JobState::Done));
+}
+
 BOOST_AUTO_TEST_CASE(anExpiredStartIsDropped)
 {
     this->fake.fault({{"freeze", true}});
