--- a/tests/support/FakeGroup.cpp
+++ b/tests/support/FakeGroup.cpp
@@ -45,6 +45,11 @@
 {
 }
 
+void FakeGroup::changeMembers(std::vector<replication::Member> /*members*/, replication::ProposeCallback done)
+{
+    done({base::ResultCode::NotLeader, {}});
+}
+
 void FakeGroup::raiseTerm(std::uint64_t atLeast)
 {
     this->raisedTo = atLeast;
