Bound the memory and time of answers being written

Cause: any number of slow readers could each hold a large answer in memory, for as long as they took a byte a minute; and the setting for body sizes was overridden by the entry's own limits. Ruled out: queueing large answers until others are written (they take the same memory while they wait).

--- a/include/cranberryreel/base/ResultCode.h
+++ b/include/cranberryreel/base/ResultCode.h
@@ -38,6 +38,7 @@
     KeyReusedForOtherWork = 2011,
     RequestTimedOut = 2012,
     TooManyConnections = 2013,
+    AnswerDeferred = 2014,
 
     NeverFits = 3001,
     DeadlineUnreachable = 3002,
--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -60,6 +60,8 @@
         return "RequestTimedOut";
     case ResultCode::TooManyConnections:
         return "TooManyConnections";
+    case ResultCode::AnswerDeferred:
+        return "AnswerDeferred";
     case ResultCode::NeverFits:
         return "NeverFits";
     case ResultCode::DeadlineUnreachable:
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -8,6 +8,8 @@
 #include "observe/Metrics.h"
 #include "upstream/ReportCodec.h"
 
+#include <algorithm>
+
 namespace cranberryreel::entry
 {
 
@@ -17,9 +19,7 @@
 using base::ResultCode;
 
 constexpr unsigned int StatusOk = 200;
-constexpr std::size_t SubmissionBytes = 2U << 20U;
-constexpr std::size_t ConfigurationBytes = 8U << 20U;
-constexpr std::size_t AnnouncementBytes = 72U << 20U;
+constexpr std::size_t AnnouncementBytes = 72U << 20U; ///< Announcements carry answers.
 constexpr const char *Unfinished = "This VM stopped before the outcome was known; ask again by id, or send it again with the same key.";
 
 const observe::Log &log()
@@ -28,18 +28,11 @@
     return instance;
 }
 
-std::size_t bodyLimitOf(const std::string &path)
-{
-    if (path == "/v1/upstreams") {
-        return AnnouncementBytes;
-    }
-    return path.rfind("/v1/config/", 0) == 0 ? ConfigurationBytes : SubmissionBytes;
-}
-
 http::ServerOptions withBodyLimits(http::ServerOptions options)
 {
     if (!options.maxBodyBytesOf) {
-        options.maxBodyBytesOf = &bodyLimitOf;
+        const std::size_t others = options.maxBodyBytes;
+        options.maxBodyBytesOf = [others](const std::string &path) { return path == "/v1/upstreams" ? std::max(others, AnnouncementBytes) : others; };
     }
     return options;
 }
--- a/src/http/ConnectionTable.cpp
+++ b/src/http/ConnectionTable.cpp
@@ -134,10 +134,11 @@
     const bool headersLate = watch.phase == ConnectionPhase::FirstRequest && spent > this->options.headerLimit;
     const bool bodyLate = watch.phase == ConnectionPhase::ReceivingBody && spent > this->options.bodyLimit;
     const bool idleLong = watch.phase == ConnectionPhase::Idle && spent > this->options.idleLimit;
-    if (!headersLate && !bodyLate && !idleLong) {
+    const bool readLate = watch.phase == ConnectionPhase::Writing && spent > this->options.answerLimit;
+    if (!headersLate && !bodyLate && !idleLong && !readLate) {
         return;
     }
-    if (!idleLong) {
+    if (headersLate || bodyLate) {
         sendRawAnswer(watch.socket, errorResponse(base::ResultCode::RequestTimedOut, "The request was not sent whole in time; send it again."));
     }
     watch.phase = ConnectionPhase::TimedOut;
--- a/src/http/ConnectionWatch.h
+++ b/src/http/ConnectionWatch.h
@@ -18,7 +18,8 @@
     FirstRequest, ///< Its first request's headers are awaited.
     Idle, ///< Between requests.
     ReceivingBody,
-    Answering,
+    Answering, ///< The request is whole; its answer is awaited.
+    Writing,
     TimedOut, ///< Closed by the watch; whatever arrives still is dropped.
 };
 
--- a/src/http/Response.cpp
+++ b/src/http/Response.cpp
@@ -31,6 +31,7 @@
     {ResultCode::KeyReusedForOtherWork, Conflict},
     {ResultCode::RequestTimedOut, 408},
     {ResultCode::TooManyConnections, Unavailable},
+    {ResultCode::AnswerDeferred, Unavailable},
     {ResultCode::NeverFits, Conflict},
     {ResultCode::QueueFull, TooManyRequests},
     {ResultCode::QuotaExceeded, TooManyRequests},
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t ConnectionMemoryBytes = 16U << 10U;
 constexpr unsigned int RefusalConnections = 256; ///< Beyond the limit, so that a refusal can be told.
 constexpr std::size_t DrainFactor = 4; ///< An oversized body is read and dropped up to so many times its limit, so that the refusal reaches its sender.
+constexpr std::size_t SmallAnswerBytes = 64U << 10U; ///< Up to here an answer takes nothing from the budget.
 constexpr std::chrono::milliseconds StopPoll{2};
 constexpr std::chrono::milliseconds LastAnswersLimit{500};
 
@@ -51,16 +52,31 @@
     return info == nullptr ? nullptr : static_cast<ConnectionWatch *>(info->socket_context);
 }
 
+/// The body of an answer being written; gives its share of the budget back at the end.
+struct AnswerBody {
+    ~AnswerBody()
+    {
+        if (this->budget != nullptr) {
+            *this->budget -= this->text.size();
+        }
+    }
+
+    std::string text;
+    std::atomic<std::size_t> *budget = nullptr;
+};
+
 void deleteBody(void *body)
 {
-    delete static_cast<std::string *>(body);
+    delete static_cast<AnswerBody *>(body);
 }
 
-MHD_Result queue(MHD_Connection *connection, Response response)
+MHD_Result queue(MHD_Connection *connection, Response response, std::atomic<std::size_t> *budget = nullptr)
 {
-    auto body = std::make_unique<std::string>(std::move(response.body));
-    std::string *raw = body.get();
-    MHD_Response *answer = MHD_create_response_from_buffer_with_free_callback_cls(raw->size(), raw->data(), &deleteBody, raw);
+    auto body = std::make_unique<AnswerBody>();
+    body->text = std::move(response.body);
+    body->budget = budget;
+    AnswerBody *raw = body.get();
+    MHD_Response *answer = MHD_create_response_from_buffer_with_free_callback_cls(raw->text.size(), raw->text.data(), &deleteBody, raw);
     if (answer == nullptr) {
         return MHD_NO;
     }
@@ -111,6 +127,7 @@
     MHD_Result begin(MHD_Connection *connection, const char *url, const char *method, void **state);
     MHD_Result receive(Exchange &exchange, const char *upload, std::size_t *size);
     MHD_Result finish(MHD_Connection *connection, const std::shared_ptr<Exchange> &exchange);
+    MHD_Result write(MHD_Connection *connection, Response response);
     void handle(const std::shared_ptr<Exchange> &exchange);
     void answerLeftOver();
     bool awaitNone(std::chrono::milliseconds limit) const;
@@ -122,6 +139,7 @@
     MHD_Daemon *daemon = nullptr;
     std::uint16_t port = 0;
     std::atomic<std::size_t> bufferedBytes{0};
+    std::atomic<std::size_t> answerBytes{0};
     std::atomic<std::size_t> inFlight{0};
     std::atomic<bool> stopping{false};
 };
@@ -213,7 +231,22 @@
         return MHD_YES;
     }
     response->closeConnection = response->closeConnection || this->stopping;
-    return queue(connection, *std::move(response));
+    ConnectionTable::enter(exchange->watch, ConnectionPhase::Writing);
+    return this->write(connection, *std::move(response));
+}
+
+MHD_Result Server::Core::write(MHD_Connection *connection, Response response)
+{
+    const std::size_t size = response.body.size();
+    if (size <= SmallAnswerBytes) {
+        return queue(connection, std::move(response));
+    }
+    const std::size_t before = this->answerBytes.fetch_add(size);
+    if (before > 0 && before + size > this->options.maxAnswerBytes) {
+        this->answerBytes -= size;
+        return queue(connection, errorResponse(base::ResultCode::AnswerDeferred, "This VM holds as many answers as it may; fetch this one by its id later."));
+    }
+    return queue(connection, std::move(response), &this->answerBytes);
 }
 
 void Server::Core::handle(const std::shared_ptr<Exchange> &exchange)
