Run scenarios against real daemons, with oracles

What it does: lays out daemons and fake upstreams on the loopback behind a relay, plays the script, submits work and keeps every answer a caller got, and judges at the end by the upstreams' journals: one place at a time, at most once, truthful answers, an answer for each caller, room of each VM, and no revision that goes back.

--- /dev/null
+++ b/tests/scenario/Callers.cpp
@@ -0,0 +1,304 @@
+#include "scenario/Callers.h"
+
+#include "cranberryreel/base/ResultCode.h"
+
+#include <fmt/format.h>
+
+#include <set>
+
+namespace cranberryreel::scenario
+{
+
+namespace
+{
+
+constexpr unsigned CallerThreads = 48;
+constexpr Milliseconds UsualDeadline{10000};
+constexpr Milliseconds UsualRunTime{20};
+constexpr Milliseconds Slack{5000}; ///< Beyond a deadline, before a caller gives up on its connection.
+constexpr Milliseconds FollowWait{2000};
+constexpr std::int64_t TaskCpuMillis = 100;
+constexpr std::int64_t TaskMemoryMiB = 64;
+
+/// Errors after which, as docs/RESULT_CODES.md says, the attempt certainly did not run. Input errors (2000 to 2999, but the time limit) are among them.
+bool saysNotRun(int code)
+{
+    using base::ResultCode;
+    static const std::set<ResultCode> codes{ResultCode::NeverFits,
+                                            ResultCode::DeadlineUnreachable,
+                                            ResultCode::QueueFull,
+                                            ResultCode::QuotaExceeded,
+                                            ResultCode::CancelledBeforeStart,
+                                            ResultCode::NoLeader,
+                                            ResultCode::HomeZoneUnreachable,
+                                            ResultCode::NoDurableStore,
+                                            ResultCode::ShuttingDown,
+                                            ResultCode::DeadlinePassed,
+                                            ResultCode::TooManyConnections,
+                                            ResultCode::Unauthorized,
+                                            ResultCode::Forbidden};
+    return codes.count(static_cast<ResultCode>(code)) > 0;
+}
+
+Told toldBy(const ApiReply &reply)
+{
+    const nlohmann::json json = reply.json();
+    Told told;
+    told.code = json.value("code", -1);
+    if (json.contains("state")) {
+        told.state = json.value("state", "");
+        told.answer = json.value("answer", "");
+        told.id = json.value("id", "");
+    } else if (reply.status != 0 && told.code >= 0) {
+        told.state = saysNotRun(told.code) ? "refused" : "unknown";
+    } else {
+        told.state = "lost";
+    }
+    return told;
+}
+
+bool isFinal(const std::string &state)
+{
+    return state != "accepted" && state != "running";
+}
+
+std::string bodyOf(const Work &work, const WorkOptions &options)
+{
+    const Milliseconds running = options.running.value_or(UsualRunTime);
+    const nlohmann::json payload = {{"echo", work.token}, {"run_ms", running.count()}};
+    nlohmann::json body = {{"name", work.name},
+                           {"cpu_millis", TaskCpuMillis},
+                           {"memory_mib", TaskMemoryMiB},
+                           {"run_time_ms", running.count()},
+                           {"repeatable", !work.once},
+                           {"key", work.key},
+                           {"payload", payload.dump()}};
+    if (work.isJob) {
+        body["kind"] = *options.kind;
+        body["tasks"] = work.tasks;
+    }
+    if (!work.isJob || options.deadline) {
+        body["deadline_ms"] = options.deadline.value_or(UsualDeadline).count();
+    }
+    return body.dump();
+}
+
+} // namespace
+
+Callers::Callers(const Cluster &scenarioCluster)
+    : cluster(scenarioCluster)
+{
+    this->threads.reserve(CallerThreads);
+    for (unsigned i = 0; i < CallerThreads; ++i) {
+        this->threads.emplace_back([this] { this->serve(); });
+    }
+}
+
+Callers::~Callers()
+{
+    this->endAllLoads();
+    {
+        absl::MutexLock lock(&this->mutex);
+        this->stopping = true;
+    }
+    for (std::thread &thread : this->threads) {
+        thread.join();
+    }
+}
+
+void Callers::submit(const std::string &name, const std::string &vm, const std::string &zone, const WorkOptions &options)
+{
+    Work work;
+    work.name = name;
+    work.isJob = options.kind && *options.kind != "request";
+    work.once = options.once;
+    work.tasks = options.tasks.value_or(1);
+    std::size_t index = 0;
+    {
+        absl::MutexLock lock(&this->mutex);
+        work.token = fmt::format("{}-{}", name, ++this->sequence[name]);
+        work.key = fmt::format("{}:{}", options.keyZone.value_or(zone), work.token);
+        work.body = bodyOf(work, options);
+        index = this->all.size();
+        this->all.push_back(std::move(work));
+    }
+    this->enqueue([this, index, vm] { this->attempt(index, vm); });
+}
+
+void Callers::resend(const std::string &name, const std::string &vm)
+{
+    absl::MutexLock lock(&this->mutex);
+    for (std::size_t index = 0; index < this->all.size(); ++index) {
+        if (this->all.at(index).name == name) {
+            this->tasks.emplace_back([this, index, vm] { this->attempt(index, vm); });
+        }
+    }
+}
+
+void Callers::cancel(const std::string &name, const std::string &vm)
+{
+    for (const Work &work : this->worksNamed(name)) {
+        if (!work.id.empty()) {
+            const std::string url = this->cluster.entryUrl(vm) + "/v1/work/" + work.id;
+            this->enqueue([url] { callApi("DELETE", url, Cluster::PartnerKey, "", UsualDeadline); });
+        }
+    }
+}
+
+void Callers::beginLoad(const std::string &name,
+                        std::vector<std::string> vms,
+                        std::function<std::string(const std::string &vm)> zoneOf,
+                        Milliseconds every,
+                        const WorkOptions &options)
+{
+    auto load = std::make_unique<Load>();
+    load->thread = std::thread([this, name, vms = std::move(vms), zoneOf = std::move(zoneOf), every, options, &ending = load->ending] {
+        auto due = std::chrono::steady_clock::now();
+        for (std::size_t turn = 0; !ending.load(); ++turn) {
+            const std::string &vm = vms.at(turn % vms.size());
+            this->submit(name, vm, zoneOf(vm), options);
+            due += every;
+            std::this_thread::sleep_until(due);
+        }
+    });
+    this->loads[name] = std::move(load);
+}
+
+void Callers::endLoad(const std::string &name)
+{
+    if (const auto found = this->loads.find(name); found != this->loads.end()) {
+        found->second->ending.store(true);
+        found->second->thread.join();
+        this->loads.erase(found);
+    }
+}
+
+void Callers::endAllLoads()
+{
+    while (!this->loads.empty()) {
+        this->endLoad(this->loads.begin()->first);
+    }
+}
+
+bool Callers::settle(const std::vector<std::string> &vms, Milliseconds limit)
+{
+    const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(this->mutex) { return this->tasks.empty() && this->busy == 0; };
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    for (std::size_t turn = 0; std::chrono::steady_clock::now() < deadline; ++turn) {
+        {
+            absl::MutexLock lock(&this->mutex);
+            this->mutex.AwaitWithTimeout(absl::Condition(&idle), absl::FromChrono(limit));
+        }
+        const std::vector<std::size_t> open = this->unsettled();
+        if (open.empty()) {
+            return true;
+        }
+        for (const std::size_t index : open) {
+            this->enqueue([this, index, vm = vms.at((turn + index) % vms.size())] { this->attempt(index, vm); });
+        }
+        std::this_thread::sleep_for(Milliseconds(100));
+    }
+    return this->unsettled().empty();
+}
+
+std::vector<Work> Callers::works() const
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->all;
+}
+
+std::vector<Work> Callers::worksNamed(const std::string &name) const
+{
+    std::vector<Work> named;
+    for (const Work &work : this->works()) {
+        if (work.name == name) {
+            named.push_back(work);
+        }
+    }
+    return named;
+}
+
+void Callers::enqueue(std::function<void()> task)
+{
+    absl::MutexLock lock(&this->mutex);
+    this->tasks.push_back(std::move(task));
+}
+
+void Callers::serve()
+{
+    const auto hasWork = [this]() ABSL_SHARED_LOCKS_REQUIRED(this->mutex) { return this->stopping || !this->tasks.empty(); };
+    while (true) {
+        std::function<void()> task;
+        {
+            absl::MutexLock lock(&this->mutex);
+            this->mutex.Await(absl::Condition(&hasWork));
+            if (this->stopping) {
+                return;
+            }
+            task = std::move(this->tasks.front());
+            this->tasks.pop_front();
+            ++this->busy;
+        }
+        task();
+        absl::MutexLock lock(&this->mutex);
+        --this->busy;
+    }
+}
+
+void Callers::attempt(std::size_t index, const std::string &vm)
+{
+    const Work work = this->at(index);
+    if (!work.id.empty()) {
+        this->follow(index, vm);
+        return;
+    }
+    const std::string url = this->cluster.entryUrl(vm) + (work.isJob ? "/v1/jobs" : "/v1/requests");
+    const ApiReply reply = callApi("POST", url, Cluster::PartnerKey, work.body, UsualDeadline + Slack);
+    this->keep(index, reply);
+    if (!this->at(index).settled()) {
+        this->follow(index, vm);
+    }
+}
+
+void Callers::follow(std::size_t index, const std::string &vm)
+{
+    const Work work = this->at(index);
+    if (work.id.empty()) {
+        return;
+    }
+    const std::string url = fmt::format("{}/v1/work/{}?wait_ms={}", this->cluster.entryUrl(vm), work.id, FollowWait.count());
+    this->keep(index, callApi("GET", url, Cluster::PartnerKey, "", FollowWait + Slack));
+}
+
+void Callers::keep(std::size_t index, const ApiReply &reply)
+{
+    Told told = toldBy(reply);
+    absl::MutexLock lock(&this->mutex);
+    Work &work = this->all.at(index);
+    if (!told.id.empty()) {
+        work.id = told.id;
+    }
+    if (isFinal(told.state)) {
+        work.told.push_back(std::move(told));
+    }
+}
+
+Work Callers::at(std::size_t index) const
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->all.at(index);
+}
+
+std::vector<std::size_t> Callers::unsettled() const
+{
+    absl::MutexLock lock(&this->mutex);
+    std::vector<std::size_t> open;
+    for (std::size_t index = 0; index < this->all.size(); ++index) {
+        if (!this->all.at(index).settled()) {
+            open.push_back(index);
+        }
+    }
+    return open;
+}
+
+} // namespace cranberryreel::scenario
--- /dev/null
+++ b/tests/scenario/Cluster.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "scenario/ApiClient.h"
+#include "scenario/Journal.h"
+#include "scenario/Script.h"
+
+#include "support/LinkRelay.h"
+#include "support/Process.h"
+#include "support/TemporaryFolder.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cranberryreel::scenario
+{
+
+/// The daemons and fake upstreams of a scenario, each a process, linked through a relay on the loopback. Owned by the runner; one thread, but for entryUrl().
+class Cluster
+{
+public:
+    static constexpr const char *OperatorKey = "operator-key";
+    static constexpr const char *PartnerKey = "partner-key";
+    static constexpr std::int64_t VmCpuMillis = 16000;
+    static constexpr std::int64_t VmMemoryMiB = 32768;
+
+    Cluster();
+    ~Cluster();
+
+    void addZone(const ZoneStep &zone);
+    void addUpstream(const UpstreamStep &upstream);
+
+    /// Lays out ports, links, folders and settings; before the first start.
+    void layOut();
+
+    std::vector<std::string> vms() const;
+    std::vector<std::string> vmsOf(const std::string &zone) const;
+    std::vector<std::string> upstreams() const;
+    std::vector<std::string> upstreamsOf(const std::string &zone) const;
+    bool isVm(const std::string &name) const;
+    std::string zoneOf(const std::string &name) const;
+
+    void start(const std::string &name);
+    void kill(const std::string &name);
+    void signal(const std::string &name, int number);
+    bool running(const std::string &name);
+    bool thawed(const std::string &name) const;
+    std::optional<int> exitStatus(const std::string &name);
+
+    void snapshotDisk(const std::string &vm);
+    void wipeDisk(const std::string &vm);
+    void rollBackDisk(const std::string &vm);
+
+    /// Sets a switch of a fake upstream.
+    void fault(const std::string &upstream, const std::string &switches);
+
+    /// The relay's links that carry bytes between two processes: first those dialed by `left`, then those dialed by `right`.
+    void applyToLinks(LinkAction action, const std::string &left, const std::string &right);
+
+    std::string entryUrl(const std::string &vm) const;
+    ApiReply asOperator(const std::string &vm, const std::string &method, const std::string &path, const std::string &body = "") const;
+    std::string registerText() const;
+    std::vector<JournalEvent> journal() const;
+
+    /// The last lines of every process's output.
+    std::string tails() const;
+
+private:
+    struct Node {
+        std::string zone;
+        bool hasDisk = false;
+        bool isUpstream = false;
+        unsigned slots = 0;
+        std::uint16_t port = 0; ///< HTTP.
+        std::uint16_t linkPort = 0;
+        std::unique_ptr<support::Process> process;
+        bool frozen = false;
+    };
+
+    std::string folderOf(const std::string &name) const;
+    std::string settingsOf(const std::string &vm) const;
+    std::string witnessOf(const std::string &zone) const;
+    std::vector<std::string> configMembers() const;
+    std::vector<std::string> commandOf(const std::string &name) const;
+    std::vector<std::string> linksDialedBy(const std::string &dialer, const std::string &target) const;
+
+    support::TemporaryFolder folder;
+    support::LinkRelay relay;
+    std::map<std::string, Node> nodes;
+    std::vector<std::string> zones; ///< In the order of the script.
+    std::map<std::string, std::vector<std::string>> members; ///< Of each zone, in the order of the script.
+    std::map<std::string, std::uint16_t> relayPorts; ///< By link name.
+    std::map<std::string, std::vector<std::int64_t>> killTimes; ///< Wall clock, nanoseconds, of each upstream.
+};
+
+} // namespace cranberryreel::scenario
--- a/tests/scenario/Script.h
+++ b/tests/scenario/Script.h
@@ -47,6 +47,11 @@
     boost::optional<unsigned> slots;
 };
 
+/// bring up
+struct BringUpStep {
+    std::string phrase;
+};
+
 enum class Action {
     Start,
     Kill,
@@ -223,6 +228,7 @@
 
 using Step = boost::spirit::x3::variant<ZoneStep,
                                         UpstreamStep,
+                                        BringUpStep,
                                         ActionStep,
                                         LinkStep,
                                         LetStep,
--- a/tests/scenario/ScriptParser.cpp
+++ b/tests/scenario/ScriptParser.cpp
@@ -54,7 +54,7 @@
     {
         this->add("ms", 1)("s", 1000);
     }
-} const unit;
+} const Unit;
 
 struct ActionTable : x3::symbols<Action> {
     ActionTable()
@@ -64,16 +64,17 @@
         this->add("roll back disk of", Action::RollBackDisk)("leave", Action::Leave)("silence", Action::Silence);
         this->add("fail all at", Action::FailAll)("recover", Action::Recover);
     }
-} const action;
+} const ActionWord;
 
 struct LinkActionTable : x3::symbols<LinkAction> {
     LinkActionTable()
     {
         this->add("cut", LinkAction::Cut)("cut one way", LinkAction::CutOneWay)("blackhole", LinkAction::Blackhole)("heal", LinkAction::Heal);
     }
-} const linkAction;
+} const LinkWord;
 
-// Rules with definitions of their own keep the types of the statements' parsers small.
+// Rules with definitions of their own keep the types of the statements' parsers small. Boost.Spirit finds the definition of a rule NAME as NAME_def.
+// NOLINTBEGIN(readability-identifier-naming)
 const x3::rule<struct NameRule, std::string> name = "name";
 const auto name_def = lexeme[x3::lower >> *(char_('-') | char_('_') | alnum)];
 
@@ -82,7 +83,7 @@
     x3::_val(context) = Milliseconds(boost::fusion::at_c<0>(amount) * boost::fusion::at_c<1>(amount));
 };
 const x3::rule<struct DurationRule, Milliseconds> duration = "duration";
-const auto duration_def = (uint_ >> unit)[toMilliseconds];
+const auto duration_def = (uint_ >> Unit)[toMilliseconds];
 
 const x3::rule<struct PlaceRule, Place> place = "place";
 const auto place_def = (word("leader") >> word("of") >> word("zone") >> x3::attr(PlaceKind::Leader) >> name)
@@ -99,6 +100,7 @@
     >> -(word("kept") >> word("by") >> name) >> matches[word("once")];
 
 BOOST_SPIRIT_DEFINE(name, duration, place, member, work)
+// NOLINTEND(readability-identifier-naming)
 
 /// Reads the whole text as one kind of statement or condition.
 template<typename Made, typename Into, typename Parser>
@@ -128,7 +130,7 @@
 
 using ReadCondition = bool (*)(const std::string &, Condition &);
 
-const std::vector<ReadCondition> conditionReaders{
+const std::vector<ReadCondition> ConditionReaders{
     [](const std::string &text, Condition &into) {
         const auto isNot = matches[word("not")];
         return readWhole<LeaderCondition>(text, word("leader") >> word("of") >> word("zone") >> name >> word("is") >> isNot >> name, into);
@@ -151,9 +153,7 @@
     },
     [](const std::string &text, Condition &into) { return readWhole<ExitCondition>(text, name >> word("exited") >> word("with") >> uint_, into); },
     [](const std::string &text, Condition &into) { return readWhole<StartedCondition>(text, name >> word("started") >> uint_ >> word("times"), into); },
-    [](const std::string &text, Condition &into) {
-        return readOnly<ReadyCondition, &ReadyCondition::place>(text, place >> word("is") >> word("ready"), into);
-    },
+    [](const std::string &text, Condition &into) { return readOnly<ReadyCondition, &ReadyCondition::place>(text, place >> word("is") >> word("ready"), into); },
     [](const std::string &text, Condition &into) { return readWhole<StateCondition>(text, name >> word("is") >> (name % word("or")), into); },
 };
 
@@ -165,7 +165,7 @@
         return false;
     }
     const std::string rest(next, text.end());
-    for (const ReadCondition read : conditionReaders) {
+    for (const ReadCondition read : ConditionReaders) {
         if (read(rest, expect.condition)) {
             into = expect;
             return true;
@@ -176,13 +176,14 @@
 
 using ReadStep = bool (*)(const std::string &, Step &);
 
-const std::vector<ReadStep> stepReaders{
+const std::vector<ReadStep> StepReaders{
     [](const std::string &text, Step &into) { return readWhole<ZoneStep>(text, word("zone") >> name >> ':' >> (member % ','), into); },
     [](const std::string &text, Step &into) {
         return readWhole<UpstreamStep>(text, word("upstream") >> name >> word("in") >> name >> -(word("slots") >> uint_), into);
     },
+    [](const std::string &text, Step &into) { return readOnly<BringUpStep, &BringUpStep::phrase>(text, word("bring") >> x3::string("up"), into); },
     [](const std::string &text, Step &into) {
-        return readWhole<LinkStep>(text, lexeme[linkAction >> &x3::blank] >> place >> (word("from") | word("to")) >> place, into);
+        return readWhole<LinkStep>(text, lexeme[LinkWord >> &x3::blank] >> place >> (word("from") | word("to")) >> place, into);
     },
     [](const std::string &text, Step &into) { return readWhole<LetStep>(text, word("let") >> name >> '=' >> place, into); },
     [](const std::string &text, Step &into) {
@@ -199,14 +200,14 @@
     [](const std::string &text, Step &into) { return readWhole<CancelStep>(text, word("cancel") >> name >> word("at") >> place, into); },
     [](const std::string &text, Step &into) { return readWhole<RaceStep>(text, word("race") >> uint_ >> word("operators") >> word("at") >> place, into); },
     [](const std::string &text, Step &into) { return readOnly<WaitStep, &WaitStep::time>(text, word("wait") >> duration, into); },
-    [](const std::string &text, Step &into) { return readWhole<ActionStep>(text, lexeme[action >> &x3::blank] >> place, into); },
+    [](const std::string &text, Step &into) { return readWhole<ActionStep>(text, lexeme[ActionWord >> &x3::blank] >> place, into); },
     readExpect,
 };
 
 Step parseStep(const std::string &text, const std::string &where)
 {
     Step parsed;
-    for (const ReadStep read : stepReaders) {
+    for (const ReadStep read : StepReaders) {
         if (read(text, parsed)) {
             return parsed;
         }
--- a/tests/standins/upstream_fake.cpp
+++ b/tests/standins/upstream_fake.cpp
@@ -32,6 +32,7 @@
     Vm,
     Zone,
     Listen,
+    Advertise,
     Entries,
     Slots,
     Cpu,
@@ -52,6 +53,7 @@
     {"vm", required_argument, nullptr, Vm},
     {"zone", required_argument, nullptr, Zone},
     {"listen", required_argument, nullptr, Listen},
+    {"advertise", required_argument, nullptr, Advertise},
     {"entries", required_argument, nullptr, Entries},
     {"slots", required_argument, nullptr, Slots},
     {"cpu", required_argument, nullptr, Cpu},
@@ -72,7 +74,8 @@
                               "  [--slots N] [--cpu MILLIS] [--memory MIB] [--accelerators N] [--journal FILE] [--service NAME]\n"
                               "  [--run-time-ms N] [--usage-lag-ms N] [--upstream-key KEY]\n"
                               "  [--count N]   N upstreams ID-1.. on VM-1.., consecutive ports (port 0: any)\n"
-                              "  [--same-vm]   all of them on the one VM\n";
+                              "  [--same-vm]   all of them on the one VM\n"
+                              "  [--advertise HOST:PORT]   address it names to the entries, such as a relay's\n";
 
 std::int64_t number(const char *text)
 {
@@ -102,6 +105,9 @@
     case Listen:
         setListen(upstream, optarg);
         break;
+    case Advertise:
+        upstream.advertise = optarg;
+        break;
     case Entries:
         upstream.entries = absl::StrSplit(optarg, ',', absl::SkipEmpty());
         break;
--- a/tests/support/FakeUpstream.cpp
+++ b/tests/support/FakeUpstream.cpp
@@ -85,7 +85,7 @@
 {
     absl::MutexLock lock(&this->mutex);
     model::UpstreamReport report = this->table.report(base::steadyNow());
-    report.address = this->address();
+    report.address = this->options.advertise.empty() ? this->address() : this->options.advertise;
     return report;
 }
 
@@ -240,7 +240,7 @@
     this->lastAnnounced = now;
     this->announceAt = now + this->options.announceEvery;
     model::UpstreamReport report = this->table.report(now);
-    report.address = this->address();
+    report.address = this->options.advertise.empty() ? this->address() : this->options.advertise;
     http::ClientRequest request;
     request.method = "POST";
     request.host = this->options.entries[this->entry % this->options.entries.size()];
--- a/tests/support/FakeUpstreamOptions.h
+++ b/tests/support/FakeUpstreamOptions.h
@@ -18,6 +18,7 @@
     std::string service; ///< Empty: any work.
     std::string listenAddress = "127.0.0.1";
     std::uint16_t port = 0; ///< 0: any free one.
+    std::string advertise; ///< "host:port" it names to the entry VMs, such as a relay before it; empty: the one it listens on.
     std::vector<std::string> entries; ///< "host:port" of the entry VMs it announces itself to; empty: it does not.
     std::string upstreamKey; ///< Bearer key for announcements; empty: none.
     std::uint32_t slots = 8;
--- /dev/null
+++ b/tests/support/TemporaryFolder.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+
+namespace cranberryreel::support
+{
+
+/// A folder that goes away with the object, unless CRANBERRYREEL_KEEP_FOLDERS is set.
+class TemporaryFolder
+{
+public:
+    TemporaryFolder()
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "cranberryreel-test-XXXXXX").string();
+        this->path = ::mkdtemp(name.data());
+    }
+
+    ~TemporaryFolder()
+    {
+        if (std::getenv("CRANBERRYREEL_KEEP_FOLDERS") == nullptr) {
+            std::error_code ignored;
+            std::filesystem::remove_all(this->path, ignored);
+        }
+    }
+
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+
+    const std::string &name() const
+    {
+        return this->path;
+    }
+
+private:
+    std::string path;
+};
+
+} // namespace cranberryreel::support
