--- a/src/entry/KeyRing.cpp
+++ b/src/entry/KeyRing.cpp
@@ -1,20 +1,10 @@
 #include "entry/KeyRing.h"
 
-#include <fmt/format.h>
-#include <openssl/sha.h>
-
-#include <array>
+#include "config/KeyHash.h"
 
 namespace cranberryreel::entry
 {
 
-std::string sha256Hex(std::string_view text)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
-    return fmt::format("{:02x}", fmt::join(digest, ""));
-}
-
 std::string_view bearerKey(std::string_view authorization)
 {
     constexpr std::string_view Scheme = "Bearer ";
@@ -32,7 +22,7 @@
     if (key.empty()) {
         return std::nullopt;
     }
-    const std::string hash = sha256Hex(key);
+    const std::string hash = config::keyHash(key);
     if (!this->operatorHash.empty() && hash == this->operatorHash) {
         return Identity{"", true};
     }
--- a/tests/support/FakeConfigService.cpp
+++ b/tests/support/FakeConfigService.cpp
@@ -1,6 +1,6 @@
 #include "support/FakeConfigService.h"
 
-#include "entry/KeyRing.h"
+#include "config/KeyHash.h"
 
 namespace cranberryreel::testsupport
 {
@@ -9,7 +9,7 @@
 {
     absl::MutexLock lock(&this->mutex);
     auto next = std::make_shared<config::Configuration>(*this->configuration);
-    next->partners[partner] = {partner, entry::sha256Hex(key), isOperator};
+    next->partners[partner] = {partner, config::keyHash(key), isOperator};
     this->configuration = next;
 }
 
