Name the boot id that a start is meant for

Cause: a start delayed past a restart of its upstream could run there although the restart had freed the task. Ruled out: epoch and expiry (a restarted upstream has forgotten the one and cannot tell the other).

--- a/src/zone/TaskStarter.cpp
+++ b/src/zone/TaskStarter.cpp
@@ -105,6 +105,7 @@
     order.taskId = TaskName{job.spec.id, index}.text();
     order.attempt = task.attempt;
     order.epoch = this->parts.context.epoch;
+    order.boot = task.boot;
     order.expiresIn = options.startExpiry;
     order.lease = options.taskLease;
     order.kind = job.spec.kind;
