Keep the loaded sample settings while the samples test reads their zones

Cause: the loop read a temporary that was gone; seen by lint and by the failing test after the commit before, which landed on a misread run. Conclusion: SamplesTest passes, lint clean.

--- a/tests/config/SamplesTest.cpp
+++ b/tests/config/SamplesTest.cpp
@@ -70,7 +70,8 @@
     for (const auto &[name, vm] : read->vms) {
         zones.insert(vm.zone);
     }
-    for (const auto &[zone, members] : loadAll(deployment).front().zones) {
+    const std::vector<settings::Settings> all = loadAll(deployment);
+    for (const auto &[zone, members] : all.front().zones) {
         BOOST_TEST(zones.count(zone) == 1U, zone);
     }
 }
