--- a/tests/upstream/HttpUpstreamAdapterTest.cpp
+++ b/tests/upstream/HttpUpstreamAdapterTest.cpp
@@ -62,7 +62,7 @@
         return answer.get_future().get();
     }
 
-    RenewAnswer renew(std::uint64_t epoch, std::chrono::milliseconds lease = 20s, std::vector<std::string> acknowledged = {})
+    RenewAnswer renew(std::uint64_t epoch, std::chrono::milliseconds lease = 20s, std::vector<cranberryreel::model::TaskAttempt> acknowledged = {})
     {
         std::promise<RenewAnswer> answer;
         this->adapter.renew(
@@ -113,7 +113,7 @@
     this->start(order(R"({"run_ms":1,"echo":"kept"})"));
     BOOST_TEST(this->ask().report.answer == "kept");
     BOOST_TEST(this->renew(5).report.tasks.size() == 1U);
-    BOOST_TEST(this->renew(5, 20s, {order("").taskId}).report.tasks.empty());
+    BOOST_TEST(this->renew(5, 20s, {{order("").taskId, 1}}).report.tasks.empty());
     BOOST_TEST((this->ask().code == ResultCode::NotFound));
 }
 
@@ -142,6 +142,31 @@
     BOOST_TEST((this->start(order("", 2)).report.state == JobState::Done));
 }
 
+BOOST_AUTO_TEST_CASE(aLateStopLeavesALaterAttemptAlone)
+{
+    StartOrder second = order(R"({"run_ms":60000})", 2);
+    second.waitForEnd = 0ms;
+    BOOST_TEST((this->start(second).report.state == JobState::Running));
+    BOOST_TEST((this->command(TaskCommand::Stop).report.state == JobState::Running));
+}
+
+BOOST_AUTO_TEST_CASE(anAcknowledgedAttemptDoesNotRunAgain)
+{
+    this->start(order(R"({"run_ms":1})"));
+    BOOST_TEST(this->renew(5, 20s, {{order("").taskId, 1}}).report.tasks.empty());
+    BOOST_TEST((this->start(order("")).code == ResultCode::UpstreamRefused));
+}
+
+BOOST_AUTO_TEST_CASE(aStartMeantForAnEarlierBootIsRefused)
+{
+    StartOrder meant = order("");
+    meant.boot = this->fake.report().boot;
+    this->fake.fault({{"restart", true}});
+    BOOST_TEST((this->start(meant).code == ResultCode::UpstreamRefused));
+    meant.boot = this->fake.report().boot;
+    BOOST_TEST((this->start(meant).report.state == JobState::Done));
+}
+
 BOOST_AUTO_TEST_CASE(anExpiredStartIsDropped)
 {
     this->fake.fault({{"freeze", true}});
