Tell each caller cut off by a stop the id to ask after

Cause: a request left open at the end of a stop was answered as unknown without its id, so that its caller could not ask again by id. Conclusion: the entry keeps the open submissions and answers each with its own status.

--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -20,7 +20,8 @@
 
 constexpr unsigned int StatusOk = 200;
 constexpr std::size_t AnnouncementBytes = 72U << 20U; ///< Announcements carry answers.
-constexpr const char *Unfinished = "This VM stopped before the outcome was known; ask again by id, or send it again with the same key.";
+constexpr std::chrono::milliseconds LastAnswersLimit{500};
+constexpr const char *Unfinished = "This VM stopped before the answer was known; ask another.";
 
 const observe::Log &log()
 {
@@ -195,7 +196,9 @@
         this->grace.join();
     }
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - base::steadyNow());
-    const bool finished = this->server->stop(std::max(left, std::chrono::milliseconds(0)));
+    const bool finished = this->server->awaitIdle(std::max(left, std::chrono::milliseconds(0)));
+    this->work.answerOpenAsUnknown();
+    this->server->stop(LastAnswersLimit);
     log().info("Stopped; {}.", finished ? "every request was answered" : "some requests were answered as unknown");
     return finished;
 }
--- /dev/null
+++ b/src/entry/OpenSubmissions.cpp
@@ -0,0 +1,59 @@
+#include "entry/OpenSubmissions.h"
+
+#include "entry/StatusCodec.h"
+
+#include <utility>
+
+namespace cranberryreel::entry
+{
+
+namespace
+{
+
+constexpr unsigned int StatusOk = 200;
+constexpr const char *Unfinished = "This VM stopped before the outcome was known; ask another by id, or send it again with the same key.";
+
+} // namespace
+
+OpenSubmissions::Shard &OpenSubmissions::shardOf(const model::JobId &id)
+{
+    return this->shards[std::hash<model::JobId>()(id) % ShardCount];
+}
+
+void OpenSubmissions::add(const model::JobSpec &spec, const std::string &traceId, const http::Responder &respond)
+{
+    Shard &shard = this->shardOf(spec.id);
+    absl::MutexLock lock(&shard.mutex);
+    shard.open.insert_or_assign(spec.id, Submission{spec.kind, spec.partner, spec.name, traceId, respond});
+}
+
+void OpenSubmissions::remove(const model::JobId &id)
+{
+    Shard &shard = this->shardOf(id);
+    absl::MutexLock lock(&shard.mutex);
+    shard.open.erase(id);
+}
+
+void OpenSubmissions::answerUnknown()
+{
+    for (Shard &shard : this->shards) {
+        absl::flat_hash_map<model::JobId, Submission> left;
+        {
+            absl::MutexLock lock(&shard.mutex);
+            left.swap(shard.open);
+        }
+        for (const auto &[id, submission] : left) {
+            model::JobStatus status;
+            status.id = id;
+            status.kind = submission.kind;
+            status.partner = submission.partner;
+            status.name = submission.name;
+            status.state = model::JobState::Unknown;
+            status.code = base::ResultCode::OutcomeUnknown;
+            status.reason = Unfinished;
+            submission.respond({StatusOk, "application/json", statusToJson(status, submission.traceId), true});
+        }
+    }
+}
+
+} // namespace cranberryreel::entry
--- a/src/entry/OperatorHandlers.cpp
+++ b/src/entry/OperatorHandlers.cpp
@@ -12,6 +12,7 @@
 using base::ResultCode;
 
 constexpr unsigned int StatusOk = 200;
+constexpr const char *NoAnswer = "There is nothing to show; the code tells why.";
 constexpr const char *NoSuchWork = "No work has this id.";
 
 /// Answers with a view's JSON; in case of an error the text is its reason.
@@ -21,7 +22,7 @@
         if (code == ResultCode::Ok) {
             respond({StatusOk, "application/json", std::move(text), false});
         } else {
-            respond(http::errorResponse(code, text));
+            respond(http::errorResponse(code, text.empty() ? NoAnswer : text));
         }
     };
 }
--- a/src/entry/WorkHandlers.cpp
+++ b/src/entry/WorkHandlers.cpp
@@ -78,6 +78,11 @@
     this->refusing = true;
 }
 
+void WorkHandlers::answerOpenAsUnknown()
+{
+    this->open->answerUnknown();
+}
+
 void WorkHandlers::submitRequest(const Call &call)
 {
     this->submit(call, requestFromJson(call.request->body), "entry.request", StatusOk);
@@ -100,8 +105,12 @@
     spec.id = HomeZone::newId(this->homeZone.of(spec.partner, spec.key));
     const SharedSpan span = beginSpan(hop, call);
     const std::string traceparent = span->traceparent();
-    this->dispatcher->submit(
-        std::move(spec), traceparent, [respond = call.respond, span, status](const DispatchReply &reply) { respondStatus(respond, reply, *span, status); });
+    this->open->add(spec, span->traceId(), call.respond);
+    const auto done = [respond = call.respond, waiting = this->open, id = spec.id, span, status](const DispatchReply &reply) {
+        waiting->remove(id);
+        respondStatus(respond, reply, *span, status);
+    };
+    this->dispatcher->submit(std::move(spec), traceparent, done);
 }
 
 std::chrono::milliseconds WorkHandlers::waitOf(const Call &call) const
--- a/src/entry/WorkHandlers.h
+++ b/src/entry/WorkHandlers.h
@@ -4,6 +4,7 @@
 #include "entry/Dispatcher.h"
 #include "entry/EntryOptions.h"
 #include "entry/HomeZone.h"
+#include "entry/OpenSubmissions.h"
 #include "entry/Router.h"
 #include "observe/Trace.h"
 
@@ -24,6 +25,9 @@
     /// From now on new work is refused as not run.
     void refuseNewWork();
 
+    /// Tells every caller that still waits for the outcome of a submission that it is unknown, and the id to ask after.
+    void answerOpenAsUnknown();
+
 private:
     void submitRequest(const Call &call);
     void submitJob(const Call &call);
@@ -41,6 +45,7 @@
     HomeZone homeZone;
     std::shared_ptr<Dispatcher> dispatcher;
     std::atomic<bool> refusing{false};
+    std::shared_ptr<OpenSubmissions> open = std::make_shared<OpenSubmissions>(); ///< Shared with callbacks that may come after a stop.
 };
 
 } // namespace cranberryreel::entry
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -362,6 +362,11 @@
     }
 }
 
+bool Server::awaitIdle(std::chrono::milliseconds limit) const
+{
+    return this->core->awaitNone(limit);
+}
+
 bool Server::stop(std::chrono::milliseconds limit)
 {
     Core &own = *this->core;
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -28,6 +28,9 @@
     /// Throws base::Error(PortInUse) when the address cannot be bound.
     void start();
 
+    /// Waits up to the limit until no request is in flight; false when some still are.
+    bool awaitIdle(std::chrono::milliseconds limit) const;
+
     /// Waits up to the limit for the requests in flight, answers the rest as unfinished, then closes all. Returns whether none was left over.
     bool stop(std::chrono::milliseconds limit);
 
--- a/tests/entry/EntryStopTest.cpp
+++ b/tests/entry/EntryStopTest.cpp
@@ -55,7 +55,10 @@
 {
     auto answer = this->submitHeld();
     BOOST_TEST(!this->server->stop(std::chrono::milliseconds(50)));
-    BOOST_TEST(codeOf(answer.get()) == static_cast<int>(ResultCode::OutcomeUnknown));
+    const Json status = Json::parse(answer.get().body);
+    BOOST_TEST(status["code"] == static_cast<int>(ResultCode::OutcomeUnknown));
+    BOOST_TEST(status["state"] == "unknown");
+    BOOST_TEST(!status["id"].get<std::string>().empty());
     this->dispatcher->releaseAll();
 }
 
