Refuse for a late start only what is proved to start late

Cause: the expected wait of a request was its queue over the rate of starts of the last 10 s. With one request waiting and no start so far it came to 100,000 ms, so after a change of leader, in a burst, or after a quiet time requests with a deadline of 10 s were refused by an idle zone. Ruled out: a lower bound on the rate, which only moves the threshold. Conclusion: overload is still refused early (tests/policy/AdmissionTest.cpp, four cases).

--- a/src/policy/Admission.cpp
+++ b/src/policy/Admission.cpp
@@ -44,6 +44,32 @@
     return std::chrono::milliseconds(std::llround(seconds * 1000));
 }
 
+base::SteadyTime Admission::waitingSince(PartnerIndex partner, std::uint32_t waiting, base::SteadyTime now)
+{
+    if (partner >= this->queuedSince.size()) {
+        this->queuedSince.resize(partner + 1, now);
+    }
+    if (waiting == 0) {
+        this->queuedSince[partner] = now;
+    }
+    return this->queuedSince[partner];
+}
+
+std::optional<std::chrono::milliseconds> Admission::provenWait(PartnerIndex partner, std::uint32_t waiting, base::SteadyTime now)
+{
+    constexpr std::chrono::seconds LeastAge{1};
+    constexpr double LeastStarts = 4;
+    const RateMeter &starts = this->zone.requestStartsOf(partner);
+    const auto age = now - this->waitingSince(partner, waiting, now);
+    if (waiting == 0) {
+        return std::chrono::milliseconds(0);
+    }
+    if (age < LeastAge || starts.recent(now) < LeastStarts) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(std::llround(waiting / starts.perSecond(now, age) * 1000));
+}
+
 Decision Admission::decide(const model::JobSpec &spec, base::SteadyTime now)
 {
     if (Decision never = this->verdict(spec); never.code != base::ResultCode::Ok) {
@@ -63,12 +89,12 @@
             spec.id, base::ResultCode::QueueFull, fmt::format("{} has {} tasks of this kind waiting; {} may.", spec.partner, waiting, rules.maxQueued));
     }
     if (spec.kind == model::JobKind::Request && spec.deadline.count() > 0) {
-        const auto wait = this->expectedWait(waiting, this->zone.requestStartsOf(partner), now);
+        const auto wait = this->provenWait(partner, waiting, now);
         const auto run = this->zone.model.typicalRunTime(this->zone.model.name(partner, spec.name), spec.runTime).value_or(std::chrono::milliseconds(0));
-        if (wait + run > spec.deadline) {
+        if (wait && *wait + run > spec.deadline) {
             return answer(spec.id,
                           base::ResultCode::DeadlineUnreachable,
-                          fmt::format("{} requests wait before it; it would start in {} ms, too late for its deadline.", waiting, wait.count()));
+                          fmt::format("{} requests wait before it; it would start in {} ms, too late for its deadline.", waiting, wait->count()));
         }
     }
     return answer(spec.id, base::ResultCode::Ok, "");
--- a/src/policy/Admission.h
+++ b/src/policy/Admission.h
@@ -8,7 +8,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace cranberryreel::policy
 {
@@ -33,10 +35,18 @@
     static std::uint32_t tasksOf(const model::JobSpec &spec);
 
 private:
+    /// Since when a partner's requests have waited without a break, as far as its submissions show.
+    base::SteadyTime waitingSince(PartnerIndex partner, std::uint32_t waiting, base::SteadyTime now);
+
+    /// How long a request will wait; nothing while the queue is too young, or too few starts were seen, to tell. A queue that is merely new, after a burst
+    /// or a change of leader, says nothing of how fast it will drain.
+    std::optional<std::chrono::milliseconds> provenWait(PartnerIndex partner, std::uint32_t waiting, base::SteadyTime now);
+
     /// Why a job can never run here; Ok when it can.
     Decision verdict(const model::JobSpec &spec) const;
 
     ZoneState &zone;
+    std::vector<base::SteadyTime> queuedSince; ///< By partner.
 };
 
 } // namespace cranberryreel::policy
--- a/src/policy/RateMeter.h
+++ b/src/policy/RateMeter.h
@@ -2,6 +2,7 @@
 
 #include "cranberryreel/base/Clock.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 
@@ -28,6 +29,18 @@
         return this->weightAt(now) / std::chrono::duration<double>(this->window).count();
     }
 
+    /// The same where only the last `age` counts, if that is shorter than the while.
+    double perSecond(base::SteadyTime now, std::chrono::nanoseconds age) const
+    {
+        return this->weightAt(now) / std::chrono::duration<double>(std::min<std::chrono::nanoseconds>(this->window, age)).count();
+    }
+
+    /// Events of the last while, older ones for less.
+    double recent(base::SteadyTime now) const
+    {
+        return this->weightAt(now);
+    }
+
 private:
     double weightAt(base::SteadyTime now) const
     {
--- /dev/null
+++ b/tests/policy/AdmissionTest.cpp
@@ -0,0 +1,81 @@
+#include "policy/ZoneFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+using namespace cranberryreel;
+using namespace cranberryreel::policy;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr model::Resources Size{1000, 1024, 0};
+
+struct AdmissionFixture : ZoneFixture {
+    AdmissionFixture()
+    {
+        this->addVm("vm1", {64000, 65536, 0}, 1);
+    }
+
+    base::ResultCode request(int number)
+    {
+        auto request = spec(fmt::format("r{}", number), model::JobKind::Request, Size);
+        request.deadline = 10s;
+        return this->enqueue(request);
+    }
+
+    /// Starts what can start and ends it at once, `times` times, each `apart` from the one before.
+    void drain(int times, std::chrono::milliseconds apart)
+    {
+        for (int i = 0; i < times; ++i) {
+            for (const Decision &decision : this->planAndStart()) {
+                this->end(decision.job, decision.task);
+            }
+            this->now += apart;
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AdmissionTest, AdmissionFixture)
+
+BOOST_AUTO_TEST_CASE(aBurstIsTakenWhileNobodyKnowsHowFastItDrains)
+{
+    for (int i = 0; i < 100; ++i) {
+        BOOST_TEST((this->request(i) == base::ResultCode::Ok));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aBurstIsTakenAfterAQuietTimeWithFewStarts)
+{
+    for (int i = 0; i < 10; ++i) {
+        this->request(i);
+        this->drain(1, 1s);
+    }
+    for (int i = 100; i < 200; ++i) {
+        BOOST_TEST((this->request(i) == base::ResultCode::Ok));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aStallIsNoReasonToRefuse)
+{
+    this->planner->setUpstream({"vm1-up", "vm1", "", 1, false}, this->now);
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST((this->request(i) == base::ResultCode::Ok));
+        this->now += 200ms;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aQueueThatDrainsTooSlowlyIsRefused)
+{
+    for (int i = 0; i < 50; ++i) {
+        this->request(i);
+    }
+    this->drain(10, 1s);
+    BOOST_TEST((this->request(100) == base::ResultCode::DeadlineUnreachable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
