Choose zones for spill by the policy's chooser; test routing over a scripted hub; count bytes

Cause: the choice of a zone stood twice (routing and policy), and the retry budget too; the 17 KB/s budget needs bytes counted from the start. Ruled out: keeping the entry's own two-choices code (the policy's weighs what was sent since the last view). Conclusion: one SpillChooser, one RetryBudget; link and HTTP client bytes stand on /metrics.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -89,6 +89,25 @@
     observe::setSpanSink(std::make_shared<observe::SpanFanOut>(std::move(sinks)));
 }
 
+/// Sums what the hub counts for each peer; read whenever the figures are written.
+void Daemon::exportLinkFigures()
+{
+    const auto sum = [this](std::uint64_t link::PeerStatus::*field) {
+        std::uint64_t total = 0;
+        for (const link::PeerStatus &peer : this->hub->peers()) {
+            total += peer.*field;
+        }
+        return static_cast<double>(total);
+    };
+    const char *help = "Bytes on the links to other daemons, framing included, since the links came up.";
+    observe::gauge("cranberryreel_link_bytes", help, "direction=\"out\"", [sum] { return sum(&link::PeerStatus::bytesOut); });
+    observe::gauge("cranberryreel_link_bytes", help, "direction=\"in\"", [sum] { return sum(&link::PeerStatus::bytesIn); });
+    observe::gauge("cranberryreel_links_up", "Links to other daemons that are up.", "", [this] {
+        const std::vector<link::PeerStatus> peers = this->hub->peers();
+        return static_cast<double>(std::count_if(peers.begin(), peers.end(), [](const link::PeerStatus &peer) { return peer.up; }));
+    });
+}
+
 void Daemon::buildLinks()
 {
     link::LinkHubBuilder builder;
@@ -107,6 +126,7 @@
         builder.peer(vm, peer.address.toString());
     }
     this->hub = builder.build();
+    this->exportLinkFigures();
 }
 
 void Daemon::buildZones()
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -40,6 +40,7 @@
 private:
     void observe();
     void buildLinks();
+    void exportLinkFigures();
     void buildZones();
     void buildEntry();
     void receiveGroupMessages();
--- a/src/http/Transfer.cpp
+++ b/src/http/Transfer.cpp
@@ -1,5 +1,7 @@
 #include "http/Transfer.h"
 
+#include "observe/Metrics.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -126,8 +128,25 @@
     return result == CURLE_OPERATION_TIMEDOUT && connects == 0 && headerBytes == 0 && this->sentAnything();
 }
 
+void Transfer::countBytes() const
+{
+    static observe::Counter &sent = observe::counter("cranberryreel_http_client_bytes_total", "Bytes of HTTP calls, headers included.", "direction=\"out\"");
+    static observe::Counter &received = observe::counter("cranberryreel_http_client_bytes_total", "Bytes of HTTP calls, headers included.", "direction=\"in\"");
+    long requestBytes = 0;
+    long headerBytes = 0;
+    curl_off_t uploaded = 0;
+    curl_off_t downloaded = 0;
+    curl_easy_getinfo(this->curl, CURLINFO_REQUEST_SIZE, &requestBytes);
+    curl_easy_getinfo(this->curl, CURLINFO_HEADER_SIZE, &headerBytes);
+    curl_easy_getinfo(this->curl, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    curl_easy_getinfo(this->curl, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
+    sent.add(static_cast<std::uint64_t>(requestBytes + uploaded));
+    received.add(static_cast<std::uint64_t>(headerBytes + downloaded));
+}
+
 void Transfer::finish(CURLcode result)
 {
+    this->countBytes();
     this->response.outcome = outcomeOf(result);
     this->response.sent = result == CURLE_OK || this->sentAnything();
     curl_easy_getinfo(this->curl, CURLINFO_RESPONSE_CODE, &this->response.status);
--- a/src/http/Transfer.h
+++ b/src/http/Transfer.h
@@ -50,6 +50,7 @@
 private:
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
     static int onReadyToSend(void *self, char *remoteAddress, char *localAddress, int remotePort, int localPort);
+    void countBytes() const;
     bool sentAnything() const;
     void setHeaders();
     void deliver();
--- a/src/routing/ZoneChooser.cpp
+++ b/src/routing/ZoneChooser.cpp
@@ -17,6 +17,11 @@
     return std::uniform_int_distribution<std::size_t>(0, bound - 1)(generator);
 }
 
+policy::LoadView loadOf(const zone::Beacon &beacon)
+{
+    return {beacon.used, beacon.waiting, beacon.expectedWait, beacon.room};
+}
+
 bool shorterWait(const std::optional<zone::Beacon> &left, const std::optional<zone::Beacon> &right)
 {
     if (!left || !right) {
@@ -30,20 +35,36 @@
 ZoneChooser::ZoneChooser(const RoutingOptions &routingOptions, const ZoneDirectory &zoneDirectory)
     : options(routingOptions)
     , directory(zoneDirectory)
+    , spill({routingOptions.transferCost, std::chrono::milliseconds(5000), std::chrono::milliseconds(5), std::random_device{}()})
 {
 }
 
-std::string ZoneChooser::first(base::SteadyTime now) const
+std::string ZoneChooser::first(base::SteadyTime now)
 {
     const std::string &own = this->options.ownZone;
     const std::optional<zone::Beacon> here = this->directory.load(own, now);
     if (!here || here->expectedWait <= this->options.transferCost) {
         return own;
     }
-    const std::string other = this->next({own}, now);
-    const std::optional<zone::Beacon> there = other.empty() ? std::nullopt : this->directory.load(other, now);
-    const bool worthIt = there && there->placing && there->expectedWait + this->options.transferCost < here->expectedWait;
-    return worthIt ? other : own;
+    absl::MutexLock lock(&this->mutex);
+    this->learnLoads(now);
+    return this->spill.choose(loadOf(*here), now).value_or(own);
+}
+
+void ZoneChooser::learnLoads(base::SteadyTime now)
+{
+    for (const ZoneDirectory::HeardLoad &heard : this->directory.loads(now)) {
+        const std::string &zone = heard.beacon.zone;
+        if (zone == this->options.ownZone || this->learnedAt[zone] == heard.at) {
+            continue;
+        }
+        this->learnedAt[zone] = heard.at;
+        if (heard.beacon.placing) {
+            this->spill.setView(zone, loadOf(heard.beacon), heard.at);
+        } else {
+            this->spill.removeZone(zone);
+        }
+    }
 }
 
 std::string ZoneChooser::next(const std::set<std::string> &tried, base::SteadyTime now) const
--- a/src/routing/ZoneDirectory.cpp
+++ b/src/routing/ZoneDirectory.cpp
@@ -77,6 +77,18 @@
     return place->second.beacon;
 }
 
+std::vector<ZoneDirectory::HeardLoad> ZoneDirectory::loads(base::SteadyTime now) const
+{
+    absl::MutexLock lock(&this->mutex);
+    std::vector<HeardLoad> heardLately;
+    for (const auto &[name, entry] : this->entries) {
+        if (entry.beacon && now - entry.heardAt < BeaconHolds) {
+            heardLately.push_back({*entry.beacon, entry.heardAt});
+        }
+    }
+    return heardLately;
+}
+
 std::vector<std::string> ZoneDirectory::zones() const
 {
     absl::MutexLock lock(&this->mutex);
--- a/src/routing/ZoneDirectory.h
+++ b/src/routing/ZoneDirectory.h
@@ -32,6 +32,15 @@
     /// The VM to ask next; the members in turn where no leader is known. Nothing for an unknown zone.
     std::optional<std::string> candidate(const std::string &zone, std::size_t attempt, base::SteadyTime now) const;
 
+    /// The last load heard of a zone, and when.
+    struct HeardLoad {
+        zone::Beacon beacon;
+        base::SteadyTime at;
+    };
+
+    /// Of all zones heard of lately.
+    std::vector<HeardLoad> loads(base::SteadyTime now) const;
+
     /// The last load heard, while it is recent enough to decide by.
     std::optional<zone::Beacon> load(const std::string &zone, base::SteadyTime now) const;
     std::vector<std::string> zones() const;
--- a/src/zone/Beacon.h
+++ b/src/zone/Beacon.h
@@ -16,6 +16,7 @@
     std::uint32_t waiting = 0; ///< Tasks.
     std::chrono::milliseconds expectedWait{0}; ///< Of an interactive task submitted now.
     bool placing = false;
+    std::uint32_t room = 0; ///< About how many more interactive tasks of the usual size would start at once.
 };
 
 } // namespace cranberryreel::zone
--- a/src/zone/CallCodec.cpp
+++ b/src/zone/CallCodec.cpp
@@ -186,6 +186,7 @@
     out.waiting = beacon.waiting;
     out.expected_wait_ms = static_cast<std::uint32_t>(count(beacon.expectedWait));
     out.placing = beacon.placing;
+    out.room = beacon.room;
     return packed<wire::Beacon>(out);
 }
 
@@ -195,7 +196,7 @@
     if (!unpacked<wire::Beacon>(bytes, in)) {
         return std::nullopt;
     }
-    return Beacon{in.zone, in.leader, in.epoch, in.used, in.waiting, millis(in.expected_wait_ms), in.placing};
+    return Beacon{in.zone, in.leader, in.epoch, in.used, in.waiting, millis(in.expected_wait_ms), in.placing, in.room};
 }
 
 } // namespace cranberryreel::zone
--- a/src/zone/LeaderTerm.cpp
+++ b/src/zone/LeaderTerm.cpp
@@ -448,7 +448,7 @@
     const base::SteadyTime now = base::steadyNow();
     const policy::LoadView load = this->planner->load(now);
     return {
-        this->context.options.zone, this->context.options.ownVm, this->context.epoch, load.used, load.waiting, load.expectedWait, this->fleet.mayPlace(now)};
+        this->context.options.zone, this->context.options.ownVm, this->context.epoch, load.used, load.waiting, load.expectedWait, this->fleet.mayPlace(now), load.room};
 }
 
 std::uint64_t LeaderTerm::epoch() const
--- a/src/zone/TaskEnder.cpp
+++ b/src/zone/TaskEnder.cpp
@@ -140,7 +140,7 @@
     if (job.spec.kind == model::JobKind::Service) {
         return true;
     }
-    return task.failures + 1 < this->parts.context.options.maxFailures && this->retries.mayRetry();
+    return task.failures + 1 < this->parts.context.options.maxFailures && this->retries.tryRetry();
 }
 
 void TaskEnder::endAttempt(ActiveJob &job, std::uint32_t index, model::JobState state, base::ResultCode code, const std::string &answer, base::SteadyTime now)
@@ -150,7 +150,7 @@
     count(state);
     task.span.end(code);
     if (state == model::JobState::Done) {
-        this->retries.recordSuccess();
+        this->retries.succeeded();
         if (job.spec.kind != model::JobKind::Service || job.cancelled) {
             this->settleEnd(job, index, state, code, answer, now);
             return;
--- a/src/zone/TaskEnder.h
+++ b/src/zone/TaskEnder.h
@@ -4,8 +4,8 @@
 #include "cranberryreel/model/TaskAttempt.h"
 #include "cranberryreel/model/UpstreamReport.h"
 #include "policy/Planner.h"
+#include "policy/RetryBudget.h"
 #include "zone/ActiveJob.h"
-#include "zone/RetryBudget.h"
 #include "zone/TaskCommander.h"
 #include "zone/TermParts.h"
 
@@ -63,9 +63,12 @@
     void failGang(ActiveJob &job, std::uint32_t index);
     void restartGang(ActiveJob &job, std::uint32_t index);
 
+    static constexpr double RetriesPerSuccess = 0.2;
+    static constexpr double RetriesSavedUp = 100;
+
     TermParts &parts;
     TaskCommander &commander;
-    RetryBudget retries;
+    policy::RetryBudget retries{{RetriesPerSuccess, RetriesSavedUp}};
 };
 
 } // namespace cranberryreel::zone
--- /dev/null
+++ b/tests/support/FakeHub.cpp
@@ -0,0 +1,71 @@
+#include "support/FakeHub.h"
+
+#include <utility>
+
+namespace cranberryreel::testsupport
+{
+
+FakeHub::FakeHub(Script answers)
+    : script(std::move(answers))
+{
+}
+
+std::vector<FakeHub::Seen> FakeHub::calls() const
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->seen;
+}
+
+void FakeHub::onMessage(link::Channel /*channel*/, link::MessageHandler /*handler*/)
+{
+}
+
+void FakeHub::onCall(link::Channel /*channel*/, link::CallHandler /*handler*/)
+{
+}
+
+void FakeHub::start()
+{
+}
+
+void FakeHub::stop()
+{
+}
+
+void FakeHub::setKeys(link::LinkKeys /*keys*/)
+{
+}
+
+bool FakeHub::send(const std::string & /*toVm*/, link::Channel /*channel*/, std::string /*payload*/)
+{
+    return true;
+}
+
+void FakeHub::call(const std::string &toVm,
+                   link::Channel /*channel*/,
+                   std::string payload,
+                   std::chrono::milliseconds /*limit*/,
+                   const std::string & /*traceparent*/,
+                   link::CallDone done)
+{
+    const Seen call{toVm, std::move(payload)};
+    std::size_t number = 0;
+    {
+        absl::MutexLock lock(&this->mutex);
+        this->seen.push_back(call);
+        number = this->seen.size();
+    }
+    done(this->script(call, number));
+}
+
+std::vector<link::PeerStatus> FakeHub::peers() const
+{
+    return {};
+}
+
+bool FakeHub::isUp(const std::string & /*vm*/) const
+{
+    return true;
+}
+
+} // namespace cranberryreel::testsupport
--- /dev/null
+++ b/tests/support/FakeHub.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "link/LinkHub.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cranberryreel::testsupport
+{
+
+/// A link hub whose calls are answered by a script, on the caller's thread.
+class FakeHub : public link::LinkHub
+{
+public:
+    struct Seen {
+        std::string toVm;
+        std::string payload;
+    };
+
+    using Script = std::function<link::CallResult(const Seen &call, std::size_t number)>;
+
+    explicit FakeHub(Script answers);
+
+    std::vector<Seen> calls() const;
+
+    void onMessage(link::Channel channel, link::MessageHandler handler) override;
+    void onCall(link::Channel channel, link::CallHandler handler) override;
+    void start() override;
+    void stop() override;
+    void setKeys(link::LinkKeys keys) override;
+    bool send(const std::string &toVm, link::Channel channel, std::string payload) override;
+    void call(const std::string &toVm,
+              link::Channel channel,
+              std::string payload,
+              std::chrono::milliseconds limit,
+              const std::string &traceparent,
+              link::CallDone done) override;
+    std::vector<link::PeerStatus> peers() const override;
+    bool isUp(const std::string &vm) const override;
+
+private:
+    Script script;
+    mutable absl::Mutex mutex;
+    std::vector<Seen> seen ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace cranberryreel::testsupport
