Let a stop answer waiting lookups with the state as it is

Cause: a lookup may wait for a minute, longer than a stop does; it was cut off with an error although the state could be told.

--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -182,6 +182,7 @@
         this->graceMutex.AwaitWithTimeout(absl::Condition(&this->graceCut), absl::FromChrono(this->options.stopGrace));
     }
     this->work.refuseNewWork();
+    this->server->closeAfterAnswers();
 }
 
 bool EntryServer::stop(std::chrono::milliseconds limit)
--- a/src/entry/WorkHandlers.cpp
+++ b/src/entry/WorkHandlers.cpp
@@ -57,6 +57,37 @@
 
 } // namespace
 
+/// One lookup, answered by whichever reply comes first.
+struct WorkHandlers::Lookup {
+    Lookup(Call lookupCall, SharedSpan lookupSpan, Next nextStep)
+        : call(std::move(lookupCall))
+        , span(std::move(lookupSpan))
+        , next(std::move(nextStep))
+    {
+    }
+
+    void take(DispatchReply reply)
+    {
+        if (this->answered.exchange(true)) {
+            return;
+        }
+        if (reply.code != ResultCode::Ok) {
+            this->span->end(reply.code);
+            this->call.respond(http::errorResponse(reply.code, reply.reason));
+        } else if (!this->call.identity.maySee(reply.status.partner)) {
+            this->span->end(ResultCode::NotFound);
+            this->call.respond(http::errorResponse(ResultCode::NotFound, NoSuchWork));
+        } else {
+            this->next(std::move(reply), this->span);
+        }
+    }
+
+    const Call call;
+    const SharedSpan span;
+    const Next next;
+    std::atomic<bool> answered{false};
+};
+
 WorkHandlers::WorkHandlers(const EntryOptions &entryOptions, std::shared_ptr<Dispatcher> workDispatcher)
     : options(entryOptions)
     , homeZone(entryOptions.zone, entryOptions.zones)
@@ -76,6 +107,7 @@
 void WorkHandlers::refuseNewWork()
 {
     this->refusing = true;
+    this->waits->answerAll();
 }
 
 void WorkHandlers::answerOpenAsUnknown()
@@ -130,24 +162,24 @@
     return std::chrono::milliseconds(wait);
 }
 
-void WorkHandlers::withOwnWork(const Call &call, std::chrono::milliseconds wait, const char *hop, std::function<void(DispatchReply, SharedSpan)> next)
+void WorkHandlers::withOwnWork(const Call &call, std::chrono::milliseconds wait, const char *hop, Next next)
 {
     if (HomeZone::zoneIn(call.id).empty()) {
         throw base::Error(ResultCode::NotFound, NoSuchWork);
     }
-    const SharedSpan span = beginSpan(hop, call);
-    const std::string traceparent = span->traceparent();
-    span->set("work.id", call.id);
-    this->dispatcher->lookup(call.id, wait, traceparent, [call, span, next = std::move(next)](DispatchReply reply) {
-        if (reply.code != ResultCode::Ok) {
-            span->end(reply.code);
-            call.respond(http::errorResponse(reply.code, reply.reason));
-        } else if (!call.identity.maySee(reply.status.partner)) {
-            span->end(ResultCode::NotFound);
-            call.respond(http::errorResponse(ResultCode::NotFound, NoSuchWork));
-        } else {
-            next(std::move(reply), span);
-        }
+    const auto lookup = std::make_shared<Lookup>(call, beginSpan(hop, call), std::move(next));
+    lookup->span->set("work.id", call.id);
+    const std::string traceparent = lookup->span->traceparent();
+    if (wait.count() == 0 || this->refusing) {
+        this->dispatcher->lookup(call.id, std::chrono::milliseconds(0), traceparent, [lookup](DispatchReply reply) { lookup->take(std::move(reply)); });
+        return;
+    }
+    const std::uint64_t number = this->waits->add([lookup, traceparent, target = this->dispatcher] {
+        target->lookup(lookup->call.id, std::chrono::milliseconds(0), traceparent, [lookup](DispatchReply reply) { lookup->take(std::move(reply)); });
+    });
+    this->dispatcher->lookup(call.id, wait, traceparent, [lookup, number, open = this->waits](DispatchReply reply) {
+        open->remove(number);
+        lookup->take(std::move(reply));
     });
 }
 
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,6 +1,7 @@
 #include "http/Server.h"
 
 #include "cranberryreel/base/Error.h"
+#include "http/AnswerWriter.h"
 #include "http/ConnectionTable.h"
 #include "http/Exchange.h"
 #include "http/ListenSocket.h"
@@ -23,7 +24,6 @@
 constexpr std::size_t ConnectionMemoryBytes = 16U << 10U;
 constexpr unsigned int RefusalConnections = 256; ///< Beyond the limit, so that a refusal can be told.
 constexpr std::size_t DrainFactor = 4; ///< An oversized body is read and dropped up to so many times its limit, so that the refusal reaches its sender.
-constexpr std::size_t SmallAnswerBytes = 64U << 10U; ///< Up to here an answer takes nothing from the budget.
 constexpr std::chrono::milliseconds StopPoll{2};
 constexpr std::chrono::milliseconds LastAnswersLimit{500};
 
@@ -52,44 +52,6 @@
     return info == nullptr ? nullptr : static_cast<ConnectionWatch *>(info->socket_context);
 }
 
-/// The body of an answer being written; gives its share of the budget back at the end.
-struct AnswerBody {
-    ~AnswerBody()
-    {
-        if (this->budget != nullptr) {
-            *this->budget -= this->text.size();
-        }
-    }
-
-    std::string text;
-    std::atomic<std::size_t> *budget = nullptr;
-};
-
-void deleteBody(void *body)
-{
-    delete static_cast<AnswerBody *>(body);
-}
-
-MHD_Result queue(MHD_Connection *connection, Response response, std::atomic<std::size_t> *budget = nullptr)
-{
-    auto body = std::make_unique<AnswerBody>();
-    body->text = std::move(response.body);
-    body->budget = budget;
-    AnswerBody *raw = body.get();
-    MHD_Response *answer = MHD_create_response_from_buffer_with_free_callback_cls(raw->text.size(), raw->text.data(), &deleteBody, raw);
-    if (answer == nullptr) {
-        return MHD_NO;
-    }
-    static_cast<void>(body.release());
-    MHD_add_response_header(answer, MHD_HTTP_HEADER_CONTENT_TYPE, response.contentType.c_str());
-    if (response.closeConnection) {
-        MHD_add_response_header(answer, MHD_HTTP_HEADER_CONNECTION, "close");
-    }
-    const MHD_Result result = MHD_queue_response(connection, response.status, answer);
-    MHD_destroy_response(answer);
-    return result;
-}
-
 Response refusalOf(base::ResultCode code, std::size_t limit)
 {
     Response response;
@@ -110,6 +72,7 @@
         , handler(std::move(requestHandler))
         , unfinished(std::move(unfinishedResponse))
         , connections(options)
+        , answers(options.maxAnswerBytes)
     {
     }
 
@@ -126,8 +89,12 @@
 
     MHD_Result begin(MHD_Connection *connection, const char *url, const char *method, void **state);
     MHD_Result receive(Exchange &exchange, const char *upload, std::size_t *size);
+    MHD_Result write(MHD_Connection *connection, Response response)
+    {
+        return this->answers.write(connection, std::move(response)) ? MHD_YES : MHD_NO;
+    }
+
     MHD_Result finish(MHD_Connection *connection, const std::shared_ptr<Exchange> &exchange);
-    MHD_Result write(MHD_Connection *connection, Response response);
     void handle(const std::shared_ptr<Exchange> &exchange);
     void answerLeftOver();
     bool awaitNone(std::chrono::milliseconds limit) const;
@@ -139,8 +106,9 @@
     MHD_Daemon *daemon = nullptr;
     std::uint16_t port = 0;
     std::atomic<std::size_t> bufferedBytes{0};
-    std::atomic<std::size_t> answerBytes{0};
+    AnswerWriter answers;
     std::atomic<std::size_t> inFlight{0};
+    std::atomic<bool> closing{false};
     std::atomic<bool> stopping{false};
 };
 
@@ -183,7 +151,7 @@
     const std::string length = headerOf(connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
     if (!length.empty() && std::strtoull(length.c_str(), nullptr, 10) > exchange->bodyLimit * DrainFactor) {
         ConnectionTable::enter(*watch, ConnectionPhase::Answering);
-        return queue(connection, refusalOf(base::ResultCode::BodyTooLarge, exchange->bodyLimit));
+        return this->write(connection, refusalOf(base::ResultCode::BodyTooLarge, exchange->bodyLimit));
     }
     return MHD_YES;
 }
@@ -220,7 +188,7 @@
             return MHD_NO;
         }
         if (exchange->refusal != base::ResultCode::Ok) {
-            return queue(connection, refusalOf(exchange->refusal, exchange->bodyLimit));
+            return this->write(connection, refusalOf(exchange->refusal, exchange->bodyLimit));
         }
         exchange->whole = true;
         ++this->inFlight;
@@ -230,25 +198,11 @@
     if (!response) {
         return MHD_YES;
     }
-    response->closeConnection = response->closeConnection || this->stopping;
+    response->closeConnection = response->closeConnection || this->closing || this->stopping;
     ConnectionTable::enter(exchange->watch, ConnectionPhase::Writing);
     return this->write(connection, *std::move(response));
 }
 
-MHD_Result Server::Core::write(MHD_Connection *connection, Response response)
-{
-    const std::size_t size = response.body.size();
-    if (size <= SmallAnswerBytes) {
-        return queue(connection, std::move(response));
-    }
-    const std::size_t before = this->answerBytes.fetch_add(size);
-    if (before > 0 && before + size > this->options.maxAnswerBytes) {
-        this->answerBytes -= size;
-        return queue(connection, errorResponse(base::ResultCode::AnswerDeferred, "This VM holds as many answers as it may; fetch this one by its id later."));
-    }
-    return queue(connection, std::move(response), &this->answerBytes);
-}
-
 void Server::Core::handle(const std::shared_ptr<Exchange> &exchange)
 {
     const Responder respond = exchange->responder();
@@ -362,6 +316,11 @@
     }
 }
 
+void Server::closeAfterAnswers()
+{
+    this->core->closing = true;
+}
+
 bool Server::awaitIdle(std::chrono::milliseconds limit) const
 {
     return this->core->awaitNone(limit);
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -28,6 +28,9 @@
     /// Throws base::Error(PortInUse) when the address cannot be bound.
     void start();
 
+    /// From now on each answer is the last of its connection.
+    void closeAfterAnswers();
+
     /// Waits up to the limit until no request is in flight; false when some still are.
     bool awaitIdle(std::chrono::milliseconds limit) const;
 
--- a/tests/support/FakeDispatcher.cpp
+++ b/tests/support/FakeDispatcher.cpp
@@ -47,8 +47,15 @@
     done(reply);
 }
 
-void FakeDispatcher::lookup(const model::JobId &id, std::chrono::milliseconds, const std::string &, entry::DispatchDone done)
+void FakeDispatcher::lookup(const model::JobId &id, std::chrono::milliseconds wait, const std::string &, entry::DispatchDone done)
 {
+    if (wait.count() > 0) {
+        absl::MutexLock lock(&this->mutex);
+        if (this->holding) {
+            this->heldLookups.push_back(std::move(done));
+            return;
+        }
+    }
     done(this->find(id));
 }
 
@@ -92,7 +99,7 @@
 std::size_t FakeDispatcher::heldCount() const
 {
     absl::MutexLock lock(&this->mutex);
-    return this->held.size();
+    return this->held.size() + this->heldLookups.size();
 }
 
 void FakeDispatcher::releaseAll()
--- a/tests/support/FakeDispatcher.h
+++ b/tests/support/FakeDispatcher.h
@@ -24,7 +24,7 @@
     void view(const std::string &what, const std::string &filter, entry::TextDone done) override;
     void drain(const std::string &vm, bool draining, entry::TextDone done) override;
 
-    /// True: submissions wait for releaseAll().
+    /// True: submissions wait for releaseAll(), and lookups with a wait are never answered.
     void hold(bool value);
     std::size_t heldCount() const;
 
@@ -44,6 +44,7 @@
     bool holding ABSL_GUARDED_BY(mutex) = false;
     base::ResultCode refusal ABSL_GUARDED_BY(mutex) = base::ResultCode::Ok;
     std::vector<std::pair<model::JobSpec, entry::DispatchDone>> held ABSL_GUARDED_BY(mutex);
+    std::vector<entry::DispatchDone> heldLookups ABSL_GUARDED_BY(mutex);
     absl::flat_hash_map<model::JobId, model::JobStatus> jobs ABSL_GUARDED_BY(mutex);
     model::JobSpec last ABSL_GUARDED_BY(mutex);
     model::UpstreamReport report ABSL_GUARDED_BY(mutex);
