--- a/src/policy/PlannerCore.h
+++ b/src/policy/PlannerCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/Admission.h"
+#include "policy/Consolidator.h"
 #include "policy/Drainer.h"
 #include "policy/Explainer.h"
 #include "policy/GangReserver.h"
@@ -43,6 +44,7 @@
     void refuse(JobIndex job, base::ResultCode code, const std::string &reason);
     void refuseLateRequests(base::SteadyTime now);
     void refuseWhatCannotRun();
+    std::uint32_t requestRoom() const;
     std::vector<Decision> handOut(std::size_t most);
     bool isVoid(const Decision &decision);
 
@@ -54,6 +56,7 @@
     Starter starter{zone, gangs, headroom};
     Preemptor preemptor{zone};
     Drainer drainer{zone};
+    Consolidator consolidator{zone};
     Explainer explainer{zone, gangs};
     bool limitsChanged = false;
 };
--- a/tests/scenario/Script.h
+++ b/tests/scenario/Script.h
@@ -47,6 +47,11 @@
     boost::optional<unsigned> slots;
 };
 
+/// bring up
+struct BringUpStep {
+    std::string phrase;
+};
+
 enum class Action {
     Start,
     Kill,
@@ -143,6 +148,11 @@
     Place at;
 };
 
+/// settle: end all loads, and ask again for every answer that was lost.
+struct SettleStep {
+    std::string phrase;
+};
+
 struct WaitStep {
     Milliseconds time{0};
 };
@@ -223,6 +233,7 @@
 
 using Step = boost::spirit::x3::variant<ZoneStep,
                                         UpstreamStep,
+                                        BringUpStep,
                                         ActionStep,
                                         LinkStep,
                                         LetStep,
@@ -233,6 +244,7 @@
                                         ResendStep,
                                         CancelStep,
                                         RaceStep,
+                                        SettleStep,
                                         WaitStep,
                                         ExpectStep>;
 
