--- a/src/cli/TraceCommand.cpp
+++ b/src/cli/TraceCommand.cpp
@@ -16,9 +16,12 @@
     EntryCall call;
     call.target = "/v1/ops/spans/" + pathPart(id);
     for (const std::string &entry : session.entries().entries()) {
-        if (const nlohmann::json document = session.entries().callOne(entry, call); document.is_object()) {
-            tree.add(document);
-            documents.push_back(document);
+        const nlohmann::json answer = session.entries().callOne(entry, call);
+        for (const nlohmann::json &document : answer.is_array() ? answer : nlohmann::json::array({answer})) {
+            if (document.is_object()) {
+                tree.add(document);
+                documents.push_back(document);
+            }
         }
     }
 }
