--- a/bench/path/LoadTally.cpp
+++ b/bench/path/LoadTally.cpp
@@ -51,6 +51,7 @@
         const nlohmann::json line = {{"done_per_second", rate},
                                      {"p50_ms", quantileMs(sorted, 0.5)},
                                      {"p99_ms", quantileMs(sorted, 0.99)},
+                                     {"max_ms", quantileMs(sorted, 1.0)},
                                      {"seconds", seconds},
                                      {"answered", this->answered},
                                      {"unsent", this->unsent},
--- a/tests/support/FakeHub.cpp
+++ b/tests/support/FakeHub.cpp
@@ -63,6 +63,11 @@
     return {};
 }
 
+link::LinkFigures FakeHub::figures() const
+{
+    return {};
+}
+
 bool FakeHub::isUp(const std::string & /*vm*/) const
 {
     return true;
--- a/tests/support/FakeHub.h
+++ b/tests/support/FakeHub.h
@@ -40,6 +40,7 @@
               const std::string &traceparent,
               link::CallDone done) override;
     std::vector<link::PeerStatus> peers() const override;
+    link::LinkFigures figures() const override;
     bool isUp(const std::string &vm) const override;
 
 private:
