--- a/src/replication/GroupInbox.h
+++ b/src/replication/GroupInbox.h
@@ -6,6 +6,7 @@
 #include "cranberryreel/base/Clock.h"
 #include "cranberryreel/base/ResultCode.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -30,6 +31,7 @@
     };
 
     std::vector<std::pair<std::string, std::string>> received; ///< Sender and bytes.
+    std::size_t receivedBytes = 0;
     std::vector<Proposal> proposals;
     std::vector<std::function<void(base::ResultCode)>> reads;
     std::vector<MembersChange> changes;
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -17,6 +17,9 @@
 namespace
 {
 
+constexpr std::size_t MaxWaitingProposals = 65536;
+constexpr std::size_t MaxWaitingBytes = 32UL * 1024 * 1024; ///< Received; what comes beyond is dropped, as a network would.
+
 const observe::Log &log()
 {
     static const observe::Log replicationLog("replication");
@@ -65,14 +68,16 @@
 
 void GroupRunner::propose(std::string command, Durability durability, ProposeCallback done)
 {
+    base::ResultCode refusal = base::ResultCode::NotLeader;
     {
         const absl::MutexLock lock(&this->mutex);
-        if (!this->ended) {
+        if (!this->ended && this->inbox.proposals.size() < MaxWaitingProposals) {
             this->inbox.proposals.push_back(GroupInbox::Proposal{std::move(command), durability, std::move(done)});
             return;
         }
+        refusal = this->ended ? base::ResultCode::NotLeader : base::ResultCode::QueueFull;
     }
-    done(ProposeResult{base::ResultCode::NotLeader, ""});
+    done(ProposeResult{refusal, ""});
 }
 
 void GroupRunner::readBarrier(std::function<void(base::ResultCode)> done)
@@ -108,7 +113,8 @@
 void GroupRunner::receive(const std::string &fromVm, std::string bytes)
 {
     const absl::MutexLock lock(&this->mutex);
-    if (!this->ended) {
+    if (!this->ended && this->inbox.receivedBytes + bytes.size() <= MaxWaitingBytes) {
+        this->inbox.receivedBytes += bytes.size();
         this->inbox.received.emplace_back(fromVm, std::move(bytes));
     }
 }
--- a/tests/replication/GroupTest.cpp
+++ b/tests/replication/GroupTest.cpp
@@ -147,6 +147,43 @@
     BOOST_TEST(TestCluster::eventually([&] { return cluster.machine(lagging).lines().size() == 2501; }));
 }
 
+BOOST_AUTO_TEST_CASE(twoOfThreeDisksDecideAgainWithoutTheThird)
+{
+    const TemporaryFolder folder;
+    TestCluster cluster(ThreeDisks, folder.name());
+    cluster.startAll();
+    BOOST_TEST_REQUIRE((cluster.propose(cluster.awaitLeader(), "one").code == base::ResultCode::Ok));
+    for (const std::string vm : {"c1", "c2", "c3"}) {
+        cluster.kill(vm);
+    }
+    cluster.start("c1");
+    BOOST_TEST(TestCluster::eventually([&] { return cluster.group("c1").status().reason == "No leader; members not heard: c2 c3."; }));
+    cluster.start("c2");
+    const std::string leader = cluster.awaitLeader();
+    BOOST_TEST_REQUIRE(!leader.empty());
+    BOOST_TEST((cluster.propose(leader, "two").code == base::ResultCode::Ok));
+    BOOST_TEST(holds(cluster, leader, {"one", "two"}));
+}
+
+BOOST_AUTO_TEST_CASE(aVmIsReplacedByAnother)
+{
+    const TemporaryFolder folder;
+    TestCluster cluster(ThreeDisks, folder.name());
+    cluster.startAll();
+    const std::string leader = cluster.awaitLeader();
+    const std::string lost = leader == "c1" ? "c2" : "c1";
+    BOOST_TEST_REQUIRE((cluster.propose(leader, "one").code == base::ResultCode::Ok));
+    cluster.kill(lost);
+    const auto change = cluster.replaceMember(leader, lost, Member{"c4", true, false});
+    BOOST_TEST_REQUIRE((change.code == base::ResultCode::Ok));
+    BOOST_TEST(TestCluster::eventually([&] { return cluster.group("c4").status().caughtUp; }));
+    cluster.kill(leader);
+    const std::string next = cluster.awaitLeader();
+    BOOST_TEST_REQUIRE(!next.empty());
+    BOOST_TEST((cluster.propose(next, "two").code == base::ResultCode::Ok));
+    BOOST_TEST(holds(cluster, "c4", {"one", "two"}));
+}
+
 BOOST_AUTO_TEST_CASE(aLeaderMovesToAHigherTerm)
 {
     const TemporaryFolder folder;
--- a/tests/replication/Mutations.h
+++ b/tests/replication/Mutations.h
@@ -51,6 +51,13 @@
     }
 };
 
+struct CommitsEarlierTermsByCounting : CoreSafety {
+    bool commitsByCounting(std::uint64_t /*entryTerm*/, std::uint64_t /*ownTerm*/) const override
+    {
+        return true;
+    }
+};
+
 struct SkipsTheLogMatch : CoreSafety {
     bool logContinues(std::optional<std::uint64_t> /*ownTerm*/, std::uint64_t /*leaderTerm*/) const override
     {
--- a/tests/replication/Simulation.cpp
+++ b/tests/replication/Simulation.cpp
@@ -312,7 +312,7 @@
 
 void Simulation::send(const Message &message)
 {
-    if (this->isCut(message.from, message.to)) {
+    if (this->isCut(message.from, message.to) || (this->options.loses && this->options.loses(message))) {
         return;
     }
     const bool lossy = this->now < this->lossyUntil;
--- a/tests/replication/Simulation.h
+++ b/tests/replication/Simulation.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,6 +35,7 @@
         double clockDrift = 0.02; ///< The fastest and the slowest clock differ from the true one by this part.
         bool firstIsSlow = false; ///< The first member has the slowest clock and all others the fastest; otherwise any may have either.
         std::uint64_t longestDelay = 4; ///< Of a message, in milliseconds.
+        std::function<bool(const Message &)> loses; ///< Which messages never arrive; beside the faults.
         bool disasters = false; ///< Memory may be lost anywhere; then only what is on a disk is held to survive.
         std::size_t maxEntriesPerMessage = 8;
         std::uint64_t proposalOneIn = 8; ///< Of the clock's steps of 2 ms.
--- a/tests/replication/TestCluster.cpp
+++ b/tests/replication/TestCluster.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
 #include <future>
 #include <thread>
 #include <utility>
@@ -218,6 +219,17 @@
     return answer.get();
 }
 
+ProposeResult TestCluster::replaceMember(const std::string &leader, const std::string &from, const Member &to)
+{
+    std::replace_if(
+        this->members.begin(), this->members.end(), [&from](const Member &member) { return member.vm == from; }, to);
+    this->start(to.vm);
+    auto promise = std::make_shared<std::promise<ProposeResult>>();
+    auto answer = promise->get_future();
+    this->group(leader).changeMembers(this->members, [promise](ProposeResult result) { promise->set_value(std::move(result)); });
+    return answer.wait_for(TimeLimit) == std::future_status::ready ? answer.get() : ProposeResult{base::ResultCode::Internal, "no answer"};
+}
+
 base::ResultCode TestCluster::readBarrier(const std::string &vm)
 {
     auto promise = std::make_shared<std::promise<base::ResultCode>>();
--- a/tests/replication/TestCluster.h
+++ b/tests/replication/TestCluster.h
@@ -68,6 +68,9 @@
     /// The one member that holds the lease; waits for it. Empty after the time limit.
     std::string awaitLeader();
     ProposeResult propose(const std::string &vm, const std::string &command, Durability durability = Durability::Majority);
+
+    /// Puts a new member in the place of one, by the leader, and starts it.
+    ProposeResult replaceMember(const std::string &leader, const std::string &from, const Member &to);
     base::ResultCode readBarrier(const std::string &vm);
 
     /// Polls until it holds; false after a generous time limit.
