--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -187,6 +187,10 @@
 
 bool EntryServer::stop(std::chrono::milliseconds limit)
 {
+    if (this->stopped) {
+        return true;
+    }
+    this->stopped = true;
     this->beginStop();
     const base::SteadyTime until = base::steadyNow() + limit;
     {
--- a/src/entry/EntryServer.h
+++ b/src/entry/EntryServer.h
@@ -60,6 +60,7 @@
     ConfigHandlers configs;
     Router router;
     std::atomic<bool> stopping{false};
+    bool stopped = false; ///< Used by the owner's thread only.
     absl::Mutex graceMutex;
     bool graceCut ABSL_GUARDED_BY(graceMutex) = false;
     std::thread grace;
