Drop three settings that nothing reads

Cause: upstream_call_limit_ms, max_queued_tasks and max_answer_memory_bytes were stated before the daemon was written and have no effect in it; a setting without effect misleads. Their bounds stand as defaults in zone::SchedulerOptions and http::ServerOptions. Conclusion: settings_tests pass; every remaining key is read by the daemon or the config service (searched by member name).

--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -63,15 +63,12 @@
     std::chrono::milliseconds electionMax{900};
     std::chrono::milliseconds groupHeartbeat{150};
     std::chrono::milliseconds upstreamSilentAfter{2500};
-    std::chrono::milliseconds upstreamCallLimit{2000};
     std::chrono::milliseconds startExpiry{2000};
     std::chrono::milliseconds transferCost{20};
 };
 
 struct LimitSettings {
-    std::uint64_t maxQueuedTasks = 50000;
     std::uint64_t maxLinkQueueBytes = std::uint64_t{8} << 20U;
-    std::uint64_t maxAnswerMemoryBytes = std::uint64_t{32} << 20U;
     std::uint64_t snapshotAfterEntries = 8192;
     std::chrono::seconds requestRetention{600};
     std::chrono::seconds keyRetention{86400};
--- a/src/settings/SettingsTable.cpp
+++ b/src/settings/SettingsTable.cpp
@@ -142,8 +142,6 @@
             500,
             Minute,
             "An upstream unheard for so long gets no new work."),
-        number(
-            "timing", "upstream_call_limit_ms", [](S s) -> F { return &s.timing.upstreamCallLimit; }, 100, Minute, "Limit of one call to an upstream."),
         number(
             "timing", "start_expiry_ms", [](S s) -> F { return &s.timing.startExpiry; }, 100, Minute, "An upstream drops a start that reaches it later."),
         number(
@@ -154,17 +152,8 @@
             Minute,
             "Work goes to another zone only when that saves more waiting than this."),
 
-        number(
-            "limits", "max_queued_tasks", [](S s) -> F { return &s.limits.maxQueuedTasks; }, 1, 1000000, "Waiting tasks of one zone at most."),
         number(
             "limits", "max_link_queue_bytes", [](S s) -> F { return &s.limits.maxLinkQueueBytes; }, 65536, 256 * MiB, "Unsent bytes on one link at most."),
-        number(
-            "limits",
-            "max_answer_memory_bytes",
-            [](S s) -> F { return &s.limits.maxAnswerMemoryBytes; },
-            65536,
-            1024 * MiB,
-            "Memory for parked answers at most."),
         number(
             "limits",
             "snapshot_after_entries",
