Judge the pace of a queue by its steady draining only

Cause: after a stall (a frozen leader, a silent connection) the rate of starts still held the time in which nothing moved, so requests were refused as starting in 14 to 111 s by a zone that drained its queue within a second. Ruled out: a shorter averaging time alone, which is as wrong in the first moments after the stall. Conclusion: a rate counts from the last gap of over 500 ms on, and is believed after a second.

--- a/src/policy/Admission.cpp
+++ b/src/policy/Admission.cpp
@@ -60,7 +60,7 @@
     constexpr std::chrono::seconds LeastAge{1};
     constexpr double LeastStarts = 4;
     const RateMeter &starts = this->zone.requestStartsOf(partner);
-    const auto age = now - this->waitingSince(partner, waiting, now);
+    const auto age = now - std::max(this->waitingSince(partner, waiting, now), starts.steadySince());
     if (waiting == 0) {
         return std::chrono::milliseconds(0);
     }
--- a/src/policy/Admission.h
+++ b/src/policy/Admission.h
@@ -38,8 +38,8 @@
     /// Since when a partner's requests have waited without a break, as far as its submissions show.
     base::SteadyTime waitingSince(PartnerIndex partner, std::uint32_t waiting, base::SteadyTime now);
 
-    /// How long a request will wait; nothing while the queue is too young, or too few starts were seen, to tell. A queue that is merely new, after a burst
-    /// or a change of leader, says nothing of how fast it will drain.
+    /// How long a request will wait; nothing while the queue or its steady draining is too young to tell: after a burst, a stall or a change of
+    /// leader a queue is long and yet may drain at once.
     std::optional<std::chrono::milliseconds> provenWait(PartnerIndex partner, std::uint32_t waiting, base::SteadyTime now);
 
     /// Why a job can never run here; Ok when it can.
--- a/src/policy/RateMeter.h
+++ b/src/policy/RateMeter.h
@@ -20,6 +20,9 @@
 
     void add(base::SteadyTime now)
     {
+        if (now - this->last > LongestGap) {
+            this->steadyBegin = now;
+        }
         this->weight = this->weightAt(now) + 1;
         this->last = now;
     }
@@ -35,6 +38,12 @@
         return this->weightAt(now) / std::chrono::duration<double>(std::min<std::chrono::nanoseconds>(this->window, age)).count();
     }
 
+    /// Since when events have followed each other without a long gap. Before it, something stood still, and a rate across it says nothing of the pace now.
+    base::SteadyTime steadySince() const
+    {
+        return this->steadyBegin;
+    }
+
     /// Events of the last while, older ones for less.
     double recent(base::SteadyTime now) const
     {
@@ -42,6 +51,8 @@
     }
 
 private:
+    static constexpr std::chrono::milliseconds LongestGap{500};
+
     double weightAt(base::SteadyTime now) const
     {
         const std::chrono::duration<double> age = now - this->last;
@@ -51,6 +62,7 @@
     std::chrono::milliseconds window;
     double weight = 0;
     base::SteadyTime last;
+    base::SteadyTime steadyBegin;
 };
 
 } // namespace cranberryreel::policy
