Judge no caller on a configuration that may be old

Ruled out: /readyz (it said 503 all the while; callers that the balancer still sends must not be told a falsehood). Conclusion: until the configuration is known to be current such calls are answered ConfigurationUnavailable; operators may go on.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -167,6 +167,7 @@
         options.upstreamKeyHash = config::keyHash(readKeyFile(this->settings.entry.upstreamKeyFile));
     }
     options.stopGrace = BalancerGrace;
+    options.configured = [this] { return this->configuration->isReady(); };
     options.ready = [this] { return this->isReady(); };
     options.metricsText = [] { return observe::prometheusText(); };
     options.spans = [this](const std::string &id) { return spansAsJson(this->spans->find(id)); };
--- a/src/entry/EntryOptions.h
+++ b/src/entry/EntryOptions.h
@@ -19,6 +19,7 @@
     std::string upstreamKeyHash; ///< The same for upstreams; empty: announcements need no key.
     std::chrono::milliseconds stopGrace{2000}; ///< After beginStop(), new work is still taken for so long, until the balancer has noticed.
     std::chrono::milliseconds longestWait{60000}; ///< Of GET /v1/work/ID?wait_ms=N.
+    std::function<bool()> configured; ///< Whether the configuration in force here may be served on; absent: always.
     std::function<bool()> ready; ///< Asked by GET /readyz; absent: always ready.
     std::function<std::string()> metricsText; ///< Answers GET /metrics; absent: an empty page.
     std::function<std::string(const std::string &id)> spans; ///< OTLP/JSON of the recent spans of a trace or a piece of work; absent: NotFound.
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -131,6 +131,11 @@
         return {};
     }
     const std::optional<Identity> identity = this->keys.identify(bearerKey(request.authorization));
+    const bool mayBeStale = this->options.configured && !this->options.configured();
+    if (mayBeStale && (!identity || !identity->isOperator)) {
+        // What is in force here may be older than what this VM served on before; neither a yes nor a no would be sure.
+        throw base::Error(ResultCode::ConfigurationUnavailable, "This VM has yet to learn the configuration in force; ask another one.");
+    }
     if (!identity) {
         throw base::Error(ResultCode::Unauthorized, "No partner has this key; send Authorization: Bearer KEY with one that the register knows.");
     }
--- a/tests/entry/EntryStopTest.cpp
+++ b/tests/entry/EntryStopTest.cpp
@@ -82,6 +82,17 @@
     BOOST_TEST(starting.call("GET", "/healthz", "", "").status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(aVmThatMayHoldAnOldConfigurationJudgesNoCaller)
+{
+    cranberryreel::entry::EntryOptions options;
+    options.configured = [] { return false; };
+    EntryFixture starting(options);
+    const auto unavailable = static_cast<int>(ResultCode::ConfigurationUnavailable);
+    BOOST_TEST(codeOf(starting.call("POST", "/v1/requests", requestBody().dump(), "north-key")) == unavailable);
+    BOOST_TEST(codeOf(starting.call("POST", "/v1/requests", requestBody().dump(), "nobody's-key")) == unavailable);
+    BOOST_TEST(starting.call("GET", "/v1/ops/zones", "", "root-key").status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(upstreamsNeedTheirKeyWhereOneIsSet)
 {
     cranberryreel::entry::EntryOptions options;
