Split the zone's two largest files

Ruled out: nothing. Conclusion: ReportIntake holds reports against beliefs, StatusReader reads what may be told.

--- a/src/zone/LeaderTerm.h
+++ b/src/zone/LeaderTerm.h
@@ -8,6 +8,7 @@
 #include "zone/FleetListener.h"
 #include "zone/JobTable.h"
 #include "zone/PlacedIndex.h"
+#include "zone/ReportIntake.h"
 #include "zone/Submissions.h"
 #include "zone/TaskCommander.h"
 #include "zone/TaskEnder.h"
@@ -52,11 +53,6 @@
 
     void takeOverJobs(base::SteadyTime now);
     void takeOverJob(const JobRecord &record, base::SteadyTime now);
-    void takeReport(const model::UpstreamReport &report, const model::TaskReport &task, base::SteadyTime now);
-    void strayReported(const model::UpstreamReport &report, const model::TaskReport &task, base::SteadyTime now);
-    void resolveUnknown(const JobRecord &record, const TaskName &name, const model::UpstreamReport &report, const model::TaskReport &task);
-    void inherit(const TaskName &name, const model::UpstreamReport &report, const model::TaskReport &task, base::SteadyTime now);
-    void findAbsent(const model::UpstreamReport &report, base::SteadyTime askedAt);
     void decide(const policy::Decision &decision, base::SteadyTime now);
     void announce(const AnnounceCall &call, const Reply &reply);
     void view(const ViewCall &call, const Reply &reply) const;
@@ -75,6 +71,7 @@
     TaskEnder ender;
     TaskStarter starter;
     Submissions submissions;
+    ReportIntake intake;
     std::shared_ptr<const config::Configuration> current;
     std::set<std::string> plannedVms;
     std::map<std::string, policy::UpstreamView> toldUpstreams;
--- a/src/zone/Submissions.cpp
+++ b/src/zone/Submissions.cpp
@@ -30,53 +30,18 @@
     return spec.partner + '\n' + spec.key;
 }
 
-ZoneReply refusal(const model::JobSpec &spec, base::ResultCode code, const std::string &reason)
-{
-    ZoneReply reply;
-    reply.status.id = spec.id;
-    reply.status.kind = spec.kind;
-    reply.status.partner = spec.partner;
-    reply.status.name = spec.name;
-    reply.status.state = model::JobState::NotRun;
-    reply.status.code = code;
-    reply.status.reason = reason;
-    return reply;
-}
-
-ZoneReply unknown(const model::JobSpec &spec, const std::string &reason)
-{
-    ZoneReply reply = refusal(spec, base::ResultCode::OutcomeUnknown, reason);
-    reply.status.state = model::JobState::Unknown;
-    return reply;
-}
-
-ZoneReply failure(base::ResultCode code, const std::string &reason)
-{
-    ZoneReply reply;
-    reply.code = code;
-    reply.reason = reason;
-    return reply;
-}
-
 bool waitsWhole(const ActiveJob &job)
 {
     return std::all_of(job.tasks.begin(), job.tasks.end(), [](const ActiveTask &task) { return task.stage == TaskStage::Waiting; });
 }
 
-model::JobState stateOf(const ActiveTask &task, const ActiveJob &job)
-{
-    if (task.stage == TaskStage::Ended) {
-        return job.state;
-    }
-    return task.stage == TaskStage::Waiting || task.stage == TaskStage::Assigning ? model::JobState::Accepted : model::JobState::Running;
-}
-
 } // namespace
 
 Submissions::Submissions(TermParts &termParts, TaskStarter &taskStarter, TaskEnder &taskEnder)
     : parts(termParts)
     , starter(taskStarter)
     , ender(taskEnder)
+    , status(termParts.jobs, termParts.context.store)
 {
 }
 
@@ -102,7 +67,7 @@
             job->spec.payload = call.spec.payload;
         }
         if (job->spec.kind != model::JobKind::Request && !job->submitting) {
-            reply(this->replyFor(call.spec.id));
+            reply(this->status.of(call.spec.id));
         } else {
             this->awaitOutcome(*job, base::steadyNow() + call.spec.deadline + DeadlineSlack, StillOpen::TellUnknown, reply);
         }
@@ -112,7 +77,7 @@
         return false;
     }
     if (this->parts.context.store.job(call.spec.id)) {
-        reply(this->replyFor(call.spec.id));
+        reply(this->status.of(call.spec.id));
         return true;
     }
     if (call.spec.key.empty()) {
@@ -135,20 +100,20 @@
     const std::optional<JobRecord> record = this->parts.context.store.job(id);
     const model::JobSpec *spec = active != nullptr ? &active->spec : record ? &record->spec : nullptr;
     if (spec == nullptr || !sameWork(*spec, call.spec)) {
-        reply(failure(base::ResultCode::KeyReusedForOtherWork, "the idempotency key stands for other work already; choose a new key"));
+        reply(failureReply(base::ResultCode::KeyReusedForOtherWork, "the idempotency key stands for other work already; choose a new key"));
         return;
     }
     if (active != nullptr && (spec->kind == model::JobKind::Request || active->submitting)) {
         this->awaitOutcome(*this->parts.jobs.find(id), base::steadyNow() + call.spec.deadline + DeadlineSlack, StillOpen::TellUnknown, reply);
         return;
     }
-    reply(this->replyFor(id));
+    reply(this->status.of(id));
 }
 
 void Submissions::parkUntilRecovered(SubmitCall call, const std::string &traceparent, const Reply &reply)
 {
     if (call.spec.deadline <= LookAgainAfter) {
-        reply(unknown(call.spec, "the zone is still finding out what runs; ask again by id"));
+        reply(unknownReply(call.spec, "the zone is still finding out what runs; ask again by id"));
         return;
     }
     call.spec.deadline -= LookAgainAfter;
@@ -165,11 +130,11 @@
     const base::SteadyTime now = base::steadyNow();
     const bool replicated = isReplicated(call.spec);
     if (replicated && this->parts.context.store.jobCount() >= this->parts.context.options.maxJobs) {
-        reply(refusal(call.spec, base::ResultCode::QueueFull, "the zone keeps as many jobs as it may"));
+        reply(notRunReply(call.spec, base::ResultCode::QueueFull, "the zone keeps as many jobs as it may"));
         return;
     }
     if (const policy::Decision decision = this->parts.planner.enqueue(call.spec, now); decision.code != base::ResultCode::Ok) {
-        reply(call.mayExist && !replicated ? unknown(call.spec, decision.reason) : refusal(call.spec, decision.code, decision.reason));
+        reply(call.mayExist && !replicated ? unknownReply(call.spec, decision.reason) : notRunReply(call.spec, decision.code, decision.reason));
         return;
     }
     ActiveJob &job = this->parts.jobs.add(call.spec, replicated, now);
@@ -213,7 +178,7 @@
     if (result.code == base::ResultCode::Ok && SubmitOutcome::decode(result.result).verdict == SubmitVerdict::Kept) {
         job->submitting = false;
         if (reply) {
-            reply(this->replyFor(id));
+            reply(this->status.of(id));
         }
         this->starter.releaseHeld(*job, base::steadyNow());
         if (job->cancelled) {
@@ -223,7 +188,7 @@
     }
     if (result.code == base::ResultCode::GroupUnavailable) {
         // It may be kept still; the caller submits the same id to the next scheduler, who knows.
-        ZoneReply moved = failure(base::ResultCode::NotLeader, "the zone's scheduler is changing");
+        ZoneReply moved = failureReply(base::ResultCode::NotLeader, "the zone's scheduler is changing");
         moved.mayExist = true;
         if (reply) {
             reply(moved);
@@ -234,7 +199,7 @@
     const base::ResultCode code = kept ? base::ResultCode::KeyReusedForOtherWork : result.code;
     const std::string reason = code == base::ResultCode::NoDurableStore ? "no synced disk in reach could keep it" : "the zone could not keep it";
     if (reply) {
-        reply(refusal(job->spec, code, reason));
+        reply(notRunReply(job->spec, code, reason));
     }
     this->drop(*job, code, reason);
 }
@@ -292,18 +257,18 @@
 {
     const model::JobId id = job.spec.id;
     if (job.finalAt) {
-        reply(this->replyOf(job));
+        reply(this->status.ofActive(job));
         return;
     }
     this->parts.jobs.wait(job,
                           {[this, id, stillOpen, reply] {
                                if (this->resigning) {
-                                   ZoneReply moved = failure(base::ResultCode::NotLeader, "the zone's scheduler is changing");
+                                   ZoneReply moved = failureReply(base::ResultCode::NotLeader, "the zone's scheduler is changing");
                                    moved.mayExist = true;
                                    reply(moved);
                                    return;
                                }
-                               ZoneReply outcome = this->replyFor(id);
+                               ZoneReply outcome = this->status.of(id);
                                if (stillOpen != StillOpen::TellState && !model::isFinal(outcome.status.state)) {
                                    outcome.status.state = model::JobState::Unknown;
                                    outcome.status.code = base::ResultCode::OutcomeUnknown;
@@ -339,20 +304,20 @@
         this->awaitOutcome(*job, base::steadyNow() + std::min(call.wait, LongestWait), StillOpen::TellState, reply);
         return;
     }
-    reply(this->replyFor(call.id));
+    reply(this->status.of(call.id));
 }
 
 void Submissions::cancel(const CancelCall &call, const Reply &reply)
 {
     ActiveJob *job = this->parts.jobs.find(call.id);
     if (job == nullptr || job->finalAt) {
-        reply(this->replyFor(call.id));
+        reply(this->status.of(call.id));
         return;
     }
     job->cancelled = true;
     this->parts.planner.cancel(call.id, base::steadyNow());
     if (job->submitting) {
-        reply(this->replyFor(call.id));
+        reply(this->status.of(call.id));
     } else if (job->replicated) {
         this->cancelKept(call.id, reply);
     } else {
@@ -374,7 +339,7 @@
     } else {
         this->ender.stopAll(job);
     }
-    reply(this->replyFor(id));
+    reply(this->status.of(id));
 }
 
 void Submissions::cancelKept(const model::JobId &id, const Reply &reply)
@@ -385,20 +350,20 @@
                                           guard([this, id, reply, code = result.code] {
                                               ActiveJob *job = this->parts.jobs.find(id);
                                               if (code != base::ResultCode::Ok) {
-                                                  reply(failure(code, "the cancellation could not be kept; try again"));
+                                                  reply(failureReply(code, "the cancellation could not be kept; try again"));
                                                   return;
                                               }
                                               if (job != nullptr) {
                                                   this->ender.cancelled(*job);
                                               }
-                                              reply(this->replyFor(id));
+                                              reply(this->status.of(id));
                                           });
                                       });
 }
 
 void Submissions::answer(const AnswerCall &call, const Reply &reply)
 {
-    ZoneReply whole = this->replyFor(call.id);
+    ZoneReply whole = this->status.of(call.id);
     ZoneReply out;
     out.code = whole.code;
     out.answerBytes = whole.status.answer.size();
@@ -408,43 +373,6 @@
     reply(out);
 }
 
-ZoneReply Submissions::replyFor(const model::JobId &id)
-{
-    if (const ActiveJob *job = this->parts.jobs.find(id); job != nullptr && (!job->replicated || job->submitting)) {
-        return this->replyOf(*job);
-    }
-    if (const std::optional<JobRecord> record = this->parts.context.store.job(id)) {
-        ZoneReply reply;
-        reply.status = statusOf(*record);
-        reply.answerBytes = reply.status.answer.size();
-        return reply;
-    }
-    return failure(base::ResultCode::NotFound, "no such work is known; it may have been forgotten after its retention");
-}
-
-ZoneReply Submissions::replyOf(const ActiveJob &job) const
-{
-    ZoneReply reply;
-    reply.status.id = job.spec.id;
-    reply.status.kind = job.spec.kind;
-    reply.status.partner = job.spec.partner;
-    reply.status.name = job.spec.name;
-    reply.status.reason = job.reason;
-    reply.status.state = job.finalAt ? job.state : model::JobState::Accepted;
-    reply.status.code = job.finalAt ? job.code : base::ResultCode::Ok;
-    reply.status.answer = job.answer;
-    reply.answerBytes = job.answer.size();
-    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
-        const ActiveTask &task = job.tasks[index];
-        const model::JobState state = stateOf(task, job);
-        if (state == model::JobState::Running && !job.finalAt) {
-            reply.status.state = model::JobState::Running;
-        }
-        reply.status.tasks.push_back({index, state, job.finalAt ? job.code : base::ResultCode::Ok, task.upstream, task.attempt});
-    }
-    return reply;
-}
-
 void Submissions::resign(const std::string &leader)
 {
     this->resigning = true;
--- a/src/zone/Submissions.h
+++ b/src/zone/Submissions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cranberryreel/base/Clock.h"
+#include "zone/StatusReader.h"
 #include "zone/TaskEnder.h"
 #include "zone/TaskStarter.h"
 #include "zone/TermParts.h"
@@ -53,12 +54,11 @@
     void parkUntilRecovered(SubmitCall call, const std::string &traceparent, const Reply &reply);
     void cancelHere(ActiveJob &job, const Reply &reply);
     void cancelKept(const model::JobId &id, const Reply &reply);
-    ZoneReply replyFor(const model::JobId &id);
-    ZoneReply replyOf(const ActiveJob &job) const;
 
     TermParts &parts;
     TaskStarter &starter;
     TaskEnder &ender;
+    StatusReader status;
     absl::flat_hash_map<std::string, model::JobId> keysOnTheWay; ///< Idempotency keys whose job the group has yet to keep.
     bool resigning = false;
 };
--- a/src/zone/ZoneReply.h
+++ b/src/zone/ZoneReply.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cranberryreel/base/ResultCode.h"
+#include "cranberryreel/model/JobSpec.h"
 #include "cranberryreel/model/JobStatus.h"
 
 #include <chrono>
@@ -25,6 +26,15 @@
     std::string piece; ///< A further piece of an answer.
 };
 
+/// The work provably did not run.
+ZoneReply notRunReply(const model::JobSpec &spec, base::ResultCode code, const std::string &reason);
+
+/// The work may have run.
+ZoneReply unknownReply(const model::JobSpec &spec, const std::string &reason);
+
+/// The call itself could not be served.
+ZoneReply failureReply(base::ResultCode code, const std::string &reason);
+
 using Reply = std::function<void(ZoneReply)>;
 
 } // namespace cranberryreel::zone
