--- a/include/cranberryreel/base/ResultCode.h
+++ b/include/cranberryreel/base/ResultCode.h
@@ -23,6 +23,7 @@
     DataFolderUnwritable = 1011,
     UsageError = 1020,
     EntryUnreachable = 1021,
+    WaitTimedOut = 1022,
 
     MalformedJson = 2001,
     UnknownField = 2002,
@@ -37,6 +38,7 @@
     KeyReusedForOtherWork = 2011,
     RequestTimedOut = 2012,
     TooManyConnections = 2013,
+    AnswerDeferred = 2014,
 
     NeverFits = 3001,
     DeadlineUnreachable = 3002,
--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -32,6 +32,8 @@
         return "UsageError";
     case ResultCode::EntryUnreachable:
         return "EntryUnreachable";
+    case ResultCode::WaitTimedOut:
+        return "WaitTimedOut";
     case ResultCode::MalformedJson:
         return "MalformedJson";
     case ResultCode::UnknownField:
@@ -58,6 +60,8 @@
         return "RequestTimedOut";
     case ResultCode::TooManyConnections:
         return "TooManyConnections";
+    case ResultCode::AnswerDeferred:
+        return "AnswerDeferred";
     case ResultCode::NeverFits:
         return "NeverFits";
     case ResultCode::DeadlineUnreachable:
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -1,11 +1,15 @@
 #include "entry/EntryServer.h"
 
+#include "config/KeyHash.h"
 #include "cranberryreel/base/Error.h"
 #include "http/JsonReader.h"
 #include "http/ServerBuilder.h"
 #include "observe/Log.h"
+#include "observe/Metrics.h"
 #include "upstream/ReportCodec.h"
 
+#include <algorithm>
+
 namespace cranberryreel::entry
 {
 
@@ -15,10 +19,9 @@
 using base::ResultCode;
 
 constexpr unsigned int StatusOk = 200;
-constexpr std::size_t SubmissionBytes = 2U << 20U;
-constexpr std::size_t ConfigurationBytes = 8U << 20U;
-constexpr std::size_t AnnouncementBytes = 72U << 20U;
-constexpr const char *Unfinished = "This VM stopped before the outcome was known; ask again by id, or send it again with the same key.";
+constexpr std::size_t AnnouncementBytes = 72U << 20U; ///< Announcements carry answers.
+constexpr std::chrono::milliseconds LastAnswersLimit{500};
+constexpr const char *Unfinished = "This VM stopped before the answer was known; ask another.";
 
 const observe::Log &log()
 {
@@ -26,22 +29,24 @@
     return instance;
 }
 
-std::size_t bodyLimitOf(const std::string &path)
-{
-    if (path == "/v1/upstreams") {
-        return AnnouncementBytes;
-    }
-    return path.rfind("/v1/config/", 0) == 0 ? ConfigurationBytes : SubmissionBytes;
-}
-
 http::ServerOptions withBodyLimits(http::ServerOptions options)
 {
     if (!options.maxBodyBytesOf) {
-        options.maxBodyBytesOf = &bodyLimitOf;
+        const std::size_t others = options.maxBodyBytes;
+        options.maxBodyBytesOf = [others](const std::string &path) { return path == "/v1/upstreams" ? std::max(others, AnnouncementBytes) : others; };
     }
     return options;
 }
 
+/// Passes the answer on and records how long it took.
+http::Responder timed(const http::Responder &respond, const Route &route)
+{
+    return [respond, durations = route.durations, begin = base::steadyNow()](http::Response response) {
+        durations->record(base::steadyNow() - begin);
+        respond(std::move(response));
+    };
+}
+
 http::Response announceResponse(const AnnounceReply &reply)
 {
     if (reply.code != ResultCode::Ok) {
@@ -105,9 +110,15 @@
 
 void EntryServer::serve(const std::shared_ptr<const http::Request> &request, const http::Responder &respond)
 {
-    auto [route, id] = this->router.find(request->method, request->path);
-    const Identity identity = this->identityFor(*route, *request);
-    route->handle({request, std::move(id), identity, respond});
+    static observe::Counter &refused = observe::counter("cranberryreel_entry_refused_total", "Requests answered with an error before any work was done.");
+    try {
+        auto [route, id] = this->router.find(request->method, request->path);
+        const Identity identity = this->identityFor(*route, *request);
+        route->handle({request, std::move(id), identity, timed(respond, *route)});
+    } catch (const base::Error &) {
+        refused.add();
+        throw;
+    }
 }
 
 Identity EntryServer::identityFor(const Route &route, const http::Request &request)
@@ -120,6 +131,11 @@
         return {};
     }
     const std::optional<Identity> identity = this->keys.identify(bearerKey(request.authorization));
+    const bool mayBeStale = this->options.configured && !this->options.configured();
+    if (mayBeStale && (!identity || !identity->isOperator)) {
+        // What is in force here may be older than what this VM served on before; neither a yes nor a no would be sure.
+        throw base::Error(ResultCode::ConfigurationUnavailable, "This VM has yet to learn the configuration in force; ask another one.");
+    }
     if (!identity) {
         throw base::Error(ResultCode::Unauthorized, "No partner has this key; send Authorization: Bearer KEY with one that the register knows.");
     }
@@ -132,7 +148,7 @@
 void EntryServer::checkUpstreamKey(const http::Request &request) const
 {
     const std::string &wanted = this->options.upstreamKeyHash;
-    if (!wanted.empty() && sha256Hex(bearerKey(request.authorization)) != wanted) {
+    if (!wanted.empty() && config::keyHash(bearerKey(request.authorization)) != wanted) {
         throw base::Error(ResultCode::Unauthorized, "The upstreams' key is wrong or absent.");
     }
 }
@@ -171,10 +187,15 @@
         this->graceMutex.AwaitWithTimeout(absl::Condition(&this->graceCut), absl::FromChrono(this->options.stopGrace));
     }
     this->work.refuseNewWork();
+    this->server->closeAfterAnswers();
 }
 
 bool EntryServer::stop(std::chrono::milliseconds limit)
 {
+    if (this->stopped) {
+        return true;
+    }
+    this->stopped = true;
     this->beginStop();
     const base::SteadyTime until = base::steadyNow() + limit;
     {
@@ -185,7 +206,9 @@
         this->grace.join();
     }
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - base::steadyNow());
-    const bool finished = this->server->stop(std::max(left, std::chrono::milliseconds(0)));
+    const bool finished = this->server->awaitIdle(std::max(left, std::chrono::milliseconds(0)));
+    this->work.answerOpenAsUnknown();
+    this->server->stop(LastAnswersLimit);
     log().info("Stopped; {}.", finished ? "every request was answered" : "some requests were answered as unknown");
     return finished;
 }
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,6 +1,7 @@
 #include "http/Server.h"
 
 #include "cranberryreel/base/Error.h"
+#include "http/AnswerWriter.h"
 #include "http/ConnectionTable.h"
 #include "http/Exchange.h"
 #include "http/ListenSocket.h"
@@ -51,29 +52,6 @@
     return info == nullptr ? nullptr : static_cast<ConnectionWatch *>(info->socket_context);
 }
 
-void deleteBody(void *body)
-{
-    delete static_cast<std::string *>(body);
-}
-
-MHD_Result queue(MHD_Connection *connection, Response response)
-{
-    auto body = std::make_unique<std::string>(std::move(response.body));
-    std::string *raw = body.get();
-    MHD_Response *answer = MHD_create_response_from_buffer_with_free_callback_cls(raw->size(), raw->data(), &deleteBody, raw);
-    if (answer == nullptr) {
-        return MHD_NO;
-    }
-    static_cast<void>(body.release());
-    MHD_add_response_header(answer, MHD_HTTP_HEADER_CONTENT_TYPE, response.contentType.c_str());
-    if (response.closeConnection) {
-        MHD_add_response_header(answer, MHD_HTTP_HEADER_CONNECTION, "close");
-    }
-    const MHD_Result result = MHD_queue_response(connection, response.status, answer);
-    MHD_destroy_response(answer);
-    return result;
-}
-
 Response refusalOf(base::ResultCode code, std::size_t limit)
 {
     Response response;
@@ -94,6 +72,7 @@
         , handler(std::move(requestHandler))
         , unfinished(std::move(unfinishedResponse))
         , connections(options)
+        , answers(options.maxAnswerBytes)
     {
     }
 
@@ -110,6 +89,11 @@
 
     MHD_Result begin(MHD_Connection *connection, const char *url, const char *method, void **state);
     MHD_Result receive(Exchange &exchange, const char *upload, std::size_t *size);
+    MHD_Result write(MHD_Connection *connection, Response response)
+    {
+        return this->answers.write(connection, std::move(response)) ? MHD_YES : MHD_NO;
+    }
+
     MHD_Result finish(MHD_Connection *connection, const std::shared_ptr<Exchange> &exchange);
     void handle(const std::shared_ptr<Exchange> &exchange);
     void answerLeftOver();
@@ -122,7 +106,9 @@
     MHD_Daemon *daemon = nullptr;
     std::uint16_t port = 0;
     std::atomic<std::size_t> bufferedBytes{0};
+    AnswerWriter answers;
     std::atomic<std::size_t> inFlight{0};
+    std::atomic<bool> closing{false};
     std::atomic<bool> stopping{false};
 };
 
@@ -165,7 +151,7 @@
     const std::string length = headerOf(connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
     if (!length.empty() && std::strtoull(length.c_str(), nullptr, 10) > exchange->bodyLimit * DrainFactor) {
         ConnectionTable::enter(*watch, ConnectionPhase::Answering);
-        return queue(connection, refusalOf(base::ResultCode::BodyTooLarge, exchange->bodyLimit));
+        return this->write(connection, refusalOf(base::ResultCode::BodyTooLarge, exchange->bodyLimit));
     }
     return MHD_YES;
 }
@@ -202,7 +188,7 @@
             return MHD_NO;
         }
         if (exchange->refusal != base::ResultCode::Ok) {
-            return queue(connection, refusalOf(exchange->refusal, exchange->bodyLimit));
+            return this->write(connection, refusalOf(exchange->refusal, exchange->bodyLimit));
         }
         exchange->whole = true;
         ++this->inFlight;
@@ -212,8 +198,9 @@
     if (!response) {
         return MHD_YES;
     }
-    response->closeConnection = response->closeConnection || this->stopping;
-    return queue(connection, *std::move(response));
+    response->closeConnection = response->closeConnection || this->closing || this->stopping;
+    ConnectionTable::enter(exchange->watch, ConnectionPhase::Writing);
+    return this->write(connection, *std::move(response));
 }
 
 void Server::Core::handle(const std::shared_ptr<Exchange> &exchange)
@@ -329,6 +316,16 @@
     }
 }
 
+void Server::closeAfterAnswers()
+{
+    this->core->closing = true;
+}
+
+bool Server::awaitIdle(std::chrono::milliseconds limit) const
+{
+    return this->core->awaitNone(limit);
+}
+
 bool Server::stop(std::chrono::milliseconds limit)
 {
     Core &own = *this->core;
--- a/src/http/Transfer.cpp
+++ b/src/http/Transfer.cpp
@@ -1,6 +1,9 @@
 #include "http/Transfer.h"
 
+#include "observe/Metrics.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace cranberryreel::http
 {
@@ -8,6 +11,8 @@
 namespace
 {
 
+constexpr std::chrono::milliseconds DeadlineSlack{20};
+
 CallOutcome outcomeOf(CURLcode result)
 {
     switch (result) {
@@ -40,6 +45,7 @@
     this->request = std::move(newRequest);
     this->done = std::move(newDone);
     this->response = {};
+    this->latestEnd = base::steadyNow() + this->request.limit + DeadlineSlack;
     this->maxAnswerBytes = options.maxAnswerBytes;
     curl_easy_reset(this->curl);
     const std::string url = "http://" + this->request.host + this->request.target;
@@ -50,6 +56,11 @@
     curl_easy_setopt(this->curl, CURLOPT_PRIVATE, this);
     curl_easy_setopt(this->curl, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
     curl_easy_setopt(this->curl, CURLOPT_WRITEDATA, this);
+    this->sentOnce = false;
+    if (this->request.method != "GET") {
+        curl_easy_setopt(this->curl, CURLOPT_PREREQFUNCTION, &Transfer::onReadyToSend);
+        curl_easy_setopt(this->curl, CURLOPT_PREREQDATA, this);
+    }
     const auto limit = std::max<std::chrono::milliseconds::rep>(this->request.limit.count(), 1);
     curl_easy_setopt(this->curl, CURLOPT_TIMEOUT_MS, static_cast<long>(limit));
     curl_easy_setopt(this->curl, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(options.connectLimit.count()));
@@ -81,6 +92,13 @@
     curl_easy_setopt(this->curl, CURLOPT_HTTPHEADER, this->headers);
 }
 
+/// libcurl sends a request again by itself when a pooled connection broke before any answer; what changes something must not go out twice, as the first may
+/// have been read.
+int Transfer::onReadyToSend(void *self, char *, char *, int, int)
+{
+    return std::exchange(static_cast<Transfer *>(self)->sentOnce, true) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 std::size_t Transfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
 {
     auto *transfer = static_cast<Transfer *>(self);
@@ -110,8 +128,25 @@
     return result == CURLE_OPERATION_TIMEDOUT && connects == 0 && headerBytes == 0 && this->sentAnything();
 }
 
+void Transfer::countBytes() const
+{
+    static observe::Counter &sent = observe::counter("cranberryreel_http_client_bytes_total", "Bytes of HTTP calls, headers included.", "direction=\"out\"");
+    static observe::Counter &received = observe::counter("cranberryreel_http_client_bytes_total", "Bytes of HTTP calls, headers included.", "direction=\"in\"");
+    long requestBytes = 0;
+    long headerBytes = 0;
+    curl_off_t uploaded = 0;
+    curl_off_t downloaded = 0;
+    curl_easy_getinfo(this->curl, CURLINFO_REQUEST_SIZE, &requestBytes);
+    curl_easy_getinfo(this->curl, CURLINFO_HEADER_SIZE, &headerBytes);
+    curl_easy_getinfo(this->curl, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    curl_easy_getinfo(this->curl, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
+    sent.add(static_cast<std::uint64_t>(requestBytes + uploaded));
+    received.add(static_cast<std::uint64_t>(headerBytes + downloaded));
+}
+
 void Transfer::finish(CURLcode result)
 {
+    this->countBytes();
     this->response.outcome = outcomeOf(result);
     this->response.sent = result == CURLE_OK || this->sentAnything();
     curl_easy_getinfo(this->curl, CURLINFO_RESPONSE_CODE, &this->response.status);
--- a/src/http/Transfer.h
+++ b/src/http/Transfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cranberryreel/base/Clock.h"
 #include "http/ClientOptions.h"
 #include "http/ClientRequest.h"
 #include "http/ClientResponse.h"
@@ -35,6 +36,12 @@
         return this->curl;
     }
 
+    /// The latest end of the call; libcurl's own limit comes a little earlier, but does not hold for calls that wait for a connection.
+    base::SteadyTime deadline() const
+    {
+        return this->latestEnd;
+    }
+
     const std::string &host() const
     {
         return this->request.host;
@@ -42,6 +49,8 @@
 
 private:
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
+    static int onReadyToSend(void *self, char *remoteAddress, char *localAddress, int remotePort, int localPort);
+    void countBytes() const;
     bool sentAnything() const;
     void setHeaders();
     void deliver();
@@ -52,6 +61,8 @@
     ClientResponse response;
     ClientDone done;
     std::size_t maxAnswerBytes = 0;
+    base::SteadyTime latestEnd;
+    bool sentOnce = false; ///< A connection was ready for it and got it, in part at least.
 };
 
 } // namespace cranberryreel::http
--- a/src/replication/CoreFollower.cpp
+++ b/src/replication/CoreFollower.cpp
@@ -33,12 +33,9 @@
         return;
     }
     for (const auto &[vm, position] : message.acknowledged) {
-        LogPosition &known = this->acknowledged[vm];
-        known = std::max(known, position);
-        if (vm == this->options.ownVm) {
-            this->distrustMemory(position);
-        }
+        this->noteAcknowledged(vm, position);
     }
+    this->distrustMemory(message);
     Message reply = this->messageTo(message.from, MessageKind::AppendReply);
     reply.sequence = message.sequence;
     if (this->contradictsCommitted(message)) {
@@ -61,8 +58,8 @@
     }
     this->appendReceived(message);
     reply.granted = true;
-    reply.index = matched;
-    if (const std::uint64_t commitable = std::min(message.commit, matched); commitable > this->commit) {
+    reply.index = std::min(matched, this->entries.lastIndex());
+    if (const std::uint64_t commitable = std::min(message.commit, reply.index); commitable > this->commit) {
         this->advanceCommit(commitable);
     }
     this->sendAfterSync(std::move(reply));
--- a/src/replication/Group.h
+++ b/src/replication/Group.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <functional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace cranberryreel::replication
@@ -20,8 +19,8 @@
     SyncedDisk, ///< And at least one member has synced it to a disk.
 };
 
-/// The outcome of a proposal. Ok: applied, `result` is what apply returned. NotLeader and NoDurableStore: it was not and will not be applied by this
-/// proposal. GroupUnavailable: leadership was lost on the way; it may still be applied.
+/// The outcome of a proposal. Ok: applied, `result` is what apply returned. NotLeader, NoDurableStore and QueueFull: it was not and will not be applied by
+/// this proposal. GroupUnavailable: leadership was lost on the way; it may still be applied.
 struct ProposeResult {
     base::ResultCode code = base::ResultCode::Ok;
     std::string result;
@@ -75,16 +74,10 @@
 
     /// Makes these the members, through the log, one change at a time; only the leader can. A new member counts once a leader has caught it up. The callback
     /// is that of propose(); GroupUnavailable also while an earlier change is under way.
-    virtual void changeMembers(std::vector<Member> members, ProposeCallback done)
-    {
-        members.clear();
-        std::move(done)(ProposeResult{base::ResultCode::NotLeader, ""});
-    }
-
-    /// Moves the leader to a term of at least `atLeast`, for a caller who met a higher one elsewhere; it loses leadership and gains it in the new term.
-    virtual void raiseTerm(std::uint64_t /*atLeast*/)
-    {
-    }
+    virtual void changeMembers(std::vector<Member> members, ProposeCallback done) = 0;
+
+    /// Has the leader move on to a term of at least `atLeast`: it loses leadership and gains it in the new term. Nothing happens on other members.
+    virtual void raiseTerm(std::uint64_t atLeast) = 0;
 
     virtual GroupStatus status() const = 0;
 
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -17,10 +17,13 @@
 namespace
 {
 
+constexpr std::size_t MaxWaitingProposals = 65536;
+constexpr std::size_t MaxWaitingBytes = 32UL * 1024 * 1024; ///< Received; what comes beyond is dropped, as a network would.
+
 const observe::Log &log()
 {
-    static const observe::Log Instance("replication");
-    return Instance;
+    static const observe::Log replicationLog("replication");
+    return replicationLog;
 }
 
 } // namespace
@@ -28,12 +31,12 @@
 GroupRunner::GroupRunner(GroupRunnerOptions runnerOptions)
     : options(std::move(runnerOptions))
 {
-    Recovered recovered = this->options.store->recover();
+    const Recovered recovered = this->options.store->recover();
     this->initialState = this->options.stateMachine->snapshot();
     if (recovered.snapshot) {
         this->restore(*recovered.snapshot);
     }
-    this->core = std::make_unique<Core>(this->options.core, std::move(recovered), this->safety, base::steadyNow());
+    this->core = std::make_unique<Core>(this->options.core, recovered, this->safety, base::steadyNow());
     this->publishStatus();
 }
 
@@ -65,14 +68,16 @@
 
 void GroupRunner::propose(std::string command, Durability durability, ProposeCallback done)
 {
+    base::ResultCode refusal = base::ResultCode::NotLeader;
     {
         const absl::MutexLock lock(&this->mutex);
-        if (!this->ended) {
+        if (!this->ended && this->inbox.proposals.size() < MaxWaitingProposals) {
             this->inbox.proposals.push_back(GroupInbox::Proposal{std::move(command), durability, std::move(done)});
             return;
         }
+        refusal = this->ended ? base::ResultCode::NotLeader : base::ResultCode::QueueFull;
     }
-    done(ProposeResult{base::ResultCode::NotLeader, ""});
+    done(ProposeResult{refusal, ""});
 }
 
 void GroupRunner::readBarrier(std::function<void(base::ResultCode)> done)
@@ -108,7 +113,8 @@
 void GroupRunner::receive(const std::string &fromVm, std::string bytes)
 {
     const absl::MutexLock lock(&this->mutex);
-    if (!this->ended) {
+    if (!this->ended && this->inbox.receivedBytes + bytes.size() <= MaxWaitingBytes) {
+        this->inbox.receivedBytes += bytes.size();
         this->inbox.received.emplace_back(fromVm, std::move(bytes));
     }
 }
@@ -142,12 +148,7 @@
     }
     this->leaseEnd = 0;
     this->pending.abandon();
-    for (const auto &[id, done] : std::exchange(this->reads, {})) {
-        done(base::ResultCode::GroupUnavailable);
-    }
-    for (const WaitingRead &read : std::exchange(this->waitingReads, {})) {
-        read.done(base::ResultCode::GroupUnavailable);
-    }
+    this->reads.abandon();
     if (this->announcedTerm != 0 && this->options.listener != nullptr) {
         this->options.listener->leadershipLost(std::exchange(this->announcedTerm, 0));
     }
@@ -197,9 +198,7 @@
     }
     this->core->flush(now);
     for (auto &done : work.reads) {
-        const std::uint64_t id = ++this->lastReadId;
-        this->reads.emplace(id, std::move(done));
-        this->core->read(id, now);
+        this->core->read(this->reads.add(std::move(done)), now);
     }
     if (work.stopBy) {
         this->stopBy = this->core->role() == Role::Leader ? *work.stopBy : now;
@@ -245,7 +244,7 @@
     std::uint64_t index = 0;
     base::ResultCode code = base::ResultCode::Ok;
     try {
-        code = this->core->changeMembers(Membership(std::move(change.members)), index);
+        code = this->core->changeMembers(Membership(std::move(change.members)), index, base::steadyNow());
     } catch (const base::Error &error) {
         code = error.code();
     }
@@ -291,9 +290,9 @@
         this->apply(entry);
     }
     for (const ReadOutcome &outcome : output.reads) {
-        this->answerRead(outcome);
+        this->reads.answered(outcome, this->applied);
     }
-    this->answerAppliedReads();
+    this->reads.applied(this->applied);
 }
 
 void GroupRunner::restore(const Snapshot &snapshot)
@@ -313,30 +312,6 @@
     this->pending.applied(entry.index, entry.term, std::move(result), base::steadyNow() + this->options.core.timings.requestLimit);
 }
 
-void GroupRunner::answerRead(const ReadOutcome &outcome)
-{
-    auto node = this->reads.extract(outcome.id);
-    if (node.empty()) {
-        return;
-    }
-    if (outcome.code == base::ResultCode::Ok && outcome.index > this->applied) {
-        this->waitingReads.push_back(WaitingRead{outcome.index, std::move(node.mapped())});
-    } else {
-        node.mapped()(outcome.code);
-    }
-}
-
-void GroupRunner::answerAppliedReads()
-{
-    const auto due =
-        std::stable_partition(this->waitingReads.begin(), this->waitingReads.end(), [this](const WaitingRead &read) { return read.index > this->applied; });
-    std::vector<WaitingRead> answered(std::make_move_iterator(due), std::make_move_iterator(this->waitingReads.end()));
-    this->waitingReads.erase(due, this->waitingReads.end());
-    for (const WaitingRead &read : answered) {
-        read.done(base::ResultCode::Ok);
-    }
-}
-
 void GroupRunner::compactIfDue()
 {
     if (this->applied < this->snapshotIndex + this->options.snapshotEveryEntries) {
--- a/src/zone/TaskStarter.cpp
+++ b/src/zone/TaskStarter.cpp
@@ -44,6 +44,7 @@
     task.boot = upstream != nullptr ? upstream->record.boot : std::string();
     task.reserved = decision.reserved;
     task.preempting = false;
+    task.endUnseen = false;
     this->parts.placed.note(task.upstream, {job->spec.id, decision.task});
     placements.add();
     waits.record(now - job->acceptedAt);
@@ -104,6 +105,7 @@
     order.taskId = TaskName{job.spec.id, index}.text();
     order.attempt = task.attempt;
     order.epoch = this->parts.context.epoch;
+    order.boot = task.boot;
     order.expiresIn = options.startExpiry;
     order.lease = options.taskLease;
     order.kind = job.spec.kind;
--- a/tests/entry/EntryFixture.h
+++ b/tests/entry/EntryFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/KeyHash.h"
 #include "entry/EntryServerBuilder.h"
 #include "http/Client.h"
 #include "support/FakeConfigService.h"
@@ -23,7 +24,7 @@
     {
         options.zone = "z1";
         options.zones = {"z2", "z1", "z3"};
-        options.operatorKeyHash = cranberryreel::entry::sha256Hex("root-key");
+        options.operatorKeyHash = cranberryreel::config::keyHash("root-key");
         options.metricsText = [] { return std::string("cranberryreel_up 1\n"); };
         this->config->addPartner("north", "north-key");
         this->config->addPartner("south", "south-key");
--- /dev/null
+++ b/tests/http/ClientTest.cpp
@@ -0,0 +1,193 @@
+#include "ServerFixture.h"
+#include "http/ListenSocket.h"
+#include "support/Eventually.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace cranberryreel::http;
+using cranberryreel::support::eventually;
+
+namespace
+{
+
+/// Answers the first request of each connection and breaks the connection when it has read the second.
+class BreakingServer
+{
+public:
+    BreakingServer()
+        : listening(openListenSocket("127.0.0.1", 0))
+        , thread([this] { this->run(); })
+    {
+    }
+
+    ~BreakingServer()
+    {
+        this->stopping = true;
+        this->thread.join();
+        ::close(this->listening.descriptor);
+    }
+
+    BreakingServer(const BreakingServer &) = delete;
+    BreakingServer &operator=(const BreakingServer &) = delete;
+
+    std::uint16_t port() const
+    {
+        return this->listening.port;
+    }
+
+    int requests() const
+    {
+        return this->count;
+    }
+
+private:
+    void run()
+    {
+        while (!this->stopping) {
+            pollfd watched{this->listening.descriptor, POLLIN, 0};
+            if (::poll(&watched, 1, 10) > 0) {
+                this->serve(::accept4(this->listening.descriptor, nullptr, nullptr, SOCK_CLOEXEC));
+            }
+        }
+    }
+
+    void serve(int connection)
+    {
+        if (this->readRequest(connection)) {
+            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            static_cast<void>(::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL));
+            this->readRequest(connection);
+        }
+        ::close(connection);
+    }
+
+    /// Requests are short enough to arrive in one piece.
+    bool readRequest(int connection)
+    {
+        char buffer[4096];
+        pollfd watched{connection, POLLIN, 0};
+        while (!this->stopping) {
+            if (::poll(&watched, 1, 10) > 0) {
+                const bool any = ::recv(connection, buffer, sizeof(buffer), 0) > 0;
+                this->count += any ? 1 : 0;
+                return any;
+            }
+        }
+        return false;
+    }
+
+    ListenSocket listening;
+    std::atomic<bool> stopping{false};
+    std::atomic<int> count{0};
+    std::thread thread;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ClientTest, ServerFixture)
+
+BOOST_AUTO_TEST_CASE(connectionsAreReusedUnlessAFreshOneIsAsked)
+{
+    const auto connection = [this](bool fresh) {
+        ClientRequest request = this->request("/connection");
+        request.freshConnection = fresh;
+        return this->client.callAndWait(std::move(request)).body;
+    };
+    BOOST_TEST(connection(false) == "1");
+    BOOST_TEST(connection(false) == "1");
+    BOOST_TEST(connection(true) == "2");
+}
+
+BOOST_AUTO_TEST_CASE(aRefusedConnectionSentNothing)
+{
+    const ListenSocket closed = openListenSocket("127.0.0.1", 0);
+    ::close(closed.descriptor);
+    ClientRequest request = this->request("/echo", "body");
+    request.host = "127.0.0.1:" + std::to_string(closed.port);
+    const ClientResponse response = this->client.callAndWait(std::move(request));
+    BOOST_TEST((response.outcome == CallOutcome::Unreachable));
+    BOOST_TEST(!response.sent);
+}
+
+BOOST_AUTO_TEST_CASE(aSilentServerMayHaveReadTheRequest)
+{
+    ClientRequest request = this->request("/park", "body");
+    request.limit = std::chrono::milliseconds(100);
+    const ClientResponse response = this->client.callAndWait(std::move(request));
+    BOOST_TEST((response.outcome == CallOutcome::TimedOut));
+    BOOST_TEST(response.sent);
+}
+
+BOOST_AUTO_TEST_CASE(aHostWhosePooledConnectionWentSilentGetsNewOnes)
+{
+    BOOST_TEST(this->client.callAndWait(this->request("/connection")).body == "1");
+    ClientRequest silent = this->request("/park", "body");
+    silent.limit = std::chrono::milliseconds(100);
+    const ClientResponse lost = this->client.callAndWait(std::move(silent));
+    BOOST_TEST((lost.outcome == CallOutcome::TimedOut));
+    const std::string next = this->client.callAndWait(this->request("/connection")).body;
+    BOOST_TEST(next != "1");
+    BOOST_TEST(this->client.callAndWait(this->request("/connection")).body != next);
+}
+
+BOOST_AUTO_TEST_CASE(aRequestThatChangesSomethingIsNeverSentTwice)
+{
+    const BreakingServer breaking;
+    ClientRequest request = this->request("/echo", "body");
+    request.host = "127.0.0.1:" + std::to_string(breaking.port());
+    BOOST_TEST((this->client.callAndWait(request).outcome == CallOutcome::Answered));
+    const ClientResponse second = this->client.callAndWait(request);
+    BOOST_TEST((second.outcome == CallOutcome::Unreachable));
+    BOOST_TEST(second.sent);
+    BOOST_TEST(breaking.requests() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerBeyondTheLimitFailsTheCall)
+{
+    ClientOptions options;
+    options.maxAnswerBytes = 1000;
+    Client narrow(options);
+    BOOST_TEST((narrow.callAndWait(this->request("/echo", std::string(1001, 'x'))).outcome == CallOutcome::TooLarge));
+    BOOST_TEST(narrow.callAndWait(this->request("/echo", std::string(1000, 'x'))).body.size() == 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(stopEndsEveryCallOnce)
+{
+    constexpr int Calls = 20;
+    std::atomic<int> ended{0};
+    Client other;
+    for (int i = 0; i < Calls; ++i) {
+        other.call(this->request("/park", "body"), [&ended](const ClientResponse &) { ++ended; });
+    }
+    BOOST_TEST(eventually([this] { return this->parkedCount() == Calls; }));
+    other.stop();
+    BOOST_TEST(ended == Calls);
+    const ClientResponse late = other.callAndWait(this->request("/echo", "late"));
+    BOOST_TEST((late.outcome == CallOutcome::Stopped));
+    BOOST_TEST(!late.sent);
+}
+
+BOOST_AUTO_TEST_CASE(aCallBeyondTheConnectionsPerHostWaitsWithinItsLimit)
+{
+    ClientOptions options;
+    options.connectionsPerHost = 1;
+    Client narrow(options);
+    std::atomic<int> parkedEnded{0};
+    narrow.call(this->request("/park", "first"), [&parkedEnded](const ClientResponse &) { ++parkedEnded; });
+    BOOST_TEST(eventually([this] { return this->parkedCount() == 1; }));
+    ClientRequest second = this->request("/echo", "second");
+    second.limit = std::chrono::milliseconds(100);
+    const ClientResponse response = narrow.callAndWait(std::move(second));
+    BOOST_TEST((response.outcome == CallOutcome::TimedOut));
+    BOOST_TEST(!response.sent);
+    this->release();
+    BOOST_TEST(eventually([&parkedEnded] { return parkedEnded == 1; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
