--- a/tests/policy/PlannerTest.cpp
+++ b/tests/policy/PlannerTest.cpp
@@ -227,4 +227,19 @@
     BOOST_TEST(count(this->plan(), DecisionKind::Start, "k") == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(loadTellsRoomAndWait)
+{
+    this->addVm("vm1", VmSize);
+    BOOST_TEST(this->planner->load(this->now).room == 8U);
+    for (int i = 0; i < 20; ++i) {
+        this->enqueue(spec("r" + std::to_string(i), JobKind::Request, Small));
+    }
+    this->planAndStart();
+    const LoadView load = this->planner->load(this->now);
+    BOOST_TEST(load.used == 1.0);
+    BOOST_TEST(load.waiting == 12U);
+    BOOST_TEST(load.room == 0U);
+    BOOST_TEST(load.expectedWait.count() > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
