--- a/src/policy/GangReserver.cpp
+++ b/src/policy/GangReserver.cpp
@@ -182,7 +182,7 @@
         return false;
     }
     this->needed = this->earliest.front().at;
-    absl::flat_hash_map<VmIndex, std::uint32_t> chosen;
+    absl::btree_map<VmIndex, std::uint32_t> chosen;
     for (const RoomEvent &event : this->earliest) {
         chosen[event.vm] = 0;
     }
@@ -287,12 +287,7 @@
     const JobIndex index = this->job;
     JobEntry &entry = this->zone.jobs.at(index);
     std::uint32_t missing = this->wanted();
-    std::vector<VmIndex> vms;
     for (const auto &[vm, fits] : this->held) {
-        vms.push_back(vm);
-    }
-    std::sort(vms.begin(), vms.end());
-    for (const VmIndex vm : vms) {
         while (missing > 0 && this->zone.ledger.fits(vm, entry.service, entry.need)) {
             this->zone.start(index, JobTable::nextWaiting(entry), vm, this->zone.ledger.chooseUpstream(vm, entry.service));
             --missing;
--- a/src/policy/GangReserver.h
+++ b/src/policy/GangReserver.h
@@ -4,7 +4,7 @@
 #include "policy/Ids.h"
 #include "policy/ZoneState.h"
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_map.h>
 
 #include <cstdint>
 #include <vector>
@@ -92,7 +92,7 @@
     std::uint64_t earliestTasks = 0;
     std::uint64_t seenVersion = 0;
     std::uint64_t fitsTotal = 0;
-    absl::flat_hash_map<VmIndex, std::uint32_t> held; ///< How many tasks fit on each held VM now.
+    absl::btree_map<VmIndex, std::uint32_t> held; ///< How many tasks fit on each held VM now.
 };
 
 } // namespace cranberryreel::policy
