Look at the zone's room before any VM is searched

The zone's whole room is compared first now; it leaves out VMs that take no work, which also kept gangs from starting while a VM drained.

--- a/src/policy/GangReserver.cpp
+++ b/src/policy/GangReserver.cpp
@@ -40,9 +40,7 @@
 bool GangReserver::startWhole(JobIndex index, base::SteadyTime now)
 {
     JobEntry &entry = this->zone.jobs.at(index);
-    Demand room = this->zone.ledger.total();
-    room -= this->zone.ledger.reserved();
-    if (now < entry.nextGangTryAt || !taskDemand(entry.need).times(entry.waiting).fitsIn(room)) {
+    if (now < entry.nextGangTryAt || !taskDemand(entry.need).times(entry.waiting).fitsIn(this->zone.ledger.room())) {
         return false;
     }
     std::vector<Planned> planned;
--- a/src/policy/Ledger.cpp
+++ b/src/policy/Ledger.cpp
@@ -304,7 +304,8 @@
         count(this->services[service].capacities, before.capacity, -1);
     }
     this->openTotal -= before.open;
-    before = {{}, keyOf(vm.capacity), {}};
+    this->openReserved -= before.reserved;
+    before = {{}, {}, keyOf(vm.capacity), {}};
     if (!vm.known) {
         return;
     }
@@ -328,6 +329,10 @@
 void Ledger::reindex(VmIndex index)
 {
     const LedgerVm &vm = this->vms[index];
+    Counted &sums = this->counted[index];
+    this->openReserved -= sums.reserved;
+    sums.reserved = sums.open.slots > 0 ? Demand{vm.reserved, static_cast<std::int64_t>(vm.tasks.size())} : Demand{};
+    this->openReserved += sums.reserved;
     const VmRoom room{vm.free(), vm.capacity.accelerators > 0, vm.tasks.empty()};
     const auto place = [&](ServiceIndex service) {
         auto &indexes = this->services[service];
--- a/src/policy/Ledger.h
+++ b/src/policy/Ledger.h
@@ -159,6 +159,14 @@
         return this->reservedTotal;
     }
 
+    /// What is free on the VMs that take work, all together.
+    Demand room() const
+    {
+        Demand free = this->openTotal;
+        free -= this->openReserved;
+        return free;
+    }
+
     const std::string &rackName(std::uint32_t rack) const
     {
         return this->rackNames[rack];
@@ -178,7 +186,8 @@
 
     /// What a VM adds to the sums.
     struct Counted {
-        Demand open;
+        Demand open; ///< Zero where the VM takes no work.
+        Demand reserved; ///< The same.
         CapacityKey capacity;
         std::vector<ServiceIndex> services;
     };
@@ -205,6 +214,7 @@
     std::array<VmIndex, ChangeLogSize> changeLog{};
     std::uint64_t roomVersion = 1;
     Demand openTotal;
+    Demand openReserved;
     Demand reservedTotal;
 };
 
--- a/src/policy/PlannerCore.cpp
+++ b/src/policy/PlannerCore.cpp
@@ -358,8 +358,7 @@
     if (this->zone.requestsWaiting > 0) {
         return 0;
     }
-    Demand free = this->zone.ledger.total();
-    free -= this->zone.ledger.reserved();
+    const Demand free = this->zone.ledger.room();
     const auto count = std::max<std::int64_t>(1, held.slots);
     const model::Resources usual{held.resources.cpuMillis / count, held.resources.memoryMiB / count, held.resources.accelerators / count};
     std::int64_t room = free.slots;
--- a/src/policy/Starter.cpp
+++ b/src/policy/Starter.cpp
@@ -28,6 +28,11 @@
 bool Starter::startNext(base::SteadyTime now)
 {
     this->zone.shares.reorder();
+    this->room = this->zone.ledger.room();
+    this->spare = this->room;
+    if (this->zone.profile != Profile::Packing) {
+        this->spare -= this->headroom.wanted(this->zone.requestsReserved, this->zone.ledger.total());
+    }
     return this->startProbe(now) || this->startTier(Tier::UrgentWithinDue, now) || this->startTier(Tier::All, now);
 }
 
@@ -103,7 +108,7 @@
             seen.blockedVersion = ledger.version();
             continue;
         }
-        const Outcome outcome = this->tryJob(seen.job, now);
+        const Outcome outcome = this->fitsInZone(seen, kind) ? this->tryJob(seen.job, now) : this->notInZone(seen);
         if (outcome == Outcome::Started) {
             return true;
         }
@@ -114,6 +119,20 @@
     return false;
 }
 
+bool Starter::fitsInZone(const JobInSight &seen, JobKind kind) const
+{
+    return taskDemand(seen.need).fitsIn(ClassPolicy::of(kind).isUrgent() ? this->room : this->spare);
+}
+
+Starter::Outcome Starter::notInZone(const JobInSight &seen)
+{
+    if (taskDemand(seen.need).fitsIn(this->room)) {
+        return Outcome::HeldBack; // What is left is kept for requests.
+    }
+    this->zone.jobs.at(seen.job).blockedVersion = this->zone.ledger.version();
+    return Outcome::NoRoom;
+}
+
 void Starter::sortByFit(std::vector<JobInSight> &sight, base::SteadyTime now) const
 {
     if (sight.empty()) {
@@ -182,9 +201,6 @@
     if (vm == NoIndex) {
         vm = this->findBackfill(job, now);
     }
-    if (vm != NoIndex && !this->keepsHeadroom(job)) {
-        return Outcome::HeldBack;
-    }
     if (vm != NoIndex) {
         this->commit(index, vm, this->zone.ledger.chooseUpstream(vm, job.service), now);
         return Outcome::Started;
@@ -255,19 +271,6 @@
     return found;
 }
 
-bool Starter::keepsHeadroom(const JobEntry &job) const
-{
-    if (this->zone.profile == Profile::Packing || ClassPolicy::of(job.kind).isUrgent()) {
-        return true;
-    }
-    const Ledger &ledger = this->zone.ledger;
-    Demand room = ledger.total();
-    room -= ledger.reserved();
-    room -= taskDemand(job.need);
-    const Demand wanted = this->headroom.wanted(this->zone.requestsReserved, ledger.total());
-    return wanted.fitsIn(room);
-}
-
 void Starter::commit(JobIndex index, VmIndex vm, UpstreamIndex upstream, base::SteadyTime now)
 {
     JobEntry &job = this->zone.jobs.at(index);
--- a/src/policy/Starter.h
+++ b/src/policy/Starter.h
@@ -52,12 +52,16 @@
     Outcome tryTask(JobIndex job, base::SteadyTime now);
     VmIndex findVm(const JobEntry &job) const;
     VmIndex findBackfill(const JobEntry &job, base::SteadyTime now) const;
-    bool keepsHeadroom(const JobEntry &job) const;
+    /// Whether the zone as a whole has room for it; cheap, before any VM is looked at.
+    bool fitsInZone(const JobInSight &seen, model::JobKind kind) const;
+    Outcome notInZone(const JobInSight &seen);
     void commit(JobIndex job, VmIndex vm, UpstreamIndex upstream, base::SteadyTime now);
 
     ZoneState &zone;
     GangReserver &gangs;
     RequestHeadroom &headroom;
+    Demand room; ///< Of all VMs that take work, as of this pass.
+    Demand spare; ///< Of that, what need not be kept for requests.
 };
 
 } // namespace cranberryreel::policy
