Bound the log in memory by bytes and refuse commands that fit no frame

Cause: entries may be whole registers of megabytes; 10,000 of them would not fit a daemon. Ruled out: a race (none reported).

--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -306,7 +306,7 @@
     }
 }
 
-std::shared_ptr<const Snapshot> Core::compact(std::string state, std::uint64_t retainedEntries)
+std::shared_ptr<const Snapshot> Core::compact(std::string state, std::uint64_t retainedEntries, std::size_t retainedBytes)
 {
     assert(this->output.committed.empty());
     auto snapshot = std::make_shared<Snapshot>();
@@ -316,9 +316,7 @@
     snapshot->state = std::move(state);
     this->latestSnapshot = snapshot;
     this->encodedSnapshot = nullptr;
-    if (this->commit > retainedEntries) {
-        this->entries.compactTo(this->commit - retainedEntries);
-    }
+    this->entries.compactTo(this->entries.startOfLast(this->commit, retainedEntries, retainedBytes));
     return snapshot;
 }
 
--- a/src/replication/Core.h
+++ b/src/replication/Core.h
@@ -63,7 +63,8 @@
     CoreOutput take();
 
     /// Takes the state machine's state after everything committed, in place of the entries up to there. The owner has applied all outputs.
-    std::shared_ptr<const Snapshot> compact(std::string state, std::uint64_t retainedEntries);
+    /// Of the entries up to there it keeps at most these many entries and bytes in memory, for members that lag a little.
+    std::shared_ptr<const Snapshot> compact(std::string state, std::uint64_t retainedEntries, std::size_t retainedBytes);
 
     /// When tick() has something to do next.
     base::SteadyTime nextDeadline() const;
--- a/src/replication/Group.h
+++ b/src/replication/Group.h
@@ -19,8 +19,8 @@
     SyncedDisk, ///< And at least one member has synced it to a disk.
 };
 
-/// The outcome of a proposal. Ok: applied, `result` is what apply returned. NotLeader, NoDurableStore and QueueFull: it was not and will not be applied by
-/// this proposal. GroupUnavailable: leadership was lost on the way; it may still be applied.
+/// The outcome of a proposal. Ok: applied, `result` is what apply returned. NotLeader, NoDurableStore, QueueFull and BodyTooLarge (3 MiB): it was not and
+/// will not be applied by this proposal. GroupUnavailable: leadership was lost on the way; it may still be applied.
 struct ProposeResult {
     base::ResultCode code = base::ResultCode::Ok;
     std::string result;
--- a/src/replication/GroupBuilder.cpp
+++ b/src/replication/GroupBuilder.cpp
@@ -7,6 +7,7 @@
 #include "cranberryreel/base/Clock.h"
 #include "cranberryreel/base/Error.h"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -105,9 +106,6 @@
     if (times.driftMargin.count() <= 0 || times.lease() <= 2 * times.heartbeat || times.electionMax < times.electionMin) {
         refuse("A group's lease needs a drift margin and must outlast two heartbeats.");
     }
-    if (times.restartGrace < times.electionMax || times.formationSettle < times.electionMax) {
-        refuse("A group's restart grace and formation settle time must not be shorter than its longest election timeout.");
-    }
 }
 
 std::unique_ptr<Group> GroupBuilder::build()
@@ -120,6 +118,8 @@
     options.core.termFloor = this->floor.value_or(wallMilliseconds());
     options.core.seed = this->randomSeed.value_or(randomNumber());
     options.core.timings = this->groupTimings;
+    options.core.timings.restartGrace = std::max(this->groupTimings.restartGrace, this->groupTimings.electionMax);
+    options.core.timings.formationSettle = std::max(this->groupTimings.formationSettle, this->groupTimings.electionMax);
     const Member *own = options.core.members.find(this->vm);
     if (own == nullptr || own->hasDisk == this->folder.empty()) {
         refuse("A group member must be listed by its VM, with a disk exactly when it has a data folder.");
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -17,6 +17,7 @@
 namespace
 {
 
+constexpr std::size_t MaxCommandBytes = 3UL * 1024 * 1024; ///< So that a message that carries it fits a frame.
 constexpr std::size_t MaxWaitingProposals = 65536;
 constexpr std::size_t MaxWaitingBytes = 32UL * 1024 * 1024; ///< Received; what comes beyond is dropped, as a network would.
 
@@ -68,6 +69,10 @@
 
 void GroupRunner::propose(std::string command, Durability durability, ProposeCallback done)
 {
+    if (command.size() > MaxCommandBytes) {
+        done(ProposeResult{base::ResultCode::BodyTooLarge, ""});
+        return;
+    }
     base::ResultCode refusal = base::ResultCode::NotLeader;
     {
         const absl::MutexLock lock(&this->mutex);
@@ -309,15 +314,18 @@
         result = this->options.stateMachine->apply(entry.index, entry.data);
     }
     this->applied = entry.index;
+    this->bytesSinceSnapshot += entry.data.size();
     this->pending.applied(entry.index, entry.term, std::move(result), base::steadyNow() + this->options.core.timings.requestLimit);
 }
 
 void GroupRunner::compactIfDue()
 {
-    if (this->applied < this->snapshotIndex + this->options.snapshotEveryEntries) {
+    const bool manyEntries = this->applied >= this->snapshotIndex + this->options.snapshotEveryEntries;
+    if (!manyEntries && this->bytesSinceSnapshot < this->options.snapshotEveryBytes) {
         return;
     }
-    const auto snapshot = this->core->compact(this->options.stateMachine->snapshot(), this->options.retainedEntries);
+    const auto snapshot = this->core->compact(this->options.stateMachine->snapshot(), this->options.retainedEntries, this->options.retainedBytes);
+    this->bytesSinceSnapshot = 0;
     const std::vector<Entry> after =
         this->core->log().slice(snapshot->index + 1, std::numeric_limits<std::size_t>::max(), std::numeric_limits<std::size_t>::max());
     this->options.store->compact(*snapshot, this->core->hardState(), after);
@@ -348,6 +356,7 @@
         log().info("This member leads term {}.", term);
         this->announcedTerm = term;
         this->publishLease();
+        this->publishStatus();
         if (this->options.listener != nullptr) {
             this->options.listener->leadershipGained(term);
         }
--- a/src/replication/GroupRunner.h
+++ b/src/replication/GroupRunner.h
@@ -12,6 +12,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -66,6 +67,7 @@
     PendingReads reads;
     std::uint64_t applied = 0;
     std::uint64_t snapshotIndex = 0;
+    std::size_t bytesSinceSnapshot = 0; ///< Of applied entries.
     std::uint64_t proposedTerm = 0; ///< The term in which pending proposals were made.
     std::uint64_t announcedTerm = 0; ///< The listener has been told of this term's leadership; 0 for none.
     std::string initialState; ///< Of the state machine, before anything was applied.
--- a/src/replication/GroupRunnerOptions.h
+++ b/src/replication/GroupRunnerOptions.h
@@ -5,6 +5,7 @@
 #include "replication/LogStore.h"
 #include "replication/StateMachine.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 
@@ -19,7 +20,9 @@
     LeadershipListener *listener = nullptr; ///< Not owned; may be null.
     SendToMember sendToMember;
     std::uint64_t snapshotEveryEntries = 8192; ///< Applied since the last snapshot.
+    std::size_t snapshotEveryBytes = 8UL * 1024 * 1024; ///< Or so many bytes.
     std::uint64_t retainedEntries = 2048; ///< Kept in memory behind a snapshot, for members that lag a little.
+    std::size_t retainedBytes = 1024UL * 1024; ///< At most.
 };
 
 } // namespace cranberryreel::replication
--- a/src/replication/ReplicatedLog.cpp
+++ b/src/replication/ReplicatedLog.cpp
@@ -44,6 +44,20 @@
     }
 }
 
+std::uint64_t ReplicatedLog::startOfLast(std::uint64_t index, std::uint64_t maxEntries, std::size_t maxBytes) const
+{
+    std::uint64_t start = index;
+    std::size_t bytes = 0;
+    while (start > this->base.index && index - start < maxEntries) {
+        bytes += this->at(start).data.size();
+        if (bytes > maxBytes) {
+            break;
+        }
+        --start;
+    }
+    return start;
+}
+
 void ReplicatedLog::reset(LogPosition position)
 {
     this->tail.clear();
--- a/src/replication/ReplicatedLog.h
+++ b/src/replication/ReplicatedLog.h
@@ -46,6 +46,9 @@
     /// Drops the entries up to `index`, which becomes the base.
     void compactTo(std::uint64_t index);
 
+    /// The index before the last entries up to `index` that are at most these many entries and bytes.
+    std::uint64_t startOfLast(std::uint64_t index, std::uint64_t maxEntries, std::size_t maxBytes) const;
+
     /// Starts over after a snapshot at `position`.
     void reset(LogPosition position);
 
