--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::size_t ConnectionMemoryBytes = 16U << 10U;
+constexpr std::size_t ConnectionMemoryBytes = 8U << 10U;
 constexpr unsigned int RefusalConnections = 256; ///< Beyond the limit, so that a refusal can be told.
 constexpr std::size_t DrainFactor = 4; ///< An oversized body is read and dropped up to so many times its limit, so that the refusal reaches its sender.
 constexpr std::chrono::milliseconds StopPoll{2};
