Hold connections to what the process may open

Cause: a daemon started with the usual limit of 1,024 open files would take connections until calls to upstreams and log files failed. Ruled out: raising the limit from within (it is the operator's).

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -2,6 +2,7 @@
 
 #include "cranberryreel/base/Error.h"
 #include "http/AnswerWriter.h"
+#include "http/ConnectionCap.h"
 #include "http/ConnectionTable.h"
 #include "http/Exchange.h"
 #include "http/ListenSocket.h"
@@ -52,6 +53,15 @@
     return info == nullptr ? nullptr : static_cast<ConnectionWatch *>(info->socket_context);
 }
 
+ServerOptions withinFileLimit(ServerOptions options)
+{
+    if (const unsigned int cap = connectionCap(options.maxConnections, openFileLimit()); cap < options.maxConnections) {
+        log().warn("Takes {} connections at most, not {}; the process may open too few files.", cap, options.maxConnections);
+        options.maxConnections = cap;
+    }
+    return options;
+}
+
 Response refusalOf(base::ResultCode code, std::size_t limit)
 {
     Response response;
@@ -68,7 +78,7 @@
 
 struct Server::Core {
     Core(ServerOptions serverOptions, Handler requestHandler, Response unfinishedResponse)
-        : options(std::move(serverOptions))
+        : options(withinFileLimit(std::move(serverOptions)))
         , handler(std::move(requestHandler))
         , unfinished(std::move(unfinishedResponse))
         , connections(options)
