Tell whether a member of the configuration group votes again

Cause: under ThreadSanitizer aMemberThatLostItsDiskComesBackAtTheGroupsRevision failed once: the test stopped a second member before the first, back without its disk, had been caught up, and two of three members without one that may vote cannot go on. Nothing was lost; changes waited. An operator who replaces members could not see that state either.

--- a/src/config/ReplicatedConfigService.cpp
+++ b/src/config/ReplicatedConfigService.cpp
@@ -70,10 +70,7 @@
     }
     this->receiveMessages();
     this->receiveCalls();
-    observe::gauge("cranberryreel_config_revision", "Revision in force at this VM.", "", [weak = std::weak_ptr<InForce>(this->inForce)] {
-        const auto alive = weak.lock();
-        return alive ? static_cast<double>(alive->revision()) : 0.0;
-    });
+    this->showFigures();
 }
 
 ReplicatedConfigService::~ReplicatedConfigService()
@@ -81,6 +78,19 @@
     this->stop(std::chrono::milliseconds(0));
 }
 
+void ReplicatedConfigService::showFigures()
+{
+    observe::gauge("cranberryreel_config_revision", "Revision in force at this VM.", "", [weak = std::weak_ptr<InForce>(this->inForce)] {
+        const auto alive = weak.lock();
+        return alive ? static_cast<double>(alive->revision()) : 0.0;
+    });
+    if (this->group) {
+        observe::gauge("cranberryreel_config_member_caught_up", "1 when this member of the configuration group votes.", "", [shown = this->caughtUp] {
+            return *shown ? 1.0 : 0.0;
+        });
+    }
+}
+
 void ReplicatedConfigService::makeMember(const GroupFactory &makeGroup)
 {
     this->store = std::make_unique<ConfigStore>();
@@ -140,6 +150,11 @@
     return this->startCheck.isReady();
 }
 
+std::optional<replication::GroupStatus> ReplicatedConfigService::groupStatus() const
+{
+    return this->group ? std::make_optional(this->group->status()) : std::nullopt;
+}
+
 std::shared_ptr<const Configuration> ReplicatedConfigService::current() const
 {
     return this->inForce->current();
@@ -192,6 +207,7 @@
 {
     this->startCheck.step();
     this->exchange.round();
+    *this->caughtUp = this->group && this->group->status().caughtUp;
     this->worker->postAfter(this->options.timings.exchangeInterval, [this] { this->tick(); });
 }
 
--- a/src/config/ReplicatedConfigService.h
+++ b/src/config/ReplicatedConfigService.h
@@ -15,9 +15,11 @@
 #include "replication/Group.h"
 #include "replication/StateMachine.h"
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace cranberryreel::config
 {
@@ -43,12 +45,16 @@
     /// True once this VM may serve: what is in force here is no older than what it served on before a restart.
     bool isReady() const;
 
+    /// This VM's standing in the configuration group; empty where it is no member.
+    std::optional<replication::GroupStatus> groupStatus() const;
+
     std::shared_ptr<const Configuration> current() const override;
     void onChange(std::function<void(std::shared_ptr<const Configuration>)> listener) override;
     void change(Change change, ChangeDone done) override;
     void status(StatusDone done) override;
 
 private:
+    void showFigures();
     void makeMember(const GroupFactory &makeGroup);
     void receiveMessages();
     void receiveCalls();
@@ -63,6 +69,7 @@
     link::LinkHub &hub;
     const std::shared_ptr<base::Mailbox> worker;
     const std::shared_ptr<InForce> inForce;
+    const std::shared_ptr<std::atomic<bool>> caughtUp = std::make_shared<std::atomic<bool>>(false); ///< For the figures.
     ConfigPeers peers;
     RevisionExchange exchange;
     StartCheck startCheck;
--- a/tests/config/ReplicatedConfigServiceTest.cpp
+++ b/tests/config/ReplicatedConfigServiceTest.cpp
@@ -212,6 +212,7 @@
     deployment.start("hfj-a");
     BOOST_REQUIRE(support::eventually([&] { return deployment.isReady("hfj-a"); }));
     BOOST_TEST(deployment["hfj-a"].current()->revision == 2U);
+    BOOST_REQUIRE(support::eventually([&] { return deployment["hfj-a"].groupStatus()->caughtUp; }));
     deployment.stop("rey-a");
     const ChangeReply reply = deployment.change("akr-b", {"third", 2, ChangePart::Register, TestDeployment::registerOf(3)});
     BOOST_TEST((reply.code == ResultCode::Ok), reply.reason);
