Count a cancelled task as no failure of its upstream

Cause: a task stopped at its caller's wish was told to the planner as failed; a wave of cancellations then took both upstreams of a zone out as failing everything they start. Conclusion: TaskEnd::Stopped says nothing of the work or its upstream; a case in FaultsTest holds it.

--- a/src/policy/Planner.h
+++ b/src/policy/Planner.h
@@ -73,6 +73,7 @@
     NotStarted, ///< The start was refused or never left: reservation released, the task waits again at its old place in the queue.
     Preempted, ///< Waits again.
     Lost, ///< Upstream or lease gone; ended provably. Waits again where `again` is set.
+    Stopped, ///< Ended at the caller's wish; says nothing of the work or the upstream.
 };
 
 struct ShareRow {
--- a/src/zone/TaskEnder.cpp
+++ b/src/zone/TaskEnder.cpp
@@ -30,6 +30,9 @@
     if (code == base::ResultCode::LeaseLost || code == base::ResultCode::OutcomeUnknown) {
         return policy::TaskEnd::Lost;
     }
+    if (code == base::ResultCode::CancelledWhileRunning) {
+        return policy::TaskEnd::Stopped;
+    }
     if (state == model::JobState::NotRun) {
         return policy::TaskEnd::NotStarted;
     }
--- a/tests/policy/FaultsTest.cpp
+++ b/tests/policy/FaultsTest.cpp
@@ -198,4 +198,17 @@
     BOOST_TEST(this->planner->load(this->now).waiting == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(aWaveOfCancellationsTakesNoUpstreamOut)
+{
+    this->addVm("wave1", {64000, 65536, 0}, 16);
+    this->enqueue(spec("wave", JobKind::Batch, {1000, 1024, 0}, 16));
+    this->planAndStart();
+    this->planner->cancel("wave", this->now);
+    for (std::uint32_t task = 0; task < 16; ++task) {
+        this->end("wave", task, TaskEnd::Stopped);
+    }
+    this->enqueue(spec("next", JobKind::Batch, {1000, 1024, 0}, 16));
+    BOOST_TEST(count(this->plan(), DecisionKind::Start, "next") == 16U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
