--- a/tests/scenario/ApiClient.cpp
+++ b/tests/scenario/ApiClient.cpp
@@ -55,8 +55,8 @@
     if (!body.empty()) {
         curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDS, body.c_str());
     }
-    if (curl_easy_perform(curl.get()) != CURLE_OK) {
-        return {};
+    if (const CURLcode result = curl_easy_perform(curl.get()); result != CURLE_OK) {
+        return {0, result != CURLE_COULDNT_CONNECT, {}};
     }
     curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &reply.status);
     return reply;
--- a/tests/scenario/ApiClient.h
+++ b/tests/scenario/ApiClient.h
@@ -12,6 +12,7 @@
 /// What came back from one HTTP call; `status` is 0 where nothing came back whole.
 struct ApiReply {
     long status = 0;
+    bool reached = true; ///< False where no connection came about, so that nothing was sent.
     std::string body;
 
     /// The body as an object; empty when it is none.
--- a/tests/scenario/Callers.cpp
+++ b/tests/scenario/Callers.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr unsigned CallerThreads = 256; ///< Enough for those that wait at a frozen VM.
+constexpr unsigned CancelThreads = 16;
 constexpr Milliseconds UsualDeadline{10000};
 constexpr Milliseconds UsualRunTime{20};
 constexpr Milliseconds Slack{5000}; ///< Beyond a deadline, before a caller gives up on its connection.
@@ -53,7 +54,7 @@
     } else if (reply.status != 0 && told.code >= 0) {
         told.state = saysNotRun(told.code) ? "refused" : "unknown";
     } else {
-        told.state = "lost";
+        told.state = reply.reached ? "lost" : "unreached";
     }
     return told;
 }
@@ -138,11 +139,23 @@
 
 void Callers::cancel(const std::string &name, const std::string &vm)
 {
-    for (const Work &work : this->worksNamed(name)) {
-        if (!work.id.empty()) {
-            const std::string url = this->cluster.entryUrl(vm) + "/v1/work/" + work.id;
-            this->enqueue([url] { callApi("DELETE", url, Cluster::PartnerKey, "", UsualDeadline); });
+    this->awaitIdle(UsualDeadline);
+    const std::vector<Work> works = this->worksNamed(name);
+    std::atomic<std::size_t> next{0};
+    const auto cancelSome = [&works, &next, url = this->cluster.entryUrl(vm) + "/v1/work/"] {
+        for (std::size_t index = next++; index < works.size(); index = next++) {
+            if (!works.at(index).id.empty()) {
+                callApi("DELETE", url + works.at(index).id, Cluster::PartnerKey, "", UsualDeadline);
+            }
         }
+    };
+    std::vector<std::thread> cancellers;
+    cancellers.reserve(CancelThreads);
+    for (unsigned i = 0; i < CancelThreads; ++i) {
+        cancellers.emplace_back(cancelSome);
+    }
+    for (std::thread &canceller : cancellers) {
+        canceller.join();
     }
 }
 
@@ -183,13 +196,9 @@
 
 bool Callers::settle(const std::vector<std::string> &vms, Milliseconds limit)
 {
-    const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(this->mutex) { return this->tasks.empty() && this->busy == 0; };
     const auto deadline = std::chrono::steady_clock::now() + limit;
     for (std::size_t turn = 0; std::chrono::steady_clock::now() < deadline; ++turn) {
-        {
-            absl::MutexLock lock(&this->mutex);
-            this->mutex.AwaitWithTimeout(absl::Condition(&idle), absl::FromChrono(limit));
-        }
+        this->awaitIdle(limit);
         const std::vector<std::size_t> open = this->unsettled();
         if (open.empty()) {
             return true;
@@ -202,6 +211,13 @@
     return this->unsettled().empty();
 }
 
+void Callers::awaitIdle(Milliseconds limit)
+{
+    const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(this->mutex) { return this->tasks.empty() && this->busy == 0; };
+    absl::MutexLock lock(&this->mutex);
+    this->mutex.AwaitWithTimeout(absl::Condition(&idle), absl::FromChrono(limit));
+}
+
 std::vector<Work> Callers::works() const
 {
     absl::MutexLock lock(&this->mutex);
@@ -254,11 +270,7 @@
         return;
     }
     const std::string url = this->cluster.entryUrl(vm) + (work.isJob ? "/v1/jobs" : "/v1/requests");
-    const ApiReply reply = callApi("POST", url, Cluster::PartnerKey, work.body, UsualDeadline + Slack);
-    this->keep(index, reply);
-    if (!this->at(index).settled()) {
-        this->follow(index, vm);
-    }
+    this->keep(index, callApi("POST", url, Cluster::PartnerKey, work.body, UsualDeadline + Slack));
 }
 
 void Callers::follow(std::size_t index, const std::string &vm)
--- a/tests/scenario/Callers.h
+++ b/tests/scenario/Callers.h
@@ -31,6 +31,8 @@
 
     /// Sends every piece of work of a name again, word for word.
     void resend(const std::string &name, const std::string &vm);
+
+    /// Waits until what is under way has been sent, and returns once every cancellation is answered.
     void cancel(const std::string &name, const std::string &vm);
 
     void beginLoad(const std::string &name,
@@ -55,6 +57,7 @@
 
     void enqueue(std::function<void()> task);
     void serve();
+    void awaitIdle(Milliseconds limit);
     void attempt(std::size_t index, const std::string &vm);
     void follow(std::size_t index, const std::string &vm);
     void keep(std::size_t index, const ApiReply &reply);
--- a/tests/scenario/Cluster.cpp
+++ b/tests/scenario/Cluster.cpp
@@ -97,6 +97,11 @@
     }
 }
 
+std::size_t Cluster::zoneCount() const
+{
+    return this->zones.size();
+}
+
 std::vector<std::string> Cluster::vms() const
 {
     std::vector<std::string> all;
@@ -366,7 +371,11 @@
 
 std::vector<std::string> Cluster::linksDialedBy(const std::string &dialer, const std::string &target) const
 {
-    const std::string name = linkName(this->nodes.at(target).isUpstream ? AnyDialer : dialer, target);
+    const bool isUpstream = this->nodes.at(target).isUpstream;
+    if (isUpstream && this->nodes.at(target).zone != this->nodes.at(dialer).zone) {
+        return {}; // Only its own zone's daemons call an upstream.
+    }
+    const std::string name = linkName(isUpstream ? AnyDialer : dialer, target);
     return this->relayPorts.count(name) > 0 ? std::vector<std::string>{name} : std::vector<std::string>{};
 }
 
--- a/tests/scenario/Cluster.h
+++ b/tests/scenario/Cluster.h
@@ -35,6 +35,7 @@
     /// Lays out ports, links, folders and settings; before the first start.
     void layOut();
 
+    std::size_t zoneCount() const;
     std::vector<std::string> vms() const;
     std::vector<std::string> vmsOf(const std::string &zone) const;
     std::vector<std::string> upstreams() const;
--- a/tests/scenario/Runner.cpp
+++ b/tests/scenario/Runner.cpp
@@ -50,6 +50,7 @@
         boost::apply_visitor(StepVisitor{*this}, line.step);
         if (!this->unmet.empty()) {
             this->callers.endAllLoads();
+            this->noteOutcomes(this->callers.works());
             return {fmt::format("{}:{}: {}: {}", this->script.name, line.number, line.text, this->unmet), this->cluster.tails()};
         }
     }
@@ -84,6 +85,7 @@
     this->await("a VM is not ready", [this] { return this->holds(ReadyCondition{{PlaceKind::EveryVm, ""}}); });
     this->await("the revisions differ", [this] { return this->holds(RevisionCondition{{PlaceKind::EveryVm, ""}}); });
     this->await("an upstream gets no work", [this] { return this->everyUpstreamAccepts(); });
+    this->await("a zone does not place", [this] { return this->everyZonePlaces(); });
 }
 
 void Runner::runStep(const ActionStep &step)
@@ -294,6 +296,14 @@
     return static_cast<std::size_t>(accepting) == this->cluster.upstreams().size();
 }
 
+bool Runner::everyZonePlaces()
+{
+    const nlohmann::json view = this->cluster.asOperator(this->cluster.vms().front(), "GET", "/v1/ops/zones").json();
+    const nlohmann::json rows = view.value("zones", nlohmann::json::array());
+    const auto isPlacing = [](const nlohmann::json &row) { return row.value("placing", false) && row.value("recovered", false); };
+    return rows.size() == this->cluster.zoneCount() && std::all_of(rows.begin(), rows.end(), isPlacing);
+}
+
 void Runner::ensureLaidOut()
 {
     if (!this->laidOut) {
--- a/tests/scenario/Runner.h
+++ b/tests/scenario/Runner.h
@@ -59,6 +59,7 @@
     bool holds(const PlacesCondition &condition);
     bool holds(const StateCondition &condition);
     bool holds(const StartedCondition &condition);
+    bool holds(const NoLossCondition &condition);
     bool holds(const NoStartCondition &condition);
     bool holds(const ExitCondition &condition);
     bool holds(const RevisionCondition &condition);
@@ -81,6 +82,7 @@
     void ensureLaidOut();
     bool registerIsLoaded();
     bool everyUpstreamAccepts();
+    bool everyZonePlaces();
     void await(const char *what, const std::function<bool()> &condition);
     std::vector<std::string> namesAt(const Place &place, const std::vector<std::string> &otherSide = {});
     std::vector<std::string> vmsAt(const Place &place);
--- a/tests/scenario/RunnerConditions.cpp
+++ b/tests/scenario/RunnerConditions.cpp
@@ -89,6 +89,13 @@
     return std::count_if(events.begin(), events.end(), isStart) == condition.times;
 }
 
+bool Runner::holds(const NoLossCondition &condition)
+{
+    const std::vector<Work> works = this->callers.worksNamed(condition.name);
+    const auto wasLost = [](const Told &told) { return told.state == "lost"; };
+    return std::none_of(works.begin(), works.end(), [&wasLost](const Work &work) { return std::any_of(work.told.begin(), work.told.end(), wasLost); });
+}
+
 bool Runner::holds(const NoStartCondition &condition)
 {
     const std::vector<std::string> names = this->namesAt(condition.at);
--- a/tests/scenario/Script.h
+++ b/tests/scenario/Script.h
@@ -192,6 +192,11 @@
     unsigned times = 0;
 };
 
+/// stream lost no answer
+struct NoLossCondition {
+    std::string name;
+};
+
 /// no start at u1 for 3 s
 struct NoStartCondition {
     Place at;
@@ -220,6 +225,7 @@
                                              PlacesCondition,
                                              StateCondition,
                                              StartedCondition,
+                                             NoLossCondition,
                                              NoStartCondition,
                                              ExitCondition,
                                              RevisionCondition,
--- a/tests/scenario/ScriptParser.cpp
+++ b/tests/scenario/ScriptParser.cpp
@@ -151,6 +151,9 @@
     [](const std::string &text, Condition &into) {
         return readOnly<WinnerCondition, &WinnerCondition::phrase>(text, word("one") >> x3::string("winner"), into);
     },
+    [](const std::string &text, Condition &into) {
+        return readOnly<NoLossCondition, &NoLossCondition::name>(text, name >> word("lost") >> word("no") >> word("answer"), into);
+    },
     [](const std::string &text, Condition &into) { return readWhole<ExitCondition>(text, name >> word("exited") >> word("with") >> uint_, into); },
     [](const std::string &text, Condition &into) { return readWhole<StartedCondition>(text, name >> word("started") >> uint_ >> word("times"), into); },
     [](const std::string &text, Condition &into) { return readOnly<ReadyCondition, &ReadyCondition::place>(text, place >> word("is") >> word("ready"), into); },
--- a/tests/scenario/Work.h
+++ b/tests/scenario/Work.h
@@ -10,7 +10,8 @@
 
 /// What a caller was told by one attempt of a request.
 struct Told {
-    std::string state; ///< done, failed, not_run or unknown; refused for an error that says the attempt did not run; lost where no whole answer came.
+    std::string state; ///< done, failed, not_run or unknown; refused for an error that says the attempt did not run; lost where no whole answer came; unreached
+                       ///< where the VM took no connection.
     int code = 0;
     std::string answer;
     std::string id;
@@ -38,7 +39,7 @@
     bool settled() const
     {
         const std::string last = this->state();
-        return last != "open" && last != "lost";
+        return last != "open" && last != "lost" && last != "unreached";
     }
 };
 
