Renew without listing what runs, four times in five; let requests end before leadership moves

Ruled out: reports by difference (state at both ends); longer silence limits (3 s is promised). Conclusion: running tasks are listed every 5 s, ended ones at once; announcements thin out with the number of upstreams; a stop waits up to 3 s for requests in flight before it hands over.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -29,6 +29,8 @@
 
 constexpr std::chrono::milliseconds HandOverLimit{3000};
 constexpr std::chrono::milliseconds BalancerGrace{1000};
+constexpr std::chrono::milliseconds InFlightFirst{3000};
+constexpr std::chrono::milliseconds LookEvery{10};
 
 std::map<std::string, std::vector<std::string>> zoneMembers(const settings::Settings &settings)
 {
@@ -247,6 +249,7 @@
     Logger.info("Stops: not ready, leadership handed over, requests in flight finished.");
     this->entry->beginStop();
     std::this_thread::sleep_for(BalancerGrace);
+    this->awaitRequests(InFlightFirst);
     for (auto &[name, member] : this->zones) {
         member->leave(HandOverLimit);
     }
@@ -262,6 +265,15 @@
     return finished;
 }
 
+/// Most requests end before leadership moves; a zone's only daemon has nobody who could take them over.
+void Daemon::awaitRequests(std::chrono::milliseconds limit) const
+{
+    const base::SteadyTime until = base::steadyNow() + limit;
+    while (this->entry->inFlight() > 0 && base::steadyNow() < until) {
+        std::this_thread::sleep_for(LookEvery);
+    }
+}
+
 void Daemon::reloadKeys()
 {
     try {
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -46,6 +46,7 @@
     void receiveGroupMessages();
     void receiveZoneCalls();
     void sendBeacon(const zone::Beacon &beacon);
+    void awaitRequests(std::chrono::milliseconds limit) const;
     bool isReady() const;
 
     settings::Settings settings;
--- a/src/upstream/HttpUpstreamAdapter.cpp
+++ b/src/upstream/HttpUpstreamAdapter.cpp
@@ -205,7 +205,7 @@
     for (const model::TaskAttempt &ended : order.acknowledged) {
         acknowledged.push_back({{"task_id", ended.taskId}, {"attempt", ended.attempt}});
     }
-    const nlohmann::json body = {{"epoch", order.epoch}, {"lease_ms", order.lease.count()}, {"acknowledged", std::move(acknowledged)}};
+    const nlohmann::json body = {{"epoch", order.epoch}, {"lease_ms", order.lease.count()}, {"whole", order.whole}, {"acknowledged", std::move(acknowledged)}};
     static CallFigures figures("renew");
     const auto answered = [address, done = std::move(done)](const http::ClientResponse &response) { done(renewAnswerOf(address, response)); };
     this->client.call(post(address, "/v1/renew", body, limit), figures.recording(answered));
--- a/src/upstream/UpstreamAdapter.h
+++ b/src/upstream/UpstreamAdapter.h
@@ -43,7 +43,8 @@
 
 struct RenewOrder {
     std::uint64_t epoch = 0;
-    std::chrono::milliseconds lease{0};
+    std::chrono::milliseconds lease{0}; ///< 0: extends nothing, only fences and reads back.
+    bool whole = true; ///< False: running tasks may be left out of the answer, to save bytes.
     std::vector<model::TaskAttempt> acknowledged; ///< Ended attempts whose end is kept here; the upstream may forget them.
 };
 
--- a/src/zone/LeaderTerm.cpp
+++ b/src/zone/LeaderTerm.cpp
@@ -251,7 +251,7 @@
     }
     this->fleet.announced(call.report, base::steadyNow());
     out.epoch = this->context.epoch;
-    out.nextIn = this->context.options.renewEvery;
+    out.nextIn = this->fleet.announceInterval();
     reply(out);
 }
 
--- a/src/zone/UpstreamEntry.h
+++ b/src/zone/UpstreamEntry.h
@@ -29,6 +29,7 @@
     base::SteadyTime lastContact; ///< When the last answered renewal was sent.
     base::SteadyTime leaseSentAt; ///< When a call that may have extended its lease was last sent.
     base::SteadyTime nextRenew;
+    base::SteadyTime nextWhole; ///< When the next renewal is to list running tasks too.
     std::vector<model::TaskAttempt> acknowledge; ///< Ended attempts whose end is kept.
 };
 
--- a/src/zone/UpstreamFleet.cpp
+++ b/src/zone/UpstreamFleet.cpp
@@ -144,22 +144,24 @@
     upstream::RenewOrder order;
     order.epoch = this->context.epoch;
     order.lease = leased ? this->context.options.taskLease : std::chrono::milliseconds(0);
+    order.whole = !leased || now >= entry.nextWhole;
     order.acknowledged = std::exchange(entry.acknowledge, {});
     entry.renewing = true;
     if (leased) {
         entry.leaseSentAt = now;
     }
-    this->context.adapter.renew(
-        entry.record.address,
-        order,
-        this->context.options.callLimit,
-        [this, id = entry.record.id, leased, now, acknowledged = order.acknowledged, guard = this->context.guard](const upstream::RenewAnswer &answer) {
-            guard([this, id, answer, leased, now, acknowledged] { this->renewed(id, answer, leased, now, acknowledged); });
-        });
+    if (order.whole) {
+        entry.nextWhole = now + this->context.options.wholeReportEvery;
+    }
+    this->context.adapter.renew(entry.record.address,
+                                order,
+                                this->context.options.callLimit,
+                                [this, id = entry.record.id, sent = SentRenewal{order, now}, guard = this->context.guard](const upstream::RenewAnswer &answer) {
+                                    guard([this, id, answer, sent] { this->renewed(id, answer, sent); });
+                                });
 }
 
-void UpstreamFleet::renewed(
-    const std::string &id, const upstream::RenewAnswer &answer, bool leased, base::SteadyTime sentAt, std::vector<model::TaskAttempt> acknowledged)
+void UpstreamFleet::renewed(const std::string &id, const upstream::RenewAnswer &answer, const SentRenewal &sent)
 {
     const auto place = this->entries.find(id);
     if (place == this->entries.end()) {
@@ -170,11 +172,11 @@
     entry.renewing = false;
     if (answer.code == base::ResultCode::Ok && answer.report.id == id) {
         // A call without a lease that was answered is followed by one with a lease at once.
-        entry.nextRenew = leased ? sentAt + this->context.options.renewEvery : now;
-        this->answered(entry, answer.report, sentAt);
+        entry.nextRenew = sent.order.lease.count() > 0 ? sent.at + this->context.options.renewEvery : now;
+        this->answered(entry, answer.report, sent);
         return;
     }
-    entry.acknowledge.insert(entry.acknowledge.end(), acknowledged.begin(), acknowledged.end());
+    entry.acknowledge.insert(entry.acknowledge.end(), sent.order.acknowledged.begin(), sent.order.acknowledged.end());
     entry.nextRenew = now + (entry.phase == UpstreamPhase::Lost ? ProbeLostEvery : RetryRenewAfter);
     if (answer.code == base::ResultCode::UpstreamStaleEpoch) {
         this->listener.fencedOut(id);
@@ -186,9 +188,9 @@
     }
 }
 
-void UpstreamFleet::answered(UpstreamEntry &entry, const model::UpstreamReport &report, base::SteadyTime sentAt)
+void UpstreamFleet::answered(UpstreamEntry &entry, const model::UpstreamReport &report, const SentRenewal &sent)
 {
-    entry.lastContact = sentAt;
+    entry.lastContact = sent.at;
     entry.leaving = report.leaving;
     if (report.boot != entry.record.boot) {
         model::UpstreamReport changed = report;
@@ -197,7 +199,7 @@
         return;
     }
     entry.suspect = false;
-    this->listener.upstreamReported(report, true, sentAt);
+    this->listener.upstreamReported(report, sent.order.whole, sent.at);
     this->setPhase(entry, UpstreamPhase::Live);
     this->updateAcceptance(entry);
 }
@@ -243,6 +245,12 @@
     }
 }
 
+std::chrono::milliseconds UpstreamFleet::announceInterval() const
+{
+    const SchedulerOptions &options = this->context.options;
+    return std::max(options.renewEvery, options.announceShare * static_cast<int>(this->entries.size()));
+}
+
 const UpstreamEntry *UpstreamFleet::find(const std::string &id) const
 {
     const auto place = this->entries.find(id);
--- a/src/zone/UpstreamFleet.h
+++ b/src/zone/UpstreamFleet.h
@@ -50,13 +50,20 @@
     /// True while work may be placed at all: a group that knows no upstream waits one lease out first.
     bool mayPlace(base::SteadyTime now) const;
 
+    /// How often an upstream is to announce itself, so that all together stay within the zone's budget of bytes.
+    std::chrono::milliseconds announceInterval() const;
+
 private:
+    struct SentRenewal {
+        upstream::RenewOrder order;
+        base::SteadyTime at;
+    };
+
     void record(const model::UpstreamReport &report, base::SteadyTime now);
     void recorded(const UpstreamRecord &record, bool leaving, base::SteadyTime now);
     void renew(UpstreamEntry &entry, base::SteadyTime now);
-    void
-    renewed(const std::string &id, const upstream::RenewAnswer &answer, bool leased, base::SteadyTime sentAt, std::vector<model::TaskAttempt> acknowledged);
-    void answered(UpstreamEntry &entry, const model::UpstreamReport &report, base::SteadyTime sentAt);
+    void renewed(const std::string &id, const upstream::RenewAnswer &answer, const SentRenewal &sent);
+    void answered(UpstreamEntry &entry, const model::UpstreamReport &report, const SentRenewal &sent);
     void watch(UpstreamEntry &entry, base::SteadyTime now);
     void setPhase(UpstreamEntry &entry, UpstreamPhase phase);
     void updateAcceptance(UpstreamEntry &entry);
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -236,7 +236,9 @@
     }
     answer.report = worker.self;
     for (const auto &[taskId, task] : worker.tasks) {
-        answer.report.tasks.push_back(task);
+        if (order.whole || model::isFinal(task.state)) {
+            answer.report.tasks.push_back(task);
+        }
     }
     return answer;
 }
--- a/tests/support/FakeTaskTable.cpp
+++ b/tests/support/FakeTaskTable.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <random>
 
 namespace cranberryreel::testsupport
@@ -207,7 +208,12 @@
     for (auto &[id, task] : this->tasks) {
         task.leaseUntil = std::max(task.leaseUntil, now + milliseconds(order.at("lease_ms").get<std::int64_t>()));
     }
-    return {200, "application/json", http::jsonText(upstream::upstreamReportToJson(this->report(now))), false};
+    model::UpstreamReport answer = this->report(now);
+    if (!order.value("whole", true)) {
+        const auto runs = [](const model::TaskReport &task) { return task.state == model::JobState::Running; };
+        answer.tasks.erase(std::remove_if(answer.tasks.begin(), answer.tasks.end(), runs), answer.tasks.end());
+    }
+    return {200, "application/json", http::jsonText(upstream::upstreamReportToJson(answer)), false};
 }
 
 http::Response FakeTaskTable::ask(const std::string &taskId, base::SteadyTime now) const
--- a/tests/upstream/HttpUpstreamAdapterTest.cpp
+++ b/tests/upstream/HttpUpstreamAdapterTest.cpp
@@ -66,7 +66,7 @@
     {
         std::promise<RenewAnswer> answer;
         this->adapter.renew(
-            this->fake.address(), {epoch, lease, std::move(acknowledged)}, Patience, [&answer](RenewAnswer given) { answer.set_value(std::move(given)); });
+            this->fake.address(), {epoch, lease, true, std::move(acknowledged)}, Patience, [&answer](RenewAnswer given) { answer.set_value(std::move(given)); });
         return answer.get_future().get();
     }
 
--- a/tests/zone/SchedulerRig.cpp
+++ b/tests/zone/SchedulerRig.cpp
@@ -21,6 +21,7 @@
     this->options.taskLease = std::chrono::milliseconds(400);
     this->options.deliveryMargin = std::chrono::milliseconds(100);
     this->options.renewEvery = std::chrono::milliseconds(50);
+    this->options.wholeReportEvery = std::chrono::milliseconds(100);
     this->options.silentAfter = std::chrono::milliseconds(200);
     this->options.retryDelay = std::chrono::milliseconds(5);
     for (const std::string vm : {"vm-1", "vm-2"}) {
