Check the log line without std::regex

Cause: g++ 12 warns of uninitialized memory inside std::regex under AddressSanitizer, an error in this build. The test compares the whole line as before, its time by its shape. tests/docs still uses std::regex and will meet the same warning (another part's file).

--- a/tests/observe/LogSetupTest.cpp
+++ b/tests/observe/LogSetupTest.cpp
@@ -5,12 +5,26 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <filesystem>
 #include <fstream>
-#include <regex>
 
 using namespace cranberryreel;
 
+namespace
+{
+
+/// The text with a d for each digit.
+std::string shapeOf(std::string text)
+{
+    std::replace_if(
+        text.begin(), text.end(), [](unsigned char letter) { return std::isdigit(letter) != 0; }, 'd');
+    return text;
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(LogSetupTest)
 
 BOOST_AUTO_TEST_CASE(linesCarryTimeLevelAndPrefix)
@@ -25,7 +39,8 @@
     std::ifstream file(path);
     std::string line;
     std::getline(file, line);
-    BOOST_TEST(std::regex_match(line, std::regex(R"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z WARN  zone: Lost 1 of 2\.)")), line);
+    BOOST_TEST(shapeOf(line.substr(0, line.find(' '))) == "dddd-dd-ddTdd:dd:dd.dddZ", line);
+    BOOST_TEST(line.substr(line.find(' ')) == " WARN  zone: Lost 1 of 2.");
     BOOST_TEST(!std::getline(file, line));
 }
 
