--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -2,6 +2,7 @@
 
 #include "cranberryreel/base/Error.h"
 #include "http/AnswerWriter.h"
+#include "http/ConnectionCap.h"
 #include "http/ConnectionTable.h"
 #include "http/Exchange.h"
 #include "http/ListenSocket.h"
@@ -21,7 +22,7 @@
 namespace
 {
 
-constexpr std::size_t ConnectionMemoryBytes = 16U << 10U;
+constexpr std::size_t ConnectionMemoryBytes = 8U << 10U;
 constexpr unsigned int RefusalConnections = 256; ///< Beyond the limit, so that a refusal can be told.
 constexpr std::size_t DrainFactor = 4; ///< An oversized body is read and dropped up to so many times its limit, so that the refusal reaches its sender.
 constexpr std::chrono::milliseconds StopPoll{2};
@@ -52,6 +53,15 @@
     return info == nullptr ? nullptr : static_cast<ConnectionWatch *>(info->socket_context);
 }
 
+ServerOptions withinFileLimit(ServerOptions options)
+{
+    if (const unsigned int cap = connectionCap(options.maxConnections, openFileLimit()); cap < options.maxConnections) {
+        log().warn("Takes {} connections at most, not {}; the process may open too few files.", cap, options.maxConnections);
+        options.maxConnections = cap;
+    }
+    return options;
+}
+
 Response refusalOf(base::ResultCode code, std::size_t limit)
 {
     Response response;
@@ -68,7 +78,7 @@
 
 struct Server::Core {
     Core(ServerOptions serverOptions, Handler requestHandler, Response unfinishedResponse)
-        : options(std::move(serverOptions))
+        : options(withinFileLimit(std::move(serverOptions)))
         , handler(std::move(requestHandler))
         , unfinished(std::move(unfinishedResponse))
         , connections(options)
