--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -13,8 +13,6 @@
 #include "observe/SpanFile.h"
 #include "zone/CallCodec.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <thread>
 #include <utility>
@@ -46,17 +44,6 @@
     return {readKeyFile(settings.keyFile), settings.nextKeyFile.empty() ? std::string() : readKeyFile(settings.nextKeyFile)};
 }
 
-std::string spansAsJson(const std::vector<std::string> &lines)
-{
-    nlohmann::json all = nlohmann::json::array();
-    for (const std::string &line : lines) {
-        if (nlohmann::json span = nlohmann::json::parse(line, nullptr, false); !span.is_discarded()) {
-            all.push_back(std::move(span));
-        }
-    }
-    return all.dump();
-}
-
 } // namespace
 
 Daemon::Daemon(settings::Settings daemonSettings)
@@ -175,7 +162,7 @@
     options.configured = [this] { return this->configuration->isReady(); };
     options.ready = [this] { return this->isReady(); };
     options.metricsText = [] { return observe::prometheusText(); };
-    options.spans = [this](const std::string &id) { return spansAsJson(this->spans->find(id)); };
+    options.spans = [this](const std::string &id) { return this->spans->otlpJson(id); };
     this->entry = entry::EntryServerBuilder().options(options).dispatcher(dispatcher).configuration(this->configuration).build();
 }
 
--- a/src/daemon/ZoneMember.cpp
+++ b/src/daemon/ZoneMember.cpp
@@ -20,7 +20,7 @@
     options.taskLease = settings.timing.taskLease;
     options.silentAfter = settings.timing.upstreamSilentAfter;
     options.startExpiry = settings.timing.startExpiry;
-    options.renewEvery = std::min(options.renewEvery, settings.timing.taskLease / 4);
+    options.renewEvery = std::min(options.renewEvery, settings.timing.taskLease / 3);
     options.resultRetention = settings.limits.requestRetention;
     options.keyRetention = settings.limits.keyRetention;
     return options;
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -18,6 +18,8 @@
 
 using base::ResultCode;
 
+constexpr std::chrono::milliseconds ConfigurationPatience{2000};
+constexpr std::chrono::milliseconds ConfigurationLookEvery{20};
 constexpr unsigned int StatusOk = 200;
 constexpr std::size_t AnnouncementBytes = 72U << 20U; ///< Announcements carry answers.
 constexpr std::chrono::milliseconds LastAnswersLimit{500};
@@ -94,6 +96,7 @@
 
 void EntryServer::start()
 {
+    this->waiting.start();
     this->server->start();
     log().info("Serves on {}:{}.", this->options.server.address, this->server->port());
 }
@@ -109,10 +112,19 @@
 }
 
 void EntryServer::serve(const std::shared_ptr<const http::Request> &request, const http::Responder &respond)
+{
+    this->serveBefore(base::steadyNow() + ConfigurationPatience, request, respond);
+}
+
+void EntryServer::serveBefore(base::SteadyTime until, const std::shared_ptr<const http::Request> &request, const http::Responder &respond)
 {
     static observe::Counter &refused = observe::counter("cranberryreel_entry_refused_total", "Requests answered with an error before any work was done.");
     try {
         auto [route, id] = this->router.find(request->method, request->path);
+        if (this->needsNewerConfiguration(*route, *request)) {
+            this->waitForConfiguration(until, request, respond);
+            return;
+        }
         const Identity identity = this->identityFor(*route, *request);
         route->handle({request, std::move(id), identity, timed(respond, *route)});
     } catch (const base::Error &) {
@@ -121,6 +133,31 @@
     }
 }
 
+/// What is in force here may be older than what this VM served on before; neither a yes nor a no to a partner's key would be sure.
+bool EntryServer::needsNewerConfiguration(const Route &route, const http::Request &request)
+{
+    const bool byKey = route.access == Access::Partner || route.access == Access::Operator;
+    if (!byKey || !this->options.configured || this->options.configured()) {
+        return false;
+    }
+    const std::optional<Identity> identity = this->keys.identify(bearerKey(request.authorization));
+    return !identity || !identity->isOperator;
+}
+
+void EntryServer::waitForConfiguration(base::SteadyTime until, const std::shared_ptr<const http::Request> &request, const http::Responder &respond)
+{
+    if (this->stopping || base::steadyNow() >= until) {
+        throw base::Error(ResultCode::ConfigurationUnavailable, "Not run: this VM has yet to learn the configuration in force; ask another one.");
+    }
+    this->waiting.postAfter(ConfigurationLookEvery, [this, until, request, respond] {
+        try {
+            this->serveBefore(until, request, respond);
+        } catch (const base::Error &error) {
+            respond(http::errorResponse(error.code(), error.what()));
+        }
+    });
+}
+
 Identity EntryServer::identityFor(const Route &route, const http::Request &request)
 {
     if (route.access == Access::Open) {
@@ -131,11 +168,6 @@
         return {};
     }
     const std::optional<Identity> identity = this->keys.identify(bearerKey(request.authorization));
-    const bool mayBeStale = this->options.configured && !this->options.configured();
-    if (mayBeStale && (!identity || !identity->isOperator)) {
-        // What is in force here may be older than what this VM served on before; neither a yes nor a no would be sure.
-        throw base::Error(ResultCode::ConfigurationUnavailable, "This VM has yet to learn the configuration in force; ask another one.");
-    }
     if (!identity) {
         throw base::Error(ResultCode::Unauthorized, "No partner has this key; send Authorization: Bearer KEY with one that the register knows.");
     }
@@ -208,6 +240,7 @@
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - base::steadyNow());
     const bool finished = this->server->awaitIdle(std::max(left, std::chrono::milliseconds(0)));
     this->work.answerOpenAsUnknown();
+    this->waiting.stop();
     this->server->stop(LastAnswersLimit);
     log().info("Stopped; {}.", finished ? "every request was answered" : "some requests were answered as unknown");
     return finished;
--- a/src/entry/EntryServer.h
+++ b/src/entry/EntryServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Mailbox.h"
 #include "cranberryreel/base/Clock.h"
 #include "entry/ConfigHandlers.h"
 #include "entry/EntryOptions.h"
@@ -46,6 +47,9 @@
 private:
     void addRoutes();
     void serve(const std::shared_ptr<const http::Request> &request, const http::Responder &respond);
+    void serveBefore(base::SteadyTime until, const std::shared_ptr<const http::Request> &request, const http::Responder &respond);
+    bool needsNewerConfiguration(const Route &route, const http::Request &request);
+    void waitForConfiguration(base::SteadyTime until, const std::shared_ptr<const http::Request> &request, const http::Responder &respond);
     Identity identityFor(const Route &route, const http::Request &request);
     void checkUpstreamKey(const http::Request &request) const;
     void announce(const Call &call);
@@ -64,6 +68,7 @@
     absl::Mutex graceMutex;
     bool graceCut ABSL_GUARDED_BY(graceMutex) = false;
     std::thread grace;
+    base::Mailbox waiting; ///< Calls that wait for the configuration.
     std::unique_ptr<http::Server> server;
 };
 
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -231,7 +231,8 @@
 void GroupRunner::handleProposals(std::vector<GroupInbox::Proposal> &proposals, base::SteadyTime now)
 {
     for (GroupInbox::Proposal &proposal : proposals) {
-        if (!this->core->holdsLease(now) || this->announcedTerm != this->core->hardState().term) {
+        // Without the lease a proposal is still safe, as only a majority of this term can commit it; after a stalled write the lease is merely late.
+        if (this->core->role() != Role::Leader || this->announcedTerm != this->core->hardState().term) {
             proposal.done(ProposeResult{base::ResultCode::NotLeader, ""});
         } else if (proposal.durability == Durability::SyncedDisk && !this->core->diskReachable(now)) {
             proposal.done(ProposeResult{base::ResultCode::NoDurableStore, ""});
--- a/src/zone/SchedulerOptions.h
+++ b/src/zone/SchedulerOptions.h
@@ -13,9 +13,10 @@
     std::string zone;
     std::string ownVm;
     std::chrono::milliseconds taskLease{5000}; ///< An upstream ends a task that was not renewed for so long.
-    std::chrono::milliseconds renewEvery{1000};
+    std::chrono::milliseconds renewEvery{1800}; ///< A call that fails stops new work at once, so this and callLimit bound how long a silent upstream gets any.
     std::chrono::milliseconds wholeReportEvery{5000}; ///< Renewals between list ended tasks only; a task that vanished is noticed within it.
-    std::chrono::milliseconds announceShare{60}; ///< Upstreams are told to announce themselves this often times their number, at least every renewEvery.
+    std::chrono::milliseconds announceEvery{5000}; ///< Upstreams announce themselves at once when something changed, else so often.
+    std::chrono::milliseconds announceShare{60}; ///< Times the number of upstreams: the least interval between announcements of one.
     std::chrono::milliseconds callLimit{800}; ///< One call to an upstream, beyond the time it may hold its answer.
     std::chrono::milliseconds silentAfter{2500}; ///< No new work goes to an upstream that answered nothing for so long.
     std::chrono::milliseconds deliveryMargin{1000}; ///< Clock drift over a lease, and the longest time that a sent start may still be under way.
--- a/src/zone/UpstreamFleet.cpp
+++ b/src/zone/UpstreamFleet.cpp
@@ -248,7 +248,7 @@
 std::chrono::milliseconds UpstreamFleet::announceInterval() const
 {
     const SchedulerOptions &options = this->context.options;
-    return std::max(options.renewEvery, options.announceShare * static_cast<int>(this->entries.size()));
+    return std::max(options.announceEvery, options.announceShare * static_cast<int>(this->entries.size()));
 }
 
 const UpstreamEntry *UpstreamFleet::find(const std::string &id) const
--- a/tests/scenario/Callers.cpp
+++ b/tests/scenario/Callers.cpp
@@ -34,6 +34,7 @@
                                             ResultCode::HomeZoneUnreachable,
                                             ResultCode::NoDurableStore,
                                             ResultCode::ShuttingDown,
+                                            ResultCode::ConfigurationUnavailable,
                                             ResultCode::DeadlinePassed,
                                             ResultCode::TooManyConnections,
                                             ResultCode::Unauthorized,
