--- a/src/policy/PlannerCore.cpp
+++ b/src/policy/PlannerCore.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr std::chrono::seconds SizeLearnInterval{60};
+constexpr std::chrono::hours LongestTime{24 * 365}; ///< Longer run times and deadlines count as this.
 constexpr std::size_t MaxDecisionsAhead = 4096; ///< Taken but not handed out; planning pauses there.
 
 } // namespace
@@ -64,13 +65,13 @@
     entry.declared = spec.perTask;
     entry.need = spec.perTask;
     entry.priority = spec.priority;
-    entry.runTime = spec.runTime;
+    entry.runTime = std::min<std::chrono::milliseconds>(spec.runTime, LongestTime);
     entry.enqueuedAt = now;
     entry.sequence = this->zone.nextSequence++;
     entry.repeatable = spec.repeatable;
     if (spec.deadline.count() > 0) {
-        entry.deadline = now + spec.deadline;
-        const auto run = this->zone.model.typicalRunTime(entry.name, spec.runTime).value_or(std::chrono::milliseconds(0));
+        entry.deadline = now + std::min<std::chrono::milliseconds>(spec.deadline, LongestTime);
+        const auto run = this->zone.model.typicalRunTime(entry.name, entry.runTime).value_or(std::chrono::milliseconds(0));
         entry.latestStart = entry.deadline - run;
     }
     entry.tasks.resize(Admission::tasksOf(spec));
@@ -357,8 +358,7 @@
     if (this->zone.requestsWaiting > 0) {
         return 0;
     }
-    Demand free = this->zone.ledger.total();
-    free -= this->zone.ledger.reserved();
+    const Demand free = this->zone.ledger.room();
     const auto count = std::max<std::int64_t>(1, held.slots);
     const model::Resources usual{held.resources.cpuMillis / count, held.resources.memoryMiB / count, held.resources.accelerators / count};
     std::int64_t room = free.slots;
