--- a/src/zone/Submissions.cpp
+++ b/src/zone/Submissions.cpp
@@ -195,6 +195,10 @@
         }
         return;
     }
+    if (result.code == base::ResultCode::NotLeader) {
+        this->moveOn(*job, reply);
+        return;
+    }
     const bool kept = result.code == base::ResultCode::Ok;
     const base::ResultCode code = kept ? base::ResultCode::KeyReusedForOtherWork : result.code;
     const std::string reason = code == base::ResultCode::NoDurableStore ? "no synced disk in reach could keep it" : "the zone could not keep it";
@@ -204,6 +208,25 @@
     this->drop(*job, code, reason);
 }
 
+/// Nothing of the job was kept, and another scheduler is to take it.
+void Submissions::moveOn(ActiveJob &job, const Reply &reply)
+{
+    const model::JobId id = job.spec.id;
+    this->parts.planner.cancel(id, base::steadyNow());
+    for (const std::uint32_t index : std::exchange(job.heldStarts, {})) {
+        this->parts.planner.ended(id, index, policy::TaskEnd::NotStarted, false, base::steadyNow());
+    }
+    this->moved.insert(id);
+    for (const Waiter &waiter : std::exchange(job.waiters, {})) {
+        waiter.tell();
+    }
+    this->moved.erase(id);
+    this->parts.jobs.remove(id);
+    if (reply) {
+        reply(failureReply(base::ResultCode::NotLeader, "the zone's scheduler is changing"));
+    }
+}
+
 /// Gives up a job that lives only here and of which nothing runs.
 void Submissions::drop(ActiveJob &job, base::ResultCode code, const std::string &reason)
 {
@@ -262,6 +285,10 @@
     }
     this->parts.jobs.wait(job,
                           {[this, id, stillOpen, reply] {
+                               if (this->moved.count(id) > 0) {
+                                   reply(failureReply(base::ResultCode::NotLeader, "the zone's scheduler is changing"));
+                                   return;
+                               }
                                if (this->resigning) {
                                    ZoneReply moved = failureReply(base::ResultCode::NotLeader, "the zone's scheduler is changing");
                                    moved.mayExist = true;
--- a/src/zone/Submissions.h
+++ b/src/zone/Submissions.h
@@ -9,6 +9,7 @@
 #include "zone/ZoneReply.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <string>
 
@@ -48,6 +49,7 @@
     void takeIn(const SubmitCall &call, const std::string &traceparent, const Reply &reply);
     void keep(ActiveJob &job, const Reply &reply);
     void kept(const model::JobId &id, const replication::ProposeResult &result, const Reply &reply);
+    void moveOn(ActiveJob &job, const Reply &reply);
     void drop(ActiveJob &job, base::ResultCode code, const std::string &reason);
     void awaitOutcome(ActiveJob &job, base::SteadyTime until, StillOpen stillOpen, const Reply &reply);
     void deadlinePassed(const model::JobId &id);
@@ -60,6 +62,7 @@
     TaskEnder &ender;
     StatusReader status;
     absl::flat_hash_map<std::string, model::JobId> keysOnTheWay; ///< Idempotency keys whose job the group has yet to keep.
+    absl::flat_hash_set<model::JobId> moved; ///< Being told to go to the next scheduler, though nothing of them was kept here.
     bool resigning = false;
 };
 
