--- a/tests/scenario/Callers.cpp
+++ b/tests/scenario/Callers.cpp
@@ -36,6 +36,7 @@
                                             ResultCode::ShuttingDown,
                                             ResultCode::DeadlinePassed,
                                             ResultCode::TooManyConnections,
+                                            ResultCode::ConfigurationUnavailable,
                                             ResultCode::Unauthorized,
                                             ResultCode::Forbidden};
     return codes.count(static_cast<ResultCode>(code)) > 0;
