--- a/tests/scenario/Callers.cpp
+++ b/tests/scenario/Callers.cpp
@@ -37,6 +37,7 @@
                                             ResultCode::ConfigurationUnavailable,
                                             ResultCode::DeadlinePassed,
                                             ResultCode::TooManyConnections,
+                                            ResultCode::ConfigurationUnavailable,
                                             ResultCode::Unauthorized,
                                             ResultCode::Forbidden};
     return codes.count(static_cast<ResultCode>(code)) > 0;
