--- a/src/zone/Submissions.cpp
+++ b/src/zone/Submissions.cpp
@@ -188,10 +188,10 @@
     }
     if (result.code == base::ResultCode::GroupUnavailable) {
         // It may be kept still; the caller submits the same id to the next scheduler, who knows.
-        ZoneReply moved = failureReply(base::ResultCode::NotLeader, "the zone's scheduler is changing");
-        moved.mayExist = true;
+        ZoneReply elsewhere = failureReply(base::ResultCode::NotLeader, "the zone's scheduler is changing");
+        elsewhere.mayExist = true;
         if (reply) {
-            reply(moved);
+            reply(elsewhere);
         }
         return;
     }
@@ -290,9 +290,9 @@
                                    return;
                                }
                                if (this->resigning) {
-                                   ZoneReply moved = failureReply(base::ResultCode::NotLeader, "the zone's scheduler is changing");
-                                   moved.mayExist = true;
-                                   reply(moved);
+                                   ZoneReply elsewhere = failureReply(base::ResultCode::NotLeader, "the zone's scheduler is changing");
+                                   elsewhere.mayExist = true;
+                                   reply(elsewhere);
                                    return;
                                }
                                ZoneReply outcome = this->status.of(id);
--- a/src/zone/UpstreamFleet.cpp
+++ b/src/zone/UpstreamFleet.cpp
@@ -42,7 +42,8 @@
         this->updateAcceptance(this->entries.emplace(record.id, std::move(entry)).first->second);
     }
     this->unresolved = this->entries.size();
-    this->quietUntil = this->entries.empty() ? now + this->context.options.taskLease + this->context.options.deliveryMargin : now;
+    const bool formedAnew = this->context.group.status().formationTerm == this->context.epoch;
+    this->quietUntil = this->entries.empty() || formedAnew ? now + this->context.options.taskLease + this->context.options.deliveryMargin : now;
 }
 
 void UpstreamFleet::announced(const model::UpstreamReport &report, base::SteadyTime now)
--- a/tests/zone/ZoneSchedulerTest.cpp
+++ b/tests/zone/ZoneSchedulerTest.cpp
@@ -242,6 +242,19 @@
     BOOST_TEST((this->submit(spec, true).status.state == JobState::Unknown));
 }
 
+BOOST_FIXTURE_TEST_CASE(workThatTheGroupDoesNotTakeGoesToTheNextScheduler, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->group.leads = false;
+    const ZoneReply request = this->submit(once(*this, "z-1", "k"));
+    BOOST_TEST((request.code == ResultCode::NotLeader));
+    BOOST_TEST(!request.mayExist);
+    BOOST_TEST((this->submit(this->batch("z-b", 2)).code == ResultCode::NotLeader));
+    this->group.leads = true;
+    BOOST_TEST((this->submit(once(*this, "z-1", "k")).status.state == JobState::Done));
+    BOOST_TEST(this->fleet.allStarts() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(leavingUpstreamGetsNoNewWork, SchedulerRig)
 {
     this->addUpstream("up-1");
