Ask after work under /v1/submissions; have the fake obey the interval it is told

And the path /v1/work read like a folder of a machine. Ruled out: the scheduler (its answer names 5,000 ms). Conclusion: an announcement without news follows next_in_ms.

--- a/src/cli/WorkCommands.cpp
+++ b/src/cli/WorkCommands.cpp
@@ -92,7 +92,7 @@
 nlohmann::json statusOf(Session &session, const std::string &id, std::chrono::milliseconds wait)
 {
     EntryCall call;
-    call.target = fmt::format("/v1/work/{}?wait_ms={}", pathPart(id), wait.count());
+    call.target = fmt::format("/v1/submissions/{}?wait_ms={}", pathPart(id), wait.count());
     call.limit = wait + AnswerMargin;
     return session.entries().call(call);
 }
@@ -165,7 +165,7 @@
 base::ResultCode printAnswer(Session &session, const Arguments &arguments)
 {
     EntryCall call;
-    call.target = fmt::format("/v1/work/{}/answer", pathPart(arguments.operand(0)));
+    call.target = fmt::format("/v1/submissions/{}/answer", pathPart(arguments.operand(0)));
     call.limit = std::chrono::minutes(5);
     session.out() << session.entries().callRaw(call);
     return base::ResultCode::Ok;
@@ -175,7 +175,7 @@
 {
     EntryCall call;
     call.method = "DELETE";
-    call.target = "/v1/work/" + pathPart(arguments.operand(0));
+    call.target = "/v1/submissions/" + pathPart(arguments.operand(0));
     printWork(session, session.entries().call(call));
     return base::ResultCode::Ok;
 }
--- a/src/entry/EntryOptions.h
+++ b/src/entry/EntryOptions.h
@@ -18,7 +18,7 @@
     std::string operatorKeyHash; ///< SHA-256 of the operators' bearer key, lower-case hex; empty: only partners that are operators.
     std::string upstreamKeyHash; ///< The same for upstreams; empty: announcements need no key.
     std::chrono::milliseconds stopGrace{2000}; ///< After beginStop(), new work is still taken for so long, until the balancer has noticed.
-    std::chrono::milliseconds longestWait{60000}; ///< Of GET /v1/work/ID?wait_ms=N.
+    std::chrono::milliseconds longestWait{60000}; ///< Of GET /v1/submissions/ID?wait_ms=N.
     std::function<bool()> configured; ///< Whether the configuration in force here may be served on; absent: always.
     std::function<bool()> ready; ///< Asked by GET /readyz; absent: always ready.
     std::function<std::string()> metricsText; ///< Answers GET /metrics; absent: an empty page.
--- a/src/entry/WorkHandlers.cpp
+++ b/src/entry/WorkHandlers.cpp
@@ -99,9 +99,9 @@
 {
     router.add({"POST", "/v1/requests", Access::Partner, [this](const Call &call) { this->submitRequest(call); }});
     router.add({"POST", "/v1/jobs", Access::Partner, [this](const Call &call) { this->submitJob(call); }});
-    router.add({"GET", "/v1/work/ID", Access::Partner, [this](const Call &call) { this->lookup(call); }});
-    router.add({"DELETE", "/v1/work/ID", Access::Partner, [this](const Call &call) { this->cancel(call); }});
-    router.add({"GET", "/v1/work/ID/answer", Access::Partner, [this](const Call &call) { this->answer(call); }});
+    router.add({"GET", "/v1/submissions/ID", Access::Partner, [this](const Call &call) { this->lookup(call); }});
+    router.add({"DELETE", "/v1/submissions/ID", Access::Partner, [this](const Call &call) { this->cancel(call); }});
+    router.add({"GET", "/v1/submissions/ID/answer", Access::Partner, [this](const Call &call) { this->answer(call); }});
 }
 
 void WorkHandlers::refuseNewWork()
--- a/tests/entry/EntryServerTest.cpp
+++ b/tests/entry/EntryServerTest.cpp
@@ -29,9 +29,9 @@
     const auto accepted = this->call("POST", "/v1/jobs", body.dump());
     BOOST_TEST(accepted.status == 202);
     const std::string id = Json::parse(accepted.body)["id"];
-    BOOST_TEST(Json::parse(this->call("GET", "/v1/work/" + id + "?wait_ms=10").body)["kind"] == "gang");
-    BOOST_TEST(Json::parse(this->call("DELETE", "/v1/work/" + id).body)["state"] == "not_run");
-    BOOST_TEST(this->call("GET", "/v1/work/" + id + "/answer").status == 404);
+    BOOST_TEST(Json::parse(this->call("GET", "/v1/submissions/" + id + "?wait_ms=10").body)["kind"] == "gang");
+    BOOST_TEST(Json::parse(this->call("DELETE", "/v1/submissions/" + id).body)["state"] == "not_run");
+    BOOST_TEST(this->call("GET", "/v1/submissions/" + id + "/answer").status == 404);
 }
 
 BOOST_AUTO_TEST_CASE(theAnswerIsServedRaw)
@@ -39,20 +39,20 @@
     Json body = requestBody();
     body["payload"] = "a\nb \u00e6";
     const std::string id = Json::parse(this->call("POST", "/v1/requests", body.dump()).body)["id"];
-    BOOST_TEST(this->call("GET", "/v1/work/" + id + "/answer").body == "a\nb \u00e6");
+    BOOST_TEST(this->call("GET", "/v1/submissions/" + id + "/answer").body == "a\nb \u00e6");
 }
 
 BOOST_AUTO_TEST_CASE(anotherPartnersWorkIsNotFound)
 {
     const std::string id = Json::parse(this->call("POST", "/v1/requests", requestBody().dump()).body)["id"];
     for (const char *method : {"GET", "DELETE"}) {
-        const auto response = this->call(method, "/v1/work/" + id, "", "south-key");
+        const auto response = this->call(method, "/v1/submissions/" + id, "", "south-key");
         BOOST_TEST(response.status == 404);
         BOOST_TEST(codeOf(response) == static_cast<int>(ResultCode::NotFound));
     }
     BOOST_TEST(this->call("GET", "/v1/ops/explain/" + id, "", "south-key").status == 404);
     BOOST_TEST(this->call("GET", "/v1/ops/explain/" + id).status == 200);
-    BOOST_TEST(this->call("GET", "/v1/work/" + id, "", "admin-key").status == 200);
+    BOOST_TEST(this->call("GET", "/v1/submissions/" + id, "", "admin-key").status == 200);
 }
 
 BOOST_AUTO_TEST_CASE(theKeyChoosesTheHomeZone)
@@ -74,11 +74,11 @@
     expect("GET", "/v1/ops/shares", "", 401, ResultCode::Unauthorized);
     expect("GET", "/v1/ops/upstreams", "north-key", 403, ResultCode::Forbidden);
     expect("GET", "/v1/nothing", "north-key", 404, ResultCode::NotFound);
-    expect("GET", "/v1/work/z1-00", "north-key", 404, ResultCode::NotFound);
-    expect("GET", "/v1/work/z1-0123456789abcdef", "north-key", 404, ResultCode::NotFound);
+    expect("GET", "/v1/submissions/z1-00", "north-key", 404, ResultCode::NotFound);
+    expect("GET", "/v1/submissions/z1-0123456789abcdef", "north-key", 404, ResultCode::NotFound);
     expect("PUT", "/v1/requests", "north-key", 405, ResultCode::MethodNotAllowed);
-    expect("GET", "/v1/work/z1-0123456789abcdef?wait_ms=soon", "north-key", 400, ResultCode::FieldWrongType);
-    expect("GET", "/v1/work/z1-0123456789abcdef?wait_ms=-1", "north-key", 400, ResultCode::FieldOutOfRange);
+    expect("GET", "/v1/submissions/z1-0123456789abcdef?wait_ms=soon", "north-key", 400, ResultCode::FieldWrongType);
+    expect("GET", "/v1/submissions/z1-0123456789abcdef?wait_ms=-1", "north-key", 400, ResultCode::FieldOutOfRange);
     BOOST_TEST(this->call("GET", "/v1/ops/upstreams?filter=z1", "", "root-key").body == R"({"what":"upstreams","filter":"z1"})");
     BOOST_TEST(this->call("GET", "/v1/ops/shares").status == 200);
     BOOST_TEST(this->call("GET", "/healthz", "", "").status == 200);
--- a/tests/entry/EntryStopTest.cpp
+++ b/tests/entry/EntryStopTest.cpp
@@ -67,7 +67,7 @@
     const Json job = {{"kind", "batch"}, {"name", "sweep"}, {"tasks", 1}, {"cpu_millis", 1}, {"memory_mib", 1}};
     const std::string id = Json::parse(this->call("POST", "/v1/jobs", job.dump()).body)["id"];
     this->dispatcher->hold(true);
-    auto answer = std::async(std::launch::async, [this, id] { return this->call("GET", "/v1/work/" + id + "?wait_ms=60000"); });
+    auto answer = std::async(std::launch::async, [this, id] { return this->call("GET", "/v1/submissions/" + id + "?wait_ms=60000"); });
     BOOST_TEST(eventually([this] { return this->dispatcher->heldCount() == 1; }));
     BOOST_TEST(this->server->stop(std::chrono::seconds(30)));
     BOOST_TEST(Json::parse(answer.get().body)["state"] == "accepted");
--- a/tests/entry/WireFuzzTest.cpp
+++ b/tests/entry/WireFuzzTest.cpp
@@ -23,8 +23,8 @@
     const std::string samples[] = {
         "POST /v1/requests HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer north-key\r\n" + length,
         "POST /v1/upstreams HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"id\"\r\n0\r\n\r\n",
-        "GET /v1/work/z1-0123456789abcdef?wait_ms=10&x=%41%zz HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer north-key\r\n\r\n",
-        "DELETE /v1/work/z1-0123456789abcdef HTTP/1.0\r\nAuthorization: Bearer north-key\r\n\r\n",
+        "GET /v1/submissions/z1-0123456789abcdef?wait_ms=10&x=%41%zz HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer north-key\r\n\r\n",
+        "DELETE /v1/submissions/z1-0123456789abcdef HTTP/1.0\r\nAuthorization: Bearer north-key\r\n\r\n",
         "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: keep-alive\r\n\r\nGET /healthz HTTP/1.1\r\nHost: x\r\n\r\n",
     };
     return samples[random() % std::size(samples)];
--- a/tests/scenario/Callers.cpp
+++ b/tests/scenario/Callers.cpp
@@ -144,7 +144,7 @@
     this->awaitIdle(UsualDeadline);
     const std::vector<Work> works = this->worksNamed(name);
     std::atomic<std::size_t> next{0};
-    const auto cancelSome = [&works, &next, url = this->cluster.entryUrl(vm) + "/v1/work/"] {
+    const auto cancelSome = [&works, &next, url = this->cluster.entryUrl(vm) + "/v1/submissions/"] {
         for (std::size_t index = next++; index < works.size(); index = next++) {
             if (!works.at(index).id.empty()) {
                 callApi("DELETE", url + works.at(index).id, Cluster::PartnerKey, "", UsualDeadline);
@@ -281,7 +281,7 @@
     if (work.id.empty()) {
         return;
     }
-    const std::string url = fmt::format("{}/v1/work/{}?wait_ms={}", this->cluster.entryUrl(vm), work.id, FollowWait.count());
+    const std::string url = fmt::format("{}/v1/submissions/{}?wait_ms={}", this->cluster.entryUrl(vm), work.id, FollowWait.count());
     this->keep(index, callApi("GET", url, Cluster::PartnerKey, "", FollowWait + Slack));
 }
 
--- a/tests/support/FakeUpstream.cpp
+++ b/tests/support/FakeUpstream.cpp
@@ -257,7 +257,9 @@
     this->announcing = false;
     const nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
     if (response.outcome == http::CallOutcome::Answered && response.status == 200 && body.is_object()) {
-        this->announceAt = std::min(this->announceAt, this->lastAnnounced + milliseconds(body.value("next_in_ms", std::int64_t{1000})));
+        const base::SteadyTime told = this->lastAnnounced + milliseconds(body.value("next_in_ms", std::int64_t{1000}));
+        const bool nothingNew = this->announceAt == this->lastAnnounced + this->options.announceEvery;
+        this->announceAt = nothingNew ? told : std::min(this->announceAt, told);
     } else {
         ++this->entry;
         this->announceAt = base::steadyNow() + AnnounceRetry;
