Test the daemon's command line, settings errors, ports and folders as a process

Ruled out: calling main in process (exit codes and messages are what operators see). Conclusion: 1001, 1004, 1006, 1010, 1011 and 1020 are each shown with message and exit status.

--- /dev/null
+++ b/tests/daemon/DaemonProcessTest.cpp
@@ -0,0 +1,179 @@
+#include "support/FreePort.h"
+#include "support/Process.h"
+#include "support/TemporaryFolder.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace support = cranberryreel::support;
+
+namespace
+{
+
+constexpr std::chrono::seconds Patience{60};
+constexpr std::chrono::milliseconds LookEvery{10};
+constexpr int FirstThousand = 1;
+
+/// Runs the daemon as a process, in a folder with settings for a zone of one.
+class DaemonFolder
+{
+public:
+    struct Ended {
+        int status = -1;
+        std::string output;
+    };
+
+    DaemonFolder()
+    {
+        this->write("link.key", "a-link-key\n");
+        this->write("data", "");
+    }
+
+    void write(const std::string &name, const std::string &text) const
+    {
+        std::ofstream(this->path(name)) << text;
+    }
+
+    std::string path(const std::string &name) const
+    {
+        return this->folder.name() + "/" + name;
+    }
+
+    std::string settings(const std::string &dataFolder = "state", const std::string &more = "") const
+    {
+        return fmt::format(
+            "[daemon]\nvm = a\nzone = z\ndata_folder = {}\n[entry]\nlisten = {}\n[link]\nlisten = {}\nkey_file = link.key\n[peers]\na = {} zone=z disk=yes\n"
+            "[zone z]\nmembers = a\n[config_group]\nmembers = a\n{}",
+            dataFolder,
+            support::loopback(this->httpPort),
+            support::loopback(this->linkPort),
+            support::loopback(this->linkPort),
+            more);
+    }
+
+    std::unique_ptr<support::Process> start(const std::vector<std::string> &arguments, const std::string &output) const
+    {
+        std::vector<std::string> command{std::string(CRANBERRYREEL_BINARY_DIR) + "/cranberryreeld"};
+        command.insert(command.end(), arguments.begin(), arguments.end());
+        return std::make_unique<support::Process>(command, this->path(output));
+    }
+
+    Ended run(const std::vector<std::string> &arguments) const
+    {
+        const auto process = this->start(arguments, "output");
+        return {awaitEnd(*process), this->read("output")};
+    }
+
+    Ended runWith(const std::string &text, const std::vector<std::string> &more = {}) const
+    {
+        this->write("settings.ini", text);
+        std::vector<std::string> arguments{"--settings", this->path("settings.ini")};
+        arguments.insert(arguments.end(), more.begin(), more.end());
+        return this->run(arguments);
+    }
+
+    std::string read(const std::string &name) const
+    {
+        std::ifstream file(this->path(name));
+        return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    }
+
+    bool eventuallyWrites(const std::string &name, const std::string &text) const
+    {
+        const auto until = std::chrono::steady_clock::now() + Patience;
+        while (this->read(name).find(text) == std::string::npos) {
+            if (std::chrono::steady_clock::now() > until) {
+                return false;
+            }
+            std::this_thread::sleep_for(LookEvery);
+        }
+        return true;
+    }
+
+    static int awaitEnd(support::Process &process)
+    {
+        const auto until = std::chrono::steady_clock::now() + Patience;
+        while (process.running() && std::chrono::steady_clock::now() < until) {
+            std::this_thread::sleep_for(LookEvery);
+        }
+        return process.exitStatus().value_or(-1);
+    }
+
+private:
+    support::TemporaryFolder folder;
+    std::uint16_t httpPort = support::freePort();
+    std::uint16_t linkPort = support::freePort();
+};
+
+bool names(const std::string &output, const std::string &text)
+{
+    return output.find(text) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DaemonProcessTest)
+
+BOOST_FIXTURE_TEST_CASE(versionAndHelpAreAnswered, DaemonFolder)
+{
+    const Ended version = this->run({"--version"});
+    BOOST_TEST(version.status == 0);
+    BOOST_TEST(names(version.output, CRANBERRYREEL_VERSION));
+    const Ended help = this->run({"--help"});
+    BOOST_TEST(help.status == 0);
+    BOOST_TEST(names(help.output, "--settings FILE"));
+}
+
+BOOST_FIXTURE_TEST_CASE(wrongCommandLinesNameTheirCode, DaemonFolder)
+{
+    for (const std::vector<std::string> &arguments : {std::vector<std::string>{}, {"--check"}, {"--unheard-of"}, {"--settings"}, {"word"}}) {
+        const Ended ended = this->run(arguments);
+        BOOST_TEST(ended.status == FirstThousand);
+        BOOST_TEST(names(ended.output, "1020 UsageError"));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(wrongSettingsNameFileSectionAndKey, DaemonFolder)
+{
+    BOOST_TEST(names(this->run({"--check", "--settings", this->path("absent.ini")}).output, "1001 SettingsFileMissing"));
+    const Ended unknown = this->runWith(this->settings("state", "[timing]\ntask_lease = 5\n"), {"--check"});
+    BOOST_TEST(unknown.status == FirstThousand);
+    BOOST_TEST(names(unknown.output, "1004 SettingsUnknownKey"));
+    BOOST_TEST(names(unknown.output, "settings.ini"));
+    BOOST_TEST(names(unknown.output, "task_lease"));
+    BOOST_TEST(names(this->runWith(this->settings("state", "[timing]\ntask_lease_ms = soon\n"), {"--check"}).output, "1006 SettingsBadValue"));
+    BOOST_TEST(names(this->runWith(this->settings("state", "[timing]\ntask_lease_ms = -5\n"), {"--check"}).output, "task_lease_ms"));
+    const Ended right = this->runWith(this->settings(), {"--check"});
+    BOOST_TEST(right.status == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(dataFolderThatCannotBeWrittenIsSaid, DaemonFolder)
+{
+    // "data" is a file, so nothing can be made below it, by nobody.
+    const Ended ended = this->runWith(this->settings("data/state"));
+    BOOST_TEST(ended.status == FirstThousand);
+    BOOST_TEST(names(ended.output, "1011 DataFolderUnwritable"));
+}
+
+BOOST_FIXTURE_TEST_CASE(portInUseIsSaidAndTheFirstDaemonGoesOn, DaemonFolder)
+{
+    this->write("first.ini", this->settings("first-state"));
+    const auto first = this->start({"--settings", this->path("first.ini")}, "first.log");
+    BOOST_REQUIRE(this->eventuallyWrites("first.log", "Serves a in zone z"));
+    const Ended second = this->runWith(this->settings("second-state"));
+    BOOST_TEST(second.status == FirstThousand);
+    BOOST_TEST(names(second.output, "1010 PortInUse"));
+    BOOST_TEST(first->running());
+    first->signal(SIGTERM);
+    BOOST_TEST(awaitEnd(*first) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
