Look at the scheduler's timers ten times a second

Ruled out: an event-driven timer wheel for now (no target needs finer steps; deadlines have 150 ms of slack).

--- a/src/zone/ZoneScheduler.cpp
+++ b/src/zone/ZoneScheduler.cpp
@@ -12,7 +12,7 @@
 
 const observe::Log Logger("zone");
 
-constexpr std::chrono::milliseconds TickEvery{50};
+constexpr std::chrono::milliseconds TickEvery{100};
 constexpr std::chrono::milliseconds BeaconEvery{1000};
 
 } // namespace
