--- a/src/zone/CallCodec.cpp
+++ b/src/zone/CallCodec.cpp
@@ -1,6 +1,7 @@
 #include "zone/CallCodec.h"
 
 #include "zone/WireCodec.h"
+#include "zone/WireTime.h"
 
 #include <memory>
 #include <utility>
@@ -11,16 +12,6 @@
 namespace
 {
 
-std::chrono::milliseconds millis(std::uint64_t count)
-{
-    return std::chrono::milliseconds(static_cast<std::int64_t>(count));
-}
-
-std::uint64_t count(std::chrono::milliseconds time)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
-}
-
 struct BodyEncoder {
     wire::CallBodyUnion &out;
 
@@ -28,7 +19,7 @@
     {
         wire::SubmitCallT body;
         body.spec = std::make_unique<wire::SpecT>(toWire(call.spec));
-        body.remaining_ms = count(call.spec.deadline);
+        body.remaining_ms = millisToWire(call.spec.deadline);
         body.may_exist = call.mayExist;
         this->out.Set(std::move(body));
     }
@@ -37,7 +28,7 @@
     {
         wire::LookupCallT body;
         body.id = call.id;
-        body.wait_ms = count(call.wait);
+        body.wait_ms = millisToWire(call.wait);
         this->out.Set(std::move(body));
     }
 
@@ -102,12 +93,12 @@
     case wire::CallBody::SubmitCall:
         if (const wire::SubmitCallT *call = body.AsSubmitCall(); call->spec) {
             SubmitCall out{fromWire(*call->spec), call->may_exist};
-            out.spec.deadline = millis(call->remaining_ms);
+            out.spec.deadline = millisFromWire(call->remaining_ms);
             return out;
         }
         return std::nullopt;
     case wire::CallBody::LookupCall:
-        return LookupCall{body.AsLookupCall()->id, millis(body.AsLookupCall()->wait_ms)};
+        return LookupCall{body.AsLookupCall()->id, millisFromWire(body.AsLookupCall()->wait_ms)};
     case wire::CallBody::CancelCall:
         return CancelCall{body.AsCancelCall()->id};
     case wire::CallBody::AnswerCall:
@@ -162,7 +153,7 @@
     out.leader = std::move(reply.leader);
     out.epoch = reply.epoch;
     out.may_exist = reply.mayExist;
-    out.next_in_ms = count(reply.nextIn);
+    out.next_in_ms = millisToWire(reply.nextIn);
     const std::uint64_t wholeBytes = reply.status.answer.size();
     if (wholeBytes > MaxPieceBytes) {
         reply.status.answer.resize(MaxPieceBytes);
@@ -186,7 +177,7 @@
     out.leader = std::move(in.leader);
     out.epoch = in.epoch;
     out.mayExist = in.may_exist;
-    out.nextIn = millis(in.next_in_ms);
+    out.nextIn = millisFromWire(in.next_in_ms);
     if (in.status) {
         out.status = fromWire(*in.status);
         out.answerBytes = in.status->answer_bytes;
@@ -204,7 +195,7 @@
     out.epoch = beacon.epoch;
     out.used = static_cast<float>(beacon.used);
     out.waiting = beacon.waiting;
-    out.expected_wait_ms = static_cast<std::uint32_t>(count(beacon.expectedWait));
+    out.expected_wait_ms = static_cast<std::uint32_t>(millisToWire(beacon.expectedWait));
     out.placing = beacon.placing;
     out.room = beacon.room;
     return packed<wire::Beacon>(out);
@@ -216,7 +207,7 @@
     if (!unpacked<wire::Beacon>(bytes, in)) {
         return std::nullopt;
     }
-    return Beacon{in.zone, in.leader, in.epoch, in.used, in.waiting, millis(in.expected_wait_ms), in.placing, in.room};
+    return Beacon{in.zone, in.leader, in.epoch, in.used, in.waiting, millisFromWire(in.expected_wait_ms), in.placing, in.room};
 }
 
 } // namespace cranberryreel::zone
--- a/src/zone/Commands.cpp
+++ b/src/zone/Commands.cpp
@@ -1,6 +1,7 @@
 #include "zone/Commands.h"
 
 #include "zone/WireCodec.h"
+#include "zone/WireTime.h"
 
 #include <memory>
 #include <utility>
@@ -19,18 +20,13 @@
     return packed<wire::Command>(command);
 }
 
-std::uint64_t count(std::chrono::milliseconds time)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
-}
-
 } // namespace
 
 std::string submitCommand(const model::JobSpec &spec, std::chrono::milliseconds now)
 {
     wire::SubmitJobT body;
     body.spec = std::make_unique<wire::SpecT>(toWire(spec));
-    body.now_unix_ms = count(now);
+    body.now_unix_ms = millisToWire(now);
     return encode(std::move(body));
 }
 
@@ -40,7 +36,7 @@
     for (const TaskChange &change : changes) {
         body.changes.push_back(std::make_unique<wire::TaskChangeT>(toWire(change)));
     }
-    body.now_unix_ms = count(now);
+    body.now_unix_ms = millisToWire(now);
     return encode(std::move(body));
 }
 
@@ -48,7 +44,7 @@
 {
     wire::CancelJobT body;
     body.job = job;
-    body.now_unix_ms = count(now);
+    body.now_unix_ms = millisToWire(now);
     return encode(std::move(body));
 }
 
@@ -58,7 +54,7 @@
     body.job = job;
     body.code = static_cast<int>(code);
     body.reason = reason;
-    body.now_unix_ms = count(now);
+    body.now_unix_ms = millisToWire(now);
     return encode(std::move(body));
 }
 
@@ -87,8 +83,8 @@
 std::string expireCommand(std::chrono::milliseconds jobsBefore, std::chrono::milliseconds keysBefore)
 {
     wire::ExpireT body;
-    body.jobs_before_unix_ms = count(jobsBefore);
-    body.keys_before_unix_ms = count(keysBefore);
+    body.jobs_before_unix_ms = millisToWire(jobsBefore);
+    body.keys_before_unix_ms = millisToWire(keysBefore);
     return encode(body);
 }
 
--- a/src/zone/LeaderTerm.cpp
+++ b/src/zone/LeaderTerm.cpp
@@ -146,7 +146,7 @@
     this->jobs.sweep(now, this->context.options.resultRetention, this->context.options.maxResults);
     if (now >= this->nextExpiry) {
         this->nextExpiry = now + ExpireEvery;
-        this->expire(now);
+        this->expire();
     }
     if (!this->recoveryReported && this->fleet.recovered() && this->fleet.mayPlace(now)) {
         this->recoveryReported = true;
@@ -300,7 +300,7 @@
     });
 }
 
-void LeaderTerm::expire(base::SteadyTime /*now*/)
+void LeaderTerm::expire()
 {
     const SchedulerOptions &options = this->context.options;
     const std::chrono::milliseconds jobsBefore = unixNow() - options.jobRetention;
--- a/src/zone/LeaderTerm.h
+++ b/src/zone/LeaderTerm.h
@@ -59,7 +59,7 @@
     void view(const ViewCall &call, const Reply &reply) const;
     void drain(const DrainCall &call, const Reply &reply);
     void changeMembers(const MembersCall &call, const Reply &reply);
-    void expire(base::SteadyTime now);
+    void expire();
 
     SchedulerContext context;
     std::function<void()> requestPump;
--- a/src/zone/StatusReader.cpp
+++ b/src/zone/StatusReader.cpp
@@ -1,5 +1,6 @@
 #include "zone/StatusReader.h"
 
+#include "zone/CallCodec.h"
 #include "zone/JobRecord.h"
 
 #include <optional>
@@ -18,6 +19,17 @@
     return task.stage == TaskStage::Waiting || task.stage == TaskStage::Assigning ? model::JobState::Accepted : model::JobState::Running;
 }
 
+ZoneReply pieceOf(const std::string &answer, std::uint64_t offset, base::ResultCode code)
+{
+    ZoneReply out;
+    out.code = code;
+    out.answerBytes = answer.size();
+    if (offset < answer.size()) {
+        out.piece = answer.substr(offset, MaxPieceBytes);
+    }
+    return out;
+}
+
 } // namespace
 
 StatusReader::StatusReader(JobTable &jobTable, const ZoneStore &zoneStore)
@@ -40,6 +52,16 @@
     return failureReply(base::ResultCode::NotFound, "no such work is known; it may have been forgotten after its retention");
 }
 
+ZoneReply StatusReader::piece(const model::JobId &id, std::uint64_t offset)
+{
+    const ActiveJob *job = this->jobs.find(id);
+    if (job == nullptr || job->replicated) {
+        ZoneReply kept = this->of(id);
+        return pieceOf(kept.status.answer, offset, kept.code);
+    }
+    return pieceOf(job->answer, offset, base::ResultCode::Ok);
+}
+
 ZoneReply StatusReader::ofActive(const ActiveJob &job) const
 {
     ZoneReply reply;
--- a/src/zone/StatusReader.h
+++ b/src/zone/StatusReader.h
@@ -16,6 +16,8 @@
 
     /// NotFound where no such job is known.
     ZoneReply of(const model::JobId &id);
+    /// One piece of the answer from `offset` on, without a copy of the whole.
+    ZoneReply piece(const model::JobId &id, std::uint64_t offset);
     ZoneReply ofActive(const ActiveJob &job) const;
 
 private:
--- a/src/zone/Submissions.cpp
+++ b/src/zone/Submissions.cpp
@@ -319,14 +319,7 @@
 
 void Submissions::answer(const AnswerCall &call, const Reply &reply)
 {
-    ZoneReply whole = this->status.of(call.id);
-    ZoneReply out;
-    out.code = whole.code;
-    out.answerBytes = whole.status.answer.size();
-    if (call.offset < whole.status.answer.size()) {
-        out.piece = whole.status.answer.substr(call.offset, MaxPieceBytes);
-    }
-    reply(out);
+    reply(this->status.piece(call.id, call.offset));
 }
 
 void Submissions::resign(const std::string &leader)
--- a/src/zone/WireCodec.cpp
+++ b/src/zone/WireCodec.cpp
@@ -1,5 +1,7 @@
 #include "zone/WireCodec.h"
 
+#include "zone/WireTime.h"
+
 #include <memory>
 #include <utility>
 
@@ -24,16 +26,6 @@
     return kind <= static_cast<std::uint8_t>(model::JobKind::Gang) ? static_cast<model::JobKind>(kind) : model::JobKind::Request;
 }
 
-std::chrono::milliseconds millis(std::uint64_t count)
-{
-    return std::chrono::milliseconds(static_cast<std::int64_t>(count));
-}
-
-std::uint64_t count(std::chrono::milliseconds duration)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, duration.count()));
-}
-
 } // namespace
 
 wire::Size toWire(const model::Resources &size)
@@ -57,8 +49,8 @@
     out.tasks = spec.tasks;
     out.per_task = sizePointer(spec.perTask);
     out.priority = spec.priority;
-    out.run_time_ms = count(spec.runTime);
-    out.deadline_ms = count(spec.deadline);
+    out.run_time_ms = millisToWire(spec.runTime);
+    out.deadline_ms = millisToWire(spec.deadline);
     out.repeatable = spec.repeatable;
     out.key = spec.key;
     out.payload = spec.payload;
@@ -76,8 +68,8 @@
     out.tasks = spec.tasks;
     out.perTask = fromWire(spec.per_task.get());
     out.priority = spec.priority;
-    out.runTime = millis(spec.run_time_ms);
-    out.deadline = millis(spec.deadline_ms);
+    out.runTime = millisFromWire(spec.run_time_ms);
+    out.deadline = millisFromWire(spec.deadline_ms);
     out.repeatable = spec.repeatable;
     out.key = spec.key;
     out.payload = spec.payload;
@@ -104,8 +96,8 @@
     out.code = static_cast<int>(job.code);
     out.reason = job.reason;
     out.answer = job.answer;
-    out.accepted_unix_ms = count(job.acceptedAt);
-    out.final_unix_ms = count(job.finalAt);
+    out.accepted_unix_ms = millisToWire(job.acceptedAt);
+    out.final_unix_ms = millisToWire(job.finalAt);
     return out;
 }
 
@@ -131,8 +123,8 @@
     out.code = static_cast<base::ResultCode>(job.code);
     out.reason = job.reason;
     out.answer = job.answer;
-    out.acceptedAt = millis(job.accepted_unix_ms);
-    out.finalAt = millis(job.final_unix_ms);
+    out.acceptedAt = millisFromWire(job.accepted_unix_ms);
+    out.finalAt = millisFromWire(job.final_unix_ms);
     return out;
 }
 
--- a/src/zone/ZoneStore.cpp
+++ b/src/zone/ZoneStore.cpp
@@ -2,6 +2,7 @@
 
 #include "cranberryreel/base/Error.h"
 #include "zone/WireCodec.h"
+#include "zone/WireTime.h"
 
 #include <absl/hash/hash.h>
 
@@ -18,11 +19,6 @@
     return partner + '\n' + key;
 }
 
-std::chrono::milliseconds millis(std::uint64_t count)
-{
-    return std::chrono::milliseconds(static_cast<std::int64_t>(count));
-}
-
 } // namespace
 
 ZoneStore::ZoneStore(const TaskRules &taskRules)
@@ -82,7 +78,7 @@
     JobRecord &job = shard.jobs[spec.id];
     job.spec = spec;
     job.tasks.resize(spec.tasks);
-    job.acceptedAt = millis(command.now_unix_ms);
+    job.acceptedAt = millisFromWire(command.now_unix_ms);
     return SubmitOutcome{SubmitVerdict::Kept, spec.id}.encode();
 }
 
@@ -90,7 +86,7 @@
 {
     std::string allowed;
     for (const auto &item : command.changes) {
-        allowed.push_back(this->change(fromWire(*item), millis(command.now_unix_ms)) ? '1' : '0');
+        allowed.push_back(this->change(fromWire(*item), millisFromWire(command.now_unix_ms)) ? '1' : '0');
     }
     return allowed;
 }
@@ -118,7 +114,7 @@
     }
     if (!model::isFinal(place->second.state)) {
         this->rules.cancel(place->second);
-        settle(place->second, millis(command.now_unix_ms));
+        settle(place->second, millisFromWire(command.now_unix_ms));
     }
     return "1";
 }
@@ -140,7 +136,7 @@
         task.state = task.failures > 0 ? model::JobState::Failed : model::JobState::NotRun;
         task.code = static_cast<base::ResultCode>(command.code);
     }
-    settle(job, millis(command.now_unix_ms));
+    settle(job, millisFromWire(command.now_unix_ms));
     return "1";
 }
 
@@ -178,7 +174,7 @@
         absl::MutexLock lock(&shard.mutex);
         for (auto place = shard.jobs.begin(); place != shard.jobs.end();) {
             const JobRecord &job = place->second;
-            const auto before = millis(job.spec.key.empty() ? command.jobs_before_unix_ms : command.keys_before_unix_ms);
+            const auto before = millisFromWire(job.spec.key.empty() ? command.jobs_before_unix_ms : command.keys_before_unix_ms);
             if (job.finalAt.count() == 0 || job.finalAt >= before) {
                 ++place;
                 continue;
--- a/tests/zone/TakeoverSoakTest.cpp
+++ b/tests/zone/TakeoverSoakTest.cpp
@@ -1,8 +1,8 @@
+#include "support/Seed.h"
 #include "zone/SchedulerRig.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <random>
 #include <thread>
 #include <vector>
@@ -20,12 +20,6 @@
 constexpr std::size_t Rounds = 40;
 constexpr std::size_t RequestsPerRound = 4;
 
-std::uint64_t seedOfRun()
-{
-    const char *given = std::getenv("CRANBERRYREEL_TEST_SEED"); // NOLINT(concurrency-mt-unsafe)
-    return given != nullptr ? std::strtoull(given, nullptr, 10) : 20261204U;
-}
-
 struct Asked {
     JobSpec spec;
     std::future<ZoneReply> reply;
@@ -148,9 +142,9 @@
 BOOST_AUTO_TEST_CASE(nothingRunsTwiceAndEveryAnswerIsTrue)
 {
     for (std::uint64_t run = 0; run < 4; ++run) {
-        BOOST_TEST_MESSAGE("seed " << seedOfRun() + run);
+        BOOST_TEST_MESSAGE("seed " << cranberryreel::support::testSeed() + run);
         Soak soak;
-        soak.run(seedOfRun() + run);
+        soak.run(cranberryreel::support::testSeed() + run);
     }
 }
 
--- a/tests/zone/ZoneSchedulerTest.cpp
+++ b/tests/zone/ZoneSchedulerTest.cpp
@@ -1,3 +1,4 @@
+#include "zone/CallCodec.h"
 #include "zone/SchedulerRig.h"
 
 #include <boost/test/unit_test.hpp>
@@ -255,6 +256,22 @@
     BOOST_TEST(this->fleet.allStarts() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(largeAnswersAreHandedOutInPieces, SchedulerRig)
+{
+    this->addUpstream("up-1");
+    this->fleet.setInstantRequests(false);
+    auto reply = this->submitLater(this->request("z-1"));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.startsOf("z-1.0") == 1U; }));
+    const std::string whole(cranberryreel::zone::MaxPieceBytes + 7, 'x');
+    this->fleet.finish("z-1.0", JobState::Done, whole);
+    BOOST_TEST(reply.get().answerBytes == whole.size());
+    const ZoneReply first = this->call(cranberryreel::zone::AnswerCall{"z-1", 0});
+    const ZoneReply rest = this->call(cranberryreel::zone::AnswerCall{"z-1", first.piece.size()});
+    BOOST_TEST((first.piece + rest.piece == whole));
+    BOOST_TEST(this->call(cranberryreel::zone::AnswerCall{"z-1", whole.size()}).piece.empty());
+    BOOST_TEST((this->call(cranberryreel::zone::AnswerCall{"z-2", 0}).code == ResultCode::NotFound));
+}
+
 BOOST_FIXTURE_TEST_CASE(leavingUpstreamGetsNoNewWork, SchedulerRig)
 {
     this->addUpstream("up-1");
--- a/tests/zone/ZoneStoreFuzzTest.cpp
+++ b/tests/zone/ZoneStoreFuzzTest.cpp
@@ -1,9 +1,9 @@
+#include "support/Seed.h"
 #include "zone/Commands.h"
 #include "zone/ZoneStore.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <map>
 #include <random>
 #include <set>
@@ -31,12 +31,6 @@
 constexpr std::size_t Keys = 8;
 constexpr std::chrono::milliseconds Now{1000000};
 
-std::uint64_t seedOfRun()
-{
-    const char *given = std::getenv("CRANBERRYREEL_TEST_SEED"); // NOLINT(concurrency-mt-unsafe)
-    return given != nullptr ? std::strtoull(given, nullptr, 10) : 20261204U;
-}
-
 /// What must hold of every job, kept apart from the store: what was dispatched, and what callers were told.
 struct Witnessed {
     std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> mayHaveRun; ///< Attempts, by task.
@@ -306,7 +300,7 @@
 
 BOOST_AUTO_TEST_CASE(rulesHoldUnderRandomAndLateProposals)
 {
-    const std::uint64_t seed = seedOfRun();
+    const std::uint64_t seed = cranberryreel::support::testSeed();
     BOOST_TEST_MESSAGE("seed " << seed);
     for (std::uint64_t run = 0; run < 10; ++run) {
         const std::string fault = StoreFuzz({}, seed + run).run();
@@ -330,7 +324,7 @@
     for (const auto &[name, rules] : mutations) {
         std::string fault;
         for (std::uint64_t run = 0; run < 5 && fault.empty(); ++run) {
-            fault = StoreFuzz(rules, seedOfRun() + run).run();
+            fault = StoreFuzz(rules, cranberryreel::support::testSeed() + run).run();
         }
         BOOST_TEST_MESSAGE(name << ": " << fault);
         BOOST_TEST(!fault.empty(), "not noticed: " << name);
@@ -339,7 +333,7 @@
 
 BOOST_AUTO_TEST_CASE(bytesThatAreNoCommandChangeNothing)
 {
-    std::mt19937_64 random(seedOfRun());
+    std::mt19937_64 random(cranberryreel::support::testSeed());
     ZoneStore store;
     JobSpec spec;
     spec.id = "z-1";
