--- /dev/null
+++ b/src/cell/CellCaller.cpp
@@ -0,0 +1,199 @@
+#include "cell/CellCaller.h"
+
+#include "cell/Codec.h"
+#include "observe/Log.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace cranberryreel::cell
+{
+
+namespace
+{
+
+const observe::Log Logger("cell");
+
+/// After a round in which no VM was the leader; an election takes about a second.
+constexpr std::chrono::milliseconds RoundPause{60};
+constexpr std::chrono::milliseconds LookUpEvery{1000};
+constexpr std::chrono::milliseconds LookUpLimit{900};
+constexpr std::chrono::milliseconds LookUpTry{400};
+
+} // namespace
+
+struct CellCaller::Attempt {
+    std::string payload;
+    base::SteadyTime deadline;
+    std::chrono::milliseconds tryLimit{0};
+    CallDone done;
+    std::set<std::string> triedThisRound;
+    std::string hinted; ///< The leader that the last answer named.
+    bool mayHaveActed = false;
+    bool lookUp = false; ///< Any member's answer will do.
+};
+
+CellCaller::CellCaller(link::LinkHub &linkHub, std::uint16_t port, std::vector<std::string> seeds)
+    : hub(linkHub)
+    , linkPort(port)
+{
+    this->addSeeds(seeds);
+}
+
+void CellCaller::addSeeds(const std::vector<std::string> &seeds)
+{
+    const absl::MutexLock lock(&this->mutex);
+    for (const std::string &vm : seeds) {
+        this->addPeer(vm);
+    }
+}
+
+void CellCaller::addPeer(const std::string &vm)
+{
+    if (std::find(this->vms.begin(), this->vms.end(), vm) == this->vms.end()) {
+        this->vms.push_back(vm);
+        this->hub.addPeer(vm, fmt::format("{}:{}", vm, this->linkPort));
+    }
+}
+
+void CellCaller::start()
+{
+    this->timers.start();
+}
+
+void CellCaller::stop()
+{
+    this->timers.stop();
+}
+
+void CellCaller::call(const wire::CallT &call, std::chrono::milliseconds limit, std::chrono::milliseconds tryLimit, CallDone done)
+{
+    auto attempt = std::make_shared<Attempt>();
+    attempt->payload = pack<wire::Call>(call);
+    attempt->deadline = base::steadyNow() + limit;
+    attempt->tryLimit = tryLimit;
+    attempt->done = std::move(done);
+    attempt->lookUp = call.kind == wire::CallKind::Lookup;
+    this->next(attempt);
+}
+
+std::string CellCaller::pick(Attempt &attempt)
+{
+    const absl::MutexLock lock(&this->mutex);
+    std::vector<std::string> order{std::exchange(attempt.hinted, {}), this->leaderVm};
+    order.insert(order.end(), this->vms.begin(), this->vms.end());
+    for (const std::string &vm : order) {
+        if (!vm.empty() && attempt.triedThisRound.count(vm) == 0 && this->hub.isUp(vm)) {
+            return vm;
+        }
+    }
+    return {};
+}
+
+void CellCaller::next(const std::shared_ptr<Attempt> &attempt)
+{
+    const base::SteadyTime now = base::steadyNow();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(attempt->deadline - now);
+    if (left.count() <= 0) {
+        this->finish(attempt, {false, attempt->mayHaveActed, {}});
+        return;
+    }
+    const std::string vm = this->pick(*attempt);
+    if (vm.empty()) {
+        attempt->triedThisRound.clear();
+        this->timers.postAfter(std::min(left, RoundPause), [this, attempt] { this->next(attempt); });
+        return;
+    }
+    attempt->triedThisRound.insert(vm);
+    this->hub.call(vm, link::Channel::Cell, attempt->payload, std::min(left, attempt->tryLimit), {}, [this, attempt, vm](link::CallResult result) {
+        this->timers.post([this, attempt, vm, result = std::move(result)] { this->tried(attempt, vm, result); });
+    });
+}
+
+void CellCaller::tried(const std::shared_ptr<Attempt> &attempt, const std::string &vm, const link::CallResult &result)
+{
+    if (result.code != base::ResultCode::Ok) {
+        attempt->mayHaveActed = attempt->mayHaveActed || result.sent;
+        this->next(attempt);
+        return;
+    }
+    std::optional<wire::ReplyT> reply = unpack<wire::Reply>(result.payload);
+    if (!reply) {
+        Logger.warn("event=reply_unreadable vm={} bytes={}", vm, result.payload.size());
+        attempt->mayHaveActed = true;
+        this->next(attempt);
+        return;
+    }
+    const auto code = static_cast<base::ResultCode>(reply->code);
+    this->learn(vm, *reply);
+    if (code == base::ResultCode::NotLeader) {
+        if (!reply->leader.empty() && reply->leader != vm) {
+            attempt->hinted = reply->leader;
+            const absl::MutexLock lock(&this->mutex);
+            this->addPeer(reply->leader);
+        }
+        this->next(attempt);
+        return;
+    }
+    if (code == base::ResultCode::GroupUnavailable) {
+        attempt->mayHaveActed = true;
+        this->next(attempt);
+        return;
+    }
+    this->finish(attempt, {true, attempt->mayHaveActed, std::move(*reply)});
+}
+
+void CellCaller::learn(const std::string &vm, const wire::ReplyT &reply)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto code = static_cast<base::ResultCode>(reply.code);
+    for (const std::string &member : reply.members) {
+        this->addPeer(member);
+    }
+    if (code == base::ResultCode::NotLeader || code == base::ResultCode::GroupUnavailable) {
+        if (this->leaderVm == vm) {
+            this->leaderVm.clear();
+        }
+        return;
+    }
+    // Only look-ups are answered by members that do not lead, and then name the leader.
+    const bool fromLeader = reply.members.empty() || reply.leader == vm;
+    if (fromLeader) {
+        this->leaderVm = vm;
+        this->leaderHeard = base::steadyNow();
+    } else if (!reply.leader.empty()) {
+        this->leaderVm = reply.leader;
+        this->addPeer(reply.leader);
+    }
+}
+
+void CellCaller::finish(const std::shared_ptr<Attempt> &attempt, CallOutcome outcome)
+{
+    if (const CallDone done = std::exchange(attempt->done, nullptr)) {
+        done(std::move(outcome));
+    }
+}
+
+void CellCaller::keepLookingUp()
+{
+    wire::CallT look;
+    look.kind = wire::CallKind::Lookup;
+    this->call(look, LookUpLimit, LookUpTry, [this](const CallOutcome &) { this->timers.postAfter(LookUpEvery, [this] { this->keepLookingUp(); }); });
+}
+
+bool CellCaller::inTouch(std::chrono::milliseconds age) const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->leaderHeard != base::SteadyTime() && base::steadyNow() - this->leaderHeard <= age;
+}
+
+std::string CellCaller::leader() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->leaderVm;
+}
+
+} // namespace cranberryreel::cell
--- /dev/null
+++ b/src/cell/CellCaller.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "cell/generated/cell_generated.h"
+#include "base/Mailbox.h"
+#include "link/LinkHub.h"
+
+#include "cranberryreel/base/Clock.h"
+#include "cranberryreel/base/ResultCode.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cranberryreel::cell
+{
+
+/// How a call to the cell's scheduler ended.
+struct CallOutcome {
+    bool answered = false; ///< The scheduler that leads answered; `reply` is its word.
+    bool mayHaveActed = false; ///< Not answered, and some scheduler may have taken the call or may yet take it.
+    wire::ReplyT reply;
+};
+
+using CallDone = std::function<void(CallOutcome)>;
+
+/// Finds the scheduler that leads and calls it: from VM to VM until one answers as the leader or the time is up. It starts from the seeds and learns the
+/// members from their answers. Any thread. Owned by the daemon.
+class CellCaller
+{
+public:
+    /// Peers listen at `linkPort` of the address that names them.
+    CellCaller(link::LinkHub &linkHub, std::uint16_t linkPort, std::vector<std::string> seeds);
+
+    void start();
+    void stop();
+
+    /// `tryLimit`: how long one VM may take. The callback comes on any thread, by the limit.
+    void call(const wire::CallT &call, std::chrono::milliseconds limit, std::chrono::milliseconds tryLimit, CallDone done);
+
+    /// Looks up the leader and the members now and every so often.
+    void keepLookingUp();
+
+    /// More VMs to look up the cell at, from changed settings.
+    void addSeeds(const std::vector<std::string> &seeds);
+
+    /// A scheduler that leads answered within `age`.
+    bool inTouch(std::chrono::milliseconds age) const;
+
+    /// Empty when none is known.
+    std::string leader() const;
+
+private:
+    struct Attempt;
+
+    void next(const std::shared_ptr<Attempt> &attempt);
+    void tried(const std::shared_ptr<Attempt> &attempt, const std::string &vm, const link::CallResult &result);
+    void finish(const std::shared_ptr<Attempt> &attempt, CallOutcome outcome);
+    std::string pick(Attempt &attempt);
+    void learn(const std::string &vm, const wire::ReplyT &reply);
+    void addPeer(const std::string &vm) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    link::LinkHub &hub;
+    const std::uint16_t linkPort;
+    base::Mailbox timers;
+    mutable absl::Mutex mutex;
+    std::vector<std::string> vms ABSL_GUARDED_BY(mutex); ///< Known to hold the cell's state, or to be seeds.
+    std::string leaderVm ABSL_GUARDED_BY(mutex);
+    base::SteadyTime leaderHeard ABSL_GUARDED_BY(mutex){};
+};
+
+} // namespace cranberryreel::cell
--- /dev/null
+++ b/src/cell/CellState.cpp
@@ -0,0 +1,364 @@
+#include "cell/CellState.h"
+
+#include "cranberryreel/base/Error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryreel::cell
+{
+
+namespace
+{
+
+bool hasRuns(const wire::JobT &job)
+{
+    for (const auto &occurrence : job.occurrences) {
+        for (const auto &step : occurrence->steps) {
+            const auto running = [](const std::unique_ptr<wire::TaskT> &task) { return !task->runs.empty(); };
+            if (std::any_of(step->tasks.begin(), step->tasks.end(), running)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+std::size_t occurrencesOf(const wire::JobSpecT &spec)
+{
+    return std::max<std::size_t>(spec.times, 1);
+}
+
+void createTasks(wire::OccurrenceT &occurrence, const wire::JobSpecT &spec)
+{
+    for (const auto &step : spec.steps) {
+        auto state = std::make_unique<wire::StepStateT>();
+        for (std::uint32_t i = 0; i < step->tasks; ++i) {
+            state->tasks.push_back(std::make_unique<wire::TaskT>());
+        }
+        occurrence.steps.push_back(std::move(state));
+    }
+}
+
+bool isDone(const wire::OccurrenceT &occurrence)
+{
+    const auto stepDone = [](const std::unique_ptr<wire::StepStateT> &step) {
+        return std::all_of(step->tasks.begin(), step->tasks.end(), [](const std::unique_ptr<wire::TaskT> &task) { return task->done; });
+    };
+    return !occurrence.steps.empty() && std::all_of(occurrence.steps.begin(), occurrence.steps.end(), stepDone);
+}
+
+bool isPrefixOf(std::string_view prefix, std::string_view path)
+{
+    return path.substr(0, prefix.size()) == prefix;
+}
+
+} // namespace
+
+CellState::CellState() = default;
+
+void CellState::apply(const wire::CommandT &command)
+{
+    if (command.rules && (!this->currentRules || command.rules->version > this->currentRules->version)) {
+        this->currentRules = std::make_unique<wire::RulesT>(*command.rules);
+    }
+    for (const auto &upstream : command.upstreams) {
+        this->applyUpstream(*upstream);
+    }
+    for (const auto &end : command.ends) {
+        this->applyEnd(*end, command.now_ms);
+    }
+    for (const std::string &id : command.cancels) {
+        this->applyCancel(id, command.now_ms);
+    }
+    for (const auto &spec : command.jobs) {
+        this->applyJob(*spec, command.now_ms);
+    }
+    for (const auto &ref : command.due) {
+        this->applyDue(*ref);
+    }
+    for (const auto &placement : command.placements) {
+        this->applyPlacement(*placement);
+    }
+    for (const std::uint64_t number : command.forget) {
+        if (const wire::JobT *job = this->job(number); job != nullptr && this->open.count(number) == 0) {
+            this->jobNumbers.erase(job->spec->id);
+            this->jobTable.erase(number);
+        }
+    }
+}
+
+void CellState::applyUpstream(const wire::UpstreamT &change)
+{
+    const auto known = this->upstreamNumbers.find(change.id);
+    if (known == this->upstreamNumbers.end()) {
+        if (change.gone) {
+            return;
+        }
+        wire::UpstreamT added = change;
+        added.number = this->nextUpstream++;
+        this->upstreamNumbers[added.id] = added.number;
+        this->upstreamTable[added.number] = std::move(added);
+        return;
+    }
+    const std::uint64_t number = known->second;
+    if (change.gone) {
+        this->upstreamTable.erase(number);
+        this->upstreamNumbers.erase(known);
+        return;
+    }
+    wire::UpstreamT updated = change;
+    updated.number = number;
+    this->upstreamTable[number] = std::move(updated);
+}
+
+void CellState::applyEnd(const wire::EndT &end, std::int64_t nowMs)
+{
+    wire::JobT *job = this->jobOf(end.task->job);
+    wire::TaskT *task = this->taskOf(*end.task);
+    if (job == nullptr || task == nullptr) {
+        return;
+    }
+    const auto run = std::find_if(task->runs.begin(), task->runs.end(), [&end](const std::unique_ptr<wire::RunT> &candidate) {
+        return candidate->attempt == end.attempt && candidate->upstream == end.upstream;
+    });
+    if (run == task->runs.end()) {
+        return;
+    }
+    task->runs.erase(run);
+    const wire::StepT &step = *job->spec->steps[end.task->step];
+    auto &members = job->occurrences[end.task->occurrence]->steps[end.task->step]->tasks;
+    if (!end.checkpoint.empty()) {
+        task->checkpoint = end.checkpoint;
+        // The checkpoint of any member holds for the whole gang, and all members must start from the same one.
+        for (auto &member : members) {
+            member->checkpoint = step.gang ? end.checkpoint : member->checkpoint;
+        }
+    }
+    if (end.kind == wire::EndKind::Done && !step.lasting) {
+        task->done = true;
+        for (auto &member : members) {
+            member->done = member->done || step.gang;
+        }
+        this->completeIfDone(*job, *end.task, nowMs);
+    } else if (end.kind == wire::EndKind::Failed && !step.lasting && !task->done) {
+        ++task->failures;
+        this->countFailure(*job, *end.task, nowMs);
+    }
+    this->refreshOpen(*job);
+}
+
+void CellState::countFailure(wire::JobT &job, const wire::TaskRefT &ref, std::int64_t nowMs)
+{
+    const wire::QueueT *jobQueue = this->queue(job.spec->queue);
+    const std::uint32_t limit = std::max<std::uint32_t>(jobQueue == nullptr ? job.spec->max_failures : jobQueue->max_failures, 1);
+    const wire::StepT &step = *job.spec->steps[ref.step];
+    std::uint32_t failures = 0;
+    for (const auto &member : job.occurrences[ref.occurrence]->steps[ref.step]->tasks) {
+        failures += step.gang ? member->failures : 0;
+    }
+    if (!step.gang) {
+        failures = this->taskOf(ref)->failures;
+    }
+    if (failures >= limit && isActive(job)) {
+        this->endJob(job, wire::JobState::Failed, nowMs);
+    }
+}
+
+void CellState::completeIfDone(wire::JobT &job, const wire::TaskRefT &ref, std::int64_t nowMs)
+{
+    wire::OccurrenceT &occurrence = *job.occurrences[ref.occurrence];
+    occurrence.done = isDone(occurrence);
+    const auto done = [](const std::unique_ptr<wire::OccurrenceT> &each) { return each->done; };
+    if (isActive(job) && std::all_of(job.occurrences.begin(), job.occurrences.end(), done)) {
+        this->endJob(job, wire::JobState::Completed, nowMs);
+    }
+}
+
+void CellState::endJob(wire::JobT &job, wire::JobState state, std::int64_t nowMs)
+{
+    job.state = state;
+    job.ended_ms = nowMs;
+    this->refreshOpen(job);
+}
+
+void CellState::applyJob(const wire::JobSpecT &spec, std::int64_t nowMs)
+{
+    if (this->jobNumbers.contains(spec.id)) {
+        return;
+    }
+    auto job = std::make_unique<wire::JobT>();
+    job->number = this->nextJob++;
+    job->spec = std::make_unique<wire::JobSpecT>(spec);
+    job->accepted_ms = nowMs;
+    for (std::size_t i = 0; i < occurrencesOf(spec); ++i) {
+        job->occurrences.push_back(std::make_unique<wire::OccurrenceT>());
+    }
+    if (spec.times == 0) {
+        createTasks(*job->occurrences.front(), spec);
+    }
+    this->jobNumbers[spec.id] = job->number;
+    this->open.insert(job->number);
+    this->jobTable[job->number] = std::move(job);
+}
+
+void CellState::applyCancel(const std::string &id, std::int64_t nowMs)
+{
+    if (const auto found = this->jobNumbers.find(id); found != this->jobNumbers.end()) {
+        if (wire::JobT *job = this->jobOf(found->second); isActive(*job)) {
+            this->endJob(*job, wire::JobState::Cancelled, nowMs);
+        }
+    }
+}
+
+void CellState::applyDue(const wire::TaskRefT &ref)
+{
+    wire::JobT *job = this->jobOf(ref.job);
+    if (job != nullptr && ref.occurrence < job->occurrences.size() && job->occurrences[ref.occurrence]->steps.empty()) {
+        createTasks(*job->occurrences[ref.occurrence], *job->spec);
+    }
+}
+
+void CellState::applyPlacement(const wire::PlacementT &placement)
+{
+    wire::JobT *job = this->jobOf(placement.task->job);
+    wire::TaskT *task = this->taskOf(*placement.task);
+    if (job == nullptr || task == nullptr || !isActive(*job) || task->done || placement.attempt <= task->last_attempt) {
+        return;
+    }
+    auto run = std::make_unique<wire::RunT>();
+    run->attempt = placement.attempt;
+    run->upstream = placement.upstream;
+    task->last_attempt = placement.attempt;
+    task->runs.push_back(std::move(run));
+    job->state = wire::JobState::Running;
+    job->started = true;
+}
+
+void CellState::refreshOpen(const wire::JobT &job)
+{
+    if (isActive(job) || hasRuns(job)) {
+        this->open.insert(job.number);
+    } else {
+        this->open.erase(job.number);
+    }
+}
+
+const wire::QueueT *CellState::queue(const std::string &name) const
+{
+    if (!this->currentRules) {
+        return nullptr;
+    }
+    const auto &queues = this->currentRules->queues;
+    const auto found = std::find_if(queues.begin(), queues.end(), [&name](const std::unique_ptr<wire::QueueT> &each) { return each->name == name; });
+    return found == queues.end() ? nullptr : found->get();
+}
+
+const wire::QueueT *CellState::queueAt(std::string_view host, std::string_view path) const
+{
+    const wire::QueueT *best = nullptr;
+    if (this->currentRules) {
+        for (const auto &each : this->currentRules->queues) {
+            const bool matches = each->host == host && isPrefixOf(each->path_prefix, path);
+            if (matches && (best == nullptr || each->path_prefix.size() > best->path_prefix.size())) {
+                best = each.get();
+            }
+        }
+    }
+    return best;
+}
+
+const wire::JobT *CellState::job(std::uint64_t number) const
+{
+    const auto found = this->jobTable.find(number);
+    return found == this->jobTable.end() ? nullptr : found->second.get();
+}
+
+wire::JobT *CellState::jobOf(std::uint64_t number)
+{
+    const auto found = this->jobTable.find(number);
+    return found == this->jobTable.end() ? nullptr : found->second.get();
+}
+
+const wire::JobT *CellState::jobNamed(const std::string &id) const
+{
+    const auto found = this->jobNumbers.find(id);
+    return found == this->jobNumbers.end() ? nullptr : this->job(found->second);
+}
+
+const wire::UpstreamT *CellState::upstreamNamed(const std::string &id) const
+{
+    const auto found = this->upstreamNumbers.find(id);
+    return found == this->upstreamNumbers.end() ? nullptr : &this->upstreamTable.at(found->second);
+}
+
+const wire::TaskT *CellState::task(const wire::TaskRefT &ref) const
+{
+    const wire::JobT *found = this->job(ref.job);
+    if (found == nullptr || ref.occurrence >= found->occurrences.size()) {
+        return nullptr;
+    }
+    const auto &steps = found->occurrences[ref.occurrence]->steps;
+    if (ref.step >= steps.size() || ref.task >= steps[ref.step]->tasks.size()) {
+        return nullptr;
+    }
+    return steps[ref.step]->tasks[ref.task].get();
+}
+
+wire::TaskT *CellState::taskOf(const wire::TaskRefT &ref)
+{
+    return const_cast<wire::TaskT *>(std::as_const(*this).task(ref));
+}
+
+bool CellState::hasRun(const wire::TaskRefT &ref, std::uint32_t attempt, std::uint64_t upstream) const
+{
+    const wire::TaskT *found = this->task(ref);
+    return found != nullptr && std::any_of(found->runs.begin(), found->runs.end(), [&](const std::unique_ptr<wire::RunT> &run) {
+        return run->attempt == attempt && run->upstream == upstream;
+    });
+}
+
+std::string CellState::encode() const
+{
+    wire::StateT state;
+    state.next_job = this->nextJob;
+    state.next_upstream = this->nextUpstream;
+    if (this->currentRules) {
+        state.rules = std::make_unique<wire::RulesT>(*this->currentRules);
+    }
+    for (const auto &[number, job] : this->jobTable) {
+        state.jobs.push_back(std::make_unique<wire::JobT>(*job));
+    }
+    for (const auto &[number, upstream] : this->upstreamTable) {
+        state.upstreams.push_back(std::make_unique<wire::UpstreamT>(upstream));
+    }
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::State::Pack(builder, &state));
+    return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+}
+
+CellState CellState::decode(std::string_view bytes)
+{
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+    if (!verifier.VerifyBuffer<wire::State>()) {
+        throw base::Error(base::ResultCode::SnapshotCorrupt, "The snapshot of the cell's state cannot be read.");
+    }
+    wire::StateT state;
+    flatbuffers::GetRoot<wire::State>(bytes.data())->UnPackTo(&state);
+    CellState decoded;
+    decoded.nextJob = state.next_job;
+    decoded.nextUpstream = state.next_upstream;
+    decoded.currentRules = std::move(state.rules);
+    for (auto &job : state.jobs) {
+        decoded.jobNumbers[job->spec->id] = job->number;
+        decoded.refreshOpen(*job);
+        decoded.jobTable[job->number] = std::move(job);
+    }
+    for (const auto &upstream : state.upstreams) {
+        decoded.upstreamNumbers[upstream->id] = upstream->number;
+        decoded.upstreamTable[upstream->number] = *upstream;
+    }
+    return decoded;
+}
+
+} // namespace cranberryreel::cell
--- /dev/null
+++ b/src/cell/CellTerm.cpp
@@ -0,0 +1,241 @@
+#include "cell/CellTerm.h"
+
+#include "cell/Codec.h"
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryreel::cell
+{
+
+namespace
+{
+
+const observe::Log Logger("cell");
+
+constexpr std::chrono::seconds CleanUpEvery{5};
+/// Beyond the time that the advice service states for a question, for its queue and the way there.
+constexpr std::chrono::milliseconds AdviceAllowance{600};
+/// A ticket is used no longer than its validity less this: for the way of the answer and of the order.
+constexpr std::chrono::milliseconds TicketMargin{300};
+constexpr std::chrono::milliseconds AskAgainAfter{150};
+
+} // namespace
+
+std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+CellTerm::CellTerm(const CellOptions &cellOptions,
+                   std::uint64_t term,
+                   CellStore &store,
+                   UpstreamCalls &calls,
+                   AdvicePool &advice,
+                   replication::Group &cellGroup,
+                   std::function<void(std::function<void()>)> post)
+    : context{cellOptions, term, store, calls, advice, {}, {}, {}, std::move(post), {}, {}}
+    , group(cellGroup)
+    , runs(context, adviceBook)
+    , fleet(context, runs)
+    , desk(context, fleet)
+{
+    this->context.leads = [this] { return this->group.holdsLease(base::steadyNow()); };
+    this->context.wake = [this] {
+        if (!std::exchange(this->pumpQueued, true)) {
+            this->context.post([this] {
+                this->pumpQueued = false;
+                this->pump();
+            });
+        }
+    };
+    this->runs.adopt(base::steadyNow());
+    this->tick();
+}
+
+CellTerm::~CellTerm()
+{
+    for (const Committed &done : std::exchange(this->underWay, {})) {
+        done(base::ResultCode::GroupUnavailable);
+    }
+    for (const Committed &done : this->context.batch.take().second) {
+        done(base::ResultCode::NotLeader);
+    }
+}
+
+void CellTerm::call(wire::CallT call, const Reply &reply)
+{
+    this->desk.call(std::move(call), reply);
+}
+
+void CellTerm::tick()
+{
+    const base::SteadyTime now = base::steadyNow();
+    this->fleet.tick(now);
+    this->runs.reconcile();
+    this->runs.tick(now);
+    this->addDueOccurrences();
+    if (now >= this->nextCleanUp) {
+        this->nextCleanUp = now + CleanUpEvery;
+        this->addForgotten();
+        this->runs.forgetClosedJobs();
+        this->context.store.read(
+            [this](const CellState &state) { this->adviceBook.keepOnly([&state](std::uint64_t job) { return state.openJobs().count(job) > 0; }); });
+    }
+    this->pump();
+}
+
+void CellTerm::pump()
+{
+    if (this->proposing || !this->context.leads()) {
+        return;
+    }
+    this->planStarts(base::steadyNow());
+    if (!this->context.batch.empty()) {
+        this->propose();
+    }
+}
+
+void CellTerm::planStarts(base::SteadyTime now)
+{
+    const Plan plan = this->context.store.read([this, now](const CellState &state) {
+        const PlanInput input{state, this->context.lives, this->adviceBook, this->runs.failedAt(), now};
+        return Planner(input).make();
+    });
+    for (const AdviceWish &wish : plan.wishes) {
+        this->ask(wish);
+    }
+    if (plan.starts.empty()) {
+        return;
+    }
+    for (const PlannedStart &start : plan.starts) {
+        auto placement = std::make_unique<wire::PlacementT>();
+        placement->task = std::make_unique<wire::TaskRefT>(toRef(start.task));
+        placement->attempt = start.attempt;
+        placement->upstream = start.upstream;
+        this->context.batch.command().placements.push_back(std::move(placement));
+    }
+    this->context.batch.then([this, starts = plan.starts](base::ResultCode code) {
+        if (code == base::ResultCode::Ok) {
+            this->runs.placed(starts);
+        }
+    });
+}
+
+void CellTerm::ask(const AdviceWish &wish)
+{
+    std::string step;
+    std::vector<std::string> ids;
+    std::map<std::string, std::uint64_t> asked;
+    this->context.store.read([&](const CellState &state) {
+        if (const wire::JobT *job = state.job(wish.step.job)) {
+            step = stepName(job->spec->id, wish.step);
+        }
+        for (const std::uint64_t number : wish.upstreams) {
+            if (const auto found = state.upstreams().find(number); found != state.upstreams().end()) {
+                ids.push_back(found->second.id);
+                asked[found->second.id] = number;
+            }
+        }
+    });
+    const auto pace = wish.quick ? AdvicePool::Pace::Quick : AdvicePool::Pace::Slow;
+    const bool taken = this->context.advice.ask(
+        pace, step, ids, wish.expected + AdviceAllowance, [this, post = this->context.post, wish, asked = std::move(asked)](AdviceResult result) {
+            post([this, wish, asked, result = std::move(result)] { this->advised(wish, asked, result); });
+        });
+    this->adviceBook.of(wish.step).asking = taken;
+}
+
+void CellTerm::advised(const AdviceWish &wish, const std::map<std::string, std::uint64_t> &asked, const AdviceResult &result)
+{
+    const base::SteadyTime now = base::steadyNow();
+    StepAdvice &advice = this->adviceBook.of(wish.step);
+    advice.asking = false;
+    if (!result.answered) {
+        advice.notBefore = now + AskAgainAfter;
+        Logger.info("event=advice_missing job_number={} step={} asked={} busy={} detail=\"{}\"",
+                    wish.step.job,
+                    wish.step.step,
+                    asked.size(),
+                    result.busy,
+                    result.detail);
+        return;
+    }
+    for (const auto &[id, number] : asked) {
+        advice.known.insert(number);
+    }
+    for (const auto &[id, ticket] : result.tickets) {
+        const auto number = asked.find(id);
+        const auto life = number == asked.end() ? this->context.lives.end() : this->context.lives.find(number->second);
+        if (life != this->context.lives.end()) {
+            advice.allowed[number->second] = {ticket, now + wish.valid - TicketMargin, life->second.epoch};
+        }
+    }
+    this->context.wake();
+}
+
+void CellTerm::propose()
+{
+    auto [command, waiting] = this->context.batch.take();
+    command->now_ms = unixMilliseconds();
+    this->proposing = true;
+    this->underWay = std::move(waiting);
+    static observe::DurationHistogram &commits = observe::durations("cranberryreel_cell_commit_seconds", "From the proposal of a batch to its commit.");
+    const base::SteadyTime since = base::steadyNow();
+    this->group.propose(
+        pack<wire::Command>(*command), replication::Durability::Majority, [this, post = this->context.post, since](const replication::ProposeResult &result) {
+            post([this, since, code = result.code] {
+                commits.record(base::steadyNow() - since);
+                this->proposed(code);
+            });
+        });
+}
+
+void CellTerm::proposed(base::ResultCode code)
+{
+    this->proposing = false;
+    for (const Committed &done : std::exchange(this->underWay, {})) {
+        done(code);
+    }
+    this->runs.reconcile();
+    this->runs.tick(base::steadyNow());
+    this->pump();
+}
+
+void CellTerm::addDueOccurrences()
+{
+    const std::int64_t now = unixMilliseconds();
+    std::vector<wire::TaskRefT> due;
+    this->context.store.read([&](const CellState &state) {
+        for (const std::uint64_t number : state.openJobs()) {
+            const wire::JobT &job = *state.job(number);
+            for (std::uint32_t k = 0; isActive(job) && k < job.spec->times; ++k) {
+                const std::int64_t at = job.spec->first_due_ms + static_cast<std::int64_t>(k) * job.spec->every_ms;
+                if (job.occurrences[k]->steps.empty() && at <= now) {
+                    due.push_back(toRef({{number, k, 0}, 0}));
+                }
+            }
+        }
+    });
+    if (this->context.batch.command().due.empty()) {
+        for (const wire::TaskRefT &ref : due) {
+            this->context.batch.command().due.push_back(std::make_unique<wire::TaskRefT>(ref));
+        }
+    }
+}
+
+void CellTerm::addForgotten()
+{
+    const std::int64_t endedBefore = unixMilliseconds() - this->context.options.jobRetention.count();
+    this->context.store.read([&](const CellState &state) {
+        for (const auto &[number, job] : state.jobs()) {
+            if (!isActive(*job) && job->ended_ms < endedBefore && state.openJobs().count(number) == 0) {
+                this->context.batch.command().forget.push_back(number);
+            }
+        }
+    });
+}
+
+} // namespace cranberryreel::cell
--- /dev/null
+++ b/src/cell/CellTerm.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "cell/AdviceBook.h"
+#include "cell/CallDesk.h"
+#include "cell/FleetKeeper.h"
+#include "cell/Planner.h"
+#include "cell/RunKeeper.h"
+#include "cell/TermContext.h"
+#include "replication/Group.h"
+
+#include "cranberryreel/base/Clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace cranberryreel::cell
+{
+
+/// One term of leadership of the cell's scheduler: it plans, puts what it decides into the log, and acts on it once the group has it. All of it goes when
+/// the term ends. Used by the scheduler's thread only. Owned by the CellScheduler.
+class CellTerm
+{
+public:
+    CellTerm(const CellOptions &cellOptions,
+             std::uint64_t term,
+             CellStore &store,
+             UpstreamCalls &calls,
+             AdvicePool &advice,
+             replication::Group &cellGroup,
+             std::function<void(std::function<void()>)> post);
+    CellTerm(const CellTerm &) = delete;
+    CellTerm &operator=(const CellTerm &) = delete;
+
+    /// Tells those who wait that what was not proposed will not be done, and that the fate of what was is unknown.
+    ~CellTerm();
+
+    void call(wire::CallT call, const Reply &reply);
+
+    /// Several times a second: what time alone makes due.
+    void tick();
+
+private:
+    void pump();
+    void planStarts(base::SteadyTime now);
+    void ask(const AdviceWish &wish);
+    void advised(const AdviceWish &wish, const std::map<std::string, std::uint64_t> &asked, const AdviceResult &result);
+    void propose();
+    void proposed(base::ResultCode code);
+    void addDueOccurrences();
+    void addForgotten();
+
+    TermContext context;
+    replication::Group &group;
+    AdviceBook adviceBook;
+    RunKeeper runs;
+    FleetKeeper fleet;
+    CallDesk desk;
+    std::vector<Committed> underWay; ///< They wait for the proposed batch.
+    bool proposing = false;
+    bool pumpQueued = false;
+    base::SteadyTime nextCleanUp{};
+};
+
+/// Unix time in milliseconds: for due times and retention only.
+std::int64_t unixMilliseconds();
+
+} // namespace cranberryreel::cell
--- /dev/null
+++ b/src/cell/Planner.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "cell/AdviceBook.h"
+#include "cell/CellState.h"
+#include "cell/ReadySteps.h"
+#include "cell/Room.h"
+#include "cell/UpstreamLife.h"
+
+#include "cranberryreel/base/Clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace cranberryreel::cell
+{
+
+/// Where one task is to start.
+struct PlannedStart {
+    TaskKey task;
+    std::uint32_t attempt = 0;
+    std::uint64_t upstream = 0;
+};
+
+/// A question for the advice service.
+struct AdviceWish {
+    StepKey step;
+    bool quick = false; ///< Its answer takes tens of milliseconds and is waited for by callers.
+    std::vector<std::uint64_t> upstreams; ///< Best ones first.
+    std::chrono::milliseconds expected{0}; ///< How long the service takes for it.
+    std::chrono::milliseconds valid{0}; ///< How long its tickets can be used.
+};
+
+struct Plan {
+    std::vector<PlannedStart> starts;
+    std::vector<AdviceWish> wishes;
+};
+
+/// What a plan is made from.
+struct PlanInput {
+    const CellState &state;
+    const std::map<std::uint64_t, UpstreamLife> &lives;
+    AdviceBook &advice;
+    const std::map<TaskKey, std::set<std::uint64_t>> &failedAt; ///< Upstreams on which a task has failed.
+    base::SteadyTime now;
+};
+
+/// Decides which waiting tasks start where. Pure: it reads the state and writes nothing.
+/// Load pattern: three kinds of work share the upstreams. Quick work (priority 0) comes in bursts and must start at once, so other work leaves it some
+/// room. Fillers never share an upstream with tasks that serve users, so that they cannot slow them down. Gangs start whole or not at all.
+class Planner
+{
+public:
+    explicit Planner(const PlanInput &planInput);
+
+    Plan make();
+
+private:
+    bool mayRunOn(const ReadyStep &ready, const Room &room) const;
+    bool hasTicket(const ReadyStep &ready, const Room &room) const;
+    bool leavesHeadroom(const ReadyStep &ready) const;
+    std::uint32_t runsOn(const ReadyStep &ready, std::uint64_t upstream) const;
+    std::uint32_t stillAllowed(const ReadyStep &ready, const Room &room) const;
+    std::string preferredRack(const ReadyStep &ready);
+    Room *bestRoom(const ReadyStep &ready, std::uint32_t task, const std::string &rack);
+    std::vector<std::uint32_t> place(const ReadyStep &ready);
+    std::vector<std::uint32_t> placeGang(const ReadyStep &ready);
+    void wishAdvice(const ReadyStep &ready, std::uint32_t unplaced);
+    void start(const ReadyStep &ready, std::uint32_t task, std::uint32_t attempt, Room &room);
+
+    const PlanInput &input;
+    RoomTable rooms;
+    std::int64_t freeCpu = 0;
+    std::map<std::pair<StepKey, std::uint64_t>, std::uint32_t> plannedOn;
+    Plan plan;
+};
+
+} // namespace cranberryreel::cell
--- /dev/null
+++ b/src/cell/ReadySteps.cpp
@@ -0,0 +1,71 @@
+#include "cell/ReadySteps.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace cranberryreel::cell
+{
+
+namespace
+{
+
+bool isDone(const wire::StepStateT &step)
+{
+    return std::all_of(step.tasks.begin(), step.tasks.end(), [](const std::unique_ptr<wire::TaskT> &task) { return task->done; });
+}
+
+bool turnHasCome(const wire::StepT &step, const wire::OccurrenceT &occurrence)
+{
+    return std::all_of(step.after.begin(), step.after.end(), [&occurrence](std::uint32_t earlier) { return isDone(*occurrence.steps[earlier]); });
+}
+
+std::vector<std::uint32_t> waitingTasks(const wire::StepT &step, const wire::StepStateT &state)
+{
+    std::vector<std::uint32_t> waiting;
+    bool running = false;
+    for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
+        running = running || !state.tasks[i]->runs.empty();
+        if (!state.tasks[i]->done && state.tasks[i]->runs.empty()) {
+            waiting.push_back(i);
+        }
+    }
+    return step.gang && running ? std::vector<std::uint32_t>() : waiting;
+}
+
+int priorityOf(const ReadyStep &ready)
+{
+    return ready.queue == nullptr ? std::numeric_limits<int>::max() : ready.queue->priority;
+}
+
+} // namespace
+
+std::vector<ReadyStep> readySteps(const CellState &state)
+{
+    std::vector<ReadyStep> ready;
+    for (const std::uint64_t number : state.openJobs()) {
+        const wire::JobT &job = *state.job(number);
+        if (!isActive(job)) {
+            continue;
+        }
+        for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+            const wire::OccurrenceT &occurrence = *job.occurrences[k];
+            for (std::uint32_t s = 0; !occurrence.done && s < occurrence.steps.size(); ++s) {
+                const wire::StepT &step = *job.spec->steps[s];
+                if (!turnHasCome(step, occurrence)) {
+                    continue;
+                }
+                ReadyStep entry{{number, k, s}, &job, &step, occurrence.steps[s].get(), state.queue(job.spec->queue), waitingTasks(step, *occurrence.steps[s])};
+                if (!entry.waiting.empty()) {
+                    ready.push_back(std::move(entry));
+                }
+            }
+        }
+    }
+    std::stable_sort(ready.begin(), ready.end(), [](const ReadyStep &left, const ReadyStep &right) {
+        return std::make_tuple(priorityOf(left), left.key) < std::make_tuple(priorityOf(right), right.key);
+    });
+    return ready;
+}
+
+} // namespace cranberryreel::cell
--- /dev/null
+++ b/src/cell/ReadySteps.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "cell/CellState.h"
+#include "cell/TaskKey.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace cranberryreel::cell
+{
+
+/// A step whose turn has come and that has tasks to place.
+struct ReadyStep {
+    StepKey key;
+    const wire::JobT *job = nullptr;
+    const wire::StepT *step = nullptr;
+    const wire::StepStateT *state = nullptr;
+    const wire::QueueT *queue = nullptr; ///< Null when the rules no longer name it.
+    std::vector<std::uint32_t> waiting; ///< Tasks that are not done and have no run.
+};
+
+/// All steps with work to place, in the order in which they are served: by the queue's priority, then by acceptance. A gang counts only when none of its
+/// tasks runs any more, since its tasks start together.
+std::vector<ReadyStep> readySteps(const CellState &state);
+
+} // namespace cranberryreel::cell
--- /dev/null
+++ b/src/cell/RunTable.cpp
@@ -0,0 +1,58 @@
+#include "cell/RunTable.h"
+
+#include <utility>
+
+namespace cranberryreel::cell
+{
+
+RunTrack &RunTable::add(RunTrack track)
+{
+    const RunKey key = track.key;
+    this->byUpstream[track.upstream].insert(key);
+    return this->runs.insert_or_assign(key, std::move(track)).first->second;
+}
+
+void RunTable::erase(const RunKey &key)
+{
+    const auto found = this->runs.find(key);
+    if (found == this->runs.end()) {
+        return;
+    }
+    const auto place = this->byUpstream.find(found->second.upstream);
+    place->second.erase(key);
+    if (place->second.empty()) {
+        this->byUpstream.erase(place);
+    }
+    this->runs.erase(found);
+}
+
+RunTrack *RunTable::find(const RunKey &key)
+{
+    const auto found = this->runs.find(key);
+    return found == this->runs.end() ? nullptr : &found->second;
+}
+
+std::vector<RunKey> RunTable::at(std::uint64_t upstream) const
+{
+    const auto found = this->byUpstream.find(upstream);
+    return found == this->byUpstream.end() ? std::vector<RunKey>() : std::vector<RunKey>(found->second.begin(), found->second.end());
+}
+
+std::size_t RunTable::countAt(std::uint64_t upstream) const
+{
+    const auto found = this->byUpstream.find(upstream);
+    return found == this->byUpstream.end() ? 0 : found->second.size();
+}
+
+std::vector<RunKey> RunTable::withPhase(RunPhase phase) const
+{
+    std::vector<RunKey> keys;
+    for (const auto &[key, track] : this->runs) {
+        if (track.phase == phase) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
+} // namespace cranberryreel::cell
--- /dev/null
+++ b/src/cell/RunTable.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "cell/RunTrack.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cranberryreel::cell
+{
+
+/// The tracked runs, by run and by upstream. Used by the scheduler's thread only.
+class RunTable
+{
+public:
+    RunTrack &add(RunTrack track);
+    void erase(const RunKey &key);
+
+    /// Null when no such run is tracked.
+    RunTrack *find(const RunKey &key);
+
+    std::vector<RunKey> at(std::uint64_t upstream) const;
+    std::size_t countAt(std::uint64_t upstream) const;
+
+    /// All runs that are Ordered and wait for a start to be sent, or are to end: in the order of their keys.
+    std::vector<RunKey> withPhase(RunPhase phase) const;
+
+    std::map<RunKey, RunTrack> &all()
+    {
+        return this->runs;
+    }
+
+private:
+    std::map<RunKey, RunTrack> runs;
+    std::map<std::uint64_t, std::set<RunKey>> byUpstream;
+};
+
+} // namespace cranberryreel::cell
--- /dev/null
+++ b/src/cell/TermContext.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "cell/AdvicePool.h"
+#include "cell/CellOptions.h"
+#include "cell/CellStore.h"
+#include "cell/CommandBatch.h"
+#include "cell/RunTable.h"
+#include "cell/UpstreamCalls.h"
+#include "cell/UpstreamLife.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace cranberryreel::cell
+{
+
+/// What the parts of one term of leadership share. Used by the scheduler's thread only, but for the store, the calls and `post`.
+struct TermContext {
+    const CellOptions &options;
+    std::uint64_t epoch = 0; ///< The term: orders of lower epochs are refused by upstreams that have seen this one.
+    CellStore &store;
+    UpstreamCalls &calls;
+    AdvicePool &advice;
+    CommandBatch batch;
+    RunTable runs;
+    std::map<std::uint64_t, UpstreamLife> lives; ///< By the upstream's number.
+
+    /// Runs it on the scheduler's thread while this term lasts. Any thread.
+    std::function<void(std::function<void()>)> post;
+
+    /// Something changed that may let work start.
+    std::function<void()> wake;
+
+    /// The lease of this term holds: what is sent now cannot cross the orders of a later leader unfenced.
+    std::function<bool()> leads;
+};
+
+} // namespace cranberryreel::cell
--- a/src/http/AnswerWriter.cpp
+++ b/src/http/AnswerWriter.cpp
@@ -44,6 +44,9 @@
     }
     static_cast<void>(body.release());
     MHD_add_response_header(answer, MHD_HTTP_HEADER_CONTENT_TYPE, response.contentType.c_str());
+    for (const auto &[name, value] : response.headers) {
+        MHD_add_response_header(answer, name.c_str(), value.c_str());
+    }
     if (response.closeConnection) {
         MHD_add_response_header(answer, MHD_HTTP_HEADER_CONNECTION, "close");
     }
--- a/src/http/Response.cpp
+++ b/src/http/Response.cpp
@@ -66,7 +66,10 @@
 Response errorResponse(base::ResultCode code, const std::string &reason)
 {
     const nlohmann::json body = {{"code", static_cast<int>(code)}, {"code_name", std::string(base::resultName(code))}, {"reason", reason}};
-    return {httpStatus(code), "application/json", body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), false};
+    Response response;
+    response.status = httpStatus(code);
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return response;
 }
 
 } // namespace cranberryreel::http
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -147,6 +147,9 @@
     exchange->request.path = url;
     exchange->request.authorization = headerOf(connection, MHD_HTTP_HEADER_AUTHORIZATION);
     exchange->request.traceparent = headerOf(connection, "traceparent");
+    for (const std::string &name : this->options.keptHeaders) {
+        exchange->request.headers[name] = headerOf(connection, name.c_str());
+    }
     exchange->request.connection = watch->number;
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &addParameter, &exchange->request.query);
     exchange->bodyLimit = this->options.maxBodyBytesOf ? this->options.maxBodyBytesOf(exchange->request.path) : this->options.maxBodyBytes;
--- a/src/http/ServerOptions.h
+++ b/src/http/ServerOptions.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace cranberryreel::http
 {
@@ -17,6 +18,7 @@
     unsigned int maxConnections = 4096; ///< Further ones are answered TooManyConnections.
     std::size_t maxBodyBytes = 4U << 20U;
     std::function<std::size_t(const std::string &path)> maxBodyBytesOf; ///< Where set, replaces maxBodyBytes by path.
+    std::vector<std::string> keptHeaders; ///< Request headers that handlers see besides the usual ones.
     std::size_t maxBufferedBytes = 128U << 20U; ///< Of all bodies being received together.
     std::size_t maxAnswerBytes = 128U << 20U; ///< Of all large answers being written together; a single larger one goes alone.
     std::chrono::milliseconds headerLimit{10000}; ///< From connect to the end of the first request's headers.
--- a/src/link/LinkHub.h
+++ b/src/link/LinkHub.h
@@ -20,6 +20,8 @@
     Zone = 3, ///< Calls to a zone scheduler.
     Config = 4, ///< Configuration fetch, announcements of revisions, operators' changes on their way to the leader.
     Gossip = 5, ///< Leaders and load of zones.
+    CellGroup = 6, ///< Replication messages of the cell group.
+    Cell = 7, ///< Calls to the cell scheduler, and from it to those who ask for advice.
 };
 
 struct CallResult {
@@ -75,6 +77,11 @@
     /// Accepts other keys from now on. Links that were proved by a key that is gone are dropped and dialed anew; the others go on. Any thread.
     virtual void setKeys(LinkKeys keys) = 0;
 
+    /// Adds a peer "IP:PORT" that was not known when the hub was built; a known one stays as it is. Any thread. Throws base::Error(SettingsBadValue).
+    virtual void addPeer(const std::string & /*vm*/, const std::string & /*address*/)
+    {
+    }
+
     virtual std::vector<PeerStatus> peers() const = 0;
     virtual LinkFigures figures() const = 0;
     virtual bool isUp(const std::string &vm) const = 0;
--- a/src/link/LinkHubBuilder.cpp
+++ b/src/link/LinkHubBuilder.cpp
@@ -58,6 +58,12 @@
     return *this;
 }
 
+LinkHubBuilder &LinkHubBuilder::acceptNewcomers()
+{
+    this->options.acceptNewcomers = true;
+    return *this;
+}
+
 LinkHubBuilder &LinkHubBuilder::keys(LinkKeys linkKeys)
 {
     this->options.keys = std::move(linkKeys);
--- a/src/link/LinkHubBuilder.h
+++ b/src/link/LinkHubBuilder.h
@@ -21,6 +21,8 @@
 
     /// "IP:PORT". Throws base::Error(SettingsBadValue). The own VM may be among the peers and is passed over.
     LinkHubBuilder &peer(std::string name, const std::string &address);
+    /// Takes in VMs that no one named, once they have proved the shared key.
+    LinkHubBuilder &acceptNewcomers();
     LinkHubBuilder &keys(LinkKeys linkKeys);
     LinkHubBuilder &timings(LinkTimings linkTimings);
     LinkHubBuilder &limits(LinkLimits linkLimits);
--- a/src/link/LinkHubOptions.h
+++ b/src/link/LinkHubOptions.h
@@ -23,6 +23,7 @@
     std::string cluster; ///< Daemons of other clusters are refused.
     Endpoint listen;
     std::vector<Peer> peers;
+    bool acceptNewcomers = false; ///< A dialer that proves the key becomes a peer that is never dialed.
     LinkKeys keys;
     LinkTimings timings;
     LinkLimits limits;
--- a/src/link/PeerLink.cpp
+++ b/src/link/PeerLink.cpp
@@ -41,6 +41,11 @@
     return this->peer;
 }
 
+void PeerLink::learnAddress(const Endpoint &peerAddress)
+{
+    this->endpoint = peerAddress;
+}
+
 const Endpoint &PeerLink::address() const
 {
     return this->endpoint;
--- a/src/link/PeerLink.h
+++ b/src/link/PeerLink.h
@@ -33,7 +33,9 @@
     void setReceivers(const Receivers &hubReceivers, CallReceiver &hubCallReceiver, LinkCounters &hubCounters);
 
     const std::string &vm() const;
+    /// Empty for a peer that is never dialed.
     const Endpoint &address() const;
+    void learnAddress(const Endpoint &peerAddress);
     Outbox &outbox();
     DialSchedule &dialSchedule();
     PeerStatus status() const;
@@ -70,7 +72,7 @@
     void publishBytes();
 
     const std::string peer;
-    const Endpoint endpoint;
+    Endpoint endpoint;
     const LinkTimings timings;
     const LinkLimits limits;
     const Receivers *receivers = nullptr;
--- a/src/link/TcpLinkHub.cpp
+++ b/src/link/TcpLinkHub.cpp
@@ -46,11 +46,7 @@
     , nextCallId(firstCallId())
 {
     for (const Peer &peer : this->options.peers) {
-        const LinkTimings timings = timingsFor(this->options, peer.vm);
-        const DialSchedule schedule(timings, peer.vm < this->options.vm);
-        auto link = std::make_unique<PeerLink>(peer.vm, peer.endpoint, timings, this->options.limits, schedule);
-        link->setReceivers(this->receivers, *this, this->counters);
-        this->links.emplace(peer.vm, std::move(link));
+        this->insertPeer(peer);
     }
     this->local.setResponders([route = this->answerRoute, vm = this->options.vm](std::uint64_t id) {
         return [route, vm, id](std::string payload) { route->answer(vm, 0, id, std::move(payload)); };
@@ -75,11 +71,11 @@
 void TcpLinkHub::start()
 {
     this->listener = std::make_unique<Listener>(this->loop, this->options.listen, [this](Socket socket) { this->accept(std::move(socket)); });
-    for (const auto &[vm, link] : this->links) {
+    for (PeerLink *link : this->links.all()) {
         link->dialSchedule().linkLost(base::steadyNow());
     }
     this->thread = std::thread([this] { this->run(); });
-    linkLog().info("Listening on {}:{} for {} peers.", this->options.listen.ip, this->options.listen.port, this->links.size());
+    linkLog().info("Listening on {}:{} for {} peers.", this->options.listen.ip, this->options.listen.port, this->links.all().size());
 }
 
 void TcpLinkHub::stop()
@@ -143,8 +139,7 @@
 std::vector<PeerStatus> TcpLinkHub::peers() const
 {
     std::vector<PeerStatus> all;
-    all.reserve(this->links.size());
-    for (const auto &[vm, link] : this->links) {
+    for (const PeerLink *link : this->links.all()) {
         all.push_back(link->status());
     }
     absl::c_sort(all, [](const PeerStatus &left, const PeerStatus &right) { return left.vm < right.vm; });
@@ -167,6 +162,9 @@
 
 void TcpLinkHub::halfOpenAdopted(HalfOpenLink &link)
 {
+    if (this->options.acceptNewcomers) {
+        this->insertPeer({link.handshake().peerVm(), {}});
+    }
     PeerLink *peer = this->findPeer(link.handshake().peerVm());
     const bool decides = this->options.vm < peer->vm();
     const std::shared_ptr<Connection> connection = link.connection();
@@ -246,7 +244,7 @@
 {
     this->listener.reset();
     this->halfOpen.closeAll();
-    for (const auto &[vm, link] : this->links) {
+    for (PeerLink *link : this->links.all()) {
         link->pumpIfRequested();
         link->drop("this daemon stops");
     }
@@ -260,9 +258,9 @@
     if (const std::optional<base::SteadyTime> deadline = this->local.nextDeadline()) {
         next = std::min(next, *deadline);
     }
-    for (const auto &[vm, link] : this->links) {
+    for (PeerLink *link : this->links.all()) {
         next = std::min(next, link->nextTick());
-        if (!link->attached() && !this->halfOpen.dialing(vm)) {
+        if (this->mayDial(*link)) {
             next = std::min(next, link->dialSchedule().nextDial());
         }
     }
@@ -278,10 +276,10 @@
     for (HalfOpenLink *overdue : this->halfOpen.late(now)) {
         this->halfOpenLost(*overdue, "the handshake took too long");
     }
-    for (const auto &[vm, link] : this->links) {
+    for (PeerLink *link : this->links.all()) {
         link->pumpIfRequested();
         link->tick(now);
-        if (!link->attached() && !this->halfOpen.dialing(vm) && now >= link->dialSchedule().nextDial()) {
+        if (this->mayDial(*link) && now >= link->dialSchedule().nextDial()) {
             this->dial(*link, now);
         }
     }
@@ -318,7 +316,7 @@
 void TcpLinkHub::applyKeys(LinkKeys keys)
 {
     this->options.keys = std::move(keys);
-    for (const auto &[vm, link] : this->links) {
+    for (PeerLink *link : this->links.all()) {
         if (link->attached() && !this->options.keys.accepts(link->provedKey())) {
             link->drop("its key is no longer accepted");
         }
@@ -342,13 +340,40 @@
 
 HandshakeContext TcpLinkHub::handshakeContext() const
 {
-    return {this->options.cluster, this->options.vm, this->options.keys, [this](const std::string &vm) { return this->findPeer(vm) != nullptr; }};
+    return {this->options.cluster, this->options.vm, this->options.keys, [this](const std::string &vm) { return this->options.acceptNewcomers || this->findPeer(vm) != nullptr; }};
 }
 
 PeerLink *TcpLinkHub::findPeer(const std::string &vm) const
 {
-    const auto found = this->links.find(vm);
-    return found == this->links.end() ? nullptr : found->second.get();
+    return this->links.find(vm);
+}
+
+bool TcpLinkHub::mayDial(PeerLink &peer) const
+{
+    return !peer.address().ip.empty() && !peer.attached() && !this->halfOpen.dialing(peer.vm());
+}
+
+void TcpLinkHub::insertPeer(const Peer &peer)
+{
+    if (this->findPeer(peer.vm) != nullptr) {
+        return;
+    }
+    const LinkTimings timings = timingsFor(this->options, peer.vm);
+    auto link = std::make_unique<PeerLink>(peer.vm, peer.endpoint, timings, this->options.limits, DialSchedule(timings, peer.vm < this->options.vm));
+    link->setReceivers(this->receivers, *this, this->counters);
+    this->links.insert(std::move(link));
+}
+
+void TcpLinkHub::addPeer(const std::string &vm, const std::string &address)
+{
+    if (vm == this->options.vm) {
+        return;
+    }
+    const Endpoint endpoint = Endpoint::parse(address);
+    this->loop.post([this, vm, endpoint] {
+        this->insertPeer({vm, endpoint});
+        this->findPeer(vm)->learnAddress(endpoint);
+    });
 }
 
 } // namespace cranberryreel::link
--- a/src/link/TcpLinkHub.h
+++ b/src/link/TcpLinkHub.h
@@ -5,11 +5,9 @@
 #include "link/LinkHubOptions.h"
 #include "link/Listener.h"
 #include "link/LocalLink.h"
-#include "link/PeerLink.h"
+#include "link/PeerTable.h"
 #include "link/RefusalLog.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <atomic>
 #include <memory>
 #include <string>
@@ -34,6 +32,7 @@
     void call(
         const std::string &toVm, Channel channel, std::string payload, std::chrono::milliseconds limit, const std::string &traceparent, CallDone done) override;
     void setKeys(LinkKeys keys) override;
+    void addPeer(const std::string &vm, const std::string &address) override;
     std::vector<PeerStatus> peers() const override;
     LinkFigures figures() const override;
     bool isUp(const std::string &vm) const override;
@@ -58,6 +57,8 @@
     void wakeFor(PeerLink &peer);
     void endUnsent(CallDone done, base::ResultCode code);
     HandshakeContext handshakeContext() const;
+    bool mayDial(PeerLink &peer) const;
+    void insertPeer(const Peer &peer);
     PeerLink *findPeer(const std::string &vm) const;
 
     LinkHubOptions options;
@@ -65,7 +66,7 @@
     Receivers receivers;
     LinkCounters counters;
     LocalLink local;
-    absl::flat_hash_map<std::string, std::unique_ptr<PeerLink>> links; ///< Fixed after construction.
+    PeerTable links;
     HalfOpenLinks halfOpen;
     std::unique_ptr<Listener> listener;
     RefusalLog refusalLog;
--- a/src/observe/LogSetup.cpp
+++ b/src/observe/LogSetup.cpp
@@ -1,5 +1,7 @@
 #include "observe/LogSetup.h"
 
+#include "observe/StreamAppender.h"
+
 #include "cranberryreel/base/Error.h"
 
 #include <fmt/format.h>
@@ -13,6 +15,8 @@
 #include <fstream>
 #include <memory>
 
+#include <unistd.h>
+
 namespace cranberryreel::observe
 {
 
@@ -20,6 +24,8 @@
 {
 
 constexpr const char *LinePattern = "%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %c: %m%n";
+/// Written in front of the event of each structured line.
+constexpr const char *StructuredPattern = "time=%d{{%Y-%m-%dT%H:%M:%S.%q}}Z level=%p part=%c vm={} %m%n";
 constexpr long MaxFileBytes = 32L << 20U;
 constexpr int KeptFiles = 3;
 
@@ -47,8 +53,10 @@
 
 void setUpLog(const LogOptions &options)
 {
-    log4cplus::SharedAppenderPtr appender = makeAppender(options);
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LinePattern));
+    const bool structured = !options.structuredAs.empty();
+    log4cplus::SharedAppenderPtr appender = structured ? log4cplus::SharedAppenderPtr(new StreamAppender(STDOUT_FILENO)) : makeAppender(options);
+    const std::string pattern = structured ? fmt::format(StructuredPattern, options.structuredAs) : LinePattern;
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
     root.addAppender(appender);
--- a/src/replication/CoreFormation.cpp
+++ b/src/replication/CoreFormation.cpp
@@ -99,7 +99,7 @@
 {
     const GroupTimings &timings = this->options.timings;
     const bool idle = this->currentRole == Role::Follower || this->currentRole == Role::PreCandidate;
-    if (!idle || this->hearsLeader(now, timings.formationSettle)) {
+    if (!this->options.mayFormAnew || !idle || this->hearsLeader(now, timings.formationSettle)) {
         return false;
     }
     const bool patient = !this->hearsLeader(now, timings.formationPatience);
--- a/src/replication/CoreOptions.h
+++ b/src/replication/CoreOptions.h
@@ -15,6 +15,7 @@
     std::string ownVm;
     std::uint64_t boot = 0; ///< Differs for each start of a member's process.
     Membership members; ///< From the settings; what the log says goes before it.
+    bool mayFormAnew = true; ///< False: it waits for a leader of an existing group, whatever it and its peers have forgotten.
     std::uint64_t termFloor = 0; ///< A group formed anew starts above it. Milliseconds of wall-clock time fit.
     std::uint64_t seed = 1; ///< Of the election timeouts.
     GroupTimings timings;
--- a/src/replication/GroupBuilder.cpp
+++ b/src/replication/GroupBuilder.cpp
@@ -49,6 +49,12 @@
     return *this;
 }
 
+GroupBuilder &GroupBuilder::mayFormAnew(bool may)
+{
+    this->formsAnew = may;
+    return *this;
+}
+
 GroupBuilder &GroupBuilder::dataFolder(std::string path)
 {
     this->folder = std::move(path);
@@ -115,6 +121,7 @@
     options.core.ownVm = this->vm;
     options.core.boot = randomNumber();
     options.core.members = Membership(this->memberList);
+    options.core.mayFormAnew = this->formsAnew;
     options.core.termFloor = this->floor.value_or(wallMilliseconds());
     options.core.seed = this->randomSeed.value_or(randomNumber());
     options.core.timings = this->groupTimings;
--- a/src/replication/GroupBuilder.h
+++ b/src/replication/GroupBuilder.h
@@ -23,6 +23,10 @@
     /// The members at the group's formation; later the log says who they are. All members must be given the same.
     GroupBuilder &members(std::vector<Member> list);
 
+    /// False: this member never takes part in a cold start. For one that joins a running group, or comes back to it with an empty disk, and knows its
+    /// members only by hearsay. Default: true.
+    GroupBuilder &mayFormAnew(bool may);
+
     /// Where this member keeps its log; needed for a member with a disk, refused for one without.
     GroupBuilder &dataFolder(std::string path);
 
@@ -53,6 +57,7 @@
     std::string vm;
     std::vector<Member> memberList;
     std::string folder;
+    bool formsAnew = true;
     StateMachine *machine = nullptr;
     LeadershipListener *leadership = nullptr;
     SendToMember send;
