--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -190,6 +190,12 @@
     return this->leaderHeard != base::SteadyTime() && base::steadyNow() - this->leaderHeard <= age;
 }
 
+std::vector<std::string> CellCaller::known() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->vms;
+}
+
 std::string CellCaller::leader() const
 {
     const absl::MutexLock lock(&this->mutex);
--- a/src/cell/CellCaller.h
+++ b/src/cell/CellCaller.h
@@ -54,6 +54,9 @@
     /// Empty when none is known.
     std::string leader() const;
 
+    /// VMs that hold the cell's state, or may know who does.
+    std::vector<std::string> known() const;
+
 private:
     struct Attempt;
 
--- a/src/cell/CellDaemon.cpp
+++ b/src/cell/CellDaemon.cpp
@@ -35,11 +35,11 @@
 replication::GroupTimings groupTimings()
 {
     replication::GroupTimings timings;
-    timings.heartbeat = std::chrono::milliseconds(200);
-    timings.electionMin = std::chrono::milliseconds(800);
-    timings.electionMax = std::chrono::milliseconds(1300);
-    timings.restartGrace = std::chrono::milliseconds(1300);
-    timings.formationSettle = std::chrono::milliseconds(1300);
+    timings.heartbeat = std::chrono::milliseconds(150);
+    timings.electionMin = std::chrono::milliseconds(550);
+    timings.electionMax = std::chrono::milliseconds(850);
+    timings.restartGrace = std::chrono::milliseconds(850);
+    timings.formationSettle = std::chrono::milliseconds(1000);
     // Disks here lose what was not synced, and nothing that was: a member that read its disk need not wait for one that might know better.
     timings.formationPatience = std::chrono::milliseconds(3000);
     return timings;
@@ -60,6 +60,7 @@
         MemberOptions options;
         options.dataFolder = this->settings.dataFolder + "/cell";
         options.seeds = hostsOf(this->settings.seeds);
+        options.voters = 2 * this->settings.toleratedVms + 1;
         options.firstStart = this->settings.firstStart;
         options.timings = groupTimings();
         this->member = std::make_unique<CellMember>(options, this->settings.cell, *this->hub, *this->cellCaller, upstreamCalls, *this->pool);
--- a/src/cell/CellMember.cpp
+++ b/src/cell/CellMember.cpp
@@ -16,10 +16,8 @@
 
 constexpr std::chrono::milliseconds WatchEvery{500};
 constexpr std::chrono::milliseconds JoinLimit{450};
-/// A member without a link for so long is taken out while all others are there; cuts on the sheets end within seven seconds.
-constexpr std::chrono::seconds LostAfter{15};
-/// Fewer members than that are never left by taking one out.
-constexpr std::size_t LeastMembers = 3;
+/// A member without a link for so long gives its place to a VM that asks for one; cuts and restarts on the sheets end within seven seconds.
+constexpr std::chrono::seconds LostAfter{8};
 
 std::vector<replication::Member> foundingMembers(const MemberOptions &options, const std::string &ownVm)
 {
@@ -88,10 +86,22 @@
     return this->group->holdsLease(base::steadyNow());
 }
 
-wire::ReplyT CellMember::lookUp() const
+bool CellMember::belongs() const
 {
     const replication::GroupStatus status = this->group->status();
+    return this->leads() || (status.caughtUp && !status.leaderVm.empty());
+}
+
+/// What a member knows of its group, and what any other VM has heard of it.
+wire::ReplyT CellMember::lookUp() const
+{
     wire::ReplyT reply = replyOf(base::ResultCode::Ok);
+    if (!this->belongs()) {
+        reply.leader = this->caller.leader();
+        reply.members = this->caller.known();
+        return reply;
+    }
+    const replication::GroupStatus status = this->group->status();
     reply.leader = this->leads() ? this->cell.ownVm : status.leaderVm;
     // A member that leads no more may still think that it does.
     if (reply.leader == this->cell.ownVm && !this->leads()) {
@@ -108,7 +118,12 @@
     } else if (call.kind == wire::CallKind::Join) {
         this->joinAsked(fromVm, reply);
     } else {
-        this->scheduler.call(std::move(call), std::move(reply));
+        this->scheduler.call(std::move(call), [this, reply = std::move(reply)](wire::ReplyT answer) {
+            if (static_cast<base::ResultCode>(answer.code) == base::ResultCode::NotLeader && answer.leader.empty() && !this->belongs()) {
+                answer.leader = this->caller.leader();
+            }
+            reply(std::move(answer));
+        });
     }
 }
 
@@ -125,11 +140,24 @@
         reply(replyOf(base::ResultCode::Ok));
         return;
     }
+    std::string lost;
+    if (status.members.size() >= this->options.voters) {
+        const absl::MutexLock lock(&this->mutex);
+        for (const auto &[member, since] : this->unseenSince) {
+            lost = base::steadyNow() - since > LostAfter ? member : lost;
+        }
+        if (lost.empty()) {
+            reply(replyOf(base::ResultCode::Ok, "The group has as many members as it needs."));
+            return;
+        }
+    }
     std::vector<replication::Member> members{{vm, true, false}};
     for (const std::string &member : status.members) {
-        members.push_back({member, true, false});
+        if (member != lost) {
+            members.push_back({member, true, false});
+        }
     }
-    Logger.info("event=member_joins vm={} members={}", vm, members.size());
+    Logger.info("event=member_joins vm={} in_place_of={} members={}", vm, lost, members.size());
     this->group->changeMembers(std::move(members), [reply, vm](const replication::ProposeResult &result) {
         Logger.info("event=member_joined vm={} outcome={}", vm, static_cast<int>(result.code));
         reply(replyOf(result.code));
@@ -142,19 +170,13 @@
         this->caller.addSeeds({vm});
     }
     this->joinIfOutside();
-    if (this->leads()) {
-        this->replaceLost();
-    } else {
-        this->unseenSince.clear();
-    }
+    this->watchMembers();
     this->timers.postAfter(WatchEvery, [this] { this->watch(); });
 }
 
 void CellMember::joinIfOutside()
 {
-    const replication::GroupStatus status = this->group->status();
-    const bool follows = status.caughtUp && !status.leaderVm.empty();
-    if (this->leads() || follows || founds(this->options, this->cell.ownVm)) {
+    if (this->belongs() || founds(this->options, this->cell.ownVm)) {
         return;
     }
     wire::CallT join;
@@ -162,31 +184,20 @@
     this->caller.call(join, JoinLimit, JoinLimit, [](const CallOutcome &) {});
 }
 
-void CellMember::replaceLost()
+void CellMember::watchMembers()
 {
     const base::SteadyTime now = base::steadyNow();
+    const bool watches = this->leads();
     const std::vector<std::string> members = this->group->status().members;
-    std::vector<std::string> unseen;
-    for (const std::string &vm : members) {
-        if (vm == this->cell.ownVm || this->hub.isUp(vm)) {
-            this->unseenSince.erase(vm);
-        } else if (const base::SteadyTime since = this->unseenSince.try_emplace(vm, now).first->second; now - since > LostAfter) {
-            unseen.push_back(vm);
-        }
-    }
-    if (unseen.empty() || members.size() <= LeastMembers || this->unseenSince.size() > unseen.size()) {
-        return;
-    }
-    std::vector<replication::Member> kept;
+    const absl::MutexLock lock(&this->mutex);
+    std::map<std::string, base::SteadyTime> unseen;
     for (const std::string &vm : members) {
-        if (vm != unseen.front()) {
-            kept.push_back({vm, true, false});
+        if (watches && vm != this->cell.ownVm && !this->hub.isUp(vm)) {
+            const auto before = this->unseenSince.find(vm);
+            unseen[vm] = before == this->unseenSince.end() ? now : before->second;
         }
     }
-    Logger.info("event=member_taken_out vm={} members={}", unseen.front(), kept.size());
-    this->group->changeMembers(std::move(kept), [vm = unseen.front()](const replication::ProposeResult &result) {
-        Logger.info("event=member_out vm={} outcome={}", vm, static_cast<int>(result.code));
-    });
+    this->unseenSince = std::move(unseen);
 }
 
 } // namespace cranberryreel::cell
--- a/src/cell/CellMember.h
+++ b/src/cell/CellMember.h
@@ -10,7 +10,11 @@
 #include "replication/Group.h"
 #include "replication/GroupTimings.h"
 
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
 #include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,6 +26,7 @@
 struct MemberOptions {
     std::string dataFolder;
     std::vector<std::string> seeds; ///< VMs.
+    std::size_t voters = 3; ///< The group has so many members at most; an odd number, so that no even split stops it.
     bool firstStart = false; ///< The whole cell starts for the first time; the seeds found its group.
     replication::GroupTimings timings;
 };
@@ -46,7 +51,8 @@
 private:
     void watch();
     void joinIfOutside();
-    void replaceLost();
+    void watchMembers();
+    bool belongs() const;
     void joinAsked(const std::string &vm, const Reply &reply);
     wire::ReplyT lookUp() const;
     bool leads() const;
@@ -59,7 +65,8 @@
     CellScheduler scheduler;
     std::unique_ptr<replication::Group> group;
     base::Mailbox timers;
-    std::map<std::string, base::SteadyTime> unseenSince; ///< Members without a link; on the timers' thread only.
+    mutable absl::Mutex mutex;
+    std::map<std::string, base::SteadyTime> unseenSince ABSL_GUARDED_BY(mutex); ///< Members without a link, as the leader sees it.
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/CellSettings.cpp
+++ b/src/cell/CellSettings.cpp
@@ -75,6 +75,12 @@
     return !into.seeds.empty();
 }
 
+bool takeTolerated(CellSettings &into, const std::string &value)
+{
+    constexpr std::size_t Most = 3;
+    return absl::SimpleAtoi(value, &into.toleratedVms) && into.toleratedVms <= Most;
+}
+
 bool takeFirstStart(CellSettings &into, const std::string &value)
 {
     into.firstStart = value == "true";
@@ -128,6 +134,7 @@
         {"link", "listen", true, "IP:port", address(&CellSettings::link)},
         {"link", "key", true, "a text", text(&CellSettings::linkKey)},
         {"cell", "seeds", true, "IP:port, separated by commas", &takeSeeds},
+        {"cell", "tolerate", false, "a whole number from 0 to 3", &takeTolerated},
         {"cell", "first_start", false, "true or false", &takeFirstStart},
         {"cell", "data_folder", false, "a path", text(&CellSettings::dataFolder)},
         {"advice", "service", false, "IP:port", address(&CellSettings::adviceService)},
--- a/src/cell/CellSettings.h
+++ b/src/cell/CellSettings.h
@@ -21,6 +21,7 @@
     settings::SocketAddress link;
     std::string linkKey;
     std::vector<settings::SocketAddress> seeds; ///< Control addresses; their hosts name the VMs.
+    std::size_t toleratedVms = 1; ///< So many VMs that hold the state may be lost together.
     bool firstStart = false;
     std::string dataFolder; ///< Set: this VM holds the cell's state.
     settings::SocketAddress adviceService;
--- a/src/cell/FleetKeeper.cpp
+++ b/src/cell/FleetKeeper.cpp
@@ -29,7 +29,8 @@
 /// So many tasks of different jobs failing in a row make an upstream suspect.
 constexpr int FailuresToShun = 3;
 constexpr std::chrono::milliseconds FirstShun{3000};
-constexpr std::chrono::milliseconds LongestShun{12000};
+/// Beyond the deadline of an order, for rounding.
+constexpr std::chrono::milliseconds OrderSlack{100};
 
 wire::EndKind kindOf(RunEnd how)
 {
@@ -409,8 +410,7 @@
         ++life.failuresInRow;
     }
     if (life.failuresInRow >= FailuresToShun) {
-        life.shunFor = std::clamp(2 * life.shunFor, FirstShun, LongestShun);
-        life.shunnedUntil = now + life.shunFor;
+        life.shun(now, FirstShun);
         Logger.warn("event=upstream_shunned number={} failures={} for_ms={}", number, life.failuresInRow, life.shunFor.count());
     }
 }
@@ -422,7 +422,10 @@
         if (listed.count(key) > 0 || track.ending) {
             continue;
         }
-        const bool stopped = track.phase == RunPhase::Stopping && track.stoppedAt != base::SteadyTime() && track.stoppedAt < sentAt;
+        const auto clockThen = this->context.lives.at(number).clockAtLeast(sentAt);
+        const bool outOfTime = track.phase == RunPhase::Stopping && track.deadline.count() > 0 && clockThen && *clockThen > track.deadline + OrderSlack;
+        const bool acknowledged = track.phase == RunPhase::Stopping && track.stoppedAt != base::SteadyTime() && track.stoppedAt < sentAt;
+        const bool stopped = outOfTime || acknowledged;
         const bool confirmed = track.phase == RunPhase::Confirmed && track.startedAt < sentAt;
         if (stopped || confirmed || track.phase == RunPhase::Adopted) {
             Logger.info("event=run_missing task={} attempt={} number={} phase={}", track.task, track.key.attempt, number, static_cast<int>(track.phase));
--- a/src/cell/RunKeeper.cpp
+++ b/src/cell/RunKeeper.cpp
@@ -114,6 +114,7 @@
     }
     order.run = {track.task, track.key.attempt};
     order.deadline = *deadline;
+    track.deadline = std::max(track.deadline, *deadline);
     order.epoch = this->context.epoch;
     if (const auto &allowed = this->advice.of(task.step).allowed; allowed.count(track.upstream) > 0) {
         order.ticket = allowed.at(track.upstream).text;
@@ -193,7 +194,7 @@
     } else if (answer == OrderAnswer::NoRoom) {
         life->second.shunnedUntil = std::max(life->second.shunnedUntil, now + ShunFull);
     } else if (answer == OrderAnswer::Unhealthy || answer == OrderAnswer::NotSent || answer == OrderAnswer::Unknown) {
-        life->second.shunnedUntil = std::max(life->second.shunnedUntil, now + ShunUnhealthy);
+        life->second.shun(now, ShunUnhealthy);
     } else if (answer == OrderAnswer::Invalid) {
         this->noteFailure(track.key.task, track.upstream);
     }
@@ -279,6 +280,12 @@
 void RunKeeper::reconcile()
 {
     std::vector<RunKey> toStop;
+    std::set<StepKey> stoppingSteps; // A gang that loses a member cannot go on; its others must not wait for it in vain.
+    for (const auto &[key, track] : this->context.runs.all()) {
+        if (track.phase == RunPhase::Stopping) {
+            stoppingSteps.insert(key.task.step);
+        }
+    }
     this->context.store.read([&](const CellState &state) {
         for (auto &[key, track] : this->context.runs.all()) {
             if (track.phase == RunPhase::Stopping || track.ending) {
@@ -290,7 +297,8 @@
             bool needed = task != nullptr && isActive(*job) && (!task->done || step->gang);
             if (needed && step->gang && !task->done) {
                 const auto &members = job->occurrences[key.task.step.occurrence]->steps[key.task.step.step]->tasks;
-                needed = std::all_of(members.begin(), members.end(), [](const std::unique_ptr<wire::TaskT> &member) { return !member->runs.empty(); });
+                needed = std::all_of(members.begin(), members.end(), [](const std::unique_ptr<wire::TaskT> &member) { return !member->runs.empty(); })
+                    && stoppingSteps.count(key.task.step) == 0;
             }
             if (!needed) {
                 toStop.push_back(key);
--- a/src/cell/RunTrack.h
+++ b/src/cell/RunTrack.h
@@ -4,6 +4,7 @@
 
 #include "cranberryreel/base/Clock.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -24,6 +25,7 @@
     std::uint64_t upstream = 0;
     RunPhase phase = RunPhase::Ordered;
     int starts = 0; ///< Start orders sent.
+    std::chrono::milliseconds deadline{0}; ///< Latest one that a start named, on the upstream's clock: what arrives after it is refused.
     bool unanswered = false; ///< Some start had no answer and may be carried out yet.
     bool ending = false; ///< Its end is on the way into the log.
     bool calling = false; ///< A start or stop is on its way.
--- a/src/cell/UpstreamLife.cpp
+++ b/src/cell/UpstreamLife.cpp
@@ -12,6 +12,7 @@
 constexpr double ClockDrift = 0.02;
 /// Added to the end of leases, for rounding and the time that an upstream needs to end what has lapsed.
 constexpr std::chrono::milliseconds LeaseSlack{150};
+constexpr std::chrono::milliseconds LongestShun{12000};
 
 } // namespace
 
@@ -60,6 +61,15 @@
     return *this->clockSeen + since;
 }
 
+void UpstreamLife::shun(base::SteadyTime now, std::chrono::milliseconds least)
+{
+    if (now < this->shunnedUntil) {
+        return;
+    }
+    this->shunFor = std::clamp(2 * this->shunFor, least, LongestShun);
+    this->shunnedUntil = now + this->shunFor;
+}
+
 std::optional<std::chrono::milliseconds> UpstreamLife::grant(base::SteadyTime now)
 {
     const auto clock = this->clockAtLeast(now);
--- a/src/cell/UpstreamLife.h
+++ b/src/cell/UpstreamLife.h
@@ -32,6 +32,9 @@
     /// Everything that any order may have started there has lost its lease.
     bool leasesOver(base::SteadyTime now) const;
 
+    /// Gives it no work for `least`, or twice the last pause where that is longer; a task done there ends the doubling.
+    void shun(base::SteadyTime now, std::chrono::milliseconds least);
+
     /// Another life answers or announces itself: what ran before is gone, its clock and ends count anew.
     void reborn(base::SteadyTime now);
 
--- a/src/http/ClientRequest.h
+++ b/src/http/ClientRequest.h
@@ -15,7 +15,7 @@
     std::string target = "/"; ///< Path and query, percent-encoded already.
     std::string bearerKey; ///< Empty: no Authorization header.
     std::string traceparent; ///< Empty: no header.
-    std::vector<std::pair<std::string, std::string>> headers; ///< Besides the usual ones.
+    std::vector<std::pair<std::string, std::string>> headers = {}; ///< Besides the usual ones.
     std::string body; ///< JSON; sent with POST and PUT.
     std::chrono::milliseconds limit{5000}; ///< For the whole call, connecting and waiting for a connection included.
     bool freshConnection = false; ///< True: a new connection, since an open one may be dead for good.
--- a/src/http/Response.h
+++ b/src/http/Response.h
@@ -16,7 +16,7 @@
     std::string contentType = "application/json";
     std::string body;
     bool closeConnection = false; ///< True: the connection ends after this answer.
-    std::vector<std::pair<std::string, std::string>> headers; ///< Besides the content type.
+    std::vector<std::pair<std::string, std::string>> headers = {}; ///< Besides the content type.
 };
 
 /// Takes the answer to one request, once, on any thread; later calls are ignored. Dropped unused, the caller gets code Internal.
--- /dev/null
+++ b/tests/cell/CellRig.cpp
@@ -0,0 +1,151 @@
+#include "cell/CellRig.h"
+
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace cranberryreel::support
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds TestLease{400};
+constexpr std::chrono::milliseconds TickEvery{5};
+
+std::string queuePath(const std::string &queueName, const std::string &id)
+{
+    return "/" + queueName + "/" + id;
+}
+
+} // namespace
+
+void AllowAll::ask(const std::string & /*step*/, const std::vector<std::string> &upstreams, std::chrono::milliseconds /*limit*/, cell::AdviceDone done)
+{
+    ++this->asked;
+    cell::AdviceResult result;
+    result.answered = true;
+    for (const std::string &id : upstreams) {
+        result.tickets.emplace_back(id, "ticket");
+    }
+    done(std::move(result));
+}
+
+CellRig::CellRig()
+    : hub([](const testsupport::FakeHub::Seen &, std::size_t) { return link::CallResult{base::ResultCode::LinkDown, false, {}}; })
+    , pool("vm", hub, advice)
+{
+    this->options.ownVm = "vm";
+    this->options.leaseMax = TestLease;
+    this->takeOver();
+    cell::wire::CallT put;
+    put.kind = cell::wire::CallKind::PutRules;
+    put.rules = rules(1);
+    this->call(std::move(put));
+}
+
+CellRig::~CellRig()
+{
+    this->leader.reset();
+}
+
+void CellRig::takeOver()
+{
+    this->leader.reset();
+    this->posted.clear();
+    ++this->term;
+    const auto post = [this, owner = this->term](std::function<void()> item) {
+        this->posted.push_back([this, owner, item = std::move(item)] {
+            if (owner == this->term) {
+                item();
+            }
+        });
+    };
+    this->leader = std::make_unique<cell::CellTerm>(this->options, this->term, this->store, this->upstreams, this->pool, this->group, post);
+}
+
+void CellRig::addUpstream(const std::string &id, std::uint32_t cpuMillis)
+{
+    this->upstreams.upstreams[id];
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::Announce;
+    call.announcement = std::make_unique<cell::wire::AnnouncementT>();
+    call.announcement->upstream = upstream(id, cpuMillis);
+    call.announcement->sequence = 1;
+    this->call(std::move(call));
+    this->run(std::chrono::milliseconds(20));
+}
+
+void CellRig::announce(const std::string &id, std::uint64_t sequence)
+{
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::Announce;
+    call.announcement = std::make_unique<cell::wire::AnnouncementT>();
+    call.announcement->upstream = this->store.read([&id](const cell::CellState &state) { return std::make_unique<cell::wire::UpstreamT>(*state.upstreamNamed(id)); });
+    call.announcement->upstream->born_ms = this->upstreams.upstreams[id].bornMs;
+    call.announcement->sequence = sequence;
+    this->call(std::move(call));
+}
+
+base::ResultCode CellRig::call(cell::wire::CallT call)
+{
+    auto answered = std::make_shared<std::optional<base::ResultCode>>();
+    this->leader->call(std::move(call), [answered](const cell::wire::ReplyT &reply) { *answered = static_cast<base::ResultCode>(reply.code); });
+    this->runUntil([answered] { return answered->has_value(); });
+    return answered->value_or(base::ResultCode::Internal);
+}
+
+base::ResultCode CellRig::submit(std::unique_ptr<cell::wire::JobSpecT> spec)
+{
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::Submit;
+    call.host = "host";
+    call.path = queuePath(spec->queue, spec->id);
+    call.job = std::move(spec);
+    return this->call(std::move(call));
+}
+
+base::ResultCode CellRig::cancel(const std::string &id)
+{
+    const std::string queueName = this->store.read([&id](const cell::CellState &state) { return state.jobNamed(id)->spec->queue; });
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::CancelJob;
+    call.host = "host";
+    call.path = queuePath(queueName, id);
+    return this->call(std::move(call));
+}
+
+cell::wire::JobState CellRig::stateOf(const std::string &id) const
+{
+    return this->store.read([&id](const cell::CellState &state) { return state.jobNamed(id)->state; });
+}
+
+void CellRig::drain()
+{
+    while (!this->posted.empty()) {
+        const std::function<void()> item = std::move(this->posted.front());
+        this->posted.pop_front();
+        item();
+    }
+}
+
+void CellRig::run(std::chrono::milliseconds time)
+{
+    this->runUntil([] { return false; }, time);
+}
+
+bool CellRig::runUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
+{
+    const base::SteadyTime until = base::steadyNow() + limit;
+    while (!condition()) {
+        if (base::steadyNow() >= until) {
+            return false;
+        }
+        this->leader->tick();
+        this->drain();
+        std::this_thread::sleep_for(TickEvery);
+    }
+    return true;
+}
+
+} // namespace cranberryreel::support
--- /dev/null
+++ b/tests/cell/PlannerTest.cpp
@@ -0,0 +1,254 @@
+#include "cell/Planner.h"
+
+#include "cell/CellSamples.h"
+#include "support/Seed.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace cranberryreel;
+using cell::AdviceBook;
+using cell::CellState;
+using cell::Plan;
+using cell::UpstreamLife;
+using cell::wire::EndKind;
+
+namespace
+{
+
+const base::SteadyTime Now = base::SteadyTime() + std::chrono::hours(1);
+
+/// A cell whose upstreams have all been read back.
+struct PlannedCell {
+    CellState state;
+    std::map<std::uint64_t, UpstreamLife> lives;
+    AdviceBook advice;
+    std::map<cell::TaskKey, std::set<std::uint64_t>> failedAt;
+
+    PlannedCell()
+    {
+        this->state.apply(support::put(support::rules(1)));
+    }
+
+    void add(const std::string &id, std::uint32_t cpuMillis)
+    {
+        this->add(support::upstream(id, cpuMillis));
+    }
+
+    void add(std::unique_ptr<cell::wire::UpstreamT> upstream)
+    {
+        const std::string id = upstream->id;
+        this->state.apply(support::announce(std::move(upstream)));
+        UpstreamLife life(std::chrono::milliseconds(6000), Now);
+        life.readBack = true;
+        this->lives.emplace(this->state.upstreamNamed(id)->number, life);
+    }
+
+    Plan plan()
+    {
+        const cell::PlanInput input{this->state, this->lives, this->advice, this->failedAt, Now};
+        return cell::Planner(input).make();
+    }
+};
+
+std::unique_ptr<cell::wire::RulesT> rulesWithAdvice()
+{
+    auto rules = support::rules(2);
+    rules->queues.front()->advice = std::make_unique<cell::wire::AdviceT>();
+    rules->queues.front()->advice->decision_us = 30000;
+    rules->queues.front()->advice->per_upstream_us = 430;
+    rules->queues.front()->advice->valid_ms = 2500;
+    return rules;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlannerTest)
+
+BOOST_AUTO_TEST_CASE(stepsStartInTheirOrder)
+{
+    PlannedCell cell;
+    cell.add("u1", 8000);
+    std::vector<std::unique_ptr<cell::wire::StepT>> steps;
+    steps.push_back(support::step(2, 1000));
+    steps.push_back(support::step(1, 1000));
+    steps.back()->after = {0};
+    cell.state.apply(support::accept(support::job("j", std::move(steps))));
+    BOOST_TEST(cell.plan().starts.size() == 2U);
+    cell.state.apply(support::place(support::key(1, 0, 0), 1, 1));
+    cell.state.apply(support::place(support::key(1, 0, 1), 1, 1));
+    cell.state.apply(support::end(support::key(1, 0, 0), 1, 1, EndKind::Done));
+    BOOST_TEST(cell.plan().starts.empty());
+    cell.state.apply(support::end(support::key(1, 0, 1), 1, 1, EndKind::Done));
+    BOOST_TEST(cell.plan().starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(wideWorkLeavesRoomForUrgentWork)
+{
+    PlannedCell cell;
+    cell.add("u1", 10000);
+    cell.state.apply(support::accept(support::job("w", support::step(20, 1000), "wide")));
+    BOOST_TEST(cell.plan().starts.size() == 8U); // 12% of ten cores stay free.
+    cell.state.apply(support::accept(support::job("q", support::step(20, 1000))));
+    const Plan plan = cell.plan();
+    BOOST_TEST(plan.starts.size() == 10U);
+    BOOST_TEST(plan.starts.front().task.step.job == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aGangStartsWholeOrNotAtAll)
+{
+    PlannedCell cell;
+    cell.add("u1", 2000);
+    cell.add("u2", 2000);
+    auto gang = support::step(5, 1000);
+    gang->gang = true;
+    cell.state.apply(support::accept(support::job("g", std::move(gang))));
+    cell.state.apply(support::accept(support::job("q", support::step(4, 1000))));
+    const Plan plan = cell.plan();
+    BOOST_TEST(plan.starts.size() == 4U); // The room that the gang cannot use is not held back for it.
+    BOOST_TEST(plan.starts.front().task.step.job == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aGangsTasksShareOneAttempt)
+{
+    PlannedCell cell;
+    cell.add("u1", 8000);
+    auto gang = support::step(2, 1000);
+    gang->gang = true;
+    cell.state.apply(support::accept(support::job("g", std::move(gang))));
+    cell.state.apply(support::place(support::key(1, 0, 0), 3, 1));
+    BOOST_TEST(cell.plan().starts.empty()); // One of it may still run.
+    cell.state.apply(support::end(support::key(1, 0, 0), 3, 1, EndKind::Broken));
+    const Plan plan = cell.plan();
+    BOOST_REQUIRE(plan.starts.size() == 2U);
+    BOOST_TEST(plan.starts[0].attempt == 4U);
+    BOOST_TEST(plan.starts[1].attempt == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(withoutATicketNothingStartsAndTheServiceIsAsked)
+{
+    PlannedCell cell;
+    cell.add("u1", 8000);
+    cell.add("u2", 8000);
+    cell.state.apply(support::put(rulesWithAdvice()));
+    cell.state.apply(support::accept(support::job("j", support::step(2, 1000))));
+    const Plan first = cell.plan();
+    BOOST_TEST(first.starts.empty());
+    BOOST_REQUIRE(first.wishes.size() == 1U);
+    BOOST_TEST(first.wishes.front().upstreams.size() == 2U);
+    BOOST_TEST(first.wishes.front().quick);
+    cell::StepAdvice &advice = cell.advice.of({1, 0, 0});
+    advice.known = {1, 2};
+    advice.allowed[2] = {"ticket", Now + std::chrono::seconds(2), cell.lives.at(2).epoch};
+    const Plan second = cell.plan();
+    BOOST_REQUIRE(second.starts.size() == 2U);
+    BOOST_TEST(second.starts.front().upstream == 2U);
+    advice.allowed[2].usableUntil = Now; // Aged: only the allowed one is asked about again.
+    const Plan third = cell.plan();
+    BOOST_TEST(third.starts.empty());
+    BOOST_REQUIRE(third.wishes.size() == 1U);
+    BOOST_TEST(third.wishes.front().upstreams == std::vector<std::uint64_t>{2}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(aTicketOfAnEarlierLifeIsWorthNothing)
+{
+    PlannedCell cell;
+    cell.add("u1", 8000);
+    cell.state.apply(support::put(rulesWithAdvice()));
+    cell.state.apply(support::accept(support::job("j", support::step(1, 1000))));
+    cell.advice.of({1, 0, 0}).allowed[1] = {"ticket", Now + std::chrono::seconds(2), cell.lives.at(1).epoch};
+    BOOST_TEST(cell.plan().starts.size() == 1U);
+    cell.lives.at(1).reborn(Now);
+    cell.lives.at(1).readBack = true;
+    BOOST_TEST(cell.plan().starts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(fillersKeepAwayFromTasksThatServe)
+{
+    PlannedCell cell;
+    cell.add("u1", 8000);
+    auto serving = support::step(1, 1000);
+    serving->lasting = true;
+    serving->tail_target_ms = 100;
+    cell.state.apply(support::accept(support::job("s", std::move(serving))));
+    cell.state.apply(support::place(support::key(1, 0, 0), 1, 1));
+    auto filler = support::step(1, 1000);
+    filler->filler = true;
+    cell.state.apply(support::accept(support::job("f", std::move(filler))));
+    BOOST_TEST(cell.plan().starts.empty());
+    cell.add("u2", 8000);
+    BOOST_REQUIRE(cell.plan().starts.size() == 1U);
+    BOOST_TEST(cell.plan().starts.front().upstream == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(drainingSilentShunnedAndUnreadUpstreamsGetNothing)
+{
+    const std::vector<std::function<void(PlannedCell &)>> troubles = {
+        [](PlannedCell &cell) { cell.lives.at(1).readBack = false; },
+        [](PlannedCell &cell) { cell.lives.at(1).silentCalls = 1; },
+        [](PlannedCell &cell) { cell.lives.at(1).shun(Now, std::chrono::milliseconds(1)); },
+        [](PlannedCell &cell) {
+            auto draining = support::upstream("u1", 8000);
+            draining->draining = true;
+            cell.state.apply(support::announce(std::move(draining)));
+        },
+    };
+    for (const auto &trouble : troubles) {
+        PlannedCell cell;
+        cell.add("u1", 8000);
+        cell.state.apply(support::accept(support::job("j", support::step(1, 1000))));
+        BOOST_TEST(cell.plan().starts.size() == 1U);
+        trouble(cell);
+        BOOST_TEST(cell.plan().starts.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aTaskThatFailedGoesElsewhere)
+{
+    PlannedCell cell;
+    cell.add("u1", 8000);
+    cell.add("u2", 9000);
+    cell.state.apply(support::accept(support::job("j", support::step(1, 1000))));
+    BOOST_TEST(cell.plan().starts.front().upstream == 1U);
+    cell.failedAt[support::key(1, 0, 0)] = {1};
+    BOOST_TEST(cell.plan().starts.front().upstream == 2U);
+}
+
+/// Load pattern: many jobs of all sizes at once, more than there is room for.
+BOOST_AUTO_TEST_CASE(noPlanOverfillsAnUpstreamOrBreaksASpread)
+{
+    std::mt19937_64 random(support::testSeed());
+    for (int round = 0; round < 200; ++round) {
+        PlannedCell cell;
+        for (int i = 0; i < 6; ++i) {
+            cell.add("u" + std::to_string(i), 1000 * (4 + random() % 30));
+        }
+        for (int i = 0; i < 12; ++i) {
+            auto step = support::step(1 + random() % 20, 500 * (1 + random() % 20));
+            step->gang = random() % 5 == 0;
+            step->per_upstream = random() % 3;
+            step->filler = random() % 6 == 0;
+            cell.state.apply(support::accept(support::job("j" + std::to_string(i), std::move(step), random() % 2 == 0 ? "quick" : "wide")));
+        }
+        std::map<std::uint64_t, std::uint64_t> used;
+        std::map<std::pair<std::uint64_t, std::uint64_t>, std::uint32_t> together;
+        std::map<std::uint64_t, std::uint32_t> started;
+        for (const cell::PlannedStart &start : cell.plan().starts) {
+            const cell::wire::StepT &step = *cell.state.job(start.task.step.job)->spec->steps[0];
+            used[start.upstream] += step.cpu_millis;
+            const std::uint32_t beside = ++together[{start.task.step.job, start.upstream}];
+            BOOST_TEST((step.per_upstream == 0 || beside <= step.per_upstream));
+            ++started[start.task.step.job];
+        }
+        for (const auto &[upstream, cpu] : used) {
+            BOOST_TEST(cpu <= cell.state.upstreams().at(upstream).cpu_millis);
+        }
+        for (const auto &[job, tasks] : started) {
+            const cell::wire::StepT &step = *cell.state.job(job)->spec->steps[0];
+            BOOST_TEST((!step.gang || tasks == step.tasks));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
