Take the founding members of a group from its log, not from settings that may have changed

What was ruled out: lost disks (all four came back with theirs), links (all were up within 50 ms). Change: the formation entry names the members and counts when it is read again; a VM that joins takes them from it, too.

--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -253,6 +253,12 @@
             this->proposedMemberships.emplace_back(entry.index, std::move(record->members));
         }
     }
+    // The settings may name others by the time the group's first entry is read again, or by the VM that joins.
+    if (entry.kind == EntryKind::Formation && entry.index == 1 && this->commit == 0) {
+        if (auto record = Codec::decodeRecord(entry.data); record && record->members.size() > 0) {
+            this->committedRecord.members = std::move(record->members);
+        }
+    }
     this->output.entries.push_back(entry);
     this->entries.append(std::move(entry));
 }
--- a/src/replication/CoreFormation.cpp
+++ b/src/replication/CoreFormation.cpp
@@ -200,6 +200,7 @@
         return;
     }
     GroupRecord record;
+    record.members = this->membership();
     record.admittedBoots = this->formationBoots;
     this->becomeLeader(EntryKind::Formation, Codec::encode(record), now);
 }
--- a/tests/replication/TestCluster.cpp
+++ b/tests/replication/TestCluster.cpp
@@ -103,9 +103,10 @@
     node->machine = std::make_unique<ListMachine>();
     node->listener = std::make_unique<CountingListener>();
     GroupBuilder builder;
-    builder.ownVm(vm).members(this->members).stateMachine(*node->machine).listener(*node->listener).timings(quickTimings()).snapshotEvery(100);
+    const std::vector<Member> &list = this->told ? *this->told : this->members;
+    builder.ownVm(vm).members(list).mayFormAnew(this->mayFormAnew).stateMachine(*node->machine).listener(*node->listener).timings(quickTimings()).snapshotEvery(100);
     builder.sendBy([this, vm](const std::string &to, std::string bytes) { this->deliver(vm, to, std::move(bytes)); });
-    for (const Member &member : this->members) {
+    for (const Member &member : list) {
         if (member.vm == vm && member.hasDisk) {
             builder.dataFolder(this->folderOf(vm));
         }
@@ -116,6 +117,22 @@
     this->nodes[vm] = std::move(node);
 }
 
+void TestCluster::tellMembers(std::vector<Member> list, bool formsAnew)
+{
+    this->told = std::move(list);
+    this->mayFormAnew = formsAnew;
+}
+
+bool TestCluster::changeMembers(const std::vector<Member> &wanted)
+{
+    return TestCluster::eventually([&] {
+        auto promise = std::make_shared<std::promise<ProposeResult>>();
+        auto answer = promise->get_future();
+        this->group(this->awaitLeader()).changeMembers(wanted, [promise](ProposeResult result) { promise->set_value(std::move(result)); });
+        return answer.wait_for(TimeLimit) == std::future_status::ready && answer.get().code == base::ResultCode::Ok;
+    });
+}
+
 void TestCluster::startAll()
 {
     for (const Member &member : this->members) {
--- a/tests/replication/TestCluster.h
+++ b/tests/replication/TestCluster.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <memory>
 #include <set>
 #include <string>
@@ -54,6 +55,12 @@
     void start(const std::string &vm);
     void startAll();
 
+    /// What members that start from now on are told of the group by their settings; the first list stays what startAll() goes by.
+    void tellMembers(std::vector<Member> told, bool mayFormAnew);
+
+    /// Asks whoever leads for these members until it has them; false after the time limit.
+    bool changeMembers(const std::vector<Member> &wanted);
+
     /// Ends the member without handing over; what it kept in memory is gone.
     void kill(const std::string &vm);
     void stop(const std::string &vm, std::chrono::milliseconds limit);
@@ -89,6 +96,8 @@
     void deliver(const std::string &from, const std::string &to, std::string bytes);
 
     std::vector<Member> members;
+    std::optional<std::vector<Member>> told;
+    bool mayFormAnew = true;
     std::string folder;
     absl::Mutex mutex;
     std::map<std::string, std::shared_ptr<Node>> nodes ABSL_GUARDED_BY(mutex);
