Look for the leader sooner after a restart; tell the course of each job when it ends

Change: probes from the first heartbeat on, an election right after a member trusts its disk, shorter election times; one log line for each job that ends.

--- a/src/cell/CellDaemon.cpp
+++ b/src/cell/CellDaemon.cpp
@@ -35,11 +35,11 @@
 replication::GroupTimings groupTimings()
 {
     replication::GroupTimings timings;
-    timings.heartbeat = std::chrono::milliseconds(150);
-    timings.electionMin = std::chrono::milliseconds(550);
-    timings.electionMax = std::chrono::milliseconds(850);
-    timings.restartGrace = std::chrono::milliseconds(850);
-    timings.formationSettle = std::chrono::milliseconds(1000);
+    timings.heartbeat = std::chrono::milliseconds(120);
+    timings.electionMin = std::chrono::milliseconds(420);
+    timings.electionMax = std::chrono::milliseconds(620);
+    timings.restartGrace = std::chrono::milliseconds(620);
+    timings.formationSettle = std::chrono::milliseconds(620);
     // Disks here lose what was not synced, and nothing that was: a member that read its disk need not wait for one that might know better.
     timings.formationPatience = std::chrono::milliseconds(3000);
     return timings;
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -178,21 +178,43 @@
 
 void CellTerm::propose()
 {
-    auto [command, waiting] = this->context.batch.take();
+    auto [taken, waiting] = this->context.batch.take();
+    const std::shared_ptr<wire::CommandT> command = std::move(taken);
     command->now_ms = unixMilliseconds();
     this->proposing = true;
     this->underWay = std::move(waiting);
     static observe::DurationHistogram &commits = observe::durations("cranberryreel_cell_commit_seconds", "From the proposal of a batch to its commit.");
     const base::SteadyTime since = base::steadyNow();
     this->group.propose(
-        pack<wire::Command>(*command), replication::Durability::Majority, [this, post = this->context.post, since](const replication::ProposeResult &result) {
-            post([this, since, code = result.code] {
+        pack<wire::Command>(*command), replication::Durability::Majority, [this, post = this->context.post, since, command](const replication::ProposeResult &result) {
+            post([this, since, command, code = result.code] {
                 commits.record(base::steadyNow() - since);
+                if (code == base::ResultCode::Ok) {
+                    this->noteCourses(*command);
+                }
                 this->proposed(code);
             });
         });
 }
 
+void CellTerm::noteCourses(const wire::CommandT &command)
+{
+    const base::SteadyTime now = base::steadyNow();
+    this->context.store.read([&](const CellState &state) {
+        for (const auto &spec : command.jobs) {
+            if (const wire::JobT *job = state.jobNamed(spec->id)) {
+                this->watch.accepted(job->number, now);
+            }
+        }
+        for (const auto &placement : command.placements) {
+            this->watch.started(placement->task->job, now);
+        }
+        if (!command.ends.empty() || !command.cancels.empty()) {
+            this->watch.look(state, now);
+        }
+    });
+}
+
 void CellTerm::proposed(base::ResultCode code)
 {
     this->proposing = false;
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -3,6 +3,7 @@
 #include "cell/AdviceBook.h"
 #include "cell/CallDesk.h"
 #include "cell/FleetKeeper.h"
+#include "cell/JobWatch.h"
 #include "cell/Planner.h"
 #include "cell/RunKeeper.h"
 #include "cell/TermContext.h"
@@ -47,6 +48,7 @@
     void advised(const AdviceWish &wish, const std::map<std::string, std::uint64_t> &asked, const AdviceResult &result);
     void propose();
     void proposed(base::ResultCode code);
+    void noteCourses(const wire::CommandT &command);
     void addDueOccurrences();
     void addForgotten();
 
@@ -56,6 +58,7 @@
     RunKeeper runs;
     FleetKeeper fleet;
     CallDesk desk;
+    JobWatch watch;
     std::vector<Committed> underWay; ///< They wait for the proposed batch.
     bool proposing = false;
     bool pumpQueued = false;
--- /dev/null
+++ b/src/cell/JobWatch.cpp
@@ -0,0 +1,88 @@
+#include "cell/JobWatch.h"
+
+#include "observe/Log.h"
+#include "observe/Metrics.h"
+
+#include <chrono>
+
+namespace cranberryreel::cell
+{
+
+namespace
+{
+
+const observe::Log Logger("cell");
+
+std::int64_t millisecondsBetween(base::SteadyTime from, base::SteadyTime to)
+{
+    return from == base::SteadyTime() ? -1 : std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
+/// What a job came to: of its tasks the starts and the failures.
+struct Totals {
+    std::uint32_t tasks = 0;
+    std::uint32_t starts = 0;
+    std::uint32_t failures = 0;
+};
+
+Totals totalsOf(const wire::JobT &job)
+{
+    Totals totals;
+    for (const auto &occurrence : job.occurrences) {
+        for (const auto &step : occurrence->steps) {
+            for (const auto &task : step->tasks) {
+                ++totals.tasks;
+                totals.starts += task->last_attempt;
+                totals.failures += task->failures;
+            }
+        }
+    }
+    return totals;
+}
+
+} // namespace
+
+void JobWatch::accepted(std::uint64_t job, base::SteadyTime now)
+{
+    this->courses[job].acceptedAt = now;
+}
+
+void JobWatch::started(std::uint64_t job, base::SteadyTime now)
+{
+    static observe::DurationHistogram &waits = observe::durations("cranberryreel_cell_first_start_seconds", "From a job's acceptance to its first start.");
+    Course &course = this->courses[job];
+    if (course.startedAt != base::SteadyTime()) {
+        return;
+    }
+    course.startedAt = now;
+    if (course.acceptedAt != base::SteadyTime()) {
+        waits.record(now - course.acceptedAt);
+    }
+}
+
+void JobWatch::look(const CellState &state, base::SteadyTime now)
+{
+    for (auto at = this->courses.begin(); at != this->courses.end();) {
+        const wire::JobT *job = state.job(at->first);
+        if (job != nullptr && isActive(*job)) {
+            ++at;
+            continue;
+        }
+        if (job != nullptr) {
+            const Totals totals = totalsOf(*job);
+            Logger.info("event=job_ended job={} queue={} state={} since_accepted_ms={} since_started_ms={} steps={} tasks={} starts={} failures={}",
+                        job->spec->id,
+                        job->spec->queue,
+                        wire::EnumNameJobState(job->state),
+                        millisecondsBetween(at->second.acceptedAt, now),
+                        millisecondsBetween(at->second.startedAt, now),
+                        job->spec->steps.size(),
+                        totals.tasks,
+                        totals.starts,
+                        totals.failures);
+        }
+        at = this->courses.erase(at);
+    }
+}
+
+} // namespace cranberryreel::cell
--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -16,7 +16,7 @@
     , safety(coreSafety)
     , random(this->options.seed)
     , heardLeaderAt(now)
-    , nextProbe(now + this->options.timings.formationSettle)
+    , nextProbe(now + this->options.timings.heartbeat)
 {
     this->committedRecord.members = this->options.members;
     this->recover(recovered);
--- a/src/replication/CoreElection.cpp
+++ b/src/replication/CoreElection.cpp
@@ -50,6 +50,9 @@
         for (const auto &[vm, presence] : this->presences) {
             this->voteFloor = std::max(this->voteFloor, presence.position);
         }
+        // It has waited for a leader already.
+        std::uniform_int_distribution<std::int64_t> spread(0, this->options.timings.electionMin.count() / 2);
+        this->electionDeadline = std::min(this->electionDeadline, now + std::chrono::milliseconds(spread(this->random)));
     }
     if (now < this->electionDeadline) {
         return;
