Keep a job in its submitter's zone; let restarted members come to trust their disks together

What was ruled out: waiting for room (a quick step starts 65 ms after acceptance also then), too few tickets. Change: among upstreams that may run a task, those of the submitter's zone come first, also in questions for advice.

--- a/src/cell/CallDesk.cpp
+++ b/src/cell/CallDesk.cpp
@@ -126,6 +126,7 @@
     call.job->queue = place.queue;
     call.job->service = place.service;
     call.job->max_failures = place.maxFailures;
+    call.job->zone = call.zone;
     this->context.batch.command().jobs.push_back(std::move(call.job));
     this->context.batch.then([reply, id = place.jobId, queue = place.queue](ResultCode code) {
         Logger.info("event=submitted job={} queue={} outcome={}", id, queue, static_cast<int>(code));
--- a/src/cell/Planner.cpp
+++ b/src/cell/Planner.cpp
@@ -26,6 +26,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::microseconds(advice.decision_us + advice.per_upstream_us * upstreams));
 }
 
+/// A job stays in its submitter's zone where it can: a zone that is cut off then holds up its own jobs and hardly any other.
+bool isElsewhere(const ReadyStep &ready, const Room &room)
+{
+    return room.upstream->zone != ready.job->spec->zone;
+}
+
 } // namespace
 
 Planner::Planner(const PlanInput &planInput)
@@ -123,14 +129,14 @@
 Room *Planner::bestRoom(const ReadyStep &ready, std::uint32_t task, const std::string &rack)
 {
     Room *best = nullptr;
-    auto bestRank = std::make_tuple(true, true, 0, std::int64_t{0});
+    auto bestRank = std::make_tuple(true, true, true, 0, std::int64_t{0});
     const auto failed = this->input.failedAt.find({ready.key, task});
     for (auto &[number, room] : this->rooms.all()) {
         if (!this->mayRunOn(ready, room) || room.fits(*ready.step, 1) == 0 || !this->hasTicket(ready, room) || this->stillAllowed(ready, room) == 0) {
             continue;
         }
         const bool failedHere = failed != this->input.failedAt.end() && failed->second.count(number) > 0;
-        const auto rank = std::make_tuple(failedHere, !rack.empty() && !room.hasLabel(rack), room.failuresInRow, room.cpuMillis);
+        const auto rank = std::make_tuple(failedHere, !rack.empty() && !room.hasLabel(rack), isElsewhere(ready, room), room.failuresInRow, room.cpuMillis);
         if (best == nullptr || rank < bestRank) {
             best = &room;
             bestRank = rank;
@@ -205,7 +211,9 @@
             unknown.push_back(&room);
         }
     }
-    const auto mostFree = [](const Room *left, const Room *right) { return left->cpuMillis > right->cpuMillis; };
+    const auto mostFree = [&ready](const Room *left, const Room *right) {
+        return std::make_tuple(isElsewhere(ready, *left), -left->cpuMillis) < std::make_tuple(isElsewhere(ready, *right), -right->cpuMillis);
+    };
     std::sort(stale.begin(), stale.end(), mostFree);
     std::sort(unknown.begin(), unknown.end(), mostFree);
     AdviceWish wish;
--- a/src/replication/CoreElection.cpp
+++ b/src/replication/CoreElection.cpp
@@ -50,8 +50,9 @@
         for (const auto &[vm, presence] : this->presences) {
             this->voteFloor = std::max(this->voteFloor, presence.position);
         }
-        // It has waited for a leader already.
-        std::uniform_int_distribution<std::int64_t> spread(0, this->options.timings.electionMin.count() / 2);
+        // It has waited for a leader already; the others need a moment to come to trust theirs.
+        const std::int64_t pause = this->options.timings.heartbeat.count();
+        std::uniform_int_distribution<std::int64_t> spread(pause, 3 * pause);
         this->electionDeadline = std::min(this->electionDeadline, now + std::chrono::milliseconds(spread(this->random)));
     }
     if (now < this->electionDeadline) {
--- a/src/replication/CoreFormation.cpp
+++ b/src/replication/CoreFormation.cpp
@@ -22,7 +22,8 @@
         return;
     }
     const GroupTimings &timings = this->options.timings;
-    this->nextProbe = now + 2 * timings.heartbeat + std::chrono::milliseconds(this->random() % 100);
+    // A restarted member waits for these answers before it may vote.
+    this->nextProbe = now + (this->ownStanding == Standing::Unproven ? 1 : 2) * timings.heartbeat + std::chrono::milliseconds(this->random() % 100);
     if (this->currentRole == Role::Former) {
         this->becomeFollower(this->hard.term, "", now);
     }
--- a/tests/cell/PlannerTest.cpp
+++ b/tests/cell/PlannerTest.cpp
@@ -215,6 +215,26 @@
     BOOST_TEST(cell.plan().starts.front().upstream == 2U);
 }
 
+/// Load pattern: a zone is cut off while jobs of all zones run.
+BOOST_AUTO_TEST_CASE(aJobStaysInItsSubmittersZoneWhileThereIsRoom)
+{
+    PlannedCell cell;
+    for (int i = 0; i < 6; ++i) {
+        auto upstream = support::upstream("u" + std::to_string(i), 2000);
+        upstream->zone = i % 2 == 0 ? "even" : "odd";
+        cell.add(std::move(upstream));
+    }
+    auto job = support::job("j", support::step(7, 1000));
+    job->zone = "odd";
+    cell.state.apply(support::accept(std::move(job)));
+    const Plan plan = cell.plan();
+    BOOST_REQUIRE(plan.starts.size() == 7U);
+    for (std::size_t i = 0; i < 6; ++i) {
+        BOOST_TEST(cell.state.upstreams().at(plan.starts[i].upstream).zone == "odd");
+    }
+    BOOST_TEST(cell.state.upstreams().at(plan.starts[6].upstream).zone == "even");
+}
+
 /// Load pattern: many jobs of all sizes at once, more than there is room for.
 BOOST_AUTO_TEST_CASE(noPlanOverfillsAnUpstreamOrBreaksASpread)
 {
