Leave upstreams that run slowly or stand still

What was ruled out: a fixed factor on estimates (they are off by up to nine tenths); judging by one task (single long tasks are usual). Change: tasks are measured by their siblings; an upstream with late tasks of two steps, or with one that stands still, gets no work for 2 s and more, and its late tasks start again elsewhere if that is quicker by their own progress.

--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -36,7 +36,7 @@
                    AdvicePool &advice,
                    replication::Group &cellGroup,
                    std::function<void(std::function<void()>)> post)
-    : context{cellOptions, term, store, calls, advice, {}, {}, {}, std::move(post), {}, {}}
+    : context{cellOptions, term, store, calls, advice, {}, {}, {}, {}, std::move(post), {}, {}}
     , group(cellGroup)
     , runs(context, adviceBook)
     , fleet(context, runs)
@@ -81,8 +81,10 @@
         this->nextCleanUp = now + CleanUpEvery;
         this->addForgotten();
         this->runs.forgetClosedJobs();
-        this->context.store.read(
-            [this](const CellState &state) { this->adviceBook.keepOnly([&state](std::uint64_t job) { return state.openJobs().count(job) > 0; }); });
+        this->context.store.read([this](const CellState &state) {
+            this->adviceBook.keepOnly([&state](std::uint64_t job) { return state.openJobs().count(job) > 0; });
+            this->context.slow.keepOnly(state);
+        });
     }
     this->pump();
 }
--- a/src/cell/FleetKeeper.cpp
+++ b/src/cell/FleetKeeper.cpp
@@ -29,6 +29,8 @@
 /// So many tasks of different jobs failing in a row make an upstream suspect.
 constexpr int FailuresToShun = 3;
 constexpr std::chrono::milliseconds FirstShun{3000};
+constexpr std::chrono::milliseconds SlowShun{2000};
+constexpr std::chrono::milliseconds SpeedCheckEvery{200};
 /// Beyond the deadline of an order, for rounding.
 constexpr std::chrono::milliseconds OrderSlack{100};
 
@@ -163,6 +165,10 @@
 
 void FleetKeeper::tick(base::SteadyTime now)
 {
+    if (now >= this->nextSpeedCheck) {
+        this->nextSpeedCheck = now + SpeedCheckEvery;
+        this->shunSlow(now);
+    }
     std::vector<std::pair<std::uint64_t, UpstreamTarget>> known;
     this->context.store.read([&known](const CellState &state) {
         for (const auto &[number, upstream] : state.upstreams()) {
@@ -342,6 +348,7 @@
             track->percent = report.percent;
             track->progressAt = now;
         }
+        track->seenAt = now;
         track->checkpoint = report.checkpoint;
         track->figure = report.figure;
     }
@@ -363,7 +370,7 @@
         highest = std::max(highest, report.number);
         RunTrack *track = key ? this->context.runs.find(*key) : nullptr;
         if (track != nullptr && track->upstream == number) {
-            this->noteEnd(number, life, *key, report.how);
+            this->noteEnd(number, life, *track, report.how);
             this->runs.end(*track, kindOf(report.how), report.checkpoint);
         }
     }
@@ -385,20 +392,25 @@
     return listed;
 }
 
-void FleetKeeper::noteEnd(std::uint64_t number, UpstreamLife &life, const RunKey &key, RunEnd how)
+void FleetKeeper::noteEnd(std::uint64_t number, UpstreamLife &life, const RunTrack &track, RunEnd how)
 {
     const base::SteadyTime now = base::steadyNow();
     if (how == RunEnd::Done) {
         life.failuresInRow = 0;
-        life.shunFor = {};
+        if (now >= life.shunnedUntil) {
+            life.shunFor = {};
+        }
+        if (track.phase == RunPhase::Confirmed) {
+            this->context.slow.done(track.key.task.step, std::chrono::duration_cast<std::chrono::milliseconds>(now - track.startedAt));
+        }
         return;
     }
     if (how != RunEnd::Failed) {
         return;
     }
-    this->runs.noteFailure(key.task, number);
-    if (life.lastFailedJob != key.task.step.job) {
-        life.lastFailedJob = key.task.step.job;
+    this->runs.noteFailure(track.key.task, number);
+    if (life.lastFailedJob != track.key.task.step.job) {
+        life.lastFailedJob = track.key.task.step.job;
         ++life.failuresInRow;
     }
     if (life.failuresInRow >= FailuresToShun) {
@@ -407,6 +419,26 @@
     }
 }
 
+void FleetKeeper::shunSlow(base::SteadyTime now)
+{
+    const std::vector<SlowUpstream> found =
+        this->context.store.read([this, now](const CellState &state) { return this->context.slow.find(state, this->context.runs, now); });
+    for (const SlowUpstream &slow : found) {
+        const auto life = this->context.lives.find(slow.upstream);
+        if (life == this->context.lives.end() || life->second.silentCalls > 0) {
+            continue;
+        }
+        if (now >= life->second.shunnedUntil) {
+            Logger.warn("event=upstream_slow number={} moved={}", slow.upstream, slow.toMove.size());
+        }
+        life->second.shun(now, SlowShun);
+        for (const RunKey &key : slow.toMove) {
+            this->runs.noteFailure(key.task, slow.upstream);
+            this->runs.stop(*this->context.runs.find(key));
+        }
+    }
+}
+
 void FleetKeeper::concludeMissing(std::uint64_t number, base::SteadyTime sentAt, const std::set<RunKey> &listed)
 {
     for (const RunKey &key : this->context.runs.at(number)) {
--- a/src/cell/FleetKeeper.h
+++ b/src/cell/FleetKeeper.h
@@ -46,7 +46,8 @@
     void digest(std::uint64_t number, UpstreamLife &life, base::SteadyTime sentAt, const RenewResult &result);
     std::set<RunKey> digestRunning(std::uint64_t number, const std::vector<RunReport> &running);
     std::set<RunKey> digestEnds(std::uint64_t number, UpstreamLife &life, const std::vector<EndReport> &ended);
-    void noteEnd(std::uint64_t number, UpstreamLife &life, const RunKey &key, RunEnd how);
+    void noteEnd(std::uint64_t number, UpstreamLife &life, const RunTrack &track, RunEnd how);
+    void shunSlow(base::SteadyTime now);
     void concludeMissing(std::uint64_t number, base::SteadyTime sentAt, const std::set<RunKey> &listed);
     std::optional<RunKey> keyOf(const RunName &run) const;
     void rebornAs(std::uint64_t number, std::int64_t bornMs);
@@ -55,6 +56,7 @@
 
     TermContext &context;
     RunKeeper &runs;
+    base::SteadyTime nextSpeedCheck{};
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/TermContext.h
+++ b/src/cell/TermContext.h
@@ -5,6 +5,7 @@
 #include "cell/CellStore.h"
 #include "cell/CommandBatch.h"
 #include "cell/RunTable.h"
+#include "cell/SlowFinder.h"
 #include "cell/UpstreamCalls.h"
 #include "cell/UpstreamLife.h"
 
@@ -24,6 +25,7 @@
     AdvicePool &advice;
     CommandBatch batch;
     RunTable runs;
+    SlowFinder slow;
     std::map<std::uint64_t, UpstreamLife> lives; ///< By the upstream's number.
 
     /// Runs it on the scheduler's thread while this term lasts. Any thread.
