--- a/src/cell/AdvicePool.cpp
+++ b/src/cell/AdvicePool.cpp
@@ -83,21 +83,22 @@
     call.advice->step = step;
     call.advice->upstreams = upstreams;
     call.advice->limit_ms = static_cast<std::uint32_t>(limit.count());
-    this->hub.call(vm, link::Channel::Cell, pack<wire::Call>(call), limit + LinkAllowance, {}, [this, vm, done = std::move(done)](link::CallResult answer) {
-        AdviceResult result;
-        if (const auto reply = answer.code == base::ResultCode::Ok ? unpack<wire::Reply>(answer.payload) : std::nullopt) {
-            result.answered = reply->code == static_cast<int>(base::ResultCode::Ok);
-            result.busy = reply->code == static_cast<int>(base::ResultCode::QueueFull);
-            result.detail = reply->reason;
-            for (const auto &ticket : reply->tickets) {
-                result.tickets.emplace_back(ticket->upstream, ticket->ticket);
+    this->hub.call(
+        vm, link::Channel::Cell, pack<wire::Call>(call), limit + LinkAllowance, {}, [this, vm, done = std::move(done)](const link::CallResult &answer) {
+            AdviceResult result;
+            if (const auto reply = answer.code == base::ResultCode::Ok ? unpack<wire::Reply>(answer.payload) : std::nullopt) {
+                result.answered = reply->code == static_cast<int>(base::ResultCode::Ok);
+                result.busy = reply->code == static_cast<int>(base::ResultCode::QueueFull);
+                result.detail = reply->reason;
+                for (const auto &ticket : reply->tickets) {
+                    result.tickets.emplace_back(ticket->upstream, ticket->ticket);
+                }
+            } else {
+                result.detail = "the VM that was to ask did not answer";
             }
-        } else {
-            result.detail = "the VM that was to ask did not answer";
-        }
-        this->release(vm, result.answered);
-        done(std::move(result));
-    });
+            this->release(vm, result.answered);
+            done(std::move(result));
+        });
 }
 
 void AdvicePool::release(const std::string &vm, bool answered)
--- a/src/cell/AdvicePool.h
+++ b/src/cell/AdvicePool.h
@@ -22,7 +22,10 @@
 class AdvicePool
 {
 public:
-    enum class Pace { Quick, Slow };
+    enum class Pace {
+        Quick,
+        Slow
+    };
 
     AdvicePool(std::string own, link::LinkHub &linkHub, AdviceCalls &ownCalls);
 
--- a/src/cell/CallDesk.cpp
+++ b/src/cell/CallDesk.cpp
@@ -109,7 +109,7 @@
 {
     bool accepted = false;
     const Place place = this->context.store.read([&](const CellState &state) {
-        const Place found = placeOf(state, call);
+        Place found = placeOf(state, call);
         const wire::JobT *job = state.jobNamed(found.jobId);
         accepted = found.known && job != nullptr && job->spec->queue == found.queue;
         return found;
@@ -157,7 +157,7 @@
 {
     bool active = false;
     const Place place = this->context.store.read([&](const CellState &state) {
-        const Place found = placeOf(state, call);
+        Place found = placeOf(state, call);
         const wire::JobT *job = state.jobNamed(found.jobId);
         active = job != nullptr && isActive(*job);
         return found;
@@ -170,8 +170,7 @@
     if (!known) {
         // A submission may be waiting in the batch, ahead of this cancel.
         const auto &jobs = this->context.batch.command().jobs;
-        const bool waiting =
-            std::any_of(jobs.begin(), jobs.end(), [&place](const std::unique_ptr<wire::JobSpecT> &spec) { return spec->id == place.jobId; });
+        const bool waiting = std::any_of(jobs.begin(), jobs.end(), [&place](const std::unique_ptr<wire::JobSpecT> &spec) { return spec->id == place.jobId; });
         if (!waiting) {
             reply(replyOf(ResultCode::UpstreamUnknown, "No such job."));
             return;
--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -36,7 +36,7 @@
     bool lookUp = false; ///< Any member's answer will do.
 };
 
-CellCaller::CellCaller(link::LinkHub &linkHub, std::uint16_t port, std::vector<std::string> seeds)
+CellCaller::CellCaller(link::LinkHub &linkHub, std::uint16_t port, const std::vector<std::string> &seeds)
     : hub(linkHub)
     , linkPort(port)
 {
--- a/src/cell/CellCaller.h
+++ b/src/cell/CellCaller.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cell/generated/cell_generated.h"
 #include "base/Mailbox.h"
+#include "cell/generated/cell_generated.h"
 #include "link/LinkHub.h"
 
 #include "cranberryreel/base/Clock.h"
@@ -34,7 +34,7 @@
 {
 public:
     /// Peers listen at `linkPort` of the address that names them.
-    CellCaller(link::LinkHub &linkHub, std::uint16_t linkPort, std::vector<std::string> seeds);
+    CellCaller(link::LinkHub &linkHub, std::uint16_t linkPort, const std::vector<std::string> &seeds);
 
     void start();
     void stop();
--- a/src/cell/CellDaemon.cpp
+++ b/src/cell/CellDaemon.cpp
@@ -23,6 +23,7 @@
 std::vector<std::string> hostsOf(const std::vector<settings::SocketAddress> &seeds)
 {
     std::vector<std::string> hosts;
+    hosts.reserve(seeds.size());
     for (const settings::SocketAddress &seed : seeds) {
         hosts.push_back(seed.host);
     }
--- a/src/cell/CellMember.cpp
+++ b/src/cell/CellMember.cpp
@@ -41,7 +41,7 @@
 CellMember::CellMember(
     MemberOptions memberOptions, CellOptions cellOptions, link::LinkHub &linkHub, CellCaller &cellCaller, UpstreamCalls &calls, AdvicePool &advice)
     : options(std::move(memberOptions))
-    , cell(cellOptions)
+    , cell(std::move(cellOptions))
     , hub(linkHub)
     , caller(cellCaller)
     , scheduler(cell, store, calls, advice)
--- a/src/cell/CellScheduler.h
+++ b/src/cell/CellScheduler.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cell/CellTerm.h"
 #include "base/Mailbox.h"
+#include "cell/CellTerm.h"
 #include "replication/Group.h"
 
 #include <atomic>
--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -314,8 +314,8 @@
 {
     const wire::TaskT *found = this->task(ref);
     return found != nullptr && std::any_of(found->runs.begin(), found->runs.end(), [&](const std::unique_ptr<wire::RunT> &run) {
-        return run->attempt == attempt && run->upstream == upstream;
-    });
+               return run->attempt == attempt && run->upstream == upstream;
+           });
 }
 
 std::string CellState::encode() const
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -187,16 +187,17 @@
     this->underWay = std::move(waiting);
     static observe::DurationHistogram &commits = observe::durations("cranberryreel_cell_commit_seconds", "From the proposal of a batch to its commit.");
     const base::SteadyTime since = base::steadyNow();
-    this->group.propose(
-        pack<wire::Command>(*command), replication::Durability::Majority, [this, post = this->context.post, since, command](const replication::ProposeResult &result) {
-            post([this, since, command, code = result.code] {
-                commits.record(base::steadyNow() - since);
-                if (code == base::ResultCode::Ok) {
-                    this->noteCourses(*command);
-                }
-                this->proposed(code);
-            });
-        });
+    this->group.propose(pack<wire::Command>(*command),
+                        replication::Durability::Majority,
+                        [this, post = this->context.post, since, command](const replication::ProposeResult &result) {
+                            post([this, since, command, code = result.code] {
+                                commits.record(base::steadyNow() - since);
+                                if (code == base::ResultCode::Ok) {
+                                    this->noteCourses(*command);
+                                }
+                                this->proposed(code);
+                            });
+                        });
 }
 
 void CellTerm::noteCourses(const wire::CommandT &command)
--- a/src/cell/FleetKeeper.cpp
+++ b/src/cell/FleetKeeper.cpp
@@ -179,7 +179,11 @@
         UpstreamLife &life = this->lifeOf(number, now);
         if (life.silentCalls > 0 && life.leasesOver(now)) {
             if (!std::exchange(life.lostHandled, true)) {
-                Logger.warn("event=upstream_lost upstream={} number={} silent_calls={} runs={}", target.id, number, life.silentCalls, this->context.runs.countAt(number));
+                Logger.warn("event=upstream_lost upstream={} number={} silent_calls={} runs={}",
+                            target.id,
+                            number,
+                            life.silentCalls,
+                            this->context.runs.countAt(number));
                 life.readBack = false;
                 this->giveUpRuns(number);
             }
@@ -205,14 +209,13 @@
     }
     life.renewing = true;
     life.renewSentAt = now;
-    this->context.calls.renew(target,
-                              order,
-                              order.wait + RenewLimit,
-                              [this, post = this->context.post, number = number, epoch = life.epoch, acknowledged = order.acknowledged, now](RenewResult result) {
-                                  post([this, number, epoch, acknowledged, now, result = std::move(result)] {
-                                      this->renewed(number, epoch, acknowledged, now, result);
-                                  });
-                              });
+    this->context.calls.renew(
+        target,
+        order,
+        order.wait + RenewLimit,
+        [this, post = this->context.post, number = number, epoch = life.epoch, acknowledged = order.acknowledged, now](RenewResult result) {
+            post([this, number, epoch, acknowledged, now, result = std::move(result)] { this->renewed(number, epoch, acknowledged, now, result); });
+        });
 }
 
 void FleetKeeper::renewed(std::uint64_t number, std::uint64_t lifeEpoch, std::uint64_t acknowledged, base::SteadyTime sentAt, const RenewResult &result)
--- a/src/cell/Planner.h
+++ b/src/cell/Planner.h
@@ -49,8 +49,8 @@
 
 /// Decides which waiting tasks start where. Pure: it reads the state and writes nothing.
 /// Load pattern: three kinds of work share the upstreams. Quick work (priority 0) comes in bursts and must start at once, so other work leaves it some
-/// room. Fillers never share an upstream with tasks that serve users, so that they cannot slow them down. Gangs start whole or not at all. A zone that is cut off must
-/// not hold up jobs of the others, so a job stays in its submitter's zone while there is room.
+/// room. Fillers never share an upstream with tasks that serve users, so that they cannot slow them down. Gangs start whole or not at all. A zone that is cut
+/// off must not hold up jobs of the others, so a job stays in its submitter's zone while there is room.
 class Planner
 {
 public:
--- a/src/cell/RunKeeper.cpp
+++ b/src/cell/RunKeeper.cpp
@@ -116,9 +116,10 @@
     const bool fresh = track.starts > 0;
     ++track.starts;
     track.calling = true;
-    this->context.calls.start(target, order, OrderLimit, fresh, [this, post = this->context.post, key = track.key, epoch = life->second.epoch](OrderResult result) {
-        post([this, key, epoch, result = std::move(result)] { this->startAnswered(key, epoch, result); });
-    });
+    this->context.calls.start(
+        target, order, OrderLimit, fresh, [this, post = this->context.post, key = track.key, epoch = life->second.epoch](OrderResult result) {
+            post([this, key, epoch, result = std::move(result)] { this->startAnswered(key, epoch, result); });
+        });
 }
 
 void RunKeeper::startAnswered(const RunKey &key, std::uint64_t life, const OrderResult &result)
@@ -222,10 +223,13 @@
     }
     track.calling = true;
     track.nextCall = now + RepeatStopAfter;
-    this->context.calls.stop(
-        target, {track.task, track.key.attempt}, this->context.epoch, OrderLimit, [this, post = this->context.post, key = track.key, epoch = life->second.epoch](OrderResult result) {
-            post([this, key, epoch, result = std::move(result)] { this->stopAnswered(key, epoch, result); });
-        });
+    this->context.calls.stop(target,
+                             {track.task, track.key.attempt},
+                             this->context.epoch,
+                             OrderLimit,
+                             [this, post = this->context.post, key = track.key, epoch = life->second.epoch](OrderResult result) {
+                                 post([this, key, epoch, result = std::move(result)] { this->stopAnswered(key, epoch, result); });
+                             });
 }
 
 void RunKeeper::stopAnswered(const RunKey &key, std::uint64_t life, const OrderResult &result)
--- a/src/cell/UpstreamCalls.h
+++ b/src/cell/UpstreamCalls.h
@@ -60,7 +60,14 @@
     std::int64_t figure = 0; ///< Of a task with a tail target: the tail in milliseconds; of others: processor time in use, in thousandths of a core.
 };
 
-enum class RunEnd : std::uint8_t { Done, Failed, Stopped, Lapsed, Broken, Alone };
+enum class RunEnd : std::uint8_t {
+    Done,
+    Failed,
+    Stopped,
+    Lapsed,
+    Broken,
+    Alone
+};
 
 /// One end that an upstream lists until it is acknowledged.
 struct EndReport {
--- a/src/cell/ZoneRelays.cpp
+++ b/src/cell/ZoneRelays.cpp
@@ -116,8 +116,7 @@
     }
 }
 
-void ZoneRelays::pace(
-    const UpstreamTarget &target, const RunName &run, int percent, std::uint64_t epoch, std::chrono::milliseconds limit, OrderDone done)
+void ZoneRelays::pace(const UpstreamTarget &target, const RunName &run, int percent, std::uint64_t epoch, std::chrono::milliseconds limit, OrderDone done)
 {
     if (const std::string vm = this->relayFor(target.id); !vm.empty()) {
         this->hand(vm, relayPace(target, run, percent, epoch, limit), limit, toOrder(std::move(done)));
--- a/src/cell/ZoneRelays.h
+++ b/src/cell/ZoneRelays.h
@@ -45,7 +45,10 @@
     };
 
     std::string relayFor(const std::string &upstream);
-    void hand(const std::string &vm, std::unique_ptr<wire::RelayOrderT> order, std::chrono::milliseconds limit, std::function<void(const wire::RelayResultT *, bool)> done);
+    void hand(const std::string &vm,
+              std::unique_ptr<wire::RelayOrderT> order,
+              std::chrono::milliseconds limit,
+              std::function<void(const wire::RelayResultT *, bool)> done);
 
     const std::string ownVm;
     link::LinkHub &hub;
--- a/src/http/Transfer.cpp
+++ b/src/http/Transfer.cpp
@@ -90,7 +90,9 @@
         this->headers = curl_slist_append(this->headers, ("traceparent: " + this->request.traceparent).c_str());
     }
     for (const auto &[name, value] : this->request.headers) {
-        this->headers = curl_slist_append(this->headers, (name + ": " + value).c_str());
+        std::string line = name;
+        line.append(": ").append(value);
+        this->headers = curl_slist_append(this->headers, line.c_str());
     }
     curl_easy_setopt(this->curl, CURLOPT_HTTPHEADER, this->headers);
 }
--- a/src/link/TcpLinkHub.cpp
+++ b/src/link/TcpLinkHub.cpp
@@ -340,7 +340,9 @@
 
 HandshakeContext TcpLinkHub::handshakeContext() const
 {
-    return {this->options.cluster, this->options.vm, this->options.keys, [this](const std::string &vm) { return this->options.acceptNewcomers || this->findPeer(vm) != nullptr; }};
+    return {this->options.cluster, this->options.vm, this->options.keys, [this](const std::string &vm) {
+                return this->options.acceptNewcomers || this->findPeer(vm) != nullptr;
+            }};
 }
 
 PeerLink *TcpLinkHub::findPeer(const std::string &vm) const
--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -32,7 +32,9 @@
 }
 
 CellRig::CellRig()
-    : hub([](const testsupport::FakeHub::Seen &, std::size_t) { return link::CallResult{base::ResultCode::LinkDown, false, {}}; })
+    : hub([](const testsupport::FakeHub::Seen &, std::size_t) {
+        return link::CallResult{base::ResultCode::LinkDown, false, {}};
+    })
     , pool("vm", hub, advice)
 {
     this->options.ownVm = "vm";
@@ -81,7 +83,8 @@
     cell::wire::CallT call;
     call.kind = cell::wire::CallKind::Announce;
     call.announcement = std::make_unique<cell::wire::AnnouncementT>();
-    call.announcement->upstream = this->store.read([&id](const cell::CellState &state) { return std::make_unique<cell::wire::UpstreamT>(*state.upstreamNamed(id)); });
+    call.announcement->upstream =
+        this->store.read([&id](const cell::CellState &state) { return std::make_unique<cell::wire::UpstreamT>(*state.upstreamNamed(id)); });
     call.announcement->upstream->born_ms = this->upstreams.upstreams[id].bornMs;
     call.announcement->sequence = sequence;
     this->call(std::move(call));
--- a/tests/cell/CellSamples.h
+++ b/tests/cell/CellSamples.h
@@ -24,7 +24,8 @@
 cell::wire::CommandT accept(std::unique_ptr<cell::wire::JobSpecT> spec);
 cell::wire::CommandT announce(std::unique_ptr<cell::wire::UpstreamT> upstream);
 cell::wire::CommandT place(const cell::TaskKey &task, std::uint32_t attempt, std::uint64_t upstream);
-cell::wire::CommandT end(const cell::TaskKey &task, std::uint32_t attempt, std::uint64_t upstream, cell::wire::EndKind kind, const std::string &checkpoint = {});
+cell::wire::CommandT
+end(const cell::TaskKey &task, std::uint32_t attempt, std::uint64_t upstream, cell::wire::EndKind kind, const std::string &checkpoint = {});
 cell::wire::CommandT put(std::unique_ptr<cell::wire::RulesT> rules);
 
 /// The task of the first occurrence.
--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -10,8 +10,8 @@
 using namespace cranberryreel;
 using cell::RunEnd;
 using cell::wire::JobState;
-using support::CellRig;
 using std::chrono::milliseconds;
+using support::CellRig;
 
 namespace
 {
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -41,8 +41,8 @@
         std::vector<cell::RunOrder> late; ///< Orders that had no answer and may yet be carried out.
     };
 
-    void start(const cell::UpstreamTarget &target, const cell::RunOrder &order, std::chrono::milliseconds limit, bool freshConnection, cell::OrderDone done)
-        override;
+    void start(
+        const cell::UpstreamTarget &target, const cell::RunOrder &order, std::chrono::milliseconds limit, bool freshConnection, cell::OrderDone done) override;
     void
     stop(const cell::UpstreamTarget &target, const cell::RunName &run, std::uint64_t epoch, std::chrono::milliseconds limit, cell::OrderDone done) override;
     void renew(const cell::UpstreamTarget &target, const cell::RenewOrder &order, std::chrono::milliseconds limit, cell::RenewDone done) override;
--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -19,16 +19,17 @@
 namespace
 {
 
-const char *JobBody = R"({"Spec":"work","Steps":[{"Count":3,"Cpu":500,"MemRequestMb":200,"EstimateMs":800,"Affinity":"r2-1","Image":"one"},
+constexpr const char *JobBody = R"({"Spec":"work","Steps":[{"Count":3,"Cpu":500,"MemRequestMb":200,"EstimateMs":800,"Affinity":"r2-1","Image":"one"},
     {"Count":12,"Cpu":1500,"MemRequestMb":900,"After":[0],"Checkpointing":true,"Gang":true,"RackLocal":true,"Requirements":"b","AntiAffinity":2},
     {"Count":1,"LongRunning":true,"TargetMs":80,"MaxUnavailable":1,"Speculative":true,"FillCount":1,"Gpu":2}],
     "RepeatCount":3,"StartAtMs":1700000000000,"IntervalMs":500})";
 
-const char *RulesBody = R"({"Version":4,"Routes":[{"Name":"a","Host":"h","PathPrefix":"/a/","Kind":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":300,
+constexpr const char *RulesBody =
+    R"({"Version":4,"Routes":[{"Name":"a","Host":"h","PathPrefix":"/a/","Kind":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":300,
     "Priority":1,"Service":"s","MaxAttempts":3,"SlackFactor":1.5,"Recommendation":{"DecisionMs":20.5,"PerWorkerMs":0.25,"ValidMs":1500}},
     {"Name":"b","Host":"h","PathPrefix":"/b/","TimeoutMs":1,"Service":"s"}],"Services":[{"Name":"s","AdmissionCheck":true}]})";
 
-const char *AnnouncementBody = R"({"Service":"s","Address":"10.9.8.7:800","Zone":"z","Version":"v2","Slots":4,"State":"draining","ColdRemainingMs":0,
+constexpr const char *AnnouncementBody = R"({"Service":"s","Address":"10.9.8.7:800","Zone":"z","Version":"v2","Slots":4,"State":"draining","ColdRemainingMs":0,
     "Capacity":{"Cpu":32000,"MemRequestMb":64000,"Gpu":1},"Labels":["b","r1-1"],"ClockMs":5500,"Sequence":9,"born":1700000000123})";
 
 nlohmann::json edited(const char *body, const std::string &pointer, const nlohmann::json &value)
@@ -210,7 +211,8 @@
 
 BOOST_AUTO_TEST_CASE(listsAreReadWholeOrNotAtAll)
 {
-    const std::string body = R"({"ClockMs":70,"born":12,"Running":[["j.0.1.2",3,"half",41,250]],"Finished":[[58,"j.0.0.1",1,"done",""],[59,"j.0.0.2",2,"broken","x"]]})";
+    const std::string body =
+        R"({"ClockMs":70,"born":12,"Running":[["j.0.1.2",3,"half",41,250]],"Finished":[[58,"j.0.0.1",1,"done",""],[59,"j.0.0.2",2,"broken","x"]]})";
     const cell::RenewResult read = platform::renewResult(answered(200, body));
     BOOST_TEST((read.result.answer == OrderAnswer::Done));
     BOOST_TEST(read.bornMs == 12);
@@ -251,9 +253,8 @@
             const auto at = *rc::gen::inRange<std::size_t>(0, body.size());
             body[at] = *rc::gen::arbitrary<char>();
         }
-        for (const auto &decode : std::vector<std::function<void()>>{[&] { platform::decodeJob(body); },
-                                                                     [&] { platform::decodeRules(body); },
-                                                                     [&] { platform::decodeAnnouncement("i", body); }}) {
+        for (const auto &decode : std::vector<std::function<void()>>{
+                 [&] { platform::decodeJob(body); }, [&] { platform::decodeRules(body); }, [&] { platform::decodeAnnouncement("i", body); }}) {
             try {
                 decode();
             } catch (const Error &) { // NOLINT(bugprone-empty-catch): a refusal is a right answer here.
--- a/tests/replication/TestCluster.cpp
+++ b/tests/replication/TestCluster.cpp
@@ -104,7 +104,13 @@
     node->listener = std::make_unique<CountingListener>();
     GroupBuilder builder;
     const std::vector<Member> &list = this->told ? *this->told : this->members;
-    builder.ownVm(vm).members(list).mayFormAnew(this->mayFormAnew).stateMachine(*node->machine).listener(*node->listener).timings(quickTimings()).snapshotEvery(100);
+    builder.ownVm(vm)
+        .members(list)
+        .mayFormAnew(this->mayFormAnew)
+        .stateMachine(*node->machine)
+        .listener(*node->listener)
+        .timings(quickTimings())
+        .snapshotEvery(100);
     builder.sendBy([this, vm](const std::string &to, std::string bytes) { this->deliver(vm, to, std::move(bytes)); });
     for (const Member &member : list) {
         if (member.vm == vm && member.hasDisk) {
--- a/tests/replication/TestCluster.h
+++ b/tests/replication/TestCluster.h
@@ -9,8 +9,8 @@
 #include <chrono>
 #include <functional>
 #include <map>
-#include <optional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
