Remember which change of members was committed; write log lines whole

Cause: a restarted member knows no commit and took the last two changes of members for undecided, so it asked the majority of both. What was ruled out: joins that never ended (the log lines were missing, as a reader cut writes of more than a few KiB; they are written in pieces of 4 KiB now), disks that went back, replaced members. Change: the index of the last committed change of members is part of the hard state and settles the list when the log is read again. Figures: JoiningTest/afterARestartOnlyTheLastCommittedMembersCount fails without the change and passes with it.

--- a/src/observe/StreamAppender.cpp
+++ b/src/observe/StreamAppender.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <sstream>
 #include <utility>
+#include <vector>
 
 #include <unistd.h>
 
@@ -27,6 +28,8 @@
 constexpr std::size_t LinesEachSecond = 800;
 /// Lines are written together, so that a busy process wakes the writer seldom.
 constexpr std::chrono::milliseconds WriteEvery{100};
+/// A pipe takes so many bytes in one piece (PIPE_BUF), so that readers see whole lines.
+constexpr std::size_t WholeWrite = 4096;
 
 } // namespace
 
@@ -85,17 +88,22 @@
 {
     bool last = false;
     while (!last) {
-        std::string text;
+        std::vector<std::string> chunks{{}};
         {
             const absl::MutexLock lock(&this->mutex);
             this->mutex.AwaitWithTimeout(absl::Condition(&this->stopping), this->lines.empty() ? absl::Seconds(1) : absl::FromChrono(WriteEvery));
             last = this->stopping;
             for (const std::string &line : this->lines) {
-                text += line;
+                if (chunks.back().size() + line.size() > WholeWrite) {
+                    chunks.emplace_back();
+                }
+                chunks.back() += line;
             }
             this->lines.clear();
         }
-        this->writeAll(text);
+        for (const std::string &chunk : chunks) {
+            this->writeAll(chunk);
+        }
     }
 }
 
--- a/src/replication/Codec.cpp
+++ b/src/replication/Codec.cpp
@@ -302,7 +302,7 @@
     flatbuffers::Offset<wire::HardState> hardState;
     if (batch.hardState) {
         const auto votedFor = builder.CreateString(batch.hardState->votedFor);
-        hardState = wire::CreateHardState(builder, batch.hardState->term, votedFor, batch.hardState->full);
+        hardState = wire::CreateHardState(builder, batch.hardState->term, votedFor, batch.hardState->full, batch.hardState->membersCommitted);
     }
     const auto entries = putEntries(builder, batch.entries);
     const auto table = wire::CreateLogBatch(builder, base, hardState, entries);
@@ -322,7 +322,7 @@
         batch.base = LogPosition{base->term(), base->index()};
     }
     if (const wire::HardState *state = table->hard_state(); state != nullptr) {
-        batch.hardState = HardState{state->term(), getString(state->voted_for()), state->full()};
+        batch.hardState = HardState{state->term(), getString(state->voted_for()), state->full(), state->members_committed()};
     }
     if (!getEntries(table->entries(), batch.entries)) {
         return std::nullopt;
--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -36,6 +36,7 @@
     for (const Entry &entry : recovered.entries) {
         this->append(entry);
     }
+    this->settleMemberships(this->hard.membersCommitted);
     this->output = CoreOutput();
     this->syncedEntries = this->entries.lastIndex();
 }
@@ -289,6 +290,16 @@
     }
 }
 
+/// The changes of members up to this index are committed: the last of them alone counts from now on.
+void Core::settleMemberships(std::uint64_t index)
+{
+    auto &proposed = this->proposedMemberships;
+    while (!proposed.empty() && proposed.front().first <= index) {
+        this->committedRecord.members = std::move(proposed.front().second);
+        proposed.erase(proposed.begin());
+    }
+}
+
 void Core::applyToRecord(const Entry &entry)
 {
     if (entry.kind == EntryKind::Command || entry.kind == EntryKind::Barrier) {
@@ -299,9 +310,9 @@
         return;
     }
     if (entry.kind == EntryKind::Members) {
-        this->committedRecord.members = std::move(change->members);
-        auto &proposed = this->proposedMemberships;
-        proposed.erase(std::remove_if(proposed.begin(), proposed.end(), [&entry](const auto &item) { return item.first <= entry.index; }), proposed.end());
+        this->settleMemberships(entry.index);
+        this->hard.membersCommitted = entry.index;
+        this->output.hardState = this->hard;
     } else if (entry.kind == EntryKind::Admission) {
         for (const auto &[vm, boot] : change->admittedBoots) {
             this->committedRecord.admittedBoots[vm] = boot;
--- a/src/replication/Core.h
+++ b/src/replication/Core.h
@@ -146,6 +146,7 @@
     void truncateFrom(std::uint64_t index);
     void advanceCommit(std::uint64_t index);
     void applyToRecord(const Entry &entry);
+    void settleMemberships(std::uint64_t index);
     std::vector<const Membership *> activeMemberships() const;
     std::vector<std::string> otherMembers() const;
 
--- a/src/replication/CoreFollower.cpp
+++ b/src/replication/CoreFollower.cpp
@@ -116,6 +116,7 @@
     this->output.committed.clear();
     this->commit = 0;
     this->syncedEntries = 0;
+    this->hard.membersCommitted = 0;
     this->proposedMemberships.clear();
     this->committedRecord = GroupRecord();
     this->committedRecord.members = this->options.members;
--- a/tests/replication/JoiningTest.cpp
+++ b/tests/replication/JoiningTest.cpp
@@ -73,6 +73,39 @@
     BOOST_TEST(TestCluster::eventually([&] { return cluster.machine("c4").lines() == (std::vector<std::string>{"one", "two"}); }));
 }
 
+/// Load pattern: a group grew from three members to five; all lose power, and two their disks.
+BOOST_AUTO_TEST_CASE(afterARestartOnlyTheLastCommittedMembersCount)
+{
+    const support::TemporaryFolder folder;
+    const Member c5{"c5", true, false};
+    TestCluster cluster({C1, C2, C3}, folder.name());
+    cluster.startAll();
+    BOOST_TEST_REQUIRE(cluster.commit("one") != "");
+    cluster.tellMembers({C1, C2, C3, C4, c5}, false);
+    cluster.start("c4");
+    cluster.start("c5");
+    BOOST_TEST_REQUIRE(cluster.changeMembers({C1, C2, C3, C4}));
+    BOOST_TEST_REQUIRE(TestCluster::eventually([&] { return cluster.group("c4").status().caughtUp; }));
+    BOOST_TEST_REQUIRE(cluster.changeMembers({C1, C2, C3, C4, c5}));
+    BOOST_TEST_REQUIRE(TestCluster::eventually([&] { return cluster.group("c5").status().caughtUp; }));
+    BOOST_TEST_REQUIRE(cluster.commit("two") != "");
+    for (const std::string vm : {"c1", "c2", "c5"}) {
+        BOOST_TEST_REQUIRE(TestCluster::eventually([&] { return cluster.machine(vm).lines().size() == 2; }));
+    }
+    for (const std::string vm : {"c1", "c2", "c3", "c4", "c5"}) {
+        cluster.kill(vm);
+    }
+    cluster.heal();
+    for (const std::string vm : {"c3", "c4"}) {
+        std::filesystem::remove_all(cluster.folderOf(vm));
+    }
+    for (const std::string vm : {"c1", "c2", "c3", "c4", "c5"}) {
+        cluster.start(vm);
+    }
+    BOOST_TEST_REQUIRE(cluster.commit("three") != "");
+    BOOST_TEST(TestCluster::eventually([&] { return cluster.machine("c4").lines().size() == 3; }));
+}
+
 BOOST_AUTO_TEST_CASE(aMemberThatLostItsDiskCountsOnlyOnceCaughtUp)
 {
     const support::TemporaryFolder folder;
