Have a member that starts over forget its committed change of members on disk, too

Cause: seen when reading the change before: startOver() cleared the index in memory, and wrote it only where its standing changed as well.

--- a/src/replication/CoreFollower.cpp
+++ b/src/replication/CoreFollower.cpp
@@ -123,6 +123,7 @@
     this->latestSnapshot = nullptr;
     this->encodedSnapshot = nullptr;
     this->setStanding(Standing::Blank);
+    this->output.hardState = this->hard;
     this->options.boot = this->random();
     auto empty = std::make_shared<Snapshot>();
     empty->record = this->committedRecord;
