--- /dev/null
+++ b/tests/cell/CellCallerTest.cpp
@@ -0,0 +1,86 @@
+#include "cell/CellCaller.h"
+
+#include "cell/CallDesk.h"
+#include "cell/Codec.h"
+#include "support/FakeHub.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <memory>
+
+using namespace cranberryreel;
+using base::ResultCode;
+using testsupport::FakeHub;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds Limit{400};
+constexpr std::chrono::milliseconds TryLimit{100};
+
+link::CallResult answer(ResultCode code, const std::string &leader = {})
+{
+    cell::wire::ReplyT reply = cell::replyOf(code);
+    reply.leader = leader;
+    return {ResultCode::Ok, true, cell::pack<cell::wire::Reply>(reply)};
+}
+
+/// Calls through a caller that knows three seeds.
+cell::CallOutcome callOver(FakeHub &hub)
+{
+    cell::CellCaller caller(hub, 7000, {"127.0.0.1", "127.0.0.2", "127.0.0.3"});
+    caller.start();
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::Submit;
+    auto promise = std::make_shared<std::promise<cell::CallOutcome>>();
+    caller.call(call, Limit, TryLimit, [promise](cell::CallOutcome outcome) { promise->set_value(std::move(outcome)); });
+    cell::CallOutcome outcome = promise->get_future().get();
+    caller.stop();
+    return outcome;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CellCallerTest)
+
+BOOST_AUTO_TEST_CASE(aHintLeadsToTheLeaderAtOnce)
+{
+    FakeHub hub(
+        [](const FakeHub::Seen &seen, std::size_t) { return seen.toVm == "127.0.0.9" ? answer(ResultCode::Ok) : answer(ResultCode::NotLeader, "127.0.0.9"); });
+    const cell::CallOutcome outcome = callOver(hub);
+    BOOST_TEST(outcome.answered);
+    BOOST_TEST(!outcome.mayHaveActed);
+    BOOST_TEST(hub.calls().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(whoeverCertainlyDidNotActLeavesTheRefusalTrue)
+{
+    FakeHub hub([](const FakeHub::Seen &, std::size_t number) {
+        return number % 2 == 0 ? answer(ResultCode::NotLeader) : link::CallResult{ResultCode::LinkDown, false, {}};
+    });
+    const cell::CallOutcome outcome = callOver(hub);
+    BOOST_TEST(!outcome.answered);
+    BOOST_TEST(!outcome.mayHaveActed);
+}
+
+BOOST_AUTO_TEST_CASE(aTryWithoutAnAnswerMayHaveActedForEver)
+{
+    FakeHub hub([](const FakeHub::Seen &, std::size_t number) {
+        return number == 1 ? link::CallResult{ResultCode::LinkDown, true, {}} : answer(ResultCode::NotLeader);
+    });
+    const cell::CallOutcome outcome = callOver(hub);
+    BOOST_TEST(!outcome.answered);
+    BOOST_TEST(outcome.mayHaveActed);
+}
+
+BOOST_AUTO_TEST_CASE(aLeaderThatLostItsTermOnTheWayMayHaveActedAndAnotherIsAsked)
+{
+    FakeHub hub([](const FakeHub::Seen &, std::size_t number) { return number == 1 ? answer(ResultCode::GroupUnavailable) : answer(ResultCode::QueueFull); });
+    const cell::CallOutcome outcome = callOver(hub);
+    BOOST_TEST(outcome.answered);
+    BOOST_TEST(outcome.mayHaveActed);
+    BOOST_TEST(outcome.reply.code == static_cast<int>(ResultCode::QueueFull));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
