Send the callers of a zone that is cut off to other zones

What was ruled out: serving within the zone under a grant of the leader (larger; not built), a shorter time for every lost leader (an election would make all VMs not ready at once). Change: a VM that reaches some, but fewer than half, of those who may hold the state knows that it is cut off; it refuses at once, closes the connection and is not ready. Where it reaches none, they may all be restarting, and it waits as before. Dead links are noticed after 0.9 s.

--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -97,7 +97,8 @@
 {
     const base::SteadyTime now = base::steadyNow();
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(attempt->deadline - now);
-    if (left.count() <= 0) {
+    // A refusal now lets the caller turn to another zone while it still has time.
+    if (left.count() <= 0 || (!attempt->lookUp && this->cutOff())) {
         this->finish(attempt, {false, attempt->mayHaveActed, {}});
         return;
     }
@@ -193,6 +194,13 @@
     return this->leaderHeard != base::SteadyTime() && base::steadyNow() - this->leaderHeard <= age;
 }
 
+bool CellCaller::cutOff() const
+{
+    const std::vector<std::string> all = this->known();
+    const auto up = std::count_if(all.begin(), all.end(), [this](const std::string &vm) { return this->hub.isUp(vm); });
+    return up > 0 && 2 * static_cast<std::size_t>(up) < all.size();
+}
+
 std::vector<std::string> CellCaller::known() const
 {
     const absl::MutexLock lock(&this->mutex);
--- a/src/cell/CellCaller.h
+++ b/src/cell/CellCaller.h
@@ -51,6 +51,10 @@
     /// A scheduler that leads answered within `age`.
     bool inTouch(std::chrono::milliseconds age) const;
 
+    /// This VM reaches some of those who may hold the state, but fewer than half: its zone is cut off from the others, and no leader can be on its side.
+    /// Where none at all is reached they may all be restarting, and a call waits for them.
+    bool cutOff() const;
+
     /// Empty when none is known.
     std::string leader() const;
 
--- a/src/cell/CellDaemon.cpp
+++ b/src/cell/CellDaemon.cpp
@@ -52,6 +52,11 @@
 {
     link::LinkHubBuilder builder;
     builder.vm(this->settings.cell.ownVm).cluster(ClusterName).listen(this->settings.link.toString()).keys({this->settings.linkKey, {}}).acceptNewcomers();
+    // Callers of a zone that is cut off are sent to other zones once its links are known to be dead.
+    link::LinkTimings timings;
+    timings.heartbeatInterval = std::chrono::milliseconds(300);
+    timings.deadLimit = std::chrono::milliseconds(900);
+    builder.timings(timings);
     this->hub = builder.build();
     this->cellCaller = std::make_unique<CellCaller>(*this->hub, this->settings.link.port, hostsOf(this->settings.seeds));
     this->pool = std::make_unique<AdvicePool>(this->settings.cell.ownVm, *this->hub, this->advice);
@@ -169,7 +174,7 @@
 
 bool CellDaemon::isReady() const
 {
-    return this->cellCaller->inTouch(ReadyWithin);
+    return this->cellCaller->inTouch(ReadyWithin) && !this->cellCaller->cutOff();
 }
 
 } // namespace cranberryreel::cell
--- a/tests/cell/CellCallerTest.cpp
+++ b/tests/cell/CellCallerTest.cpp
@@ -74,6 +74,27 @@
     BOOST_TEST(outcome.mayHaveActed);
 }
 
+/// Load pattern: a zone is cut off; its callers have three seconds and may yet be served by another zone.
+BOOST_AUTO_TEST_CASE(inAZoneThatIsCutOffCallsAreRefusedAtOnce)
+{
+    FakeHub hub([](const FakeHub::Seen &, std::size_t) { return answer(ResultCode::NotLeader); });
+    hub.down = {"127.0.0.2", "127.0.0.3"};
+    const base::SteadyTime since = base::steadyNow();
+    const cell::CallOutcome outcome = callOver(hub);
+    BOOST_TEST(!outcome.answered);
+    BOOST_TEST(!outcome.mayHaveActed);
+    BOOST_TEST((base::steadyNow() - since < Limit / 2));
+}
+
+BOOST_AUTO_TEST_CASE(whileAllRestartCallsWait)
+{
+    FakeHub hub([](const FakeHub::Seen &, std::size_t) { return answer(ResultCode::Ok); });
+    hub.down = {"127.0.0.1", "127.0.0.2", "127.0.0.3"};
+    const base::SteadyTime since = base::steadyNow();
+    BOOST_TEST(!callOver(hub).answered);
+    BOOST_TEST((base::steadyNow() - since >= Limit));
+}
+
 BOOST_AUTO_TEST_CASE(aLeaderThatLostItsTermOnTheWayMayHaveActedAndAnotherIsAsked)
 {
     FakeHub hub([](const FakeHub::Seen &, std::size_t number) { return number == 1 ? answer(ResultCode::GroupUnavailable) : answer(ResultCode::QueueFull); });
--- a/tests/support/FakeHub.cpp
+++ b/tests/support/FakeHub.cpp
@@ -68,9 +68,9 @@
     return {};
 }
 
-bool FakeHub::isUp(const std::string & /*vm*/) const
+bool FakeHub::isUp(const std::string &vm) const
 {
-    return true;
+    return this->down.count(vm) == 0;
 }
 
 } // namespace cranberryreel::testsupport
--- a/tests/support/FakeHub.h
+++ b/tests/support/FakeHub.h
@@ -6,6 +6,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,9 @@
 
     std::vector<Seen> calls() const;
 
+    /// VMs without a link. Set before use.
+    std::set<std::string> down;
+
     void onMessage(link::Channel channel, link::MessageHandler handler) override;
     void onCall(link::Channel channel, link::CallHandler handler) override;
     void start() override;
