--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -96,7 +96,7 @@
 void CellCaller::next(const std::shared_ptr<Attempt> &attempt)
 {
     const base::SteadyTime now = base::steadyNow();
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(attempt->deadline - now);
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(attempt->deadline - now);
     // A refusal now lets the caller turn to another zone while it still has time.
     if (left.count() <= 0 || (!attempt->lookUp && this->cutOff())) {
         this->finish(attempt, {false, attempt->mayHaveActed, {}});
--- a/src/http/Transfer.cpp
+++ b/src/http/Transfer.cpp
@@ -153,7 +153,8 @@
 {
     this->countBytes();
     this->response.outcome = outcomeOf(result);
-    this->response.sent = result == CURLE_OK || this->sentAnything();
+    // A request that was begun may have arrived, even where libcurl counts no byte of it after a failed write.
+    this->response.sent = result == CURLE_OK || this->sentOnce || this->sentAnything();
     curl_easy_getinfo(this->curl, CURLINFO_RESPONSE_CODE, &this->response.status);
     if (result != CURLE_OK) {
         this->response.error = curl_easy_strerror(result);
