Look an upstream's record up in one place; drop what nothing uses

The same search of the state for one upstream stood three times (a gone one, a reborn one, a stop): it is TermContext::recordOf now. RunTable::withPhase, AdvicePool::freeAskers and two fields of RunTrack for pacing, which is not built, had no user. Behaviour is as before.

--- a/src/cell/AdvicePool.cpp
+++ b/src/cell/AdvicePool.cpp
@@ -45,12 +45,6 @@
     return free;
 }
 
-std::size_t AdvicePool::freeAskers() const
-{
-    const absl::MutexLock lock(&this->mutex);
-    return this->freeOnes().size();
-}
-
 bool AdvicePool::ask(Pace pace, const std::string &step, const std::vector<std::string> &upstreams, std::chrono::milliseconds limit, AdviceDone done)
 {
     std::string vm;
--- a/src/cell/AdvicePool.h
+++ b/src/cell/AdvicePool.h
@@ -32,9 +32,6 @@
     /// False: no VM is free for it now, and nothing was asked. The callback may come on any thread.
     bool ask(Pace pace, const std::string &step, const std::vector<std::string> &upstreams, std::chrono::milliseconds limit, AdviceDone done);
 
-    /// VMs that could be asked now.
-    std::size_t freeAskers() const;
-
 private:
     struct Asker {
         bool busy = false;
--- a/src/cell/FleetKeeper.cpp
+++ b/src/cell/FleetKeeper.cpp
@@ -133,19 +133,12 @@
 void FleetKeeper::gone(std::uint64_t number)
 {
     this->giveUpRuns(number);
-    wire::UpstreamT change;
-    const bool known = this->context.store.read([&](const CellState &state) {
-        const auto found = state.upstreams().find(number);
-        if (found != state.upstreams().end()) {
-            change = found->second;
-        }
-        return found != state.upstreams().end();
-    });
+    std::optional<wire::UpstreamT> change = this->context.recordOf(number);
     this->context.lives.erase(number);
-    if (known) {
-        Logger.info("event=upstream_gone upstream={} number={}", change.id, number);
-        change.gone = true;
-        this->addUpstream(change, [](base::ResultCode) {});
+    if (change) {
+        Logger.info("event=upstream_gone upstream={} number={}", change->id, number);
+        change->gone = true;
+        this->addUpstream(*change, [](base::ResultCode) {});
     }
 }
 
@@ -264,17 +257,10 @@
 {
     Logger.info("event=upstream_reborn number={} born={}", number, bornMs);
     this->lifeOf(number, base::steadyNow()).reborn(base::steadyNow());
-    wire::UpstreamT change;
-    const bool known = this->context.store.read([&](const CellState &state) {
-        const auto found = state.upstreams().find(number);
-        if (found != state.upstreams().end()) {
-            change = found->second;
-        }
-        return found != state.upstreams().end();
-    });
-    if (known) {
-        change.born_ms = bornMs;
-        this->addUpstream(change, [](base::ResultCode) {});
+    std::optional<wire::UpstreamT> change = this->context.recordOf(number);
+    if (change) {
+        change->born_ms = bornMs;
+        this->addUpstream(*change, [](base::ResultCode) {});
     }
 }
 
--- a/src/cell/RunKeeper.cpp
+++ b/src/cell/RunKeeper.cpp
@@ -208,19 +208,12 @@
 void RunKeeper::sendStop(RunTrack &track, base::SteadyTime now)
 {
     const auto life = this->context.lives.find(track.upstream);
-    UpstreamTarget target;
-    const bool known = life != this->context.lives.end() && this->context.store.read([&](const CellState &state) {
-        const auto upstream = state.upstreams().find(track.upstream);
-        if (upstream == state.upstreams().end()) {
-            return false;
-        }
-        target = {upstream->second.id, upstream->second.address};
-        return true;
-    });
-    if (!known) {
+    const std::optional<wire::UpstreamT> record = this->context.recordOf(track.upstream);
+    if (life == this->context.lives.end() || !record) {
         this->end(track, wire::EndKind::UpstreamGone, track.checkpoint);
         return;
     }
+    const UpstreamTarget target{record->id, record->address};
     track.calling = true;
     track.nextCall = now + RepeatStopAfter;
     this->context.calls.stop(target,
--- a/src/cell/RunTable.cpp
+++ b/src/cell/RunTable.cpp
@@ -44,15 +44,4 @@
     return found == this->byUpstream.end() ? 0 : found->second.size();
 }
 
-std::vector<RunKey> RunTable::withPhase(RunPhase phase) const
-{
-    std::vector<RunKey> keys;
-    for (const auto &[key, track] : this->runs) {
-        if (track.phase == phase) {
-            keys.push_back(key);
-        }
-    }
-    return keys;
-}
-
 } // namespace cranberryreel::cell
--- a/src/cell/RunTable.h
+++ b/src/cell/RunTable.h
@@ -24,9 +24,6 @@
     std::vector<RunKey> at(std::uint64_t upstream) const;
     std::size_t countAt(std::uint64_t upstream) const;
 
-    /// All runs that are Ordered and wait for a start to be sent, or are to end: in the order of their keys.
-    std::vector<RunKey> withPhase(RunPhase phase) const;
-
     std::map<RunKey, RunTrack> &all()
     {
         return this->runs;
--- a/src/cell/RunTrack.h
+++ b/src/cell/RunTrack.h
@@ -37,8 +37,6 @@
     base::SteadyTime progressAt{}; ///< When the percentage last changed.
     base::SteadyTime seenAt{}; ///< When the upstream last listed it.
     std::int64_t figure = 0; ///< See RunReport::figure.
-    base::SteadyTime strainedSince{}; ///< Its tail has been over the target since; zero while it is not.
-    int pace = 100; ///< The share of its speed it was last told to work at.
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/TermContext.h
+++ b/src/cell/TermContext.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace cranberryreel::cell
 {
@@ -28,6 +29,15 @@
     SlowFinder slow;
     std::map<std::uint64_t, UpstreamLife> lives; ///< By the upstream's number.
 
+    /// The upstream as the log has it; nothing when it is gone.
+    std::optional<wire::UpstreamT> recordOf(std::uint64_t upstream) const
+    {
+        return this->store.read([upstream](const CellState &state) {
+            const auto found = state.upstreams().find(upstream);
+            return found == state.upstreams().end() ? std::nullopt : std::optional<wire::UpstreamT>(found->second);
+        });
+    }
+
     /// Runs it on the scheduler's thread while this term lasts. Any thread.
     std::function<void(std::function<void()>)> post;
 
