--- /dev/null
+++ b/tests/base/SteadyClockTest.cpp
@@ -0,0 +1,49 @@
+#include "SkewedClocks.h"
+#include "base/Mailbox.h"
+
+#include "cranberryreel/base/Clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <future>
+
+using namespace std::chrono_literals;
+using namespace cranberryreel;
+
+namespace
+{
+
+struct TrueClocksAgain {
+    ~TrueClocksAgain()
+    {
+        testsupport::skewClocks(0s, 0s);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SteadyClockTest, TrueClocksAgain)
+
+BOOST_AUTO_TEST_CASE(aSuspensionCounts)
+{
+    const base::SteadyTime before = base::steadyNow();
+    testsupport::skewClocks(7s, 0s);
+    BOOST_TEST((base::steadyNow() - before >= 7s));
+}
+
+BOOST_AUTO_TEST_CASE(aTimerIsNotHeldUpByTheTimeOfDay)
+{
+    base::Mailbox mailbox;
+    std::promise<void> ran;
+    // The waiting thread reads the time of day, if it does, while that is ahead; the kernel's is back already.
+    testsupport::skewClocks(0s, 5s);
+    mailbox.start();
+    mailbox.postAfter(50ms, [&ran] { ran.set_value(); });
+    const base::SteadyTime posted = base::steadyNow();
+    ran.get_future().wait();
+    BOOST_TEST((base::steadyNow() - posted < 2s));
+    mailbox.stop();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
