--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -21,6 +21,7 @@
 /// A ticket is used no longer than its validity less this: for the way of the answer and of the order.
 constexpr std::chrono::milliseconds TicketMargin{300};
 constexpr std::chrono::milliseconds AskAgainAfter{150};
+constexpr std::chrono::seconds TellLoadEvery{1};
 
 } // namespace
 
@@ -106,6 +107,7 @@
         const PlanInput input{state, this->context.lives, this->adviceBook, this->runs.failedAt(), now};
         return Planner(input).make();
     });
+    this->tellLoad(plan.load, now);
     for (const AdviceWish &wish : plan.wishes) {
         this->ask(wish);
     }
@@ -126,6 +128,20 @@
     });
 }
 
+void CellTerm::tellLoad(const CellLoad &load, base::SteadyTime now)
+{
+    if (now < this->nextLoadLine) {
+        return;
+    }
+    this->nextLoadLine = now + TellLoadEvery;
+    Logger.info("event=load usable_cpu_millis={} free_cpu_millis={} runs={} urgent_waiting={} other_waiting={}",
+                load.usableCpuMillis,
+                load.freeCpuMillis,
+                this->context.runs.all().size(),
+                load.urgentWaiting,
+                load.otherWaiting);
+}
+
 void CellTerm::ask(const AdviceWish &wish)
 {
     std::string step;
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -44,6 +44,7 @@
 private:
     void pump();
     void planStarts(base::SteadyTime now);
+    void tellLoad(const CellLoad &load, base::SteadyTime now);
     void ask(const AdviceWish &wish);
     void advised(const AdviceWish &wish, const std::map<std::string, std::uint64_t> &asked, const AdviceResult &result);
     void propose();
@@ -63,6 +64,7 @@
     bool proposing = false;
     bool pumpQueued = false;
     base::SteadyTime nextCleanUp{};
+    base::SteadyTime nextLoadLine{};
 };
 
 /// Unix time in milliseconds: for due times and retention only.
--- a/src/cell/Planner.cpp
+++ b/src/cell/Planner.cpp
@@ -32,6 +32,11 @@
     return room.upstream->zone != ready.job->spec->zone;
 }
 
+bool isUrgent(const ReadyStep &ready)
+{
+    return ready.queue != nullptr && ready.queue->priority == 0;
+}
+
 } // namespace
 
 Planner::Planner(const PlanInput &planInput)
@@ -45,10 +50,13 @@
 {
     for (const ReadyStep &ready : readySteps(this->input.state)) {
         const std::vector<std::uint32_t> unplaced = ready.step->gang ? this->placeGang(ready) : this->place(ready);
+        (isUrgent(ready) ? this->plan.load.urgentWaiting : this->plan.load.otherWaiting) += unplaced.size();
         if (!unplaced.empty() && ready.queue != nullptr && ready.queue->advice) {
             this->wishAdvice(ready, static_cast<std::uint32_t>(unplaced.size()));
         }
     }
+    this->plan.load.usableCpuMillis = this->rooms.usableCpuMillis();
+    this->plan.load.freeCpuMillis = this->freeCpu;
     return std::move(this->plan);
 }
 
@@ -73,7 +81,7 @@
 
 bool Planner::leavesHeadroom(const ReadyStep &ready) const
 {
-    if (ready.queue != nullptr && ready.queue->priority == 0) {
+    if (isUrgent(ready)) {
         return true;
     }
     const auto kept = static_cast<std::int64_t>(HeadroomForUrgent * static_cast<double>(this->rooms.usableCpuMillis()));
--- a/src/cell/Planner.h
+++ b/src/cell/Planner.h
@@ -33,9 +33,18 @@
     std::chrono::milliseconds valid{0}; ///< How long its tickets can be used.
 };
 
+/// How full the cell is once a plan is carried out.
+struct CellLoad {
+    std::int64_t usableCpuMillis = 0; ///< Of the upstreams that can be given work.
+    std::int64_t freeCpuMillis = 0;
+    std::size_t urgentWaiting = 0; ///< Tasks of priority 0 whose turn has come and that found no place.
+    std::size_t otherWaiting = 0;
+};
+
 struct Plan {
     std::vector<PlannedStart> starts;
     std::vector<AdviceWish> wishes;
+    CellLoad load;
 };
 
 /// What a plan is made from.
