--- /dev/null
+++ b/bench/CellBench.cpp
@@ -0,0 +1,117 @@
+// Times one plan of the cell's scheduler: CellBench [UPSTREAMS [RUNS [WAITING]]]; prints microseconds a plan.
+#include "cell/Planner.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <string>
+
+using namespace cranberryreel;
+
+namespace
+{
+
+constexpr int Rounds = 200;
+constexpr std::uint32_t TasksAJob = 10;
+
+cell::wire::CommandT commandOfRules()
+{
+    cell::wire::CommandT command;
+    command.rules = std::make_unique<cell::wire::RulesT>();
+    command.rules->version = 1;
+    for (const int priority : {0, 2}) {
+        auto queue = std::make_unique<cell::wire::QueueT>();
+        queue->name = priority == 0 ? "quick" : "wide";
+        queue->service = "service";
+        queue->priority = priority;
+        queue->max_failures = 3;
+        queue->advice = std::make_unique<cell::wire::AdviceT>();
+        queue->advice->decision_us = 30000;
+        queue->advice->per_upstream_us = 430;
+        queue->advice->valid_ms = 2500;
+        command.rules->queues.push_back(std::move(queue));
+    }
+    return command;
+}
+
+cell::wire::CommandT commandOfJob(int number, const std::string &queue, std::uint32_t cpuMillis)
+{
+    cell::wire::CommandT command;
+    auto spec = std::make_unique<cell::wire::JobSpecT>();
+    spec->id = std::to_string(number);
+    spec->queue = queue;
+    spec->service = "service";
+    spec->zone = "a";
+    auto step = std::make_unique<cell::wire::StepT>();
+    step->tasks = TasksAJob;
+    step->cpu_millis = cpuMillis;
+    step->memory_mib = 2048;
+    step->estimate_ms = 1000;
+    spec->steps.push_back(std::move(step));
+    command.jobs.push_back(std::move(spec));
+    return command;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const int upstreams = argc > 1 ? std::atoi(argv[1]) : 350;
+    const int runs = argc > 2 ? std::atoi(argv[2]) : 1600;
+    const int waiting = argc > 3 ? std::atoi(argv[3]) : 800;
+    const base::SteadyTime now = base::steadyNow();
+    cell::CellState state;
+    std::map<std::uint64_t, cell::UpstreamLife> lives;
+    cell::AdviceBook advice;
+    const std::map<cell::TaskKey, std::set<std::uint64_t>> failedAt;
+    state.apply(commandOfRules());
+    for (int i = 0; i < upstreams; ++i) {
+        cell::wire::CommandT command;
+        auto upstream = std::make_unique<cell::wire::UpstreamT>();
+        upstream->id = "upstream-" + std::to_string(i);
+        upstream->service = "service";
+        upstream->zone = i % 4 == 0 ? "a" : "b";
+        upstream->cpu_millis = 32000;
+        upstream->memory_mib = 131072;
+        upstream->labels = {"kind", "rack-" + std::to_string(i / 20)};
+        command.upstreams.push_back(std::move(upstream));
+        state.apply(command);
+        cell::UpstreamLife life(std::chrono::milliseconds(6000), now);
+        life.readBack = true;
+        lives.emplace(state.upstreamNamed("upstream-" + std::to_string(i))->number, life);
+    }
+    int job = 0;
+    for (int placed = 0; placed < runs; placed += static_cast<int>(TasksAJob)) {
+        state.apply(commandOfJob(++job, "wide", 4500));
+        for (std::uint32_t task = 0; task < TasksAJob; ++task) {
+            cell::wire::CommandT command;
+            auto placement = std::make_unique<cell::wire::PlacementT>();
+            placement->task = std::make_unique<cell::wire::TaskRefT>(cell::toRef({{static_cast<std::uint64_t>(job), 0, 0}, task}));
+            placement->attempt = 1;
+            placement->upstream = 1 + static_cast<std::uint64_t>(placed + static_cast<int>(task)) % static_cast<std::uint64_t>(upstreams);
+            command.placements.push_back(std::move(placement));
+            state.apply(command);
+        }
+    }
+    for (int added = 0; added < waiting; added += static_cast<int>(TasksAJob)) {
+        state.apply(commandOfJob(++job, added % 200 == 0 ? "quick" : "wide", 9000));
+        // Advice has been had on all upstreams: a third are allowed, with fresh tickets.
+        cell::StepAdvice &known = advice.of({static_cast<std::uint64_t>(job), 0, 0});
+        for (std::uint64_t upstream = 1; upstream <= static_cast<std::uint64_t>(upstreams); ++upstream) {
+            known.known.insert(upstream);
+            if (upstream % 3 == 0) {
+                known.allowed[upstream] = {"ticket", now + std::chrono::hours(1), lives.at(upstream).epoch};
+            }
+        }
+    }
+    const cell::PlanInput input{state, lives, advice, failedAt, now};
+    std::size_t starts = 0;
+    const base::SteadyTime before = base::steadyNow();
+    for (int i = 0; i < Rounds; ++i) {
+        starts += cell::Planner(input).make().starts.size();
+    }
+    const double each = std::chrono::duration<double, std::micro>(base::steadyNow() - before).count() / Rounds;
+    std::printf("{\"upstreams\":%d,\"runs\":%d,\"waiting\":%d,\"microseconds_a_plan\":%.0f,\"starts_a_plan\":%zu}\n", upstreams, runs, waiting, each, starts / Rounds);
+    return 0;
+}
