--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -65,6 +65,7 @@
     std::map<std::uint64_t, cell::UpstreamLife> lives;
     cell::AdviceBook advice;
     const std::map<cell::TaskKey, std::set<std::uint64_t>> failedAt;
+    std::map<std::uint64_t, base::SteadyTime> acceptedAt;
     state.apply(commandOfRules());
     for (int i = 0; i < upstreams; ++i) {
         cell::wire::CommandT command;
@@ -96,6 +97,7 @@
     }
     for (int added = 0; added < waiting; added += static_cast<int>(TasksAJob)) {
         state.apply(commandOfJob(++job, added % 200 == 0 ? "quick" : "wide", 9000));
+        acceptedAt[static_cast<std::uint64_t>(job)] = now - std::chrono::milliseconds(10 * added);
         // Advice has been had on all upstreams: a third are allowed, with fresh tickets.
         cell::StepAdvice &known = advice.of({static_cast<std::uint64_t>(job), 0, 0});
         for (std::uint64_t upstream = 1; upstream <= static_cast<std::uint64_t>(upstreams); ++upstream) {
@@ -105,7 +107,7 @@
             }
         }
     }
-    const cell::PlanInput input{state, lives, advice, failedAt, now};
+    const cell::PlanInput input{state, lives, advice, failedAt, acceptedAt, now};
     std::size_t starts = 0;
     const base::SteadyTime before = base::steadyNow();
     for (int i = 0; i < Rounds; ++i) {
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -52,7 +52,9 @@
             });
         }
     };
-    this->runs.adopt(base::steadyNow());
+    const base::SteadyTime now = base::steadyNow();
+    this->runs.adopt(now);
+    this->context.store.read([this, now](const CellState &state) { this->watch.adopt(state, unixMilliseconds(), now); });
     this->tick();
 }
 
@@ -104,7 +106,7 @@
 void CellTerm::planStarts(base::SteadyTime now)
 {
     const Plan plan = this->context.store.read([this, now](const CellState &state) {
-        const PlanInput input{state, this->context.lives, this->adviceBook, this->runs.failedAt(), now};
+        const PlanInput input{state, this->context.lives, this->adviceBook, this->runs.failedAt(), this->watch.acceptanceTimes(), now};
         return Planner(input).make();
     });
     this->tellLoad(plan.load, now);
--- a/src/cell/JobWatch.cpp
+++ b/src/cell/JobWatch.cpp
@@ -3,6 +3,7 @@
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace cranberryreel::cell
@@ -13,6 +14,9 @@
 
 const observe::Log Logger("cell");
 
+/// A job is taken for no older than this when its age is told by the time of day, which jumps.
+constexpr std::chrono::milliseconds OldestAdopted{60000};
+
 std::int64_t millisecondsBetween(base::SteadyTime from, base::SteadyTime to)
 {
     return from == base::SteadyTime() ? -1 : std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
@@ -45,6 +49,16 @@
 void JobWatch::accepted(std::uint64_t job, base::SteadyTime now)
 {
     this->courses[job].acceptedAt = now;
+    this->acceptedAt[job] = now;
+}
+
+void JobWatch::adopt(const CellState &state, std::int64_t unixNowMs, base::SteadyTime now)
+{
+    for (const std::uint64_t number : state.openJobs()) {
+        const std::chrono::milliseconds age(std::clamp<std::int64_t>(unixNowMs - state.job(number)->accepted_ms, 0, OldestAdopted.count()));
+        this->courses.try_emplace(number);
+        this->acceptedAt.emplace(number, now - age);
+    }
 }
 
 void JobWatch::started(std::uint64_t job, base::SteadyTime now)
@@ -81,6 +95,7 @@
                         totals.starts,
                         totals.failures);
         }
+        this->acceptedAt.erase(at->first);
         at = this->courses.erase(at);
     }
 }
--- a/src/cell/Planner.cpp
+++ b/src/cell/Planner.cpp
@@ -1,5 +1,7 @@
 #include "cell/Planner.h"
 
+#include "cell/WaitingOrder.h"
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -48,7 +50,9 @@
 
 Plan Planner::make()
 {
-    for (const ReadyStep &ready : readySteps(this->input.state)) {
+    std::vector<ReadyStep> waiting = readySteps(this->input.state);
+    WaitingOrder(this->input.acceptedAt, this->input.now).sort(waiting);
+    for (const ReadyStep &ready : waiting) {
         const std::vector<std::uint32_t> unplaced = ready.step->gang ? this->placeGang(ready) : this->place(ready);
         (isUrgent(ready) ? this->plan.load.urgentWaiting : this->plan.load.otherWaiting) += unplaced.size();
         if (!unplaced.empty() && ready.queue != nullptr && ready.queue->advice) {
--- a/src/cell/Planner.h
+++ b/src/cell/Planner.h
@@ -53,6 +53,7 @@
     const std::map<std::uint64_t, UpstreamLife> &lives;
     AdviceBook &advice;
     const std::map<TaskKey, std::set<std::uint64_t>> &failedAt; ///< Upstreams on which a task has failed.
+    const std::map<std::uint64_t, base::SteadyTime> &acceptedAt; ///< When each open job was accepted, as far as this leader knows.
     base::SteadyTime now;
 };
 
--- a/src/cell/ReadySteps.cpp
+++ b/src/cell/ReadySteps.cpp
@@ -1,8 +1,6 @@
 #include "cell/ReadySteps.h"
 
 #include <algorithm>
-#include <limits>
-#include <tuple>
 
 namespace cranberryreel::cell
 {
@@ -33,11 +31,6 @@
     return step.gang && running ? std::vector<std::uint32_t>() : waiting;
 }
 
-int priorityOf(const ReadyStep &ready)
-{
-    return ready.queue == nullptr ? std::numeric_limits<int>::max() : ready.queue->priority;
-}
-
 } // namespace
 
 std::vector<ReadyStep> readySteps(const CellState &state)
@@ -62,9 +55,6 @@
             }
         }
     }
-    std::stable_sort(ready.begin(), ready.end(), [](const ReadyStep &left, const ReadyStep &right) {
-        return std::make_tuple(priorityOf(left), left.key) < std::make_tuple(priorityOf(right), right.key);
-    });
     return ready;
 }
 
--- a/src/cell/ReadySteps.h
+++ b/src/cell/ReadySteps.h
@@ -19,8 +19,7 @@
     std::vector<std::uint32_t> waiting; ///< Tasks that are not done and have no run.
 };
 
-/// All steps with work to place, in the order in which they are served: by the queue's priority, then by acceptance. A gang counts only when none of its
-/// tasks runs any more, since its tasks start together.
+/// All steps with work to place, in the order of acceptance. A gang counts only when none of its tasks runs any more, since its tasks start together.
 std::vector<ReadyStep> readySteps(const CellState &state);
 
 } // namespace cranberryreel::cell
--- a/tests/cell/PlannerTest.cpp
+++ b/tests/cell/PlannerTest.cpp
@@ -25,6 +25,7 @@
     std::map<std::uint64_t, UpstreamLife> lives;
     AdviceBook advice;
     std::map<cell::TaskKey, std::set<std::uint64_t>> failedAt;
+    std::map<std::uint64_t, base::SteadyTime> acceptedAt;
 
     PlannedCell()
     {
@@ -47,7 +48,7 @@
 
     Plan plan()
     {
-        const cell::PlanInput input{this->state, this->lives, this->advice, this->failedAt, Now};
+        const cell::PlanInput input{this->state, this->lives, this->advice, this->failedAt, this->acceptedAt, Now};
         return cell::Planner(input).make();
     }
 };
