Send no order with a ticket that ran out between plan and commit

Change: a ticket also has a time after which no order carries it, and one of an earlier life is not used; the task is planned anew at once. What was sent before is still settled by the upstream's lists. Test: CellTermTest/noOrderCarriesATicketThatRanOut (fails with the check taken out: the old ticket was sent).

--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -103,7 +103,7 @@
         for (std::uint64_t upstream = 1; upstream <= static_cast<std::uint64_t>(upstreams); ++upstream) {
             known.known.insert(upstream);
             if (upstream % 3 == 0) {
-                known.allowed[upstream] = {"ticket", now + std::chrono::hours(1), lives.at(upstream).epoch};
+                known.allowed[upstream] = {"ticket", now + std::chrono::hours(1), lives.at(upstream).epoch, now + std::chrono::hours(1)};
             }
         }
     }
--- a/src/cell/AdviceBook.h
+++ b/src/cell/AdviceBook.h
@@ -18,8 +18,9 @@
 struct StepAdvice {
     struct Ticket {
         std::string text;
-        base::SteadyTime usableUntil{};
+        base::SteadyTime usableUntil{}; ///< No plan uses it later; the commit and the order come after the plan.
         std::uint64_t life = 0; ///< UpstreamLife::epoch that it was given for.
+        base::SteadyTime validUntil{}; ///< No order carries it later.
     };
 
     bool asking = false;
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -18,8 +18,10 @@
 constexpr std::chrono::seconds CleanUpEvery{5};
 /// Beyond the time that the advice service states for a question, for its queue and the way there.
 constexpr std::chrono::milliseconds AdviceAllowance{600};
-/// A ticket is used no longer than its validity less this: for the way of the answer and of the order.
+/// A ticket is planned with no longer than its validity less this: for the way of its answer, the commit and the order.
 constexpr std::chrono::milliseconds TicketMargin{300};
+/// The same for an order that goes out now; it reaches the upstream within milliseconds.
+constexpr std::chrono::milliseconds TicketMarginOfOrder{100};
 constexpr std::chrono::milliseconds AskAgainAfter{150};
 constexpr std::chrono::seconds TellLoadEvery{1};
 
@@ -190,7 +192,7 @@
         const auto number = asked.find(id);
         const auto life = number == asked.end() ? this->context.lives.end() : this->context.lives.find(number->second);
         if (life != this->context.lives.end()) {
-            advice.allowed[number->second] = {ticket, now + wish.valid - TicketMargin, life->second.epoch};
+            advice.allowed[number->second] = {ticket, now + wish.valid - TicketMargin, life->second.epoch, now + wish.valid - TicketMarginOfOrder};
         }
     }
     this->context.wake();
--- a/src/cell/RunKeeper.cpp
+++ b/src/cell/RunKeeper.cpp
@@ -111,7 +111,14 @@
     track.deadline = std::max(track.deadline, *deadline);
     order.epoch = this->context.epoch;
     if (const auto &allowed = this->advice.of(task.step).allowed; allowed.count(track.upstream) > 0) {
-        order.ticket = allowed.at(track.upstream).text;
+        const StepAdvice::Ticket &ticket = allowed.at(track.upstream);
+        if (track.starts == 0 && (ticket.validUntil <= now || ticket.life != life->second.epoch)) {
+            // Nothing was sent: the task is planned anew, with a new ticket.
+            Logger.info("event=ticket_out_of_date task={} attempt={} upstream={}", track.task, track.key.attempt, track.upstream);
+            this->end(track, wire::EndKind::NeverStarted, {});
+            return;
+        }
+        order.ticket = ticket.text;
     }
     const bool fresh = track.starts > 0;
     ++track.starts;
--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -23,6 +23,9 @@
 void AllowAll::ask(const std::string & /*step*/, const std::vector<std::string> &upstreams, std::chrono::milliseconds /*limit*/, cell::AdviceDone done)
 {
     ++this->asked;
+    if (this->whenAsked) {
+        this->whenAsked();
+    }
     cell::AdviceResult result;
     result.answered = true;
     for (const std::string &id : upstreams) {
@@ -40,9 +43,14 @@
     this->options.ownVm = "vm";
     this->options.leaseMax = TestLease;
     this->takeOver();
+    this->put(rules(1));
+}
+
+void CellRig::put(std::unique_ptr<cell::wire::RulesT> changed)
+{
     cell::wire::CallT put;
     put.kind = cell::wire::CallKind::PutRules;
-    put.rules = rules(1);
+    put.rules = std::move(changed);
     this->call(std::move(put));
 }
 
--- a/tests/cell/CellRig.h
+++ b/tests/cell/CellRig.h
@@ -21,6 +21,7 @@
     void ask(const std::string &step, const std::vector<std::string> &upstreams, std::chrono::milliseconds limit, cell::AdviceDone done) override;
 
     int asked = 0;
+    std::function<void()> whenAsked; ///< Called before the answer; may be empty.
 };
 
 /// A leading scheduler over scripted upstreams, on the test's thread: nothing happens but within run().
@@ -44,6 +45,9 @@
     /// Runs until the condition holds; false after the limit.
     bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit = std::chrono::seconds(10));
 
+    /// Puts a configuration.
+    void put(std::unique_ptr<cell::wire::RulesT> rules);
+
     /// Another leader takes over with a higher epoch.
     void takeOver();
 
--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -166,6 +166,25 @@
     BOOST_TEST((rig.stateOf("j") == JobState::Cancelled));
 }
 
+/// Load pattern: a disk stalls between a plan and its commit, and the tickets of the plan are too old when it goes on.
+BOOST_AUTO_TEST_CASE(noOrderCarriesATicketThatRanOut)
+{
+    CellRig rig;
+    auto rules = support::rules(2);
+    rules->queues.front()->advice = std::make_unique<cell::wire::AdviceT>();
+    rules->queues.front()->advice->valid_ms = 700;
+    rig.put(std::move(rules));
+    rig.addUpstream("u1", 8000);
+    rig.advice.whenAsked = [&rig] { rig.group.stalls = rig.advice.asked == 1; };
+    rig.submit(support::job("j", support::step(1, 1000)));
+    rig.run(milliseconds(900));
+    BOOST_REQUIRE(rig.advice.asked == 1);
+    rig.group.resume();
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.placeOf(First).empty(); }));
+    BOOST_TEST(rig.upstreams.upstreams["u1"].startsAsked == 1);
+    BOOST_TEST(rig.advice.asked == 2);
+}
+
 BOOST_AUTO_TEST_CASE(anUpstreamWithoutRoomIsTriedNoMoreForAWhile)
 {
     CellRig rig;
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -28,6 +28,7 @@
 
 OrderAnswer ScriptedUpstreams::begin(Upstream &upstream, const cell::RunOrder &order)
 {
+    ++upstream.startsAsked;
     this->expire(upstream);
     if (order.epoch < upstream.epoch) {
         return OrderAnswer::Fenced;
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -30,6 +30,7 @@
         bool losesAnswers = false; ///< Starts are carried out, but the answer is lost.
         bool dropsStops = false;
         bool refusesForRoom = false;
+        int startsAsked = 0;
         std::int64_t bornMs = 1;
         std::uint64_t epoch = 0;
         std::uint64_t endsNumbered = 0;
--- a/tests/support/FakeGroup.cpp
+++ b/tests/support/FakeGroup.cpp
@@ -1,5 +1,7 @@
 #include "support/FakeGroup.h"
 
+#include <utility>
+
 namespace cranberryreel::testsupport
 {
 
@@ -27,6 +29,16 @@
         done({base::ResultCode::NoDurableStore, {}});
         return;
     }
+    if (this->stalls) {
+        const absl::MutexLock lock(&this->mutex);
+        this->waiting.emplace_back(std::move(command), std::move(done));
+        return;
+    }
+    this->apply(command, done);
+}
+
+void FakeGroup::apply(const std::string &command, const replication::ProposeCallback &done)
+{
     std::string result;
     {
         absl::MutexLock lock(&this->mutex);
@@ -36,6 +48,19 @@
     done({base::ResultCode::Ok, result});
 }
 
+void FakeGroup::resume()
+{
+    this->stalls = false;
+    std::vector<std::pair<std::string, replication::ProposeCallback>> late;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        late.swap(this->waiting);
+    }
+    for (const auto &[command, done] : late) {
+        this->apply(command, done);
+    }
+}
+
 void FakeGroup::readBarrier(std::function<void(base::ResultCode)> done)
 {
     done(base::ResultCode::Ok);
--- a/tests/support/FakeGroup.h
+++ b/tests/support/FakeGroup.h
@@ -30,13 +30,23 @@
 
     std::atomic<bool> leads{true};
     std::atomic<bool> hasDisk{true};
+
+    /// Proposals wait while it is set, as behind a slow disk.
+    std::atomic<bool> stalls{false};
+
+    /// Ends the stall and applies what waited.
+    void resume();
+
     std::atomic<std::uint64_t> raisedTo{0};
     std::atomic<std::uint64_t> proposals{0};
 
 private:
+    void apply(const std::string &command, const replication::ProposeCallback &done);
+
     replication::StateMachine &machine;
     absl::Mutex mutex;
     std::uint64_t index ABSL_GUARDED_BY(mutex) = 0;
+    std::vector<std::pair<std::string, replication::ProposeCallback>> waiting ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace cranberryreel::testsupport
