--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -32,6 +32,8 @@
     CallDone done;
     std::set<std::string> triedThisRound;
     std::string hinted; ///< The leader that the last answer named.
+    std::string asked; ///< The VM whose answer is waited for; empty between tries.
+    std::uint64_t tries = 0;
     bool mayHaveActed = false;
     bool lookUp = false; ///< Any member's answer will do.
 };
@@ -77,7 +79,41 @@
     attempt->tryLimit = tryLimit;
     attempt->done = std::move(done);
     attempt->lookUp = call.kind == wire::CallKind::Lookup;
-    this->next(attempt);
+    this->timers.post([this, attempt] {
+        this->open.insert(attempt);
+        this->next(attempt);
+    });
+}
+
+void CellCaller::leaderTells(const std::string &vm, std::uint64_t term)
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        if (term <= this->leaderTerm) {
+            return;
+        }
+        this->leaderTerm = term;
+        this->leaderVm = vm;
+        this->leaderHeard = base::steadyNow();
+        this->addPeer(vm);
+    }
+    Logger.info("event=leader_told vm={} term={}", vm, term);
+    this->timers.post([this, vm] { this->turnTo(vm); });
+}
+
+/// Load pattern: the leader dies without a word, and hundreds of calls wait for its answer while another leads already.
+void CellCaller::turnTo(const std::string &vm)
+{
+    const std::vector<std::shared_ptr<Attempt>> waiting(this->open.begin(), this->open.end());
+    for (const std::shared_ptr<Attempt> &attempt : waiting) {
+        if (attempt->lookUp || attempt->asked.empty() || attempt->asked == vm) {
+            continue;
+        }
+        attempt->mayHaveActed = true;
+        attempt->hinted = vm;
+        attempt->triedThisRound.erase(vm);
+        this->next(attempt);
+    }
 }
 
 std::string CellCaller::pick(Attempt &attempt)
@@ -103,19 +139,24 @@
         return;
     }
     const std::string vm = this->pick(*attempt);
+    const std::uint64_t number = ++attempt->tries;
+    attempt->asked = vm;
     if (vm.empty()) {
         attempt->triedThisRound.clear();
         this->timers.postAfter(std::min(left, RoundPause), [this, attempt] { this->next(attempt); });
         return;
     }
     attempt->triedThisRound.insert(vm);
-    this->hub.call(vm, link::Channel::Cell, attempt->payload, std::min(left, attempt->tryLimit), {}, [this, attempt, vm](link::CallResult result) {
-        this->timers.post([this, attempt, vm, result = std::move(result)] { this->tried(attempt, vm, result); });
+    this->hub.call(vm, link::Channel::Cell, attempt->payload, std::min(left, attempt->tryLimit), {}, [this, attempt, vm, number](link::CallResult result) {
+        this->timers.post([this, attempt, vm, number, result = std::move(result)] { this->tried(attempt, vm, number, result); });
     });
 }
 
-void CellCaller::tried(const std::shared_ptr<Attempt> &attempt, const std::string &vm, const link::CallResult &result)
+void CellCaller::tried(const std::shared_ptr<Attempt> &attempt, const std::string &vm, std::uint64_t number, const link::CallResult &result)
 {
+    if (number != attempt->tries) {
+        return; // The call has turned to another VM, and whatever this one did is counted as possible.
+    }
     if (result.code != base::ResultCode::Ok) {
         attempt->mayHaveActed = attempt->mayHaveActed || result.sent;
         this->next(attempt);
@@ -173,6 +214,7 @@
 
 void CellCaller::finish(const std::shared_ptr<Attempt> &attempt, CallOutcome outcome)
 {
+    this->open.erase(attempt);
     if (const CallDone done = std::exchange(attempt->done, nullptr)) {
         done(std::move(outcome));
     }
--- a/src/cell/CellCaller.h
+++ b/src/cell/CellCaller.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,9 @@
     /// More VMs to look up the cell at, from changed settings.
     void addSeeds(const std::vector<std::string> &seeds);
 
+    /// The VM says that it leads this term: calls that wait for another VM go to it at once.
+    void leaderTells(const std::string &vm, std::uint64_t term);
+
     /// A scheduler that leads answered within `age`.
     bool inTouch(std::chrono::milliseconds age) const;
 
@@ -65,7 +69,8 @@
     struct Attempt;
 
     void next(const std::shared_ptr<Attempt> &attempt);
-    void tried(const std::shared_ptr<Attempt> &attempt, const std::string &vm, const link::CallResult &result);
+    void tried(const std::shared_ptr<Attempt> &attempt, const std::string &vm, std::uint64_t number, const link::CallResult &result);
+    void turnTo(const std::string &vm);
     void finish(const std::shared_ptr<Attempt> &attempt, CallOutcome outcome);
     std::string pick(Attempt &attempt);
     void learn(const std::string &vm, const wire::ReplyT &reply);
@@ -78,6 +83,8 @@
     std::vector<std::string> vms ABSL_GUARDED_BY(mutex); ///< Known to hold the cell's state, or to be seeds.
     std::string leaderVm ABSL_GUARDED_BY(mutex);
     base::SteadyTime leaderHeard ABSL_GUARDED_BY(mutex){};
+    std::uint64_t leaderTerm ABSL_GUARDED_BY(mutex) = 0; ///< The highest that a VM told.
+    std::set<std::shared_ptr<Attempt>> open; ///< Calls without an outcome. On the timers' thread only.
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/CellDaemon.cpp
+++ b/src/cell/CellDaemon.cpp
@@ -5,6 +5,8 @@
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 
+#include <absl/strings/numbers.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -86,6 +88,13 @@
             this->member->receive(fromVm, std::move(payload));
         }
     });
+    this->hub->onMessage(link::Channel::CellLead, [this](const std::string &fromVm, const std::string &payload) {
+        if (std::uint64_t term = 0; absl::SimpleAtoi(payload, &term)) {
+            this->cellCaller->leaderTells(fromVm, term);
+        } else {
+            Logger.warn("event=lead_unreadable from={} bytes={}", fromVm, payload.size());
+        }
+    });
     this->hub->onCall(link::Channel::Cell,
                       [this](const std::string &fromVm, const std::string &payload, const std::string & /*traceparent*/, const link::Responder &respond) {
                           std::optional<wire::CallT> call = unpack<wire::Call>(payload);
--- a/src/cell/CellMember.cpp
+++ b/src/cell/CellMember.cpp
@@ -57,6 +57,7 @@
                       .sendBy([this](const std::string &toVm, std::string bytes) { this->hub.send(toVm, link::Channel::CellGroup, std::move(bytes)); })
                       .build();
     this->scheduler.attach(*this->group);
+    this->scheduler.leads = [this](std::uint64_t term) { this->tellAll(term); };
 }
 
 CellMember::~CellMember() = default;
@@ -89,6 +90,17 @@
     });
 }
 
+/// Callers need not wait until they have found out that the leader before is dead.
+void CellMember::tellAll(std::uint64_t term)
+{
+    this->caller.leaderTells(this->cell.ownVm, term);
+    for (const link::PeerStatus &peer : this->hub.peers()) {
+        if (peer.up) {
+            this->hub.send(peer.vm, link::Channel::CellLead, std::to_string(term));
+        }
+    }
+}
+
 bool CellMember::leads() const
 {
     return this->group->holdsLease(base::steadyNow());
--- a/src/cell/CellMember.h
+++ b/src/cell/CellMember.h
@@ -59,6 +59,7 @@
     void joinAsked(const std::string &vm, const Reply &reply);
     wire::ReplyT lookUp() const;
     bool leads() const;
+    void tellAll(std::uint64_t term);
 
     const MemberOptions options;
     const CellOptions cell;
--- a/src/cell/CellScheduler.cpp
+++ b/src/cell/CellScheduler.cpp
@@ -70,6 +70,9 @@
         };
         this->term = std::make_shared<CellTerm>(this->options, termNumber, this->store, this->calls, this->advice, *this->group, std::move(post));
         *cell = this->term;
+        if (this->leads) {
+            this->leads(termNumber);
+        }
         this->scheduleTick();
     });
 }
--- a/src/cell/CellScheduler.h
+++ b/src/cell/CellScheduler.h
@@ -5,6 +5,7 @@
 #include "replication/Group.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 
 namespace cranberryreel::cell
@@ -19,6 +20,9 @@
     /// Before start().
     void attach(replication::Group &cellGroup);
 
+    /// Called with the term on the scheduler's thread when it has begun to lead. Set before start().
+    std::function<void(std::uint64_t term)> leads;
+
     void start();
     void stop();
 
--- a/tests/cell/CellCallerTest.cpp
+++ b/tests/cell/CellCallerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/CallDesk.h"
 #include "cell/Codec.h"
+#include "support/Eventually.h"
 #include "support/FakeHub.h"
 
 #include <boost/test/unit_test.hpp>
@@ -104,4 +105,29 @@
     BOOST_TEST(outcome.reply.code == static_cast<int>(ResultCode::QueueFull));
 }
 
+/// Load pattern: the leader loses power, and its links stay up until they are known to be dead.
+BOOST_AUTO_TEST_CASE(aCallThatWaitsForADeadLeaderTurnsToTheNewOne)
+{
+    FakeHub hub([](const FakeHub::Seen &seen, std::size_t) { return seen.toVm == "127.0.0.2" ? answer(ResultCode::Ok) : answer(ResultCode::NotLeader); });
+    hub.silent = {"127.0.0.1"};
+    cell::CellCaller caller(hub, 7000, {"127.0.0.1", "127.0.0.2", "127.0.0.3"});
+    caller.start();
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::Submit;
+    auto promise = std::make_shared<std::promise<cell::CallOutcome>>();
+    std::future<cell::CallOutcome> outcome = promise->get_future();
+    const base::SteadyTime began = base::steadyNow();
+    caller.call(call, std::chrono::seconds(20), std::chrono::seconds(10), [promise](cell::CallOutcome ended) { promise->set_value(std::move(ended)); });
+    BOOST_REQUIRE((support::eventually([&hub] { return hub.calls().size() == 1; }, std::chrono::seconds(5))));
+    caller.leaderTells("127.0.0.3", 4);
+    caller.leaderTells("127.0.0.2", 5);
+    caller.leaderTells("127.0.0.1", 3); // An older term, late.
+    const cell::CallOutcome ended = outcome.get();
+    BOOST_TEST(ended.answered);
+    BOOST_TEST(ended.mayHaveActed);
+    BOOST_TEST((base::steadyNow() - began < std::chrono::seconds(5)));
+    BOOST_TEST(caller.leader() == "127.0.0.2");
+    caller.stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/FakeHub.cpp
+++ b/tests/support/FakeHub.cpp
@@ -55,7 +55,9 @@
         this->seen.push_back(call);
         number = this->seen.size();
     }
-    done(this->script(call, number));
+    if (this->silent.count(toVm) == 0) {
+        done(this->script(call, number));
+    }
 }
 
 std::vector<link::PeerStatus> FakeHub::peers() const
--- a/tests/support/FakeHub.h
+++ b/tests/support/FakeHub.h
@@ -31,6 +31,9 @@
     /// VMs without a link. Set before use.
     std::set<std::string> down;
 
+    /// VMs that never answer. Set before use.
+    std::set<std::string> silent;
+
     void onMessage(link::Channel channel, link::MessageHandler handler) override;
     void onCall(link::Channel channel, link::CallHandler handler) override;
     void start() override;
