--- a/src/link/LinkHub.h
+++ b/src/link/LinkHub.h
@@ -23,6 +23,7 @@
     CellGroup = 6, ///< Replication messages of the cell group.
     Cell = 7, ///< Calls to the cell scheduler, and from it to those who ask for advice.
     CellLead = 8, ///< Word of a cell scheduler that it leads now; the payload is its term in decimal digits.
+    Last = CellLead,
 };
 
 struct CallResult {
--- a/src/link/Receivers.h
+++ b/src/link/Receivers.h
@@ -19,7 +19,7 @@
     const CallHandler *callHandler(std::uint8_t channel) const;
 
 private:
-    static constexpr std::size_t Channels = 8;
+    static constexpr std::size_t Channels = static_cast<std::size_t>(Channel::Last) + 1; ///< 0 is no channel.
 
     std::array<MessageHandler, Channels> messageHandlers;
     std::array<CallHandler, Channels> callHandlers;
