Take an upstream that says it ends for gone only when nobody listens at its address

Cause: a renewal that was not sent counted as proof, also where merely the link to the relaying VM was down or the connection attempt ran into its limit. Together with the word of an earlier life that arrives late, work that runs would have been started again elsewhere (TWICE). Change: a refused connection is an answer of its own (Absent), told apart from a call that was not sent. Tests: CellTermTest/anUpstreamThatSaysItEndsIsGoneOnlyWhenNobodyListensThere (a task ran twice with the condition as before), DecoderTest/eachRefusalOfAnOrderHasItsMeaning.

--- a/src/cell/FleetKeeper.cpp
+++ b/src/cell/FleetKeeper.cpp
@@ -266,7 +266,8 @@
 
 void FleetKeeper::silent(std::uint64_t number, UpstreamLife &life, base::SteadyTime now, OrderAnswer answer)
 {
-    if (life.leaving && answer == OrderAnswer::NotSent) {
+    // A call that merely got no connection, or was lost on the way to the VM that relays it, says nothing of the upstream.
+    if (life.leaving && answer == OrderAnswer::Absent) {
         this->gone(number);
         return;
     }
--- a/src/cell/RelayCodec.cpp
+++ b/src/cell/RelayCodec.cpp
@@ -21,7 +21,7 @@
 
 OrderAnswer answerOf(std::uint8_t number)
 {
-    return number <= static_cast<std::uint8_t>(OrderAnswer::Unknown) ? static_cast<OrderAnswer>(number) : OrderAnswer::Unknown;
+    return number <= static_cast<std::uint8_t>(OrderAnswer::Absent) ? static_cast<OrderAnswer>(number) : OrderAnswer::Unknown;
 }
 
 RunEnd endOf(std::uint8_t number)
--- a/src/cell/RunKeeper.cpp
+++ b/src/cell/RunKeeper.cpp
@@ -26,7 +26,7 @@
 const char *nameOf(OrderAnswer answer)
 {
     static constexpr const char *Names[] = {
-        "done", "fenced", "superseded", "too_late", "no_room", "ticket_refused", "invalid", "unhealthy", "other_life", "not_sent", "unknown"};
+        "done", "fenced", "superseded", "too_late", "no_room", "ticket_refused", "invalid", "unhealthy", "other_life", "not_sent", "unknown", "absent"};
     return Names[static_cast<std::size_t>(answer)];
 }
 
@@ -163,7 +163,7 @@
 
 void RunKeeper::startRefused(RunTrack &track, const OrderResult &result, base::SteadyTime now)
 {
-    const bool repeatable = result.answer == OrderAnswer::Unknown || result.answer == OrderAnswer::NotSent;
+    const bool repeatable = result.answer == OrderAnswer::Unknown || result.answer == OrderAnswer::NotSent || result.answer == OrderAnswer::Absent;
     track.unanswered = track.unanswered || result.answer == OrderAnswer::Unknown;
     if (repeatable && track.starts < StartTries) {
         track.nextCall = now + RepeatAfter;
@@ -196,7 +196,7 @@
         this->advice.of(track.key.task.step).allowed[track.upstream].usableUntil = {};
     } else if (answer == OrderAnswer::NoRoom) {
         life->second.shunnedUntil = std::max(life->second.shunnedUntil, now + ShunFull);
-    } else if (answer == OrderAnswer::Unhealthy || answer == OrderAnswer::NotSent || answer == OrderAnswer::Unknown) {
+    } else if (answer == OrderAnswer::Unhealthy || answer == OrderAnswer::NotSent || answer == OrderAnswer::Unknown || answer == OrderAnswer::Absent) {
         life->second.shun(now, ShunUnhealthy);
     } else if (answer == OrderAnswer::Invalid) {
         this->noteFailure(track.key.task, track.upstream);
--- a/src/cell/UpstreamCalls.h
+++ b/src/cell/UpstreamCalls.h
@@ -29,6 +29,7 @@
     OtherLife, ///< Another incarnation answers at the address.
     NotSent, ///< Provably nothing left this VM.
     Unknown, ///< No answer: it may have been done, or may be done seconds later.
+    Absent, ///< Nobody listens at the address; nothing was done.
 };
 
 struct OrderResult {
--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -86,6 +86,14 @@
     this->run(std::chrono::milliseconds(20));
 }
 
+void CellRig::leave(const std::string &id)
+{
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::Leave;
+    call.path = id;
+    this->call(std::move(call));
+}
+
 void CellRig::announce(const std::string &id, std::uint64_t sequence)
 {
     cell::wire::CallT call;
--- a/tests/cell/CellRig.h
+++ b/tests/cell/CellRig.h
@@ -34,6 +34,9 @@
     void addUpstream(const std::string &id, std::uint32_t cpuMillis);
     void announce(const std::string &id, std::uint64_t sequence);
 
+    /// The upstream, or an earlier life of it, said that it ends.
+    void leave(const std::string &id);
+
     /// Puts the job in; its result code.
     base::ResultCode submit(std::unique_ptr<cell::wire::JobSpecT> spec);
     base::ResultCode cancel(const std::string &id);
--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -166,6 +166,26 @@
     BOOST_TEST((rig.stateOf("j") == JobState::Cancelled));
 }
 
+/// Load pattern: the word of an earlier life that it ends arrives late, while the zone's relay is cut off.
+BOOST_AUTO_TEST_CASE(anUpstreamThatSaysItEndsIsGoneOnlyWhenNobodyListensThere)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.placeOf(First).empty(); }));
+    rig.addUpstream("u2", 8000);
+    auto &scripted = rig.upstreams.upstreams["u1"];
+    scripted.reachable = false;
+    scripted.whenUnreachable = cell::OrderAnswer::NotSent;
+    rig.leave("u1");
+    rig.run(milliseconds(300)); // Its lease goes on for longer.
+    BOOST_TEST(rig.upstreams.placeOf(First) == "u1");
+    BOOST_TEST(rig.upstreams.doubled.empty());
+    scripted.whenUnreachable = cell::OrderAnswer::Absent;
+    scripted.running.clear();
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.placeOf(First) == "u2"; }));
+}
+
 /// Load pattern: a disk stalls between a plan and its commit, and the tickets of the plan are too old when it goes on.
 BOOST_AUTO_TEST_CASE(noOrderCarriesATicketThatRanOut)
 {
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -99,6 +99,7 @@
     Upstream &upstream = this->upstreams[target.id];
     cell::RenewResult renewed;
     if (!upstream.reachable) {
+        renewed.result.answer = upstream.whenUnreachable;
         done(renewed);
         return;
     }
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -26,6 +26,7 @@
 
     struct Upstream {
         bool reachable = true;
+        cell::OrderAnswer whenUnreachable = cell::OrderAnswer::Unknown; ///< How renewals end then.
         bool dropsStarts = false; ///< Starts get no answer; they stay in `late`.
         bool losesAnswers = false; ///< Starts are carried out, but the answer is lost.
         bool dropsStops = false;
--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -207,6 +207,8 @@
     BOOST_TEST((platform::orderResult(lost).answer == OrderAnswer::Unknown));
     lost.sent = false;
     BOOST_TEST((platform::orderResult(lost).answer == OrderAnswer::NotSent));
+    lost.outcome = http::CallOutcome::Unreachable;
+    BOOST_TEST((platform::orderResult(lost).answer == OrderAnswer::Absent));
 }
 
 BOOST_AUTO_TEST_CASE(listsAreReadWholeOrNotAtAll)
