--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -114,6 +114,7 @@
         starts += cell::Planner(input).make().starts.size();
     }
     const double each = std::chrono::duration<double, std::micro>(base::steadyNow() - before).count() / Rounds;
-    std::printf("{\"upstreams\":%d,\"runs\":%d,\"waiting\":%d,\"microseconds_a_plan\":%.0f,\"starts_a_plan\":%zu}\n", upstreams, runs, waiting, each, starts / Rounds);
+    std::printf(
+        "{\"upstreams\":%d,\"runs\":%d,\"waiting\":%d,\"microseconds_a_plan\":%.0f,\"starts_a_plan\":%zu}\n", upstreams, runs, waiting, each, starts / Rounds);
     return 0;
 }
--- a/src/cell/FleetKeeper.cpp
+++ b/src/cell/FleetKeeper.cpp
@@ -398,6 +398,7 @@
     if (how != RunEnd::Failed) {
         return;
     }
+    Logger.info("event=task_failed task={} attempt={} number={} failures_in_row={}", track.task, track.key.attempt, number, life.failuresInRow);
     this->runs.noteFailure(track.key.task, number);
     if (life.lastFailedJob != track.key.task.step.job) {
         life.lastFailedJob = track.key.task.step.job;
--- a/src/cell/RunKeeper.cpp
+++ b/src/cell/RunKeeper.cpp
@@ -317,8 +317,8 @@
                     continue;
                 }
                 const wire::TaskT *task = state.task(toRef(key.task));
-                const bool gangLost = stoppingSteps.count(key.task.step) > 0 && task != nullptr && !task->done
-                    && state.job(job)->spec->steps[key.task.step.step]->gang;
+                const bool gangLost =
+                    stoppingSteps.count(key.task.step) > 0 && task != nullptr && !task->done && state.job(job)->spec->steps[key.task.step.step]->gang;
                 if (gangLost || !this->isNeeded(state, key)) {
                     toStop.push_back(key);
                 }
--- a/tests/platform/PlatformProcessTest.cpp
+++ b/tests/platform/PlatformProcessTest.cpp
@@ -20,10 +20,11 @@
 namespace
 {
 
-constexpr const char *Rules = R"({"Version":5,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","Kind":"non_idempotent","TimeoutMs":3000,)"
-                              R"("TargetLatencyMs":250,"Priority":0,"Service":"s","MaxAttempts":2,"SlackFactor":1.5}],)"
-                              R"("Services":[{"Name":"s","HealthPath":"/health","MaxConns":64,"Protocol":"h1","Tls":false,"AdmissionCheck":false,"Standby":false}],)"
-                              R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+constexpr const char *Rules =
+    R"({"Version":5,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","Kind":"non_idempotent","TimeoutMs":3000,)"
+    R"("TargetLatencyMs":250,"Priority":0,"Service":"s","MaxAttempts":2,"SlackFactor":1.5}],)"
+    R"("Services":[{"Name":"s","HealthPath":"/health","MaxConns":64,"Protocol":"h1","Tls":false,"AdmissionCheck":false,"Standby":false}],)"
+    R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
 
 /// Three VMs with disks, which are the seeds, and an entry VM, as processes on addresses of their own.
 class PlatformCell
@@ -81,18 +82,19 @@
     {
         const std::string file = fmt::format("{}/{}.ini", this->folder.name(), vm);
         const bool entry = disk.empty();
-        std::ofstream(file) << fmt::format("[vm]\nname = {0}\naddress = {0}\nzone = z\n\n[listen]\ncallers = {1}\nreadiness = {2}\ncontrol = {3}\nmetrics =\n\n"
-                                           "[link]\nlisten = {0}:{4}\nkey = 5f0c2f6a9e1b47d3a8c4410be72d9635\n\n"
-                                           "[cell]\nseeds = 127.0.0.11:{5},127.0.0.12:{5},127.0.0.13:{5}\ntolerate = 1\nfirst_start = true\ndata_folder = {6}\n\n"
-                                           "[advice]\nservice = 127.0.0.1:1\n\n"
-                                           "[times]\nlease_max_ms = 6000\nstop_limit_ms = 200\ngang_wait_ms = 3000\nrestore_ms = 600\nfar_rack_factor = 1.5\n",
-                                           vm,
-                                           entry ? this->callers() : "",
-                                           entry ? this->readiness(vm) : "",
-                                           entry ? "" : this->control(vm),
-                                           this->linkPort,
-                                           this->controlPort,
-                                           disk);
+        std::ofstream(file) << fmt::format(
+            "[vm]\nname = {0}\naddress = {0}\nzone = z\n\n[listen]\ncallers = {1}\nreadiness = {2}\ncontrol = {3}\nmetrics =\n\n"
+            "[link]\nlisten = {0}:{4}\nkey = 5f0c2f6a9e1b47d3a8c4410be72d9635\n\n"
+            "[cell]\nseeds = 127.0.0.11:{5},127.0.0.12:{5},127.0.0.13:{5}\ntolerate = 1\nfirst_start = true\ndata_folder = {6}\n\n"
+            "[advice]\nservice = 127.0.0.1:1\n\n"
+            "[times]\nlease_max_ms = 6000\nstop_limit_ms = 200\ngang_wait_ms = 3000\nrestore_ms = 600\nfar_rack_factor = 1.5\n",
+            vm,
+            entry ? this->callers() : "",
+            entry ? this->readiness(vm) : "",
+            entry ? "" : this->control(vm),
+            this->linkPort,
+            this->controlPort,
+            disk);
         const std::vector<std::string> command{std::string(CRANBERRYREEL_BINARY_DIR) + "/cranberryreel-platformd", "--settings", file};
         this->processes.push_back(std::make_unique<support::Process>(command, file + ".log"));
     }
