Look up what all tasks of a step share once in a plan

Cause: a plan of 116 starts for 800 waiting tasks took 9.4 to 9.9 ms, 81 us a start; its profile: 41% the search for tickets, 25% the choice of upstreams to ask about, for each task and upstream anew. A leader with 0.4 of a core plans after each commit in its worst seconds. Change: the upstreams that a step may use are found once for all its tasks, its advice is looked up once, and a room carries the life of its upstream.

--- a/src/cell/Planner.cpp
+++ b/src/cell/Planner.cpp
@@ -72,15 +72,13 @@
     return room.usable && kept && room.upstream->service == service && (step.label.empty() || room.hasLabel(step.label));
 }
 
-bool Planner::hasTicket(const ReadyStep &ready, const Room &room) const
+bool Planner::hasTicket(const ReadyStep &ready, const StepAdvice &advice, const Room &room) const
 {
     if (ready.queue == nullptr || !ready.queue->advice) {
         return true;
     }
-    const auto &allowed = this->input.advice.of(ready.key).allowed;
-    const auto ticket = allowed.find(room.upstream->number);
-    return ticket != allowed.end() && ticket->second.usableUntil > this->input.now + TicketSpare
-        && ticket->second.life == this->input.lives.at(room.upstream->number).epoch;
+    const auto ticket = advice.allowed.find(room.upstream->number);
+    return ticket != advice.allowed.end() && ticket->second.usableUntil > this->input.now + TicketSpare && ticket->second.life == room.life;
 }
 
 bool Planner::leavesHeadroom(const ReadyStep &ready) const
@@ -121,6 +119,7 @@
     if (!step.data_rack.empty() || !step.one_rack) {
         return step.data_rack;
     }
+    const StepAdvice &advice = this->input.advice.of(ready.key);
     std::map<std::string, std::uint32_t> fitting;
     for (const Room &room : this->rooms.all()) {
         if (room.upstream->labels.empty()) {
@@ -130,7 +129,7 @@
         if (this->runsOn(ready, room.upstream->number) > 0) {
             return rack;
         }
-        if (this->mayRunOn(ready, room) && this->hasTicket(ready, room)) {
+        if (this->mayRunOn(ready, room) && this->hasTicket(ready, advice, room)) {
             fitting[rack] += room.fits(step, step.tasks);
         }
     }
@@ -138,17 +137,32 @@
     return most == fitting.end() ? std::string() : most->first;
 }
 
-Room *Planner::bestRoom(const ReadyStep &ready, std::uint32_t task, const std::string &rack)
+/// What is the same for all tasks of the step is looked up once: a burst places hundreds of tasks in one plan.
+std::vector<Planner::Candidate> Planner::candidatesFor(const ReadyStep &ready)
+{
+    const std::string rack = this->preferredRack(ready);
+    const StepAdvice &advice = this->input.advice.of(ready.key);
+    std::vector<Candidate> candidates;
+    for (Room &room : this->rooms.all()) {
+        if (this->mayRunOn(ready, room) && room.fits(*ready.step, 1) > 0 && this->hasTicket(ready, advice, room)) {
+            candidates.push_back({&room, !rack.empty() && !room.hasLabel(rack), isElsewhere(ready, room)});
+        }
+    }
+    return candidates;
+}
+
+Room *Planner::bestRoom(const ReadyStep &ready, std::uint32_t task, const std::vector<Candidate> &candidates) const
 {
     Room *best = nullptr;
     auto bestRank = std::make_tuple(true, true, true, 0, std::int64_t{0});
     const auto failed = this->input.failedAt.find({ready.key, task});
-    for (Room &room : this->rooms.all()) {
-        if (!this->mayRunOn(ready, room) || room.fits(*ready.step, 1) == 0 || !this->hasTicket(ready, room) || this->stillAllowed(ready, room) == 0) {
+    for (const Candidate &candidate : candidates) {
+        Room &room = *candidate.room;
+        if (room.fits(*ready.step, 1) == 0 || this->stillAllowed(ready, room) == 0) {
             continue;
         }
         const bool failedHere = failed != this->input.failedAt.end() && failed->second.count(room.upstream->number) > 0;
-        const auto rank = std::make_tuple(failedHere, !rack.empty() && !room.hasLabel(rack), isElsewhere(ready, room), room.failuresInRow, room.cpuMillis);
+        const auto rank = std::make_tuple(failedHere, candidate.offRack, candidate.elsewhere, room.failuresInRow, room.cpuMillis);
         if (best == nullptr || rank < bestRank) {
             best = &room;
             bestRank = rank;
@@ -167,10 +181,13 @@
 
 std::vector<std::uint32_t> Planner::place(const ReadyStep &ready)
 {
-    const std::string rack = this->preferredRack(ready);
+    if (!this->leavesHeadroom(ready)) {
+        return ready.waiting;
+    }
+    const std::vector<Candidate> candidates = this->candidatesFor(ready);
     for (std::size_t i = 0; i < ready.waiting.size(); ++i) {
         const std::uint32_t task = ready.waiting[i];
-        Room *room = this->leavesHeadroom(ready) ? this->bestRoom(ready, task, rack) : nullptr;
+        Room *room = this->leavesHeadroom(ready) ? this->bestRoom(ready, task, candidates) : nullptr;
         if (room == nullptr) {
             return {ready.waiting.begin() + static_cast<std::ptrdiff_t>(i), ready.waiting.end()};
         }
@@ -181,14 +198,14 @@
 
 std::vector<std::uint32_t> Planner::placeGang(const ReadyStep &ready)
 {
-    const std::string rack = this->preferredRack(ready);
+    const std::vector<Candidate> candidates = this->candidatesFor(ready);
     std::uint32_t attempt = 0;
     for (const auto &task : ready.state->tasks) {
         attempt = std::max(attempt, task->last_attempt);
     }
     const std::size_t before = this->plan.starts.size();
     for (const std::uint32_t task : ready.waiting) {
-        Room *room = this->leavesHeadroom(ready) ? this->bestRoom(ready, task, rack) : nullptr;
+        Room *room = this->leavesHeadroom(ready) ? this->bestRoom(ready, task, candidates) : nullptr;
         if (room != nullptr) {
             this->start(ready, task, attempt + 1, *room);
             continue;
@@ -214,7 +231,7 @@
     std::vector<const Room *> stale;
     std::vector<const Room *> unknown;
     for (const Room &room : this->rooms.all()) {
-        if (!this->mayRunOn(ready, room) || room.fits(*ready.step, 1) == 0 || this->stillAllowed(ready, room) == 0 || this->hasTicket(ready, room)) {
+        if (!this->mayRunOn(ready, room) || room.fits(*ready.step, 1) == 0 || this->stillAllowed(ready, room) == 0 || this->hasTicket(ready, advice, room)) {
             continue;
         }
         if (advice.allowed.count(room.upstream->number) > 0) {
--- a/src/cell/Planner.h
+++ b/src/cell/Planner.h
@@ -69,13 +69,21 @@
     Plan make();
 
 private:
+    /// An upstream on which the tasks of one step may start.
+    struct Candidate {
+        Room *room = nullptr;
+        bool offRack = false; ///< Not on the rack that the step prefers.
+        bool elsewhere = false; ///< Not in the submitter's zone.
+    };
+
     bool mayRunOn(const ReadyStep &ready, const Room &room) const;
-    bool hasTicket(const ReadyStep &ready, const Room &room) const;
+    bool hasTicket(const ReadyStep &ready, const StepAdvice &advice, const Room &room) const;
     bool leavesHeadroom(const ReadyStep &ready) const;
     std::uint32_t runsOn(const ReadyStep &ready, std::uint64_t upstream) const;
     std::uint32_t stillAllowed(const ReadyStep &ready, const Room &room) const;
     std::string preferredRack(const ReadyStep &ready);
-    Room *bestRoom(const ReadyStep &ready, std::uint32_t task, const std::string &rack);
+    std::vector<Candidate> candidatesFor(const ReadyStep &ready);
+    Room *bestRoom(const ReadyStep &ready, std::uint32_t task, const std::vector<Candidate> &candidates) const;
     std::vector<std::uint32_t> place(const ReadyStep &ready);
     std::vector<std::uint32_t> placeGang(const ReadyStep &ready);
     void wishAdvice(const ReadyStep &ready, std::uint32_t unplaced);
--- a/src/cell/Room.cpp
+++ b/src/cell/Room.cpp
@@ -59,6 +59,7 @@
         if (life != lives.end() && life->first == number) {
             room.usable = life->second.readBack && !upstream.draining && life->second.silentCalls == 0 && now >= life->second.shunnedUntil;
             room.failuresInRow = life->second.failuresInRow;
+            room.life = life->second.epoch;
         }
         this->usableCpu += room.usable ? room.cpuMillis : 0;
         this->rooms.push_back(room);
--- a/src/cell/Room.h
+++ b/src/cell/Room.h
@@ -18,6 +18,7 @@
 struct Room {
     const wire::UpstreamT *upstream = nullptr;
     bool usable = false; ///< It can be given work now.
+    std::uint64_t life = 0; ///< UpstreamLife::epoch; 0 when this leader knows of none.
     std::int64_t cpuMillis = 0;
     std::int64_t memoryMib = 0;
     std::int64_t accelerators = 0;
