--- a/include/cranberryreel/base/Clock.h
+++ b/include/cranberryreel/base/Clock.h
@@ -12,7 +12,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<SteadyClock>;
-    static constexpr bool is_steady = true;
 
     static time_point now() noexcept;
 };
