--- a/include/cranberryreel/base/Clock.h
+++ b/include/cranberryreel/base/Clock.h
@@ -12,6 +12,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<SteadyClock>;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the standard library asks clocks for this name.
 
     static time_point now() noexcept;
 };
