--- a/tests/docs/EventsTest.cpp
+++ b/tests/docs/EventsTest.cpp
@@ -24,18 +24,18 @@
 /// The events in the format strings of one folder's sources.
 void readSources(const std::filesystem::path &folder, Events &events)
 {
-    static const std::regex Line("\"event=([a-z_]+)([^;]*?)\"[,)]");
-    static const std::regex Joint("\"\\s*\\n\\s*\"");
-    static const std::regex Key("([a-z_]+)=");
+    static const std::regex linePattern("\"event=([a-z_]+)([^;]*?)\"[,)]");
+    static const std::regex jointPattern("\"\\s*\\n\\s*\"");
+    static const std::regex keyPattern("([a-z_]+)=");
     for (const auto &entry : std::filesystem::directory_iterator(folder)) {
         if (entry.path().extension() != ".cpp") {
             continue;
         }
-        const std::string text = std::regex_replace(textOf(entry.path()), Joint, "");
-        for (std::sregex_iterator line(text.begin(), text.end(), Line); line != std::sregex_iterator(); ++line) {
+        const std::string text = std::regex_replace(textOf(entry.path()), jointPattern, "");
+        for (std::sregex_iterator line(text.begin(), text.end(), linePattern); line != std::sregex_iterator(); ++line) {
             Keys &keys = events[(*line)[1]];
             const std::string rest = (*line)[2];
-            for (std::sregex_iterator key(rest.begin(), rest.end(), Key); key != std::sregex_iterator(); ++key) {
+            for (std::sregex_iterator key(rest.begin(), rest.end(), keyPattern); key != std::sregex_iterator(); ++key) {
                 keys.insert((*key)[1]);
             }
         }
@@ -45,12 +45,12 @@
 /// The rows "| event | keys | meaning |".
 Events readTable(const std::filesystem::path &file)
 {
-    static const std::regex Row("\\| ([a-z_]+) \\| ([a-z_ -]+) \\| .+ \\|");
+    static const std::regex rowPattern("\\| ([a-z_]+) \\| ([a-z_ -]+) \\| .+ \\|");
     Events events;
     std::istringstream lines(textOf(file));
     for (std::string line; std::getline(lines, line);) {
         std::smatch row;
-        if (std::regex_match(line, row, Row) && row[1] != "event") {
+        if (std::regex_match(line, row, rowPattern) && row[1] != "event") {
             std::istringstream words(row[2]);
             Keys &keys = events[row[1]];
             for (std::string key; words >> key;) {
