Plan each service apart, ask the advice service by need, and let saved work give way

(2) All steps asked about the same emptiest upstreams, so that most tickets ran out unused. (3) The headroom for urgent work was reckoned over both services. Ruled out: rows lost with the leader as the cause; asking again about known rows alone would save a quarter of a question. Change: ServicePool (room, headroom, load by service), QuestionPlanner (names by need, room pledged to answers on their way), takeTurns (queues take turns), Preemptor (work that saves its progress and has time to spare stops for urgent work and for gangs), claims of gangs, JobOutlook out of WaitingOrder.

--- a/src/cell/AdviceBook.h
+++ b/src/cell/AdviceBook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/AllowedShares.h"
 #include "cell/TaskKey.h"
 
 #include "cranberryreel/base/Clock.h"
@@ -24,6 +25,9 @@
     };
 
     bool asking = false;
+    std::vector<std::uint64_t> askedAbout; ///< By the question on its way.
+    std::uint32_t askedFor = 0; ///< Tasks that are expected to start with its tickets.
+    std::chrono::milliseconds unusedTime{0}; ///< Of the service, spent on questions since a task of the step last started.
     base::SteadyTime notBefore{}; ///< No question before, after one that failed.
     std::set<std::uint64_t> known; ///< Upstreams that were asked about.
     std::map<std::uint64_t, Ticket> allowed;
@@ -33,6 +37,8 @@
 class AdviceBook
 {
 public:
+    AllowedShares shares;
+
     StepAdvice &of(const StepKey &step)
     {
         return this->steps[step];
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -1,6 +1,7 @@
 #include "cell/CellTerm.h"
 
 #include "cell/Codec.h"
+#include "cell/QuestionOrder.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 
@@ -118,17 +119,18 @@
 void CellTerm::planStarts(base::SteadyTime now)
 {
     const Plan plan = this->context.store.read([this, now](const CellState &state) {
-        const PlanInput input{state, this->context.lives, this->adviceBook, this->runs.failedAt(), this->watch.acceptanceTimes(), now};
+        const auto viewRun = [this](const RunKey &key) { return this->viewOf(key); };
+        const PlanInput input{state, this->context.lives, this->adviceBook, this->runs.failedAt(), this->watch.acceptanceTimes(), now, viewRun};
         return Planner(input).make();
     });
-    this->tellLoad(plan.load, now);
-    for (const AdviceWish &wish : plan.wishes) {
-        this->ask(wish);
-    }
-    this->nextPlan = plan.starts.empty() && plan.wishes.empty() ? now + PlanPause : base::SteadyTime();
+    this->tellLoad(plan.loads, now);
+    this->giveWay(plan.stops);
+    const bool asked = this->askInOrder(plan.wishes);
+    this->nextPlan = plan.starts.empty() && !asked ? now + PlanPause : base::SteadyTime();
     if (plan.starts.empty()) {
         return;
     }
+    this->noteUse(plan.starts);
     for (const PlannedStart &start : plan.starts) {
         auto placement = std::make_unique<wire::PlacementT>();
         placement->task = std::make_unique<wire::TaskRefT>(toRef(start.task));
@@ -143,21 +145,83 @@
     });
 }
 
-void CellTerm::tellLoad(const CellLoad &load, base::SteadyTime now)
+void CellTerm::tellLoad(const std::vector<ServiceLoad> &loads, base::SteadyTime now)
 {
     if (now < this->nextLoadLine) {
         return;
     }
     this->nextLoadLine = now + TellLoadEvery;
-    Logger.info("event=load usable_cpu_millis={} free_cpu_millis={} runs={} urgent_waiting={} other_waiting={}",
-                load.usableCpuMillis,
-                load.freeCpuMillis,
-                this->context.runs.all().size(),
-                load.urgentWaiting,
-                load.otherWaiting);
+    for (const ServiceLoad &load : loads) {
+        Logger.info("event=load service={} usable_cpu_millis={} free_cpu_millis={} usable_accelerators={} free_accelerators={} runs={} urgent_waiting={} "
+                    "other_waiting={}",
+                    load.service,
+                    load.usable.cpuMillis,
+                    load.free.cpuMillis,
+                    load.usable.accelerators,
+                    load.free.accelerators,
+                    load.runs,
+                    load.urgentWaiting,
+                    load.otherWaiting);
+    }
+}
+
+RunView CellTerm::viewOf(const RunKey &key)
+{
+    RunView view;
+    if (const RunTrack *track = this->context.runs.find(key)) {
+        view.stopping = track->phase == RunPhase::Stopping || track->ending;
+        view.settled = track->phase == RunPhase::Confirmed && !track->ending;
+        view.percent = std::max(track->percent, 0);
+    }
+    return view;
+}
+
+void CellTerm::giveWay(const std::vector<RunKey> &stops)
+{
+    static observe::Counter &given = observe::counter("cranberryreel_cell_preemptions_total", "Runs stopped for work of a higher priority.");
+    for (const RunKey &key : stops) {
+        if (RunTrack *track = this->context.runs.find(key)) {
+            Logger.info("event=preempted task={} attempt={} number={} percent={}", track->task, key.attempt, track->upstream, track->percent);
+            given.add();
+            this->runs.stop(*track);
+        }
+    }
+    if (!stops.empty()) {
+        this->runs.tick(base::steadyNow());
+    }
+}
+
+/// When no VM is free for a question, none is for a later one of its pace. True when any was asked.
+bool CellTerm::askInOrder(std::vector<AdviceWish> wishes)
+{
+    takeTurns(wishes, this->questionsUnderWay);
+    bool asked = false;
+    bool slowTaken = true;
+    for (const AdviceWish &wish : wishes) {
+        if (!wish.quick && !slowTaken) {
+            continue;
+        }
+        const bool taken = this->ask(wish);
+        asked = asked || taken;
+        if (!taken && wish.quick) {
+            break;
+        }
+        slowTaken = slowTaken && (taken || wish.quick);
+    }
+    return asked;
+}
+
+/// Adds the time that the service spent on a step's tickets to the time that led to a start.
+void CellTerm::noteUse(const std::vector<PlannedStart> &starts)
+{
+    static observe::Counter &used = observe::counter("cranberryreel_cell_advice_used_milliseconds_total", "Time of the advice service that led to a start.");
+    for (const PlannedStart &start : starts) {
+        StepAdvice &advice = this->adviceBook.of(start.task.step);
+        used.add(static_cast<std::uint64_t>(std::exchange(advice.unusedTime, std::chrono::milliseconds(0)).count()));
+    }
 }
 
-void CellTerm::ask(const AdviceWish &wish)
+bool CellTerm::ask(const AdviceWish &wish)
 {
     std::string step;
     std::vector<std::string> ids;
@@ -178,7 +242,18 @@
         pace, step, ids, wish.expected + AdviceAllowance, [this, post = this->context.post, wish, asked = std::move(asked)](AdviceResult result) {
             post([this, wish, asked, result = std::move(result)] { this->advised(wish, asked, result); });
         });
-    this->adviceBook.of(wish.step).asking = taken;
+    if (taken) {
+        static observe::Counter &spent =
+            observe::counter("cranberryreel_cell_advice_asked_milliseconds_total", "Time that questions to the advice service take.");
+        spent.add(static_cast<std::uint64_t>(wish.expected.count()));
+        StepAdvice &advice = this->adviceBook.of(wish.step);
+        advice.asking = true;
+        ++this->questionsUnderWay[wish.queue];
+        advice.askedAbout = wish.upstreams;
+        advice.askedFor = wish.tasks;
+        advice.unusedTime += wish.expected;
+    }
+    return taken;
 }
 
 void CellTerm::advised(const AdviceWish &wish, const std::map<std::string, std::uint64_t> &asked, const AdviceResult &result)
@@ -186,6 +261,8 @@
     const base::SteadyTime now = base::steadyNow();
     StepAdvice &advice = this->adviceBook.of(wish.step);
     advice.asking = false;
+    advice.askedAbout.clear();
+    --this->questionsUnderWay[wish.queue];
     if (!result.answered) {
         advice.notBefore = now + AskAgainAfter;
         Logger.info("event=advice_missing job_number={} step={} asked={} busy={} detail=\"{}\"",
@@ -196,9 +273,17 @@
                     result.detail);
         return;
     }
+    Logger.info("event=advised job_number={} step={} queue={} asked={} allowed={} expected_ms={}",
+                wish.step.job,
+                wish.step.step,
+                wish.queue,
+                asked.size(),
+                result.tickets.size(),
+                wish.expected.count());
     for (const auto &[id, number] : asked) {
         advice.known.insert(number);
     }
+    this->adviceBook.shares.answered(wish.queue, asked.size(), result.tickets.size());
     for (const auto &[id, ticket] : result.tickets) {
         const auto number = asked.find(id);
         const auto life = number == asked.end() ? this->context.lives.end() : this->context.lives.find(number->second);
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -13,6 +13,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace cranberryreel::cell
@@ -44,8 +46,12 @@
 private:
     void pump();
     void planStarts(base::SteadyTime now);
-    void tellLoad(const CellLoad &load, base::SteadyTime now);
-    void ask(const AdviceWish &wish);
+    RunView viewOf(const RunKey &key);
+    void giveWay(const std::vector<RunKey> &stops);
+    void tellLoad(const std::vector<ServiceLoad> &loads, base::SteadyTime now);
+    bool askInOrder(std::vector<AdviceWish> wishes);
+    bool ask(const AdviceWish &wish);
+    void noteUse(const std::vector<PlannedStart> &starts);
     void advised(const AdviceWish &wish, const std::map<std::string, std::uint64_t> &asked, const AdviceResult &result);
     void propose();
     void proposed(const wire::CommandT &command, base::ResultCode code);
@@ -56,6 +62,7 @@
     TermContext context;
     replication::Group &group;
     AdviceBook adviceBook;
+    std::map<std::string, std::size_t> questionsUnderWay; ///< By queue.
     RunKeeper runs;
     FleetKeeper fleet;
     CallDesk desk;
--- a/src/cell/ReadySteps.cpp
+++ b/src/cell/ReadySteps.cpp
@@ -1,5 +1,7 @@
 #include "cell/ReadySteps.h"
 
+#include "cell/JobOutlook.h"
+
 #include <algorithm>
 
 namespace cranberryreel::cell
@@ -8,11 +10,6 @@
 namespace
 {
 
-bool isDone(const wire::StepStateT &step)
-{
-    return std::all_of(step.tasks.begin(), step.tasks.end(), [](const std::unique_ptr<wire::TaskT> &task) { return task->done; });
-}
-
 bool turnHasCome(const wire::StepT &step, const wire::OccurrenceT &occurrence)
 {
     return std::all_of(step.after.begin(), step.after.end(), [&occurrence](std::uint32_t earlier) { return isDone(*occurrence.steps[earlier]); });
--- a/src/cell/Room.cpp
+++ b/src/cell/Room.cpp
@@ -5,34 +5,22 @@
 namespace cranberryreel::cell
 {
 
-std::uint32_t Room::fits(const wire::StepT &step, std::uint32_t most) const
-{
-    std::int64_t count = most;
-    const auto limit = [&count](std::int64_t free, std::uint32_t each) {
-        if (each > 0) {
-            count = std::min(count, std::max<std::int64_t>(free, 0) / each);
-        }
-    };
-    limit(this->cpuMillis, step.cpu_millis);
-    limit(this->memoryMib, step.memory_mib);
-    limit(this->accelerators, step.accelerators);
-    return static_cast<std::uint32_t>(count);
-}
-
 void Room::take(const wire::StepT &step)
 {
-    this->cpuMillis -= step.cpu_millis;
-    this->memoryMib -= step.memory_mib;
-    this->accelerators -= step.accelerators;
+    this->free.take(step);
+    this->unpledged.take(step);
+    this->expected.take(step);
+    ++this->runs;
     this->fillers += step.filler ? 1 : 0;
     this->servers += servesUsers(step) ? 1 : 0;
 }
 
 void Room::giveBack(const wire::StepT &step)
 {
-    this->cpuMillis += step.cpu_millis;
-    this->memoryMib += step.memory_mib;
-    this->accelerators += step.accelerators;
+    this->free.giveBack(step);
+    this->unpledged.giveBack(step);
+    this->expected.giveBack(step);
+    --this->runs;
     this->fillers -= step.filler ? 1 : 0;
     this->servers -= servesUsers(step) ? 1 : 0;
 }
@@ -50,9 +38,9 @@
     for (const auto &[number, upstream] : state.upstreams()) {
         Room room;
         room.upstream = &upstream;
-        room.cpuMillis = upstream.cpu_millis;
-        room.memoryMib = upstream.memory_mib;
-        room.accelerators = upstream.accelerators;
+        room.free = Capacity::of(upstream);
+        room.unpledged = room.free;
+        room.expected = room.free;
         while (life != lives.end() && life->first < number) {
             ++life;
         }
@@ -61,7 +49,6 @@
             room.failuresInRow = life->second.failuresInRow;
             room.life = life->second.epoch;
         }
-        this->usableCpu += room.usable ? room.cpuMillis : 0;
         this->rooms.push_back(room);
     }
     forEachRun(state, [this](const wire::RunT &run, const wire::StepT &step, const wire::JobT &, const TaskKey &) {
@@ -78,13 +65,9 @@
     return at == this->rooms.end() || at->upstream->number != upstream ? nullptr : &*at;
 }
 
-std::int64_t RoomTable::freeCpuMillis() const
+bool givesWay(const wire::StepT &step)
 {
-    std::int64_t free = 0;
-    for (const Room &room : this->rooms) {
-        free += room.usable ? std::max<std::int64_t>(room.cpuMillis, 0) : 0;
-    }
-    return free;
+    return step.saves_progress && !step.gang && !step.lasting;
 }
 
 bool servesUsers(const wire::StepT &step)
--- a/src/cell/Room.h
+++ b/src/cell/Room.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/Capacity.h"
 #include "cell/CellState.h"
 #include "cell/TaskKey.h"
 #include "cell/UpstreamLife.h"
@@ -14,20 +15,26 @@
 namespace cranberryreel::cell
 {
 
+/// How an upstream is kept for work that waits for more room than there is.
+enum class Hold : std::uint8_t {
+    None,
+    ForWhatGivesWay, ///< Only work that saves its progress may start there meanwhile, and gives way later.
+    ForAll ///< Nothing else starts there.
+};
+
 /// What is free on one upstream.
 struct Room {
     const wire::UpstreamT *upstream = nullptr;
     bool usable = false; ///< It can be given work now.
     std::uint64_t life = 0; ///< UpstreamLife::epoch; 0 when this leader knows of none.
-    std::int64_t cpuMillis = 0;
-    std::int64_t memoryMib = 0;
-    std::int64_t accelerators = 0;
+    Capacity free;
+    Capacity unpledged; ///< Free, less what steps are expected to take that wait for advice on this upstream.
+    Capacity expected; ///< Free once the stops under way have ended, less what is set apart for steps that wait for that.
+    std::size_t runs = 0;
     int fillers = 0; ///< Tasks there that use what others leave.
     int servers = 0; ///< Tasks there that serve users of their own.
     int failuresInRow = 0;
-
-    /// How many tasks of this size fit, `most` at most.
-    std::uint32_t fits(const wire::StepT &step, std::uint32_t most) const;
+    Hold hold = Hold::None; ///< For a gang that waits.
 
     void take(const wire::StepT &step);
     void giveBack(const wire::StepT &step);
@@ -50,21 +57,15 @@
 
     Room *find(std::uint64_t upstream);
 
-    /// Of the usable upstreams.
-    std::int64_t usableCpuMillis() const
-    {
-        return this->usableCpu;
-    }
-
-    std::int64_t freeCpuMillis() const;
-
 private:
     std::vector<Room> rooms;
-    std::int64_t usableCpu = 0;
 };
 
 bool servesUsers(const wire::StepT &step);
 
+/// Its tasks can be stopped for other work, and go on elsewhere where they were.
+bool givesWay(const wire::StepT &step);
+
 /// Calls visit(run, step, job, taskKey) for each recorded run.
 template<typename Visit>
 void forEachRun(const CellState &state, Visit visit)
--- a/src/cell/WaitingOrder.h
+++ b/src/cell/WaitingOrder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/JobOutlook.h"
 #include "cell/ReadySteps.h"
 
 #include "cranberryreel/base/Clock.h"
@@ -26,12 +27,6 @@
     void sort(std::vector<ReadyStep> &ready);
 
 private:
-    enum class Hope : std::uint8_t {
-        InTime,
-        Late,
-        None
-    };
-
     struct Rank {
         int priority = 0;
         Hope hope = Hope::InTime;
@@ -43,8 +38,7 @@
 
     Rank rankOf(const ReadyStep &ready);
 
-    const std::map<std::uint64_t, base::SteadyTime> &accepted;
-    const base::SteadyTime now;
+    const JobOutlook outlook;
 };
 
 } // namespace cranberryreel::cell
--- a/tests/cell/PlannerTest.cpp
+++ b/tests/cell/PlannerTest.cpp
@@ -1,6 +1,6 @@
 #include "cell/Planner.h"
 
-#include "cell/CellSamples.h"
+#include "cell/PlannedCell.h"
 #include "support/Seed.h"
 
 #include <boost/test/unit_test.hpp>
@@ -8,50 +8,14 @@
 #include <random>
 
 using namespace cranberryreel;
-using cell::AdviceBook;
-using cell::CellState;
 using cell::Plan;
-using cell::UpstreamLife;
 using cell::wire::EndKind;
+using support::PlannedCell;
 
 namespace
 {
 
-const base::SteadyTime Now = base::SteadyTime() + std::chrono::hours(1);
-
-/// A cell whose upstreams have all been read back.
-struct PlannedCell {
-    CellState state;
-    std::map<std::uint64_t, UpstreamLife> lives;
-    AdviceBook advice;
-    std::map<cell::TaskKey, std::set<std::uint64_t>> failedAt;
-    std::map<std::uint64_t, base::SteadyTime> acceptedAt;
-
-    PlannedCell()
-    {
-        this->state.apply(support::put(support::rules(1)));
-    }
-
-    void add(const std::string &id, std::uint32_t cpuMillis)
-    {
-        this->add(support::upstream(id, cpuMillis));
-    }
-
-    void add(std::unique_ptr<cell::wire::UpstreamT> upstream)
-    {
-        const std::string id = upstream->id;
-        this->state.apply(support::announce(std::move(upstream)));
-        UpstreamLife life(std::chrono::milliseconds(6000), Now);
-        life.readBack = true;
-        this->lives.emplace(this->state.upstreamNamed(id)->number, life);
-    }
-
-    Plan plan()
-    {
-        const cell::PlanInput input{this->state, this->lives, this->advice, this->failedAt, this->acceptedAt, Now};
-        return cell::Planner(input).make();
-    }
-};
+const base::SteadyTime Now = support::PlannedCell().now;
 
 std::unique_ptr<cell::wire::RulesT> rulesWithAdvice()
 {
