--- a/src/cell/AdvicePool.cpp
+++ b/src/cell/AdvicePool.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/Codec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cranberryreel::cell
@@ -12,6 +13,8 @@
 
 /// Of these VMs, none is taken by a slow question: quick ones come in bursts of nearly twice the usual (the deployments' days).
 constexpr std::size_t KeptForQuick = 4;
+/// And one in so many of all is not taken by a question that is asked ahead, nor less than above.
+constexpr std::size_t KeptFromAheadOneIn = 3;
 /// A VM whose question failed is not asked for so long.
 constexpr std::chrono::milliseconds ShunAfterFailure{1000};
 /// Added to a question's limit for the way to the VM that asks and back.
@@ -26,8 +29,9 @@
 {
 }
 
-std::vector<std::string> AdvicePool::freeOnes() const
+std::vector<std::string> AdvicePool::freeOnes(std::size_t &all) const
 {
+    all = 1;
     const base::SteadyTime now = base::steadyNow();
     std::vector<std::string> free;
     const auto consider = [&](const std::string &vm) {
@@ -38,6 +42,7 @@
     };
     for (const link::PeerStatus &peer : this->hub.peers()) {
         if (peer.up) {
+            ++all;
             consider(peer.vm);
         }
     }
@@ -50,8 +55,10 @@
     std::string vm;
     {
         const absl::MutexLock lock(&this->mutex);
-        const std::vector<std::string> free = this->freeOnes();
-        if (free.empty() || (pace == Pace::Slow && free.size() <= KeptForQuick)) {
+        std::size_t all = 0;
+        const std::vector<std::string> free = this->freeOnes(all);
+        const std::size_t kept = pace == Pace::Quick ? 0 : (pace == Pace::Slow ? KeptForQuick : std::max(all / KeptFromAheadOneIn, KeptForQuick));
+        if (free.size() <= kept) {
             return false;
         }
         vm = free[this->next++ % free.size()];
--- a/src/cell/AdvicePool.h
+++ b/src/cell/AdvicePool.h
@@ -24,7 +24,8 @@
 public:
     enum class Pace {
         Quick,
-        Slow
+        Slow,
+        Ahead ///< A slow one that can do without its answer.
     };
 
     AdvicePool(std::string own, link::LinkHub &linkHub, AdviceCalls &ownCalls);
@@ -38,7 +39,8 @@
         base::SteadyTime shunnedUntil{};
     };
 
-    std::vector<std::string> freeOnes() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// `all`: set to the number of VMs that can be asked at all.
+    std::vector<std::string> freeOnes(std::size_t &all) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void askOver(const std::string &vm, const std::string &step, const std::vector<std::string> &upstreams, std::chrono::milliseconds limit, AdviceDone done);
     void release(const std::string &vm, bool answered);
 
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -191,7 +191,7 @@
     }
 }
 
-/// When no VM is free for a question, none is for a later one of its pace. True when any was asked.
+/// When no VM is free for a slow question, none is for a later one. True when any was asked.
 bool CellTerm::askInOrder(std::vector<AdviceWish> wishes)
 {
     takeTurns(wishes, this->questionsUnderWay);
@@ -237,7 +237,8 @@
             }
         }
     });
-    const auto pace = wish.quick ? AdvicePool::Pace::Quick : AdvicePool::Pace::Slow;
+    const auto slow = wish.need == Need::Now ? AdvicePool::Pace::Slow : AdvicePool::Pace::Ahead;
+    const auto pace = wish.quick ? AdvicePool::Pace::Quick : slow;
     const bool taken = this->context.advice.ask(
         pace, step, ids, wish.expected + AdviceAllowance, [this, post = this->context.post, wish, asked = std::move(asked)](AdviceResult result) {
             post([this, wish, asked, result = std::move(result)] { this->advised(wish, asked, result); });
@@ -250,7 +251,7 @@
         advice.asking = true;
         ++this->questionsUnderWay[wish.queue];
         advice.askedAbout = wish.upstreams;
-        advice.askedFor = wish.tasks;
+        advice.askedFor = wish.need == Need::Now ? wish.tasks : 0;
         advice.unusedTime += wish.expected;
     }
     return taken;
--- a/src/cell/PlacementRules.cpp
+++ b/src/cell/PlacementRules.cpp
@@ -23,11 +23,6 @@
     return room.upstream->zone != ready.job->spec->zone;
 }
 
-bool isUrgent(const ReadyStep &ready)
-{
-    return ready.queue != nullptr && ready.queue->priority == 0;
-}
-
 PlacementRules::PlacementRules(const PlanInput &planInput)
     : input(planInput)
 {
--- a/src/cell/PlacementRules.h
+++ b/src/cell/PlacementRules.h
@@ -43,6 +43,4 @@
 /// A job stays in its submitter's zone where it can: a zone that is cut off then holds up its own jobs and hardly any other.
 bool isElsewhere(const ReadyStep &ready, const Room &room);
 
-bool isUrgent(const ReadyStep &ready);
-
 } // namespace cranberryreel::cell
--- a/src/cell/Planner.cpp
+++ b/src/cell/Planner.cpp
@@ -46,9 +46,6 @@
             continue;
         }
         const std::vector<Room *> claimed = ready.step->gang ? this->claimRooms(ready, pool) : std::vector<Room *>();
-        if (isUrgent(ready) && !ready.step->gang) {
-            this->preemptFor(ready, unplaced.size(), pool);
-        }
         if (ready.queue->advice) {
             if (auto wish = this->questions.question(ready, static_cast<std::uint32_t>(unplaced.size()), pool, claimed)) {
                 this->plan.wishes.push_back(std::move(*wish));
@@ -62,11 +59,6 @@
     return std::move(this->plan);
 }
 
-bool Planner::leavesHeadroom(const ReadyStep &ready, const ServicePool &pool) const
-{
-    return isUrgent(ready) || pool.load.free.cpuMillis - static_cast<std::int64_t>(ready.step->cpu_millis) >= pool.headroomMillis();
-}
-
 /// The rack of the data; for tasks that belong together the rack where some run, or else the one with the most room for them.
 std::string Planner::preferredRack(const ReadyStep &ready, const ServicePool &pool)
 {
@@ -160,13 +152,13 @@
 
 std::vector<std::uint32_t> Planner::place(const ReadyStep &ready, ServicePool &pool)
 {
-    if (!this->leavesHeadroom(ready, pool)) {
+    if (!leavesHeadroom(ready, pool)) {
         return ready.waiting;
     }
     const std::vector<Candidate> candidates = this->candidatesFor(ready, pool);
     for (std::size_t i = 0; i < ready.waiting.size(); ++i) {
         const std::uint32_t task = ready.waiting[i];
-        Room *room = this->leavesHeadroom(ready, pool) ? this->bestRoom(ready, task, candidates) : nullptr;
+        Room *room = leavesHeadroom(ready, pool) ? this->bestRoom(ready, task, candidates) : nullptr;
         if (room == nullptr) {
             return {ready.waiting.begin() + static_cast<std::ptrdiff_t>(i), ready.waiting.end()};
         }
@@ -184,7 +176,7 @@
     }
     const std::size_t before = this->plan.starts.size();
     for (const std::uint32_t task : ready.waiting) {
-        Room *room = this->leavesHeadroom(ready, pool) ? this->bestRoom(ready, task, candidates) : nullptr;
+        Room *room = leavesHeadroom(ready, pool) ? this->bestRoom(ready, task, candidates) : nullptr;
         if (room == nullptr) {
             this->takeBack(ready, before, pool);
             return ready.waiting;
@@ -210,26 +202,6 @@
     return claimable;
 }
 
-/// Urgent tasks that hold tickets and found no room have work stopped that can wait.
-void Planner::preemptFor(const ReadyStep &ready, std::size_t unplaced, const ServicePool &pool)
-{
-    const StepAdvice &advice = this->input.advice.of(ready.key);
-    std::vector<std::pair<std::size_t, Room *>> byCost;
-    for (Room *room : this->claimableRooms(ready, pool)) {
-        if (const auto cost = this->preemptor.cost(ready, *room); cost && this->rules.hasTicket(ready, advice, *room)) {
-            byCost.emplace_back(*cost, room);
-        }
-    }
-    std::sort(byCost.begin(), byCost.end(), [](const auto &left, const auto &right) {
-        return std::make_pair(left.first, left.second->upstream->number) < std::make_pair(right.first, right.second->upstream->number);
-    });
-    for (const auto &[cost, room] : byCost) {
-        for (std::uint32_t here = this->rules.stillAllowed(ready, *room); unplaced > 0 && here > 0 && this->preemptor.makeRoom(ready, *room); --here) {
-            --unplaced;
-        }
-    }
-}
-
 /// Gangs that wait claim and ask only as far as the service could hold all of them at once: what is later in the order would find nothing left.
 bool Planner::gangHasItsTurn(const ReadyStep &ready, ServicePool &pool)
 {
--- a/src/cell/Planner.h
+++ b/src/cell/Planner.h
@@ -60,14 +60,12 @@
         bool operator<(const Claim &other) const;
     };
 
-    bool leavesHeadroom(const ReadyStep &ready, const ServicePool &pool) const;
     std::string preferredRack(const ReadyStep &ready, const ServicePool &pool);
     std::vector<Candidate> candidatesFor(const ReadyStep &ready, ServicePool &pool);
     Room *bestRoom(const ReadyStep &ready, std::uint32_t task, const std::vector<Candidate> &candidates) const;
     std::vector<std::uint32_t> place(const ReadyStep &ready, ServicePool &pool);
     std::vector<std::uint32_t> placeGang(const ReadyStep &ready, ServicePool &pool);
     std::vector<Room *> claimableRooms(const ReadyStep &ready, const ServicePool &pool) const;
-    void preemptFor(const ReadyStep &ready, std::size_t unplaced, const ServicePool &pool);
     bool gangHasItsTurn(const ReadyStep &ready, ServicePool &pool);
     std::vector<Room *> claimRooms(const ReadyStep &ready, ServicePool &pool);
     std::vector<Room *> takeClaims(const ReadyStep &ready, const std::vector<Claim> &claims);
--- a/src/cell/Preemptor.h
+++ b/src/cell/Preemptor.h
@@ -16,9 +16,8 @@
 {
 
 /// Makes room for work of a higher priority by stopping work that saves its progress as it stops, so that next to nothing is lost.
-/// Load patterns: a burst of urgent work meets a service that wide jobs with long objectives have filled; gangs that need whole upstreams meet single tasks
-/// on each of them. Waiting for those to end takes longer than the objective of either. A run gives way only when its own job has time to spare. Pure; made
-/// anew for each plan, and looks at the runs only when something found no place.
+/// Load pattern: gangs that need whole upstreams meet single tasks on each of them, and waiting for those to end takes longer than the gang's objective. A run
+/// gives way only when its own job has time to spare. Pure; made anew for each plan, and looks at the runs only when a gang found no place.
 class Preemptor
 {
 public:
--- a/src/cell/QuestionPlanner.cpp
+++ b/src/cell/QuestionPlanner.cpp
@@ -19,8 +19,6 @@
 constexpr double ShareForSpareNames = 0.1;
 /// The same for allowed upstreams that have no room yet.
 constexpr double ShareForFullNames = 0.25;
-/// So much of a service at most counts as coming free during a question; estimates are off by as much as nine tenths.
-constexpr double MostThatComesFree = 0.5;
 /// A gang needs all its tickets at once, so that more are asked for.
 constexpr double GangMargin = 1.5;
 /// A question about no upstream that costs nothing each has so many spare names.
@@ -40,13 +38,6 @@
     return static_cast<std::size_t>(std::clamp(worth, 1.0, SpareNamesAtMost));
 }
 
-/// Of what is in use, the share that ends while the question is answered, when all tasks are like these.
-double shareThatComesFree(const ReadyStep &ready)
-{
-    const auto answer = static_cast<double>(questionTime(*ready.queue->advice, 0).count());
-    return std::min(answer / std::max<double>(ready.step->estimate_ms, 1), 1.0) * MostThatComesFree;
-}
-
 /// Work on accelerators fills upstreams that are in use already, so that others stay whole for what needs a whole one; other work goes to the emptiest.
 auto preference(const ReadyStep &ready, const Room &room)
 {
@@ -86,36 +77,36 @@
     }
     if (ready.step->gang) {
         const std::vector<Room *> chosen = this->chooseForGang(ready, pool, claimed);
-        return chosen.empty() ? std::nullopt : std::optional<AdviceWish>(this->wishFor(ready, unplaced, chosen));
+        return chosen.empty() ? std::nullopt : std::optional<AdviceWish>(this->wishFor(ready, unplaced, chosen, Need::Now));
+    }
+    if (!leavesHeadroom(ready, pool)) {
+        return std::nullopt;
     }
     Capacity unpledged = pool.unpledged;
     unpledged.cpuMillis -= isUrgent(ready) ? 0 : pool.headroomMillis();
-    unpledged.add(pool.load.usable, shareThatComesFree(ready));
     std::uint32_t tasks = unpledged.fits(*ready.step, unplaced);
     std::vector<Room *> chosen;
     if (tasks > 0) {
         chosen = this->chooseRooms(ready, tasks, pool, [](const Room &room) { return room.unpledged; });
     }
-    if (chosen.empty() && isUrgent(ready)) {
-        tasks = unplaced;
-        chosen = this->chooseRooms(ready, tasks, pool, [this, &ready](const Room &room) { return this->preemptor.reachable(ready, room); });
-    }
     if (chosen.empty()) {
-        return std::nullopt;
+        chosen = this->chooseRooms(ready, unplaced, pool, [](const Room &room) { return room.free; });
+        return chosen.empty() ? std::nullopt : std::optional<AdviceWish>(this->wishFor(ready, unplaced, chosen, Need::Ahead));
     }
     pool.unpledged.take(*ready.step, tasks);
     for (Room *room : chosen) {
         room->unpledged.takePart(*ready.step, tasks, chosen.size());
     }
-    return this->wishFor(ready, tasks, chosen);
+    return this->wishFor(ready, tasks, chosen, Need::Now);
 }
 
-AdviceWish QuestionPlanner::wishFor(const ReadyStep &ready, std::uint32_t tasks, const std::vector<Room *> &chosen) const
+AdviceWish QuestionPlanner::wishFor(const ReadyStep &ready, std::uint32_t tasks, const std::vector<Room *> &chosen, Need need) const
 {
     AdviceWish wish;
     wish.step = ready.key;
     wish.queue = ready.queue->name;
     wish.tasks = tasks;
+    wish.need = need;
     for (const Room *room : chosen) {
         wish.upstreams.push_back(room->upstream->number);
     }
--- a/src/cell/QuestionPlanner.h
+++ b/src/cell/QuestionPlanner.h
@@ -15,11 +15,18 @@
 namespace cranberryreel::cell
 {
 
+/// How soon the answer to a question can be used.
+enum class Need : std::uint8_t {
+    Now,
+    Ahead ///< Others wait for the room that there is; what comes free may serve it.
+};
+
 /// A question for the advice service.
 struct AdviceWish {
     StepKey step;
     std::string queue;
     bool quick = false; ///< Its answer takes tens of milliseconds and is waited for by callers.
+    Need need = Need::Now;
     std::vector<std::uint64_t> upstreams; ///< Best ones first.
     std::uint32_t tasks = 0; ///< So many are expected to start with its tickets.
     std::chrono::milliseconds expected{0}; ///< How long the service takes for it.
@@ -28,8 +35,8 @@
 
 /// Decides what to ask the advice service, which is scarce: it takes one call of each VM at a time, for up to a second, and tickets age within two.
 /// Load pattern: a burst leaves hundreds of steps waiting for the same room. Asked about all together, and about the emptiest upstreams first, nearly all
-/// tickets run out unused, are asked for again, and hold up those that could start. So a step is asked about only for room that no earlier step waits for, and
-/// names as many upstreams as its tasks are likely to need. Pure; made anew for each plan.
+/// tickets run out unused, are asked for again, and hold up those that could start. So a step names as many upstreams as its tasks are likely to need, other
+/// ones than the steps before it, and questions for room that earlier steps wait for come last. Pure; made anew for each plan.
 class QuestionPlanner
 {
 public:
@@ -59,7 +66,7 @@
     Sorted sort(const ReadyStep &ready, std::uint32_t tasks, const ServicePool &pool, const RoomFor &roomFor) const;
     void addFull(const ReadyStep &ready, const Sorted &sorted, std::vector<Room *> &chosen) const;
     void addUnknown(const ReadyStep &ready, std::uint32_t tasks, const Sorted &sorted, const RoomFor &roomFor, std::vector<Room *> &chosen) const;
-    AdviceWish wishFor(const ReadyStep &ready, std::uint32_t tasks, const std::vector<Room *> &chosen) const;
+    AdviceWish wishFor(const ReadyStep &ready, std::uint32_t tasks, const std::vector<Room *> &chosen, Need need) const;
 
     const PlanInput &input;
     const PlacementRules &rules;
--- a/src/cell/ReadySteps.cpp
+++ b/src/cell/ReadySteps.cpp
@@ -30,6 +30,11 @@
 
 } // namespace
 
+bool isUrgent(const ReadyStep &ready)
+{
+    return ready.queue != nullptr && ready.queue->priority == 0;
+}
+
 std::vector<ReadyStep> readySteps(const CellState &state)
 {
     std::vector<ReadyStep> ready;
--- a/src/cell/ReadySteps.h
+++ b/src/cell/ReadySteps.h
@@ -19,6 +19,9 @@
     std::vector<std::uint32_t> waiting; ///< Tasks that are not done and have no run.
 };
 
+/// Of a queue of priority 0.
+bool isUrgent(const ReadyStep &ready);
+
 /// All steps with work to place, in the order of acceptance. A gang counts only when none of its tasks runs any more, since its tasks start together.
 std::vector<ReadyStep> readySteps(const CellState &state);
 
--- a/src/cell/ServicePool.cpp
+++ b/src/cell/ServicePool.cpp
@@ -25,6 +25,11 @@
     return this->servesUrgent ? static_cast<std::int64_t>(HeadroomForUrgent * static_cast<double>(this->load.usable.cpuMillis)) : 0;
 }
 
+bool leavesHeadroom(const ReadyStep &ready, const ServicePool &pool)
+{
+    return isUrgent(ready) || pool.load.free.cpuMillis - static_cast<std::int64_t>(ready.step->cpu_millis) >= pool.headroomMillis();
+}
+
 std::map<std::string, ServicePool> servicePools(const CellState &state, RoomTable &rooms)
 {
     std::map<std::string, ServicePool> pools;
--- a/src/cell/ServicePool.h
+++ b/src/cell/ServicePool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/Capacity.h"
+#include "cell/ReadySteps.h"
 #include "cell/Room.h"
 
 #include <cstdint>
@@ -34,6 +35,9 @@
     std::int64_t headroomMillis() const;
 };
 
+/// Whether the urgent work still finds its headroom when one more task of the step starts.
+bool leavesHeadroom(const ReadyStep &ready, const ServicePool &pool);
+
 /// The pools of all services that the rules or the upstreams name.
 std::map<std::string, ServicePool> servicePools(const CellState &state, RoomTable &rooms);
 
