Refuse calls between VMs that lack what their kind needs

Cause: tables of another version verify without the fields that a call needs; a submission without its job, a configuration without rules or an announcement without its upstream was dereferenced, and a step that waits for itself or for one that does not exist read past the end. One such call ended the leader's process, and then the next leader's. Ruled out: bodies from outside; the adapter's decoders refuse these (DecoderTest). Change: CallDesk checks a call before it acts on it and answers MissingField. Test: CellTermTest/aCallThatLacksItsBodyIs..., which crashed before.

--- a/src/cell/CallDesk.cpp
+++ b/src/cell/CallDesk.cpp
@@ -52,6 +52,32 @@
     return std::nullopt;
 }
 
+bool isWhole(const wire::JobSpecT &job)
+{
+    for (std::size_t s = 0; s < job.steps.size(); ++s) {
+        const auto &after = job.steps[s]->after;
+        if (std::any_of(after.begin(), after.end(), [s](std::uint32_t earlier) { return earlier >= s; })) {
+            return false;
+        }
+    }
+    return !job.steps.empty();
+}
+
+/// Whether the call has what its kind needs: tables of another version verify without it.
+bool isWhole(const wire::CallT &call)
+{
+    switch (call.kind) {
+    case wire::CallKind::Submit:
+        return call.job && isWhole(*call.job);
+    case wire::CallKind::PutRules:
+        return call.rules != nullptr;
+    case wire::CallKind::Announce:
+        return call.announcement && call.announcement->upstream;
+    default:
+        return true;
+    }
+}
+
 } // namespace
 
 wire::ReplyT replyOf(ResultCode code, const std::string &reason)
@@ -74,6 +100,11 @@
         reply(replyOf(ResultCode::NotLeader, "The lease of this scheduler has lapsed."));
         return;
     }
+    if (!isWhole(call)) {
+        Logger.warn("event=call_incomplete kind={}", wire::EnumNameCallKind(call.kind));
+        reply(replyOf(ResultCode::MissingField, "The call lacks what its kind needs."));
+        return;
+    }
     switch (call.kind) {
     case wire::CallKind::Submit:
         this->submit(call, reply);
--- a/tests/cell/CellRig.h
+++ b/tests/cell/CellRig.h
@@ -37,6 +37,9 @@
     /// The upstream, or an earlier life of it, said that it ends.
     void leave(const std::string &id);
 
+    /// As from another VM; the answer's code.
+    base::ResultCode call(cell::wire::CallT call);
+
     /// Puts the job in; its result code.
     base::ResultCode submit(std::unique_ptr<cell::wire::JobSpecT> spec);
     base::ResultCode cancel(const std::string &id);
@@ -60,7 +63,6 @@
     AllowAll advice;
 
 private:
-    base::ResultCode call(cell::wire::CallT call);
     void drain();
 
     cell::CellOptions options;
--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -216,6 +216,38 @@
 }
 
 /// Many jobs under all faults of the scripted upstreams together: no task ever runs twice at a time, and all end once the faults do.
+/// A VM of another version may send calls that verify as tables and yet lack what their kind needs.
+BOOST_AUTO_TEST_CASE(aCallThatLacksItsBodyIsRefusedAndTheSchedulerGoesOn)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    const auto withStep = [](std::vector<std::uint32_t> after) {
+        auto step = support::step(1, 1000);
+        step->after = std::move(after);
+        return support::job("bad", std::move(step));
+    };
+    std::vector<cell::wire::CallT> calls(8);
+    calls[0].kind = cell::wire::CallKind::Submit;
+    calls[1].kind = cell::wire::CallKind::Submit;
+    calls[1].job = support::job("bad", std::vector<std::unique_ptr<cell::wire::StepT>>());
+    calls[2].kind = cell::wire::CallKind::Submit;
+    calls[2].job = withStep({0}); // After itself.
+    calls[3].kind = cell::wire::CallKind::Submit;
+    calls[3].job = withStep({7});
+    calls[4].kind = cell::wire::CallKind::PutRules;
+    calls[5].kind = cell::wire::CallKind::Announce;
+    calls[6].kind = cell::wire::CallKind::Announce;
+    calls[6].announcement = std::make_unique<cell::wire::AnnouncementT>();
+    calls[7].kind = cell::wire::CallKind::Relay;
+    for (cell::wire::CallT &call : calls) {
+        call.host = "host";
+        call.path = "/quick/bad";
+        BOOST_TEST((rig.call(std::move(call)) != base::ResultCode::Ok));
+    }
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.runningTasks().size() == 1; }));
+}
+
 BOOST_AUTO_TEST_CASE(underFaultsNothingRunsTwiceAndAllOfItEnds)
 {
     std::mt19937 random(support::testSeed());
