Let one question do for a wide gang

A question names 48 upstreams at most; with 18 of them allowed the gang had room for 36 tasks, so that a second question followed, and a third for tickets that had aged: 0.75 s each, after waiting for a free VM. Ruled out: room held by others (a fifth and more was free all the time), a question that is never answered (each has its answer in the logs). Change: a gang's question names up to 100 upstreams, as many as the service takes. Test: oneQuestionDoesForAWideGang, 0 of 37 tasks started before, 37 after.

--- a/src/cell/QuestionPlanner.cpp
+++ b/src/cell/QuestionPlanner.cpp
@@ -11,6 +11,8 @@
 
 /// The advice service takes 100 upstreams a call; beyond so many a slow question costs more time than a second one.
 constexpr std::size_t AskedAtOnce = 48;
+/// A gang starts only with all its tickets, and a second question would come after the first: it may name as many as the service takes.
+constexpr std::size_t AskedAtOnceForGang = 100;
 /// Questions that take longer are slow ones; see AdvicePool.
 constexpr std::chrono::milliseconds QuickQuestion{150};
 /// One more upstream than needed is asked about for each so many, since some fill up before the tickets are used.
@@ -189,7 +191,7 @@
     const StepAdvice &advice = this->input.advice.of(ready.key);
     std::vector<Room *> chosen;
     for (Room *room : claimed) {
-        if (!this->rules.hasTicket(ready, advice, *room) && chosen.size() < AskedAtOnce) {
+        if (!this->rules.hasTicket(ready, advice, *room) && chosen.size() < AskedAtOnceForGang) {
             chosen.push_back(room);
         }
     }
@@ -218,8 +220,9 @@
     const double needed = (ready.step->gang ? GangMargin : 1.0) * tasks;
     double expected = 0;
     std::size_t spare = spareNames(*ready.queue->advice);
+    const std::size_t most = ready.step->gang ? AskedAtOnceForGang : AskedAtOnce;
     for (Room *room : sorted.unknown) {
-        if (chosen.size() >= AskedAtOnce || (expected >= needed && spare == 0)) {
+        if (chosen.size() >= most || (expected >= needed && spare == 0)) {
             return;
         }
         spare -= expected >= needed ? 1 : 0;
--- a/tests/cell/QuestionPlannerTest.cpp
+++ b/tests/cell/QuestionPlannerTest.cpp
@@ -94,6 +94,31 @@
     BOOST_TEST(plan.wishes.front().upstreams.size() <= 12U);
 }
 
+/// Load pattern: the last step of a large job is a gang of 37 tasks of which two fit on an upstream, and a little fewer upstreams are allowed than the
+/// term has learned to expect.
+BOOST_AUTO_TEST_CASE(oneQuestionDoesForAWideGang)
+{
+    PlannedCell cell;
+    cell.state.apply(support::put(rulesWithSlowAdvice()));
+    for (int i = 0; i < 200; ++i) {
+        cell.add("u" + std::to_string(i), 8000);
+    }
+    auto gang = longStep(37, 4000);
+    gang->gang = true;
+    cell.accept(support::job("j", std::move(gang), "wide"));
+    const Plan first = cell.plan();
+    BOOST_REQUIRE(first.wishes.size() == 1U);
+    std::set<std::uint64_t> allowed;
+    for (const std::uint64_t upstream : first.wishes.front().upstreams) {
+        cell.advice.of({1, 0, 0}).known.insert(upstream);
+        if (allowed.size() * 8 < 3 * cell.advice.of({1, 0, 0}).known.size()) {
+            allowed.insert(upstream);
+        }
+    }
+    cell.ticket({1, 0, 0}, allowed);
+    BOOST_TEST(cell.plan().starts.size() == 37U);
+}
+
 BOOST_AUTO_TEST_CASE(stepsThatAreAskedAboutTogetherNameDifferentUpstreams)
 {
     PlannedCell cell;
