Take the answer of a call out of a check that repeats its expression

Cause: the check macro loops over its expression, so that the linter sees a call used after it was moved. No bound or expectation changed; cell_tests pass, lint clean.

--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -242,7 +242,8 @@
     for (cell::wire::CallT &call : calls) {
         call.host = "host";
         call.path = "/quick/bad";
-        BOOST_TEST((rig.call(std::move(call)) != base::ResultCode::Ok));
+        const base::ResultCode answer = rig.call(std::move(call));
+        BOOST_TEST((answer != base::ResultCode::Ok));
     }
     rig.submit(support::job("j", support::step(1, 1000)));
     BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.runningTasks().size() == 1; }));
