--- a/src/cell/Planner.cpp
+++ b/src/cell/Planner.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-/// Of the upstreams of a service, one in so many is held for gangs at most: what is held stands idle until enough is free.
+/// Of the upstreams of a service, one in so many is held for gangs at most, or as many as the first gang needs: what is held stands idle until enough is free.
 constexpr std::size_t HeldAtMostOneIn = 4;
 
 } // namespace
--- a/src/cell/QuestionPlanner.cpp
+++ b/src/cell/QuestionPlanner.cpp
@@ -19,11 +19,11 @@
 constexpr std::uint32_t SpareEvery = 4;
 /// Names beyond the likely need cost at most this share of what the question costs without any: a second question would cost all of that again.
 constexpr double ShareForSpareNames = 0.1;
-/// The same for allowed upstreams that have no room yet.
+/// The same for upstreams that have no room yet.
 constexpr double ShareForFullNames = 0.25;
 /// A gang needs all its tickets at once, so that more are asked for.
 constexpr double GangMargin = 1.5;
-/// A question about no upstream that costs nothing each has so many spare names.
+/// Names beyond the likely need, at most.
 constexpr double SpareNamesAtMost = 8;
 
 std::chrono::milliseconds questionTime(const wire::AdviceT &advice, std::size_t upstreams)
--- a/src/cell/QuestionPlanner.h
+++ b/src/cell/QuestionPlanner.h
@@ -58,7 +58,7 @@
         std::size_t allowed = 0; ///< Upstreams, full ones as well.
     };
 
-    /// Room for the step on an upstream, and the tasks that are to find it.
+    /// The room on an upstream that the tasks asked for may count on.
     using RoomFor = std::function<Capacity(const Room &)>;
 
     std::vector<Room *> chooseRooms(const ReadyStep &ready, std::uint32_t tasks, const ServicePool &pool, const RoomFor &roomFor) const;
