--- a/tools/regress.d/compare.py
+++ b/tools/regress.d/compare.py
@@ -22,7 +22,8 @@
 
 
 def main(site):
-    committed = set(subprocess.run(["git", "ls-files", "journal"], check=True, capture_output=True, text=True).stdout.split())
+    listing = ["git", "ls-tree", "-r", "--name-only", "HEAD", "journal"]
+    committed = set(subprocess.run(listing, check=True, capture_output=True, text=True).stdout.split())
     every = {str(path) for path in pathlib.Path("journal").glob("*.json")}
     new = scores(site, every - committed)
     old = scores(site, committed & every)
