A member whose disk refuses writes returns once the disk accepts them

Change: a failed write ends the member's part in the group as a crash would (lease given up at once, pending requests failed, messages dropped). Every 200 ms it tries the disk, reads its log back, writes it anew (a failed sync may have dropped pages) and returns as a new run of the member.

--- a/src/replication/DataFolder.cpp
+++ b/src/replication/DataFolder.cpp
@@ -20,6 +20,7 @@
 {
 
 constexpr const char *TemporarySuffix = ".tmp";
+constexpr std::size_t CheckBytes = 4096;
 
 [[noreturn]] void throwWriteFailed(const std::string &path, const std::error_code &error)
 {
@@ -87,6 +88,13 @@
     this->syncFolder();
 }
 
+void DataFolder::checkWritable() const
+{
+    const FileDescriptor file(this->pathOf(std::string("check") + TemporarySuffix), O_WRONLY | O_CREAT | O_TRUNC);
+    file.writeAll(std::string(CheckBytes, '\0'));
+    file.sync();
+}
+
 void DataFolder::syncFolder() const
 {
     FileDescriptor(this->path, O_RDONLY | O_DIRECTORY).sync();
--- a/src/replication/DataFolder.h
+++ b/src/replication/DataFolder.h
@@ -24,6 +24,9 @@
     void replace(const std::string &name, std::string_view bytes) const;
     void remove(const std::string &name) const;
 
+    /// Throws while files cannot be created, written or synced.
+    void checkWritable() const;
+
     std::string pathOf(const std::string &name) const
     {
         return this->path + "/" + name;
--- a/src/replication/DiskLogStore.cpp
+++ b/src/replication/DiskLogStore.cpp
@@ -72,27 +72,51 @@
     return generations;
 }
 
-Recovered DiskLogStore::recover()
+template<typename Operation>
+void DiskLogStore::checked(Operation operation)
 {
-    const Generations generations = this->logFiles();
-    if (generations.empty()) {
-        LogBatch first;
-        first.base = LogPosition();
-        this->startLogFile(first);
-        return {};
-    }
-    const auto &[newest, name] = *generations.rbegin();
-    const std::string file = this->folder.read(name);
-    std::size_t validBytes = 0;
-    Recovered recovered = this->readLog(file, name, validBytes);
-    this->generation = newest;
-    this->hardState = recovered.hardState;
-    this->log = FileDescriptor(this->folder.pathOf(name), O_WRONLY | O_APPEND);
-    if (validBytes < file.size()) {
-        this->log.truncate(validBytes);
-        this->log.sync();
+    try {
+        operation();
+    } catch (const base::Error &) {
+        this->mustRewrite = true;
+        throw;
     }
-    this->removeObsoleteFiles(recovered.snapshot ? recovered.snapshot->index : 0);
+}
+
+/// After a failed sync the file system may drop the data and report later syncs as good, so files whose write failed are written anew.
+Recovered DiskLogStore::recover()
+{
+    Recovered recovered;
+    this->checked([this, &recovered] {
+        if (this->mustRewrite) {
+            this->folder.checkWritable();
+        }
+        const Generations generations = this->logFiles();
+        if (generations.empty()) {
+            this->generation = 0;
+            this->hardState = HardState();
+            LogBatch first;
+            first.base = LogPosition();
+            this->startLogFile(first);
+            return;
+        }
+        const auto &[newest, name] = *generations.rbegin();
+        const std::string file = this->folder.read(name);
+        std::size_t validBytes = 0;
+        recovered = this->readLog(file, name, validBytes);
+        this->generation = newest;
+        this->hardState = recovered.hardState;
+        this->log = FileDescriptor(this->folder.pathOf(name), O_WRONLY | O_APPEND);
+        if (validBytes < file.size()) {
+            this->log.truncate(validBytes);
+            this->log.sync();
+        }
+        this->removeObsoleteFiles(recovered.snapshot ? recovered.snapshot->index : 0);
+        if (this->mustRewrite) {
+            this->replaceAll(recovered.snapshot ? *recovered.snapshot : Snapshot(), recovered.hardState, recovered.entries);
+        }
+    });
+    this->mustRewrite = false;
     return recovered;
 }
 
@@ -134,11 +158,18 @@
 
 void DiskLogStore::write(const CoreOutput &output)
 {
-    this->hardState = output.hardState.value_or(this->hardState);
-    if (output.snapshot) {
-        this->compact(*output.snapshot, this->hardState, output.entries);
-        return;
-    }
+    this->checked([this, &output] {
+        this->hardState = output.hardState.value_or(this->hardState);
+        if (output.snapshot) {
+            this->replaceAll(*output.snapshot, this->hardState, output.entries);
+        } else {
+            this->append(output);
+        }
+    });
+}
+
+void DiskLogStore::append(const CoreOutput &output)
+{
     LogBatch batch;
     batch.hardState = output.hardState;
     batch.entries = output.entries;
@@ -149,6 +180,11 @@
 }
 
 void DiskLogStore::compact(const Snapshot &snapshot, const HardState &state, const std::vector<Entry> &entriesAfter)
+{
+    this->checked([&] { this->replaceAll(snapshot, state, entriesAfter); });
+}
+
+void DiskLogStore::replaceAll(const Snapshot &snapshot, const HardState &state, const std::vector<Entry> &entriesAfter)
 {
     this->hardState = state;
     const LogPosition position{snapshot.term, snapshot.index};
--- a/src/replication/DiskLogStore.h
+++ b/src/replication/DiskLogStore.h
@@ -26,6 +26,13 @@
     void compact(const Snapshot &snapshot, const HardState &hardState, const std::vector<Entry> &entriesAfter) override;
 
 private:
+    /// Runs the operation, and notes when it throws that the files may not hold what was written.
+    template<typename Operation>
+    void checked(Operation operation);
+
+    void append(const CoreOutput &output);
+    void replaceAll(const Snapshot &snapshot, const HardState &state, const std::vector<Entry> &entriesAfter);
+
     using Generations = std::map<std::uint64_t, std::string>;
 
     /// Returns the log files by generation; removes the temporary files of an interrupted compaction.
@@ -38,6 +45,7 @@
     FileDescriptor log;
     std::uint64_t generation = 0;
     HardState hardState;
+    bool mustRewrite = false; ///< A write or a sync failed; the files are read back and written anew before they are used again.
 };
 
 } // namespace cranberryreel::replication
--- a/src/replication/GroupBuilder.cpp
+++ b/src/replication/GroupBuilder.cpp
@@ -61,6 +61,12 @@
     return *this;
 }
 
+GroupBuilder &GroupBuilder::logStore(std::unique_ptr<LogStore> logStore)
+{
+    this->store = std::move(logStore);
+    return *this;
+}
+
 GroupBuilder &GroupBuilder::stateMachine(StateMachine &stateMachine)
 {
     this->machine = &stateMachine;
@@ -131,7 +137,9 @@
     if (own == nullptr || own->hasDisk == this->folder.empty()) {
         throwInconsistent("A group member must be listed by its VM, with a disk exactly when it has a data folder.");
     }
-    if (this->folder.empty()) {
+    if (this->store) {
+        options.store = std::move(this->store);
+    } else if (this->folder.empty()) {
         options.store = std::make_unique<MemoryLogStore>();
     } else {
         options.store = std::make_unique<DiskLogStore>(this->folder);
--- a/src/replication/GroupBuilder.h
+++ b/src/replication/GroupBuilder.h
@@ -2,6 +2,7 @@
 
 #include "replication/Group.h"
 #include "replication/GroupTimings.h"
+#include "replication/LogStore.h"
 #include "replication/Member.h"
 #include "replication/StateMachine.h"
 
@@ -30,6 +31,9 @@
     /// The folder of this member's log; required for a member with a disk, an error for one without.
     GroupBuilder &dataFolder(std::string path);
 
+    /// Stores the log here instead of in files of the data folder; for tests of failing disks.
+    GroupBuilder &logStore(std::unique_ptr<LogStore> logStore);
+
     /// Must outlive the group.
     GroupBuilder &stateMachine(StateMachine &machine);
 
@@ -57,6 +61,7 @@
     std::string vm;
     std::vector<Member> memberList;
     std::string folder;
+    std::unique_ptr<LogStore> store;
     bool formsAnew = true;
     StateMachine *machine = nullptr;
     LeadershipListener *leadership = nullptr;
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -1,6 +1,7 @@
 #include "replication/GroupRunner.h"
 
 #include "observe/Log.h"
+#include "observe/Metrics.h"
 #include "replication/Codec.h"
 
 #include "cranberryreel/base/Error.h"
@@ -21,6 +22,7 @@
 constexpr std::size_t MaxQueuedProposals = 65536;
 constexpr std::size_t MaxQueuedBytes =
     32UL * 1024 * 1024; ///< Limit of queued received bytes; messages beyond are dropped, which the protocol tolerates like network loss.
+constexpr std::chrono::milliseconds StorageRetryInterval{200};
 
 const observe::Log &log()
 {
@@ -33,13 +35,8 @@
 GroupRunner::GroupRunner(GroupRunnerOptions runnerOptions)
     : options(std::move(runnerOptions))
 {
-    const Recovered recovered = this->options.store->recover();
     this->initialState = this->options.stateMachine->snapshot();
-    if (recovered.snapshot) {
-        this->restore(*recovered.snapshot);
-    }
-    this->core = std::make_unique<Core>(this->options.core, recovered, this->safety, base::steadyNow());
-    this->publishStatus();
+    this->recover();
 }
 
 GroupRunner::~GroupRunner()
@@ -51,7 +48,7 @@
 {
     {
         const absl::MutexLock lock(&this->mutex);
-        this->ended = false;
+        this->ended = this->core == nullptr;
     }
     this->thread = std::thread([this] { this->run(); });
 }
@@ -142,29 +139,102 @@
 
 void GroupRunner::run()
 {
+    std::string reason = "This member has stopped.";
     try {
         while (!this->shouldStop(base::steadyNow())) {
-            GroupInbox work = this->waitForWork();
-            this->handleInbox(work);
-            this->processOutputs();
+            this->runOnce();
         }
     } catch (const base::Error &error) {
         log().error("Member stops after an error: {}", error.what());
-        this->failure = error.what();
+        reason = error.what();
+    }
+    this->leaveGroup(reason);
+}
+
+/// Handles the queued work, or retries the store while there is no core.
+void GroupRunner::runOnce()
+{
+    if (!this->core) {
+        this->awaitStorage();
+        return;
+    }
+    try {
+        GroupInbox work = this->waitForWork();
+        this->handleInbox(work);
+        this->processOutputs();
+    } catch (const base::Error &error) {
+        if (error.code() != base::ResultCode::StorageWriteFailed) {
+            throw;
+        }
+        static observe::Counter &failures = observe::counter("cranberryreel_group_storage_failures_total", "Failed writes of a member's log.");
+        failures.add();
+        log().error("Member leaves the group until its log can be written: {}", error.what());
+        this->leaveGroup(error.what());
+        this->core.reset();
+        this->nextRecovery = base::steadyNow() + StorageRetryInterval;
+    }
+}
+
+/// Makes a core from what the store holds, as a new run of this member. Without a core afterwards if the store cannot be written.
+void GroupRunner::recover()
+{
+    try {
+        const Recovered recovered = this->options.store->recover();
+        this->restore(recovered.snapshot ? *recovered.snapshot : Snapshot());
+        this->core = std::make_unique<Core>(this->options.core, recovered, this->safety, base::steadyNow());
+        this->bytesSinceSnapshot = 0;
+        this->proposedTerm = 0;
+        ++this->options.core.boot; // Each run of a member has its own number.
+        this->publishStatus();
+    } catch (const base::Error &error) {
+        if (error.code() != base::ResultCode::StorageWriteFailed) {
+            throw;
+        }
+        const absl::MutexLock lock(&this->mutex);
+        this->published.reason = error.what();
+    }
+}
+
+void GroupRunner::awaitStorage()
+{
+    {
+        const absl::MutexLock lock(&this->mutex);
+        this->mutex.AwaitWithTimeout(absl::Condition(
+                                         +[](GroupInbox *work) { return work->stopBy.has_value(); }, &this->inbox),
+                                     absl::FromChrono(std::max(this->nextRecovery - base::steadyNow(), base::SteadyTime::duration::zero())));
+        this->stopBy = this->inbox.stopBy;
     }
+    if (this->stopBy) {
+        return;
+    }
+    this->nextRecovery = base::steadyNow() + StorageRetryInterval;
+    this->recover();
+    if (this->core) {
+        log().info("Member returns to the group: its log can be written again, last index {}.", this->core->log().lastIndex());
+        const absl::MutexLock lock(&this->mutex);
+        this->ended = false;
+    }
+}
+
+/// Gives up the lease, fails all pending requests and takes no further ones.
+void GroupRunner::leaveGroup(const std::string &reason)
+{
     this->leaseEnd = 0;
     this->pending.failAll();
     this->reads.failAll();
     if (this->announcedTerm != 0 && this->options.listener != nullptr) {
-        this->options.listener->leadershipLost(std::exchange(this->announcedTerm, 0));
+        this->options.listener->leadershipLost(this->announcedTerm);
     }
+    this->announcedTerm = 0;
     GroupInbox remaining;
     {
         const absl::MutexLock lock(&this->mutex);
         this->ended = true;
         this->published.leaderVm.clear();
-        this->published.reason = this->failure.empty() ? "This member has stopped." : this->failure;
+        this->published.caughtUp = false;
+        this->published.reason = reason;
         remaining = std::exchange(this->inbox, GroupInbox());
+        this->inbox.stopBy = remaining.stopBy;
     }
     remaining.rejectAll();
 }
@@ -382,6 +452,9 @@
     if (!this->stopBy) {
         return false;
     }
+    if (!this->core) {
+        return true;
+    }
     const bool handedOver = this->core->role() != Role::Leader && !this->core->leaderVm().empty();
     const bool nothingToHandOver = this->core->role() == Role::Leader && this->core->leaseEnd() != base::SteadyTime();
     return now >= *this->stopBy || handedOver || nothingToHandOver;
--- a/src/replication/GroupRunner.h
+++ b/src/replication/GroupRunner.h
@@ -22,10 +22,12 @@
 {
 
 /// A Group that runs on its own thread: it passes messages, proposals and the time to the core and carries out the core's outputs. Built by GroupBuilder.
+/// Load pattern: a disk fills up or refuses writes for seconds, and shortly after it recovers another member is lost. The member leaves the group as if its
+/// process had ended, retries, and returns with what its disk holds as soon as the disk accepts writes again.
 class GroupRunner : public Group
 {
 public:
-    /// Recovers the state from the store; throws base::Error(LogCorrupt), (SnapshotCorrupt) or (StorageWriteFailed).
+    /// Recovers the state from the store; throws base::Error(LogCorrupt) or (SnapshotCorrupt). A store that cannot be written yet is retried after start().
     explicit GroupRunner(GroupRunnerOptions options);
     ~GroupRunner() override;
 
@@ -41,6 +43,10 @@
 
 private:
     void run();
+    void runOnce();
+    void recover();
+    void awaitStorage();
+    void leaveGroup(const std::string &reason);
     GroupInbox waitForWork();
     void handleInbox(GroupInbox &inbox);
     void handleProposals(std::vector<GroupInbox::Proposal> &proposals, base::SteadyTime now);
@@ -61,7 +67,8 @@
     std::thread thread;
 
     // Used by the group's thread only.
-    std::unique_ptr<Core> core;
+    std::unique_ptr<Core> core; ///< Null while the store cannot be written.
+    base::SteadyTime nextRecovery{}; ///< When the store is tried again while there is no core.
     PendingProposals pending;
     PendingReads reads;
     std::uint64_t applied = 0;
@@ -71,7 +78,6 @@
     std::uint64_t announcedTerm = 0; ///< The term whose leadership was reported to the listener; 0 for none.
     std::string initialState; ///< Snapshot of the state machine before any entry was applied.
     std::optional<base::SteadyTime> stopBy;
-    std::string failure;
 
     std::atomic<base::SteadyTime::rep> leaseEnd{0};
     std::atomic<std::uint64_t> droppedMessages{0};
--- a/src/replication/LogStore.h
+++ b/src/replication/LogStore.h
@@ -15,7 +15,8 @@
 public:
     virtual ~LogStore() = default;
 
-    /// Reads the stored state. Called once, before any other function. Throws base::Error(LogCorrupt) or base::Error(SnapshotCorrupt).
+    /// Reads the stored state. Called before any other function, and again after a failed write: what it returns then is synced, although the failed write may
+    /// have left a part behind or a sync may have dropped data. Throws base::Error(LogCorrupt), (SnapshotCorrupt) or (StorageWriteFailed).
     virtual Recovered recover() = 0;
 
     /// Writes the output's snapshot, hard state and entries. If CoreOutput::mustSync is set, they are synced when the function returns. Throws
--- a/tests/replication/DiskLogStoreTest.cpp
+++ b/tests/replication/DiskLogStoreTest.cpp
@@ -7,11 +7,14 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <random>
 
+#include <sys/resource.h>
+
 using namespace cranberryreel;
 using namespace cranberryreel::replication;
 
@@ -74,6 +77,31 @@
     return [code](const base::Error &error) { return error.code() == code; };
 }
 
+/// While it exists, files of this process cannot grow beyond a size: a write stores what still fits and then fails, as on a full disk.
+class FileSizeLimit
+{
+public:
+    explicit FileSizeLimit(rlim_t bytes)
+        : previousHandler(std::signal(SIGXFSZ, SIG_IGN))
+    {
+        getrlimit(RLIMIT_FSIZE, &this->previous);
+        const rlimit limited{bytes, this->previous.rlim_max};
+        setrlimit(RLIMIT_FSIZE, &limited);
+    }
+    FileSizeLimit(const FileSizeLimit &) = delete;
+    FileSizeLimit &operator=(const FileSizeLimit &) = delete;
+
+    ~FileSizeLimit()
+    {
+        setrlimit(RLIMIT_FSIZE, &this->previous);
+        std::signal(SIGXFSZ, this->previousHandler);
+    }
+
+private:
+    rlimit previous{};
+    void (*previousHandler)(int);
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(DiskLogStoreTest)
@@ -105,6 +133,65 @@
     BOOST_TEST(recovered.entries.back().term == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(aPartlyWrittenBatchIsDroppedAndTheStoreGoesOnOnceThereIsSpace)
+{
+    const support::TemporaryFolder folder;
+    fill(folder);
+    const std::size_t wholeSize = readFile(fileNamed(folder, "log-")).size();
+    DiskLogStore store(folder.name());
+    store.recover();
+    for (const std::size_t partBytes : {0U, 1U, 9U, 60U}) {
+        const FileSizeLimit full(wholeSize + partBytes);
+        BOOST_CHECK_EXCEPTION(store.write(entriesFrom(16, 5)), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    }
+    {
+        const FileSizeLimit full(1000);
+        BOOST_CHECK_EXCEPTION(store.recover(), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    }
+    BOOST_TEST(store.recover().entries.size() == 15U);
+    store.write(entriesFrom(16, 2));
+    DiskLogStore restarted(folder.name());
+    const Recovered recovered = restarted.recover();
+    BOOST_TEST(recovered.entries.size() == 17U);
+    BOOST_TEST(recovered.hardState.votedFor == "c2");
+}
+
+BOOST_AUTO_TEST_CASE(afterAFailedWriteTheRecoveredLogIsWrittenAnew)
+{
+    const support::TemporaryFolder folder;
+    fill(folder);
+    const std::string before = fileNamed(folder, "log-");
+    DiskLogStore store(folder.name());
+    store.recover();
+    BOOST_TEST(fileNamed(folder, "log-") == before);
+    {
+        const FileSizeLimit full(readFile(before).size());
+        BOOST_CHECK_EXCEPTION(store.write(entriesFrom(16, 5)), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    }
+    store.recover();
+    BOOST_TEST(fileNamed(folder, "log-") != before);
+    BOOST_TEST(!std::filesystem::exists(before));
+}
+
+BOOST_AUTO_TEST_CASE(aSnapshotThatDoesNotFitLeavesTheLogInUse)
+{
+    const support::TemporaryFolder folder;
+    fill(folder);
+    DiskLogStore store(folder.name());
+    store.recover();
+    Snapshot snapshot;
+    snapshot.index = 10;
+    snapshot.term = 1;
+    snapshot.state = std::string(100000, 'x');
+    {
+        const FileSizeLimit full(50000);
+        BOOST_CHECK_EXCEPTION(store.compact(snapshot, HardState{7, "c2", true}, {}), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    }
+    const Recovered recovered = store.recover();
+    BOOST_TEST(!recovered.snapshot);
+    BOOST_TEST(recovered.entries.size() == 15U);
+}
+
 BOOST_AUTO_TEST_CASE(aTornEndIsTruncated)
 {
     const support::TemporaryFolder folder;
--- a/tests/replication/GroupRunnerTest.cpp
+++ b/tests/replication/GroupRunnerTest.cpp
@@ -1,4 +1,5 @@
 #include "TestCluster.h"
+#include "support/TemporaryFolder.h"
 
 #include "replication/GroupRunner.h"
 
@@ -6,7 +7,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <memory>
+#include <string>
+#include <vector>
 
 using namespace cranberryreel;
 using namespace cranberryreel::replication;
@@ -37,7 +41,7 @@
 
 BOOST_AUTO_TEST_SUITE(GroupRunnerTest)
 
-BOOST_AUTO_TEST_CASE(aMemberWhoseDiskFailsStopsAndReportsTheReason)
+BOOST_AUTO_TEST_CASE(aMemberWhoseDiskRefusesWritesLeavesTheGroupAndReportsTheReason)
 {
     ListMachine machine;
     GroupRunnerOptions options;
@@ -57,6 +61,76 @@
     BOOST_TEST((code == base::ResultCode::NotLeader));
 }
 
+BOOST_AUTO_TEST_CASE(aLeaderWhoseDiskIsFullGivesUpItsLeaseAtOnceAndReturnsWithItsLog)
+{
+    const support::TemporaryFolder folder;
+    TestCluster cluster({Member{"c1", true, false}}, folder.name());
+    cluster.startAll();
+    BOOST_TEST_REQUIRE(cluster.commit("before") == "c1");
+    cluster.setDiskFull("c1", true);
+    BOOST_TEST((cluster.propose("c1", "during").code == base::ResultCode::GroupUnavailable));
+    BOOST_TEST(!cluster.group("c1").status().leader);
+    BOOST_TEST(cluster.group("c1").status().reason == "Cannot write: no space.");
+    BOOST_TEST((cluster.propose("c1", "refused").code == base::ResultCode::NotLeader));
+    BOOST_TEST((cluster.readBarrier("c1") == base::ResultCode::GroupUnavailable));
+    cluster.setDiskFull("c1", false);
+    BOOST_TEST_REQUIRE(cluster.commit("after") == "c1");
+    const std::vector<std::string> expected{"before", "after"};
+    BOOST_TEST(cluster.machine("c1").lines() == expected, boost::test_tools::per_element());
+    cluster.kill("c1");
+    cluster.start("c1");
+    BOOST_TEST_REQUIRE(cluster.commit("restarted") == "c1");
+    BOOST_TEST(cluster.machine("c1").lines().size() == 3U);
+}
+
+/// Load pattern: a disk is full for a while, and when it has space again another member is cut off.
+BOOST_AUTO_TEST_CASE(aMemberWhoseDiskWasFullStandsInForTheNextLostMember)
+{
+    const support::TemporaryFolder folder;
+    TestCluster cluster({Member{"c1", true, false}, Member{"c2", true, false}, Member{"c3", true, false}}, folder.name());
+    cluster.startAll();
+    const std::string firstLeader = cluster.commit("before");
+    BOOST_TEST_REQUIRE(!firstLeader.empty());
+    cluster.setDiskFull(firstLeader, true);
+    const std::string secondLeader = cluster.commit("during");
+    BOOST_TEST_REQUIRE(!secondLeader.empty());
+    BOOST_TEST(secondLeader != firstLeader);
+    cluster.setDiskFull(firstLeader, false);
+    BOOST_TEST_REQUIRE(TestCluster::eventually([&] { return cluster.machine(firstLeader).lines().size() == 2; }));
+    cluster.isolate(secondLeader);
+    BOOST_TEST(!cluster.commit("after").empty());
+    BOOST_TEST(TestCluster::eventually([&] { return cluster.machine(firstLeader).lines().back() == "after"; }));
+}
+
+BOOST_AUTO_TEST_CASE(aGroupWhoseDisksWereAllFullGoesOnWithAllThatWasAcknowledged)
+{
+    const support::TemporaryFolder folder;
+    TestCluster cluster({Member{"c1", true, false}, Member{"c2", true, false}, Member{"c3", true, false}}, folder.name());
+    cluster.startAll();
+    std::vector<std::string> acknowledged;
+    const std::vector<std::string> vms{"c1", "c2", "c3"};
+    for (int round = 0; round < 3; ++round) {
+        // More commands than entries between two snapshots, so that a disk is also found full by a snapshot.
+        for (int i = 0; i < 40; ++i) {
+            acknowledged.push_back("round " + std::to_string(round) + " command " + std::to_string(i));
+            BOOST_TEST_REQUIRE(!cluster.commit(acknowledged.back()).empty());
+        }
+        for (const std::string &vm : vms) {
+            cluster.setDiskFull(vm, true);
+        }
+        BOOST_TEST((cluster.propose(cluster.awaitLeader(), "lost " + std::to_string(round)).code != base::ResultCode::Ok));
+        for (const std::string &vm : vms) {
+            cluster.setDiskFull(vm, false);
+        }
+    }
+    const std::string leader = cluster.commit("last");
+    BOOST_TEST_REQUIRE(!leader.empty());
+    const std::vector<std::string> lines = cluster.machine(leader).lines();
+    for (const std::string &command : acknowledged) {
+        BOOST_TEST_REQUIRE(std::count(lines.begin(), lines.end(), command) == 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aBuilderRefusesInconsistentSettings)
 {
     ListMachine machine;
--- a/tests/replication/TestCluster.cpp
+++ b/tests/replication/TestCluster.cpp
@@ -1,5 +1,7 @@
 #include "TestCluster.h"
 
+#include "FaultyDisk.h"
+
 #include "cranberryreel/base/Clock.h"
 
 #include <absl/strings/str_join.h>
@@ -114,7 +116,9 @@
     builder.sendBy([this, vm](const std::string &to, std::string bytes) { this->deliver(vm, to, std::move(bytes)); });
     for (const Member &member : list) {
         if (member.vm == vm && member.hasDisk) {
-            builder.dataFolder(this->folderOf(vm));
+            auto &full = this->fullDisks[vm];
+            full = full ? full : std::make_shared<std::atomic<bool>>(false);
+            builder.dataFolder(this->folderOf(vm)).logStore(std::make_unique<FaultyDisk>(this->folderOf(vm), full));
         }
     }
     node->group = builder.build();
@@ -176,6 +180,11 @@
     this->isolated.insert(vm);
 }
 
+void TestCluster::setDiskFull(const std::string &vm, bool full)
+{
+    *this->fullDisks.at(vm) = full;
+}
+
 void TestCluster::heal()
 {
     const absl::MutexLock lock(&this->mutex);
--- a/tests/replication/TestCluster.h
+++ b/tests/replication/TestCluster.h
@@ -6,6 +6,7 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -65,6 +66,9 @@
     void kill(const std::string &vm);
     void stop(const std::string &vm, std::chrono::milliseconds limit);
     void isolate(const std::string &vm);
+
+    /// Has the member's disk refuse to write, or accept it again.
+    void setDiskFull(const std::string &vm, bool full);
     void heal();
 
     Group &group(const std::string &vm);
@@ -97,6 +101,7 @@
 
     std::vector<Member> members;
     std::optional<std::vector<Member>> configuredMembers;
+    std::map<std::string, std::shared_ptr<std::atomic<bool>>> fullDisks; ///< By VM, for members with a disk that have been started.
     bool mayFormAnew = true;
     std::string folder;
     absl::Mutex mutex;
