--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -13,8 +13,11 @@
 
 const observe::Log Logger("cell");
 
-/// Time limit of a start or stop request. Upstreams answer within milliseconds; a longer wait means a dead connection or a frozen upstream.
+/// Time limit of a stop request and of a repeated start request. Upstreams answer within milliseconds; a longer wait means a dead connection or a frozen
+/// upstream.
 constexpr std::chrono::milliseconds CallLimit{500};
+/// Time limit of the first start request of a run. Repeating a request that was carried out is harmless, and waiting for a lost answer makes short tasks late.
+constexpr std::chrono::milliseconds FirstStartLimit{200};
 /// Number of start requests sent for a run; after the last one without an answer the run is stopped.
 constexpr int MaxStartRequests = 3;
 constexpr std::chrono::milliseconds StartRetryInterval{20};
@@ -126,7 +129,7 @@
     run.callPending = true;
     this->context.calls.start(target,
                               request,
-                              CallLimit,
+                              freshConnection ? CallLimit : FirstStartLimit,
                               freshConnection,
                               [this, post = this->context.post, key = run.key, incarnation = tracker->second.incarnation](UpstreamCallResult result) {
                                   post([this, key, incarnation, result = std::move(result)] { this->handleStartResult(key, incarnation, result); });
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -14,10 +14,8 @@
 
 const observe::Log Logger("cell");
 
-/// An upstream that runs tasks may delay its answer to a renewal this long while no task ends. Well below the shortest lease.
-constexpr std::chrono::milliseconds MaxRenewalWait{1500};
 /// Time limit of a renewal beyond its wait; an answer takes milliseconds.
-constexpr std::chrono::milliseconds RenewalLimit{600};
+constexpr std::chrono::milliseconds RenewalLimit{400};
 /// Pause between renewals, so that ends in quick succession share one renewal.
 constexpr std::chrono::milliseconds RenewalSpacing{25};
 constexpr std::chrono::milliseconds SilentRetryInterval{250};
@@ -197,9 +195,9 @@
     RenewRequest request;
     request.epoch = this->context.epoch;
     request.acknowledged = tracker.lastCommittedEnd;
-    if (tracker.readBack && tracker.silentCalls == 0 && !tracker.leaving) {
+    if (tracker.readBack && tracker.silentCalls == 0 && !tracker.retryingRenewal && !tracker.leaving) {
         request.deadline = tracker.grantLease(now);
-        request.wait = this->context.runs.countOnUpstream(number) > 0 ? MaxRenewalWait : std::chrono::milliseconds(0);
+        request.wait = this->context.runs.countOnUpstream(number) > 0 ? tracker.renewalWait() : std::chrono::milliseconds(0);
     }
     tracker.renewalPending = true;
     tracker.renewalSentAt = now;
@@ -244,6 +242,7 @@
         Logger.info("event=upstream_responsive number={} after_silent_calls={}", number, tracker.silentCalls);
     }
     tracker.silentCalls = 0;
+    tracker.retryingRenewal = false;
     tracker.isLost = false;
     tracker.lastAcknowledgedEnd = std::max(tracker.lastAcknowledgedEnd, acknowledged);
     tracker.nextRenewal = now + RenewalSpacing;
@@ -278,6 +277,11 @@
     if (status == UpstreamCallStatus::Fenced) {
         Logger.warn("event=fenced number={} epoch={}", number, this->context.epoch);
     }
+    // One answer may be lost on its way while the upstream works on, so the renewal is repeated first.
+    if (status == UpstreamCallStatus::Unknown && !std::exchange(tracker.retryingRenewal, true)) {
+        tracker.nextRenewal = now;
+        return;
+    }
     if (tracker.silentCalls++ == 0) {
         Logger.info("event=upstream_silent number={} runs={} answer={}", number, this->context.runs.countOnUpstream(number), static_cast<int>(status));
     }
@@ -369,6 +373,7 @@
         }
     }
     if (highest > tracker.lastProposedEnd) {
+        tracker.recordEnds(base::steadyNow());
         tracker.lastProposedEnd = highest;
         this->context.batch.onOutcome([this, number, incarnation = tracker.incarnation, highest](base::ResultCode code) {
             const auto found = this->context.trackers.find(number);
--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -13,6 +13,12 @@
 /// Added to the end of leases: for rounding and the time that an upstream needs to end the runs of an expired lease.
 constexpr std::chrono::milliseconds LeaseSlack{150};
 constexpr std::chrono::milliseconds MaxExclusion{12000};
+/// Bounds of renewalWait(); the longest is well below the shortest lease.
+constexpr std::chrono::milliseconds MinRenewalWait{300};
+constexpr std::chrono::milliseconds MaxRenewalWait{1500};
+constexpr int EndIntervalsPerWait = 3;
+/// Weight of the newest interval between ends in the smoothed one.
+constexpr double NewestIntervalWeight = 0.3;
 
 } // namespace
 
@@ -27,7 +33,10 @@
     ++this->incarnation;
     this->readBack = false;
     this->isLost = false;
+    this->retryingRenewal = false;
     this->silentCalls = 0;
+    this->lastEndsAt = now;
+    this->endInterval.reset();
     this->nextRenewal = now;
     this->renewalPending = false;
     this->lastCommittedEnd = 0;
@@ -81,6 +90,19 @@
     return this->latestLeaseEnd;
 }
 
+std::chrono::milliseconds UpstreamTracker::renewalWait() const
+{
+    return this->endInterval ? std::clamp(EndIntervalsPerWait * *this->endInterval, MinRenewalWait, MaxRenewalWait) : MaxRenewalWait;
+}
+
+void UpstreamTracker::recordEnds(base::SteadyTime now)
+{
+    const auto interval = now - this->lastEndsAt;
+    const auto smoothed = this->endInterval ? NewestIntervalWeight * interval + (1.0 - NewestIntervalWeight) * *this->endInterval : 1.0 * interval;
+    this->endInterval = std::chrono::duration_cast<std::chrono::milliseconds>(smoothed);
+    this->lastEndsAt = now;
+}
+
 bool UpstreamTracker::leasesExpired(base::SteadyTime now) const
 {
     if (now < this->inheritedLeasesUntil) {
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -30,6 +30,13 @@
     /// an answer. Nothing before the first clock reading.
     std::optional<std::chrono::milliseconds> grantLease(base::SteadyTime now);
 
+    /// How long the upstream may delay its answer to a renewal while no task ends there: a few times the usual time between ends. Where tasks end often, a lost
+    /// answer is so noticed before it delays many jobs; where they end rarely, few renewals are sent.
+    std::chrono::milliseconds renewalWait() const;
+
+    /// Records that a renewal answered at `now` reported new ends.
+    void recordEnds(base::SteadyTime now);
+
     /// Whether all leases that any request may have granted have certainly expired.
     bool leasesExpired(base::SteadyTime now) const;
 
@@ -44,6 +51,7 @@
     bool renewalPending = false; ///< A renewal has no answer yet.
     base::SteadyTime renewalSentAt{};
     base::SteadyTime nextRenewal{};
+    bool retryingRenewal = false; ///< The last renewal had no answer and is repeated; the upstream does not count as silent yet.
     int silentCalls = 0; ///< Renewals in a row that failed; above 0 the upstream is silent.
     bool readBack = false; ///< The runs and ends of this incarnation were read in this term.
     bool isLost = false; ///< All leases expired while the upstream was silent, and its runs were ended.
@@ -69,6 +77,8 @@
     std::chrono::milliseconds leaseMax;
     std::optional<std::chrono::milliseconds> lastClock;
     base::SteadyTime lastClockAt{};
+    base::SteadyTime lastEndsAt{}; ///< When a renewal last reported new ends.
+    std::optional<std::chrono::milliseconds> endInterval; ///< Smoothed time between renewals that reported new ends.
     std::chrono::milliseconds latestLeaseEnd{0};
     base::SteadyTime inheritedLeasesUntil{}; ///< Leases granted in earlier terms or to earlier incarnations have expired by then.
     bool hasGrantedLease = false;
--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -205,6 +205,49 @@
     BOOST_TEST(rig.advice.queries == 2);
 }
 
+/// Load pattern: a share of all requests to upstreams gets no answer, while the upstreams work on.
+BOOST_AUTO_TEST_CASE(anUpstreamThatLeavesOneRenewalUnansweredStaysInUse)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("first", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.runningTasks().size() == 1; }));
+    auto &scripted = rig.upstreams.upstreams["u1"];
+    scripted.renewalsToDrop = 1;
+    BOOST_REQUIRE(rig.runUntil([&] { return scripted.renewalsToDrop == 0; }));
+    rig.submit(support::job("second", support::step(1, 1000)));
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.runningTasks().size() == 2; }, milliseconds(100)));
+}
+
+BOOST_AUTO_TEST_CASE(anUpstreamThatLeavesTwoRenewalsInARowUnansweredGetsNoWork)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("first", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.runningTasks().size() == 1; }));
+    auto &scripted = rig.upstreams.upstreams["u1"];
+    scripted.renewalsToDrop = 2;
+    BOOST_REQUIRE(rig.runUntil([&] { return scripted.renewalsToDrop == 0; }));
+    rig.submit(support::job("second", support::step(1, 1000)));
+    rig.run(milliseconds(100));
+    BOOST_TEST(rig.upstreams.runningTasks().size() == 1U);
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.runningTasks().size() == 2; }));
+}
+
+/// The same load pattern: a short task waits for the answer to its start request.
+BOOST_AUTO_TEST_CASE(anUnansweredStartIsRepeatedSoonerThanARepeatedOne)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    auto &scripted = rig.upstreams.upstreams["u1"];
+    scripted.dropsAnswers = true;
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return scripted.startLimits.size() >= 2; }));
+    BOOST_TEST((scripted.startLimits[0] < scripted.startLimits[1]));
+    BOOST_TEST((scripted.startLimits[0] <= milliseconds(250)));
+    BOOST_TEST(rig.upstreams.startCounts[First] == 1);
+}
+
 BOOST_AUTO_TEST_CASE(anUpstreamWithoutFreeCapacityIsExcluded)
 {
     CellRig rig;
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -58,11 +58,12 @@
 
 void ScriptedUpstreams::start(const cell::UpstreamTarget &target,
                               const cell::StartRequest &request,
-                              std::chrono::milliseconds /*limit*/,
+                              std::chrono::milliseconds limit,
                               bool /*freshConnection*/,
                               cell::UpstreamCallback done)
 {
     Upstream &upstream = this->upstreams[target.id];
+    upstream.startLimits.push_back(limit);
     if (!upstream.reachable || upstream.dropsStarts) {
         upstream.delayedStarts.push_back(request);
         done({UpstreamCallStatus::Unknown, std::nullopt, "no answer"});
@@ -105,6 +106,11 @@
 {
     Upstream &upstream = this->upstreams[target.id];
     cell::RenewResult renewed;
+    if (upstream.renewalsToDrop > 0) {
+        --upstream.renewalsToDrop;
+        done(renewed);
+        return;
+    }
     if (!upstream.reachable) {
         renewed.callResult.status = upstream.unreachableStatus;
         done(renewed);
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -32,6 +32,8 @@
         bool dropsAnswers = false; ///< Start requests are carried out, but their answers are lost.
         bool dropsStops = false;
         bool refusesAsFull = false;
+        int renewalsToDrop = 0; ///< So many renewals from now on get no answer.
+        std::vector<std::chrono::milliseconds> startLimits; ///< Time limits of all start requests.
         int startRequests = 0;
         std::int64_t bornMs = 1;
         std::uint64_t epoch = 0;
--- a/tests/cell/UpstreamTrackerTest.cpp
+++ b/tests/cell/UpstreamTrackerTest.cpp
@@ -64,6 +64,23 @@
     BOOST_TEST(!tracker.leasesExpired(Start + milliseconds(16000)));
 }
 
+/// Load pattern: a share of all renewals gets no answer; where a task ends ten times a second, one and a half seconds without reports delay fifteen tasks.
+BOOST_AUTO_TEST_CASE(renewalsWaitShorterWhereTasksEndOften)
+{
+    UpstreamTracker tracker(Lease, Start);
+    const milliseconds longest = tracker.renewalWait();
+    for (int i = 1; i <= 20; ++i) {
+        tracker.recordEnds(Start + milliseconds(i * 200));
+    }
+    BOOST_TEST((tracker.renewalWait() == milliseconds(600)));
+    for (int i = 1; i <= 20; ++i) {
+        tracker.recordEnds(Start + std::chrono::seconds(4 + i));
+    }
+    BOOST_TEST((tracker.renewalWait() == longest));
+    tracker.beginIncarnation(Start + std::chrono::seconds(30));
+    BOOST_TEST((tracker.renewalWait() == longest));
+}
+
 BOOST_AUTO_TEST_CASE(repeatedExclusionsDouble)
 {
     UpstreamTracker tracker(Lease, Start);
