--- a/src/cell/Planner.h
+++ b/src/cell/Planner.h
@@ -8,6 +8,7 @@
 #include "cell/ServicePool.h"
 #include "cell/UpstreamCapacity.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -58,6 +59,7 @@
         std::size_t preemptions = 0; ///< Runs to stop before its first task of the gang fits.
         bool hasTicket = false; ///< No new ticket is needed for the upstream.
         std::uint32_t fittingTasks = 0; ///< Tasks of the gang that fit into the reclaimable capacity.
+        std::chrono::milliseconds fitsIn{0}; ///< Expected time until one task fits; see Preemptor::timeUntilFits().
         UpstreamCapacity *capacity = nullptr;
 
         bool operator<(const ReservationOption &other) const;
@@ -71,6 +73,7 @@
     std::vector<UpstreamCapacity *> reservableUpstreams(const ReadyStep &ready, const ServicePool &pool) const;
     bool admitGang(const ReadyStep &ready, ServicePool &pool);
     std::vector<UpstreamCapacity *> reserveUpstreams(const ReadyStep &ready, ServicePool &pool);
+    std::vector<UpstreamCapacity *> reserveForLater(const ReadyStep &ready, std::vector<ReservationOption> options, std::size_t most);
     std::vector<UpstreamCapacity *> reserveExclusively(const ReadyStep &ready, const std::vector<ReservationOption> &options);
     void planStart(const ReadyStep &ready, std::uint32_t task, std::uint32_t attempt, UpstreamCapacity &capacity, ServicePool &pool);
     void undoStarts(const ReadyStep &ready, std::size_t firstUndone, ServicePool &pool);
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -342,10 +342,7 @@
             run->phase = RunPhase::Confirmed;
             run->startedAt = now;
         }
-        if (run->percent != report.percent) {
-            run->percent = report.percent;
-            run->lastProgressAt = now;
-        }
+        run->progress.record(report.percent, now);
         run->lastListedAt = now;
         run->checkpoint = report.checkpoint;
         run->measurement = report.measurement;
--- a/tests/cell/PlannedCell.h
+++ b/tests/cell/PlannedCell.h
@@ -55,7 +55,9 @@
     void addRun(const cell::TaskKey &task, std::uint64_t upstream, int percent = 0)
     {
         this->state.apply(place(task, 1, upstream));
-        this->runViews[{task, 1}] = {false, true, percent};
+        cell::RunView &view = this->runViews[{task, 1}];
+        view.confirmed = true;
+        view.progress.record(percent, this->now);
     }
 
     /// Gives the step fresh tickets for these upstreams.
