--- a/src/cell/AdviceQueryPlanner.cpp
+++ b/src/cell/AdviceQueryPlanner.cpp
@@ -79,18 +79,30 @@
     }
 }
 
-std::optional<AdviceQuery>
-AdviceQueryPlanner::planQuery(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool, const std::vector<UpstreamCapacity *> &reserved) const
+bool AdviceQueryPlanner::mayQuery(const ReadyStep &ready) const
 {
+    if (!ready.queue->advice) {
+        return false;
+    }
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
-    if (advice.queryPending || advice.nextQueryAt > this->input.now) {
+    return !advice.queryPending && advice.nextQueryAt <= this->input.now;
+}
+
+std::optional<AdviceQuery> AdviceQueryPlanner::planLargeQuery(const ReadyStep &ready,
+                                                              std::uint32_t unplaced,
+                                                              const ServicePool &pool,
+                                                              const std::vector<UpstreamCapacity *> &reserved) const
+{
+    if (!this->mayQuery(ready)) {
         return std::nullopt;
     }
-    if (ready.step->gang) {
-        const std::vector<UpstreamCapacity *> chosen = this->chooseForGang(ready, pool, reserved);
-        return chosen.empty() ? std::nullopt : std::optional<AdviceQuery>(this->buildQuery(ready, unplaced, chosen, QueryTiming::Immediate));
-    }
-    if (!leavesHeadroom(ready, pool)) {
+    const std::vector<UpstreamCapacity *> chosen = this->chooseForLargeWork(ready, pool, reserved);
+    return chosen.empty() ? std::nullopt : std::optional<AdviceQuery>(this->buildQuery(ready, unplaced, chosen, QueryTiming::Immediate));
+}
+
+std::optional<AdviceQuery> AdviceQueryPlanner::planQuery(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool) const
+{
+    if (!this->mayQuery(ready) || !leavesHeadroom(ready, pool)) {
         return std::nullopt;
     }
     Capacity unreserved = pool.unreserved;
@@ -201,10 +213,10 @@
     }
 }
 
-/// With reserved upstreams, queries fresh tickets for them. Otherwise queries further upstreams, when the expected number of allowed ones suffices for the gang
-/// or too few are known to be allowed.
+/// With reserved upstreams, queries fresh tickets for them. Otherwise queries further upstreams, when the expected number of allowed ones suffices or too few
+/// are known to be allowed.
 std::vector<UpstreamCapacity *>
-AdviceQueryPlanner::chooseForGang(const ReadyStep &ready, const ServicePool &pool, const std::vector<UpstreamCapacity *> &reserved) const
+AdviceQueryPlanner::chooseForLargeWork(const ReadyStep &ready, const ServicePool &pool, const std::vector<UpstreamCapacity *> &reserved) const
 {
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
     std::vector<UpstreamCapacity *> chosen;
--- a/src/cell/AdviceQueryPlanner.h
+++ b/src/cell/AdviceQueryPlanner.h
@@ -45,9 +45,12 @@
     /// Reserves the capacity that the pending query of the step is about; does nothing when no query is pending.
     void reserveForPendingQuery(const ReadyStep &ready, ServicePool &pool, CapacityTable &capacities) const;
 
-    /// The query for the `unplaced` tasks of a step; empty when an answer would not help now. `reserved` holds the upstreams reserved for a gang.
+    /// The query for the `unplaced` tasks of a step; empty when an answer would not help now.
+    std::optional<AdviceQuery> planQuery(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool) const;
+
+    /// The same for a gang or a step with large tasks; `reserved` holds the upstreams reserved for it.
     std::optional<AdviceQuery>
-    planQuery(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool, const std::vector<UpstreamCapacity *> &reserved) const;
+    planLargeQuery(const ReadyStep &ready, std::uint32_t unplaced, const ServicePool &pool, const std::vector<UpstreamCapacity *> &reserved) const;
 
     /// How long before the capacity is free a query about so many upstreams is sent, so that its answer comes a little earlier.
     static std::chrono::milliseconds ticketLeadTime(const ReadyStep &ready, std::size_t upstreams);
@@ -67,7 +70,8 @@
 
     std::vector<UpstreamCapacity *>
     chooseUpstreams(const ReadyStep &ready, std::uint32_t tasks, const ServicePool &pool, const AvailableCapacity &availableOn) const;
-    std::vector<UpstreamCapacity *> chooseForGang(const ReadyStep &ready, const ServicePool &pool, const std::vector<UpstreamCapacity *> &reserved) const;
+    bool mayQuery(const ReadyStep &ready) const;
+    std::vector<UpstreamCapacity *> chooseForLargeWork(const ReadyStep &ready, const ServicePool &pool, const std::vector<UpstreamCapacity *> &reserved) const;
     UpstreamGroups groupUpstreams(const ReadyStep &ready, std::uint32_t tasks, const ServicePool &pool, const AvailableCapacity &availableOn) const;
     void addFull(const ReadyStep &ready, const UpstreamGroups &groups, std::vector<UpstreamCapacity *> &chosen) const;
     void addNotQueried(const ReadyStep &ready,
--- a/src/cell/Planner.cpp
+++ b/src/cell/Planner.cpp
@@ -13,8 +13,8 @@
 namespace
 {
 
-/// Waiting gangs reserve at most the number of upstreams of a service divided by this, or as many as the first gang has tasks: reserved upstreams stand idle
-/// until enough capacity is free.
+/// Waiting large work reserves at most the number of upstreams of a service divided by this, or as many as the first gang has tasks: reserved upstreams stand
+/// idle until enough capacity is free.
 constexpr std::size_t ReservableUpstreamsDivisor = 4;
 
 } // namespace
@@ -43,14 +43,13 @@
         if (unplaced.empty() || ready.queue == nullptr) {
             continue;
         }
-        if (ready.step->gang && !this->admitGang(ready, pool)) {
-            continue;
+        auto query = ready.step->gang ? std::nullopt : this->queryPlanner.planQuery(ready, static_cast<std::uint32_t>(unplaced.size()), pool);
+        const bool waitsForTicketsOnly = query && query->timing == QueryTiming::Immediate;
+        if (ready.step->gang || (pool.isLargeTask(*ready.step) && !waitsForTicketsOnly)) {
+            query = this->reserveForLargeWork(ready, static_cast<std::uint32_t>(unplaced.size()), pool);
         }
-        const std::vector<UpstreamCapacity *> reserved = ready.step->gang ? this->reserveUpstreams(ready, pool) : std::vector<UpstreamCapacity *>();
-        if (ready.queue->advice) {
-            if (auto query = this->queryPlanner.planQuery(ready, static_cast<std::uint32_t>(unplaced.size()), pool, reserved)) {
-                this->plan.adviceQueries.push_back(std::move(*query));
-            }
+        if (query) {
+            this->plan.adviceQueries.push_back(std::move(*query));
         }
     }
     this->plan.preemptions = this->preemptor.takePreemptions();
@@ -204,31 +203,41 @@
     return reservable;
 }
 
-/// Waiting gangs reserve upstreams and send advice queries only while the service could hold all of them at once; gangs later in the order would find no
+/// Reserves upstreams for large work that does not fit, and returns the query for their tickets, if one is needed now.
+std::optional<AdviceQuery> Planner::reserveForLargeWork(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool)
+{
+    // The tasks of a gang start together; other large tasks get their capacity one by one.
+    const std::uint32_t tasks = ready.step->gang ? unplaced : 1;
+    if (!this->admitLargeWork(ready, tasks, pool)) {
+        return std::nullopt;
+    }
+    const std::vector<UpstreamCapacity *> reserved = this->reserveUpstreams(ready, tasks, pool);
+    return this->queryPlanner.planLargeQuery(ready, unplaced, pool, reserved);
+}
+
+/// Waiting large work reserves upstreams and sends advice queries only while the service could hold all of it at once; work later in the order would find no
 /// capacity left.
-bool Planner::admitGang(const ReadyStep &ready, ServicePool &pool)
+bool Planner::admitLargeWork(const ReadyStep &ready, std::uint32_t tasks, ServicePool &pool)
 {
-    if (!pool.gangBudget) {
-        pool.gangBudget = Capacity();
+    if (!pool.largeWorkBudget) {
+        pool.largeWorkBudget = Capacity();
         for (const UpstreamCapacity *capacity : pool.capacities) {
             if (capacity->usable) {
-                pool.gangBudget->addShare(this->preemptor.reclaimableCapacity(ready, *capacity), 1.0);
+                pool.largeWorkBudget->addShare(this->preemptor.reclaimableCapacity(ready, *capacity), 1.0);
             }
         }
     }
-    const auto tasks = static_cast<std::uint32_t>(ready.waiting.size());
-    if (pool.gangBudget->countFitting(*ready.step, tasks) < tasks) {
+    if (pool.largeWorkBudget->countFitting(*ready.step, tasks) < tasks) {
         return false;
     }
-    pool.gangBudget->allocate(*ready.step, tasks);
+    pool.largeWorkBudget->allocate(*ready.step, tasks);
     return true;
 }
 
-/// Reserves the upstreams where the fewest runs must be preempted for the gang, and returns them. When preemption cannot free enough capacity, reserves for
+/// Reserves the upstreams where the fewest runs must be preempted for the tasks, and returns them. When preemption cannot free enough capacity, reserves for
 /// later; see reserveForLater().
-std::vector<UpstreamCapacity *> Planner::reserveUpstreams(const ReadyStep &ready, ServicePool &pool)
+std::vector<UpstreamCapacity *> Planner::reserveUpstreams(const ReadyStep &ready, std::size_t tasks, ServicePool &pool)
 {
-    const std::size_t tasks = ready.waiting.size();
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
     std::vector<ReservationOption> options;
     std::size_t reclaimable = 0;
@@ -260,15 +269,15 @@
         ++chosen;
     }
     if (reclaimable < tasks || covered < tasks) {
-        return this->reserveForLater(ready, std::move(options), maxReserved - alreadyReserved);
+        return this->reserveForLater(ready, tasks, std::move(options), maxReserved - alreadyReserved);
     }
     options.resize(chosen);
-    return this->reserveExclusively(ready, options);
+    return this->reserveExclusively(ready, tasks, options);
 }
 
-/// Closes the upstreams where the gang is expected to fit first, at most `most`, to work that could not be preempted for it. Once the remaining time is about
-/// that of an advice query, closes them to all other work and returns them, so that the tickets are there when the capacity is.
-std::vector<UpstreamCapacity *> Planner::reserveForLater(const ReadyStep &ready, std::vector<ReservationOption> options, std::size_t most)
+/// Closes the upstreams where the tasks are expected to fit first, at most `most`, to work that could not be preempted for them. Once the remaining time is
+/// about that of an advice query, closes them to all other work and returns them, so that the tickets are there when the capacity is.
+std::vector<UpstreamCapacity *> Planner::reserveForLater(const ReadyStep &ready, std::size_t tasks, std::vector<ReservationOption> options, std::size_t most)
 {
     for (ReservationOption &option : options) {
         option.fitsIn = this->preemptor.timeUntilFits(ready, *option.capacity).value_or(std::chrono::milliseconds::max());
@@ -277,7 +286,6 @@
         return std::make_tuple(left.fitsIn, !left.hasTicket, left.capacity->upstream->number)
             < std::make_tuple(right.fitsIn, !right.hasTicket, right.capacity->upstream->number);
     });
-    const std::size_t tasks = ready.waiting.size();
     options.resize(std::min({options.size(), tasks, most}));
     const bool imminent = options.size() == tasks && options.back().fitsIn <= AdviceQueryPlanner::ticketLeadTime(ready, tasks);
     std::vector<UpstreamCapacity *> reserved;
@@ -288,12 +296,12 @@
     return imminent ? reserved : std::vector<UpstreamCapacity *>();
 }
 
-std::vector<UpstreamCapacity *> Planner::reserveExclusively(const ReadyStep &ready, const std::vector<ReservationOption> &options)
+std::vector<UpstreamCapacity *> Planner::reserveExclusively(const ReadyStep &ready, std::size_t tasks, const std::vector<ReservationOption> &options)
 {
     std::vector<UpstreamCapacity *> reserved;
     std::size_t covered = 0;
     for (const ReservationOption &option : options) {
-        for (std::uint32_t i = 0; i < option.fittingTasks && covered < ready.waiting.size(); ++i) {
+        for (std::uint32_t i = 0; i < option.fittingTasks && covered < tasks; ++i) {
             covered += this->preemptor.preemptFor(ready, *option.capacity) ? 1 : 0;
         }
         option.capacity->reservation = Reservation::Exclusive;
--- a/src/cell/Planner.h
+++ b/src/cell/Planner.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,8 +37,8 @@
 /// Load pattern: three kinds of work share the upstreams. Quick work (priority 0) comes in bursts and must start at once, so other work leaves headroom for it.
 /// Fillers never share an upstream with tasks that serve users, since they would slow those down. All tasks of a gang start together or none does. A zone that
 /// is cut off must not delay jobs of other zones, so a job stays in its submitter's zone while there is free capacity. Small work that keeps all upstreams
-/// partly used would starve gangs that need whole upstreams, so small work on accelerators goes where the least capacity is free, and a gang that does not fit
-/// reserves upstreams, where nothing else starts.
+/// partly used would starve gangs and tasks that need most of an upstream, so small work on accelerators goes where the least capacity is free, and large work
+/// that does not fit reserves upstreams, where nothing else starts.
 class Planner
 {
 public:
@@ -54,11 +55,11 @@
         bool otherZone = false; ///< Not in the submitter's zone.
     };
 
-    /// An upstream that could be reserved for a waiting gang.
+    /// An upstream that could be reserved for waiting large work.
     struct ReservationOption {
-        std::size_t preemptions = 0; ///< Runs to stop before its first task of the gang fits.
+        std::size_t preemptions = 0; ///< Runs to stop before a first task fits.
         bool hasTicket = false; ///< No new ticket is needed for the upstream.
-        std::uint32_t fittingTasks = 0; ///< Tasks of the gang that fit into the reclaimable capacity.
+        std::uint32_t fittingTasks = 0; ///< Tasks of the step that fit into the reclaimable capacity.
         std::chrono::milliseconds fitsIn{0}; ///< Expected time until one task fits; see Preemptor::timeUntilFits().
         UpstreamCapacity *capacity = nullptr;
 
@@ -71,10 +72,11 @@
     std::vector<std::uint32_t> placeTasks(const ReadyStep &ready, ServicePool &pool);
     std::vector<std::uint32_t> placeGang(const ReadyStep &ready, ServicePool &pool);
     std::vector<UpstreamCapacity *> reservableUpstreams(const ReadyStep &ready, const ServicePool &pool) const;
-    bool admitGang(const ReadyStep &ready, ServicePool &pool);
-    std::vector<UpstreamCapacity *> reserveUpstreams(const ReadyStep &ready, ServicePool &pool);
-    std::vector<UpstreamCapacity *> reserveForLater(const ReadyStep &ready, std::vector<ReservationOption> options, std::size_t most);
-    std::vector<UpstreamCapacity *> reserveExclusively(const ReadyStep &ready, const std::vector<ReservationOption> &options);
+    std::optional<AdviceQuery> reserveForLargeWork(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool);
+    bool admitLargeWork(const ReadyStep &ready, std::uint32_t tasks, ServicePool &pool);
+    std::vector<UpstreamCapacity *> reserveUpstreams(const ReadyStep &ready, std::size_t tasks, ServicePool &pool);
+    std::vector<UpstreamCapacity *> reserveForLater(const ReadyStep &ready, std::size_t tasks, std::vector<ReservationOption> options, std::size_t most);
+    std::vector<UpstreamCapacity *> reserveExclusively(const ReadyStep &ready, std::size_t tasks, const std::vector<ReservationOption> &options);
     void planStart(const ReadyStep &ready, std::uint32_t task, std::uint32_t attempt, UpstreamCapacity &capacity, ServicePool &pool);
     void undoStarts(const ReadyStep &ready, std::size_t firstUndone, ServicePool &pool);
 
--- a/src/cell/ServicePool.cpp
+++ b/src/cell/ServicePool.cpp
@@ -20,6 +20,12 @@
 
 } // namespace
 
+bool ServicePool::isLargeTask(const wire::StepT &step) const
+{
+    const auto pair = static_cast<std::uint32_t>(2 * this->usableUpstreams);
+    return this->load.usable.countFitting(step, pair) < pair;
+}
+
 std::int64_t ServicePool::headroomCpuMillis() const
 {
     return this->servesUrgent ? static_cast<std::int64_t>(UrgentHeadroomShare * static_cast<double>(this->load.usable.cpuMillis)) : 0;
@@ -43,6 +49,7 @@
         pool.capacities.push_back(&capacity);
         pool.load.runs += capacity.runs;
         if (capacity.usable) {
+            ++pool.usableUpstreams;
             addNonNegative(pool.load.usable, Capacity::totalOf(*capacity.upstream));
             addNonNegative(pool.load.free, capacity.free);
         }
--- a/src/cell/ServicePool.h
+++ b/src/cell/ServicePool.h
@@ -27,12 +27,16 @@
 /// the Planner, for one plan.
 struct ServicePool {
     std::vector<UpstreamCapacity *> capacities; ///< Ordered by upstream number; owned by the CapacityTable.
+    std::size_t usableUpstreams = 0;
     Capacity unreserved; ///< Free capacity, less what steps with a pending advice query are expected to use.
-    /// Free or reclaimable capacity, less the needs of the waiting gangs admitted in this plan; empty until the first of them.
-    std::optional<Capacity> gangBudget;
+    /// Free or reclaimable capacity, less the needs of the waiting large work admitted in this plan; empty until the first of it.
+    std::optional<Capacity> largeWorkBudget;
     bool servesUrgent = false; ///< Some queue of priority 0 sends work to this service.
     ServiceLoad load;
 
+    /// Whether a task of the step takes more than half of an average upstream, so that small tasks on every upstream could keep it waiting for ever.
+    bool isLargeTask(const wire::StepT &step) const;
+
     /// Processor time that work of other priorities leaves free for urgent work, in thousandths of a core.
     std::int64_t headroomCpuMillis() const;
 };
--- a/tests/cell/PreemptorTest.cpp
+++ b/tests/cell/PreemptorTest.cpp
@@ -163,6 +163,23 @@
     BOOST_TEST(cell.plan().preemptions.size() <= 4U);
 }
 
+/// Load pattern: small tasks keep every upstream partly used, and single tasks that need most of an upstream never find one free.
+BOOST_AUTO_TEST_CASE(aLargeTaskPreemptsWorkThatSavesItsProgress)
+{
+    FullCell cell;
+    cell.accept(support::job("large", support::step(2, 2500)));
+    const Plan plan = cell.plan();
+    BOOST_TEST(plan.starts.empty());
+    BOOST_TEST(plan.preemptions.size() == 2U); // Both, for one of the two tasks.
+}
+
+BOOST_AUTO_TEST_CASE(aSmallTaskPreemptsNothing)
+{
+    FullCell cell;
+    cell.accept(support::job("small", support::step(1, 1500)));
+    BOOST_TEST(cell.plan().preemptions.empty());
+}
+
 /// Load pattern: a gang's few allowed upstreams are all busy with work that cannot be preempted, and single tasks that could be are waiting as well.
 struct BusyCell : PlannedCell {
     BusyCell()
