Members that all restarted elect without waiting for the restart grace

Cause: after all VMs lost power a leader came 1.0 s after the last member's start, of which 0.62 s is the wait for a leader that cannot exist.

Change: a member trusts its disk at once when all other members answer that they have restarted and heard no leader either; a member that trusted its disk so goes on saying so until it hears a leader. A lease from before cannot be alive then, since every process that could hold one has ended.

RestartTest: 27 of 30 elections within the grace, none before.

--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -206,6 +206,7 @@
     this->leader = vm;
     this->lastLeaderContact = now;
     this->presences.clear();
+    this->trustedWithoutLeader = false;
     this->nextProbe = now + this->options.timings.formationSettle;
     this->resetElectionDeadline(now);
 }
--- a/src/replication/Core.h
+++ b/src/replication/Core.h
@@ -253,6 +253,7 @@
     std::shared_ptr<const Snapshot> latestSnapshot;
     std::shared_ptr<const std::string> encodedSnapshot; ///< The encoded latestSnapshot; created when it is first sent.
     std::map<std::string, LogPosition> acknowledged; ///< The highest position known to be acknowledged by each member, by VM.
+    bool trustedWithoutLeader = false; ///< Trusted its disk after a restart, and has neither led nor heard a leader since.
     LogPosition voteFloor; ///< The most advanced log known when this member trusted its disk without a leader; it refuses votes to logs below this.
     base::SteadyTime lastLeaderContact; ///< Starts at this boot's start.
     base::SteadyTime electionDeadline;
--- a/src/replication/CoreElection.cpp
+++ b/src/replication/CoreElection.cpp
@@ -21,7 +21,7 @@
     return std::any_of(active.begin(), active.end(), [this](const Membership *members) { return members->find(this->options.ownVm) != nullptr; });
 }
 
-/// When all members have just restarted, none of them can be the leader that the restart grace waits for.
+/// When all members have restarted and none has heard a leader since, none of them can be the leader that the restart grace waits for.
 bool Core::allMembersRestarted(base::SteadyTime now) const
 {
     const std::vector<std::string> others = this->otherMembers();
@@ -60,6 +60,7 @@
 {
     if (this->ownStanding == Standing::Unproven && this->mayTrustDisk(now)) {
         this->setStanding(Standing::Full);
+        this->trustedWithoutLeader = true;
         for (const auto &[vm, presence] : this->presences) {
             this->voteFloor = std::max(this->voteFloor, presence.position);
         }
--- a/src/replication/CoreFormation.cpp
+++ b/src/replication/CoreFormation.cpp
@@ -47,7 +47,8 @@
     reply.index = this->entries.last().index;
     reply.logTerm = this->entries.last().term;
     reply.granted = this->hasLeaderContact(now, this->options.timings.formationSettle);
-    reply.standing = this->ownStanding;
+    // Until it hears a leader, such a member goes on answering as unproven: the others learn from it that it has restarted, too.
+    reply.standing = this->trustedWithoutLeader ? Standing::Unproven : this->ownStanding;
     reply.commit = this->commit;
     reply.commitTerm = this->entries.termAt(this->commit).value_or(0);
     if (const auto known = this->acknowledged.find(message.from); known != this->acknowledged.end()) {
--- a/src/replication/CoreLeader.cpp
+++ b/src/replication/CoreLeader.cpp
@@ -23,6 +23,7 @@
     this->leader = this->options.ownVm;
     this->votes.clear();
     this->presences.clear();
+    this->trustedWithoutLeader = false;
     this->progresses.clear();
     this->handingOver = false;
     this->lastMajorityContact = now;
