A task placed on an upstream that was removed meanwhile is placed again

Cause: a placement that is committed after its upstream was removed, or lost, was taken up by nobody: its start was put off every 20 ms for ever, and a gang with such a member waited with it.

Change: such a run ends as never started; runs of a lost upstream are ended at each tick, not only at the moment of the loss. The new test fails without it.

--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -80,6 +80,11 @@
 
 void RunManager::sendStart(TrackedRun &run, base::SteadyTime now)
 {
+    if (!this->context.upstreamRecord(run.upstream)) {
+        // The upstream was removed while the placement was being committed.
+        this->proposeEnd(run, run.startRequests == 0 ? wire::EndKind::NeverStarted : wire::EndKind::UpstreamGone, run.checkpoint);
+        return;
+    }
     const auto tracker = this->context.trackers.find(run.upstream);
     if (tracker == this->context.trackers.end() || !tracker->second.readBack || !this->context.holdsLease()) {
         run.nextCall = now + StartRetryInterval;
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -177,8 +177,8 @@
                             tracker.silentCalls,
                             this->context.runs.countOnUpstream(number));
                 tracker.readBack = false;
-                this->endAllRuns(number);
             }
+            this->endAllRuns(number); // At each tick, since a placement may have been committed after the loss.
             if (now - tracker.announcedAt > RemoveAfter && this->context.runs.countOnUpstream(number) == 0) {
                 this->removeUpstream(number);
                 continue;
--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -205,6 +205,28 @@
     BOOST_TEST(rig.advice.queries == 2);
 }
 
+/// Load pattern: upstreams leave in numbers, some of them while a plan that uses them is being committed.
+BOOST_AUTO_TEST_CASE(aTaskPlacedOnAnUpstreamThatIsRemovedBeforeTheCommitRunsElsewhere)
+{
+    CellRig rig;
+    auto rules = support::rules(2);
+    rules->queues.front()->advice = std::make_unique<cell::wire::AdviceT>();
+    rules->queues.front()->advice->valid_ms = 2000;
+    rig.putRules(std::move(rules));
+    rig.addUpstream("u1", 8000);
+    rig.advice.onQuery = [&rig] { rig.group.stalls = rig.advice.queries == 1; };
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.advice.queries == 1; }));
+    auto &scripted = rig.upstreams.upstreams["u1"];
+    scripted.reachable = false;
+    scripted.unreachableStatus = cell::UpstreamCallStatus::Absent;
+    rig.leave("u1");
+    rig.run(milliseconds(100));
+    rig.group.resume();
+    rig.addUpstream("u2", 8000);
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf(First) == "u2"; }));
+}
+
 /// Load pattern: a share of all requests to upstreams gets no answer, while the upstreams work on.
 BOOST_AUTO_TEST_CASE(anUpstreamThatLeavesOneRenewalUnansweredStaysInUse)
 {
