Runs of removed upstreams end, also those that a new leader adopts

Cause: a run that the log records on an upstream that is no longer registered belonged to nobody: the upstream's own loss or removal had been handled before the run was tracked, or by an earlier leader. Its task, and a gang with such a member, waited for ever. Such runs are now ended by the periodic check of all runs, which replaces the check at the start request.

--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -80,11 +80,6 @@
 
 void RunManager::sendStart(TrackedRun &run, base::SteadyTime now)
 {
-    if (!this->context.upstreamRecord(run.upstream)) {
-        // The upstream was removed while the placement was being committed.
-        this->proposeEnd(run, run.startRequests == 0 ? wire::EndKind::NeverStarted : wire::EndKind::UpstreamGone, run.checkpoint);
-        return;
-    }
     const auto tracker = this->context.trackers.find(run.upstream);
     if (tracker == this->context.trackers.end() || !tracker->second.readBack || !this->context.holdsLease()) {
         run.nextCall = now + StartRetryInterval;
@@ -314,6 +309,7 @@
 bool RunManager::reconcile(const std::set<std::uint64_t> &jobs)
 {
     std::vector<RunKey> toStop;
+    std::vector<RunKey> gone;
     this->context.store.read([&](const CellState &state) {
         for (const std::uint64_t job : jobs) {
             const std::vector<RunKey> keys = this->context.runs.runsOfJob(job);
@@ -325,6 +321,9 @@
             }
             for (const RunKey &key : keys) {
                 const TrackedRun &run = *this->context.runs.find(key);
+                if (state.upstreams().count(run.upstream) == 0) {
+                    gone.push_back(key);
+                }
                 if (run.phase == RunPhase::Stopping || run.endProposed) {
                     continue;
                 }
@@ -340,6 +339,10 @@
     for (const RunKey &key : toStop) {
         this->requestStop(*this->context.runs.find(key));
     }
+    for (const RunKey &key : gone) {
+        TrackedRun &run = *this->context.runs.find(key);
+        this->proposeEnd(run, wire::EndKind::UpstreamGone, run.checkpoint);
+    }
     return !toStop.empty();
 }
 
--- a/src/cell/RunManager.h
+++ b/src/cell/RunManager.h
@@ -31,7 +31,7 @@
     void requestStop(TrackedRun &run);
 
     /// Marks the runs that are no longer needed for stopping: of tasks that are done, of jobs that have ended, and of gangs that lost a member. Returns whether
-    /// there was any.
+    /// there was any. Ends the runs of upstreams that have been removed, for example while a placement there was being committed or before this leader's term.
     bool reconcile();
 
     /// As above, for these jobs only.
--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -1,6 +1,7 @@
 #include "cell/CellTerm.h"
 
 #include "cell/CellRig.h"
+#include "cell/Codec.h"
 #include "support/Seed.h"
 
 #include <boost/test/unit_test.hpp>
@@ -227,6 +228,24 @@
     BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf(First) == "u2"; }));
 }
 
+/// The same load pattern around a change of leader: the new one finds a run on an upstream that it does not know.
+BOOST_AUTO_TEST_CASE(anAdoptedRunOnAnUpstreamThatWasRemovedIsPlacedAgain)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.upstreamOf(First).empty(); }));
+    auto &scripted = rig.upstreams.upstreams["u1"];
+    scripted.reachable = false;
+    scripted.running.clear();
+    auto removed = support::upstream("u1", 8000);
+    removed->gone = true;
+    rig.store.apply(0, cell::pack<cell::wire::Command>(support::announce(std::move(removed))));
+    rig.takeOver();
+    rig.addUpstream("u2", 8000);
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf(First) == "u2"; }));
+}
+
 /// Load pattern: a share of all requests to upstreams gets no answer, while the upstreams work on.
 BOOST_AUTO_TEST_CASE(anUpstreamThatLeavesOneRenewalUnansweredStaysInUse)
 {
