Revert the reservation by expected ends and the tickets ahead of them

By reading: a run that has outlasted its estimate counts as ending now, so a gang could hold it for imminent and ask only for its tickets, again and again, instead of for further upstreams.

Kept: reservations for large single tasks.

--- a/src/cell/AdviceQueryPlanner.cpp
+++ b/src/cell/AdviceQueryPlanner.cpp
@@ -24,8 +24,6 @@
 constexpr double FullUpstreamsCostShare = 0.25;
 /// Factor on the tickets queried for a gang, which needs all of them at once.
 constexpr double GangTicketMargin = 1.5;
-/// Tickets for capacity that is still in use are to arrive this long before it is expected to be free, since the expectation is rough.
-constexpr std::chrono::milliseconds TicketHeadStart{300};
 /// Maximum number of upstreams named beyond the likely need.
 constexpr double MaxSpareUpstreams = 8;
 
@@ -60,11 +58,6 @@
 {
 }
 
-std::chrono::milliseconds AdviceQueryPlanner::ticketLeadTime(const ReadyStep &ready, std::size_t upstreams)
-{
-    return ready.queue->advice ? queryDuration(*ready.queue->advice, upstreams) + TicketHeadStart : std::chrono::milliseconds(0);
-}
-
 void AdviceQueryPlanner::reserveForPendingQuery(const ReadyStep &ready, ServicePool &pool, CapacityTable &capacities) const
 {
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
--- a/src/cell/AdviceQueryPlanner.h
+++ b/src/cell/AdviceQueryPlanner.h
@@ -52,9 +52,6 @@
     std::optional<AdviceQuery>
     planLargeQuery(const ReadyStep &ready, std::uint32_t unplaced, const ServicePool &pool, const std::vector<UpstreamCapacity *> &reserved) const;
 
-    /// How long before the capacity is free a query about so many upstreams is sent, so that its answer comes a little earlier.
-    static std::chrono::milliseconds ticketLeadTime(const ReadyStep &ready, std::size_t upstreams);
-
 private:
     /// The upstreams that may run the step, grouped by what earlier advice says of them.
     struct UpstreamGroups {
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -171,7 +171,7 @@
     if (const TrackedRun *run = this->context.runs.find(key)) {
         view.stopping = run->phase == RunPhase::Stopping || run->endProposed;
         view.confirmed = run->phase == RunPhase::Confirmed && !run->endProposed;
-        view.progress = run->progress;
+        view.percent = std::max(run->percent, 0);
     }
     return view;
 }
@@ -181,7 +181,7 @@
     static observe::Counter &preemptions = observe::counter("cranberryreel_cell_preemptions_total", "Runs stopped for work of a higher priority.");
     for (const RunKey &key : stops) {
         if (TrackedRun *run = this->context.runs.find(key)) {
-            Logger.info("event=preempted task={} attempt={} number={} percent={}", run->task, key.attempt, run->upstream, run->progress.percent());
+            Logger.info("event=preempted task={} attempt={} number={} percent={}", run->task, key.attempt, run->upstream, run->percent);
             preemptions.add();
             this->runs.requestStop(*run);
         }
--- a/src/cell/PlanInput.h
+++ b/src/cell/PlanInput.h
@@ -2,7 +2,6 @@
 
 #include "cell/AdviceCache.h"
 #include "cell/CellState.h"
-#include "cell/RunProgress.h"
 #include "cell/TaskKey.h"
 #include "cell/UpstreamTracker.h"
 
@@ -20,7 +19,7 @@
 struct RunView {
     bool stopping = false; ///< A stop was requested, or the end is on its way into the log.
     bool confirmed = false; ///< The upstream confirmed the run, and neither a stop nor an end is pending.
-    RunProgress progress;
+    int percent = 0; ///< Progress, 0 to 100.
 };
 
 /// The input of one plan. Refers to data of the caller, which must outlive the plan.
--- a/src/cell/Planner.cpp
+++ b/src/cell/Planner.cpp
@@ -234,8 +234,8 @@
     return true;
 }
 
-/// Reserves the upstreams where the fewest runs must be preempted for the tasks, and returns them. When preemption cannot free enough capacity, reserves for
-/// later; see reserveForLater().
+/// Reserves the upstreams where the fewest runs must be preempted for the tasks, and returns them. When preemption cannot free enough capacity, some upstreams
+/// are closed to work that could not be preempted later, and none is returned.
 std::vector<UpstreamCapacity *> Planner::reserveUpstreams(const ReadyStep &ready, std::size_t tasks, ServicePool &pool)
 {
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
@@ -246,12 +246,8 @@
         const std::uint32_t most = std::min(ready.step->tasks, this->rules.remainingTaskLimit(ready, *capacity));
         const std::uint32_t fittingTasks = std::min(most, this->preemptor.reclaimableCapacity(ready, *capacity).countFitting(*ready.step, most));
         const bool hasTicket = this->rules.hasRequiredTicket(ready, advice, *capacity);
-        ReservationOption option;
-        option.preemptions = this->preemptor.preemptionCost(ready, *capacity).value_or(std::numeric_limits<std::size_t>::max());
-        option.hasTicket = hasTicket;
-        option.fittingTasks = fittingTasks;
-        option.capacity = capacity;
-        options.push_back(option);
+        options.push_back(
+            {this->preemptor.preemptionCost(ready, *capacity).value_or(std::numeric_limits<std::size_t>::max()), hasTicket, fittingTasks, capacity});
         reclaimable += fittingTasks;
         fittingWhenEmpty += Capacity::totalOf(*capacity->upstream).countFitting(*ready.step, most);
     }
@@ -262,38 +258,21 @@
         return {};
     }
     std::sort(options.begin(), options.end());
+    const bool reclaimableNow = reclaimable >= tasks;
     std::size_t covered = 0;
     std::size_t chosen = 0;
     while (chosen < options.size() && covered < tasks && alreadyReserved + chosen < maxReserved) {
-        covered += options[chosen].fittingTasks;
+        covered += reclaimableNow ? options[chosen].fittingTasks : 1;
         ++chosen;
     }
-    if (reclaimable < tasks || covered < tasks) {
-        return this->reserveForLater(ready, tasks, std::move(options), maxReserved - alreadyReserved);
-    }
     options.resize(chosen);
-    return this->reserveExclusively(ready, tasks, options);
-}
-
-/// Closes the upstreams where the tasks are expected to fit first, at most `most`, to work that could not be preempted for them. Once the remaining time is
-/// about that of an advice query, closes them to all other work and returns them, so that the tickets are there when the capacity is.
-std::vector<UpstreamCapacity *> Planner::reserveForLater(const ReadyStep &ready, std::size_t tasks, std::vector<ReservationOption> options, std::size_t most)
-{
-    for (ReservationOption &option : options) {
-        option.fitsIn = this->preemptor.timeUntilFits(ready, *option.capacity).value_or(std::chrono::milliseconds::max());
-    }
-    std::sort(options.begin(), options.end(), [](const ReservationOption &left, const ReservationOption &right) {
-        return std::make_tuple(left.fitsIn, !left.hasTicket, left.capacity->upstream->number)
-            < std::make_tuple(right.fitsIn, !right.hasTicket, right.capacity->upstream->number);
-    });
-    options.resize(std::min({options.size(), tasks, most}));
-    const bool imminent = options.size() == tasks && options.back().fitsIn <= AdviceQueryPlanner::ticketLeadTime(ready, tasks);
-    std::vector<UpstreamCapacity *> reserved;
-    for (const ReservationOption &option : options) {
-        option.capacity->reservation = imminent ? Reservation::Exclusive : Reservation::PreemptibleOnly;
-        reserved.push_back(option.capacity);
+    if (!reclaimableNow || covered < tasks) {
+        for (const ReservationOption &option : options) {
+            option.capacity->reservation = Reservation::PreemptibleOnly;
+        }
+        return {};
     }
-    return imminent ? reserved : std::vector<UpstreamCapacity *>();
+    return this->reserveExclusively(ready, tasks, options);
 }
 
 std::vector<UpstreamCapacity *> Planner::reserveExclusively(const ReadyStep &ready, std::size_t tasks, const std::vector<ReservationOption> &options)
--- a/src/cell/Planner.h
+++ b/src/cell/Planner.h
@@ -8,7 +8,6 @@
 #include "cell/ServicePool.h"
 #include "cell/UpstreamCapacity.h"
 
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -60,7 +59,6 @@
         std::size_t preemptions = 0; ///< Runs to stop before a first task fits.
         bool hasTicket = false; ///< No new ticket is needed for the upstream.
         std::uint32_t fittingTasks = 0; ///< Tasks of the step that fit into the reclaimable capacity.
-        std::chrono::milliseconds fitsIn{0}; ///< Expected time until one task fits; see Preemptor::timeUntilFits().
         UpstreamCapacity *capacity = nullptr;
 
         bool operator<(const ReservationOption &other) const;
@@ -75,7 +73,6 @@
     std::optional<AdviceQuery> reserveForLargeWork(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool);
     bool admitLargeWork(const ReadyStep &ready, std::uint32_t tasks, ServicePool &pool);
     std::vector<UpstreamCapacity *> reserveUpstreams(const ReadyStep &ready, std::size_t tasks, ServicePool &pool);
-    std::vector<UpstreamCapacity *> reserveForLater(const ReadyStep &ready, std::size_t tasks, std::vector<ReservationOption> options, std::size_t most);
     std::vector<UpstreamCapacity *> reserveExclusively(const ReadyStep &ready, std::size_t tasks, const std::vector<ReservationOption> &options);
     void planStart(const ReadyStep &ready, std::uint32_t task, std::uint32_t attempt, UpstreamCapacity &capacity, ServicePool &pool);
     void undoStarts(const ReadyStep &ready, std::size_t firstUndone, ServicePool &pool);
--- a/src/cell/Preemptor.cpp
+++ b/src/cell/Preemptor.cpp
@@ -1,7 +1,6 @@
 #include "cell/Preemptor.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -48,16 +47,9 @@
         const RunView view = this->input.viewRun(key);
         if (view.stopping) {
             capacity->freeAfterStops.release(step);
-            return;
-        }
-        if (!step.lasting) {
-            const std::chrono::milliseconds estimate(step.estimate_ms);
-            this->endingRuns[run.upstream].push_back({key, &step, view.progress.remainingTime(estimate, this->input.now)});
-        }
-        const int percent = std::max(view.progress.percent(), 0);
-        if (view.confirmed && percent <= NearlyDonePercent && isPreemptible(step) && run.attempt < PreemptionAttemptLimit) {
+        } else if (view.confirmed && view.percent <= NearlyDonePercent && isPreemptible(step) && run.attempt < PreemptionAttemptLimit) {
             if (const auto estimate = deadlines.estimate(job, task.step.occurrence, queue)) {
-                this->victims[run.upstream].push_back({key, queue->priority, percent, &step, estimate->slackTime});
+                this->victims[run.upstream].push_back({key, queue->priority, view.percent, &step, estimate->slackTime});
             }
         }
     });
@@ -67,34 +59,6 @@
                 < std::make_tuple(-right.priority, right.percent, right.run.task.step.job);
         });
     }
-    for (auto &[upstream, endingHere] : this->endingRuns) {
-        std::sort(endingHere.begin(), endingHere.end(), [](const EndingRun &left, const EndingRun &right) {
-            return std::tie(left.remainingTime, left.run) < std::tie(right.remainingTime, right.run);
-        });
-    }
-}
-
-std::optional<std::chrono::milliseconds> Preemptor::timeUntilFits(const ReadyStep &ready, const UpstreamCapacity &capacity)
-{
-    Capacity available = this->reclaimableCapacity(ready, capacity);
-    if (available.countFitting(*ready.step, 1) > 0) {
-        return std::chrono::milliseconds(0);
-    }
-    std::set<RunKey> reclaimed;
-    for (const Victim &victim : this->victimsOn(capacity)) {
-        if (canPreempt(victim, ready)) {
-            reclaimed.insert(victim.run);
-        }
-    }
-    for (const EndingRun &ending : this->endingRuns[capacity.upstream->number]) {
-        if (reclaimed.count(ending.run) == 0) {
-            available.release(*ending.step);
-            if (available.countFitting(*ready.step, 1) > 0) {
-                return ending.remainingTime;
-            }
-        }
-    }
-    return std::nullopt;
 }
 
 std::vector<Preemptor::Victim> &Preemptor::victimsOn(const UpstreamCapacity &capacity)
--- a/src/cell/Preemptor.h
+++ b/src/cell/Preemptor.h
@@ -33,10 +33,6 @@
     /// suffices.
     bool preemptFor(const ReadyStep &ready, UpstreamCapacity &capacity);
 
-    /// Expected time until one more task of the step fits on the upstream: zero where reclaimableCapacity() suffices, otherwise until enough of the other runs
-    /// have ended. Empty when they never end.
-    std::optional<std::chrono::milliseconds> timeUntilFits(const ReadyStep &ready, const UpstreamCapacity &capacity);
-
     /// The runs chosen by preemptFor(); later calls return none.
     std::vector<RunKey> takePreemptions();
 
@@ -50,13 +46,6 @@
         std::chrono::milliseconds slackTime{0}; ///< How long its job can wait.
     };
 
-    /// A run that ends by itself.
-    struct EndingRun {
-        RunKey run;
-        const wire::StepT *step = nullptr;
-        std::chrono::milliseconds remainingTime{0}; ///< Expected.
-    };
-
     static bool canPreempt(const Victim &victim, const ReadyStep &ready);
 
     /// Indices of the fewest runs on the upstream to stop so that one more task fits; `enough` is set to whether that suffices.
@@ -69,7 +58,6 @@
     CapacityTable &capacities;
     bool collected = false;
     std::map<std::uint64_t, std::vector<Victim>> victims; ///< By upstream number; lowest priority first, then least progress.
-    std::map<std::uint64_t, std::vector<EndingRun>> endingRuns; ///< By upstream number; the first to end comes first.
     std::vector<RunKey> preemptions;
 };
 
--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -52,6 +52,7 @@
             run.upstream = recorded.upstream;
             run.phase = RunPhase::Adopted;
             run.startedAt = now;
+            run.lastProgressAt = now;
             this->context.runs.add(std::move(run));
         });
     });
@@ -158,6 +159,7 @@
     if (result.status == UpstreamCallStatus::Done) {
         run->phase = RunPhase::Confirmed;
         run->startedAt = now;
+        run->lastProgressAt = now;
         if (found != this->context.trackers.end()) {
             found->second.nextRenewal = std::min(found->second.nextRenewal, now);
         }
--- a/src/cell/SlowUpstreamDetector.cpp
+++ b/src/cell/SlowUpstreamDetector.cpp
@@ -34,7 +34,7 @@
 
 bool isStalled(const TrackedRun &track)
 {
-    return track.progress.percent() >= 0 && track.lastListedAt - track.progress.changedAt() > StallTime;
+    return track.percent >= 0 && track.lastListedAt - track.lastProgressAt > StallTime;
 }
 
 /// True when the rest of the run, at its own pace, takes longer than a whole run elsewhere.
@@ -44,7 +44,7 @@
         return false;
     }
     const auto elapsed = std::chrono::duration_cast<milliseconds>(now - track.startedAt);
-    const int percent = std::max(track.progress.percent(), 1);
+    const int percent = std::max(track.percent, 1);
     return isStalled(track) || elapsed * (100 - percent) / percent > typical;
 }
 
--- a/src/cell/TrackedRun.h
+++ b/src/cell/TrackedRun.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "cell/RunProgress.h"
 #include "cell/TaskKey.h"
 
 #include "cranberryreel/base/Clock.h"
@@ -36,7 +35,8 @@
     base::SteadyTime startedAt{}; ///< When the upstream confirmed the start; for adopted runs, when this leader took over.
     base::SteadyTime stopConfirmedAt{}; ///< When the upstream confirmed the stop; zero before that.
     std::string checkpoint; ///< Last one that the upstream reported; empty if none.
-    RunProgress progress;
+    int percent = -1; ///< Share of the work that is done, as last reported; -1 before the first report.
+    base::SteadyTime lastProgressAt{}; ///< When the percentage last changed.
     base::SteadyTime lastListedAt{}; ///< When the upstream last listed the run.
     std::int64_t measurement = 0; ///< See RunReport::measurement.
 };
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -342,7 +342,10 @@
             run->phase = RunPhase::Confirmed;
             run->startedAt = now;
         }
-        run->progress.record(report.percent, now);
+        if (run->percent != report.percent) {
+            run->percent = report.percent;
+            run->lastProgressAt = now;
+        }
         run->lastListedAt = now;
         run->checkpoint = report.checkpoint;
         run->measurement = report.measurement;
