A gang keeps the upstreams that its pending advice query names

While its query was on its way, 0.6 s, an upstream that became free and sorts earlier took the place of a queried one, which other work then used; the answer lacked one ticket, the gang asked again, and with four upstreams at a time of many ends its first tickets expired before the last one came. It happens when most capacity becomes free, and to the widest gangs, as in all cases seen.

Change: an upstream whose ticket is on its way counts like one with a ticket. The new test fails without it.

--- a/src/cell/Planner.cpp
+++ b/src/cell/Planner.cpp
@@ -17,6 +17,11 @@
 /// idle until enough capacity is free.
 constexpr std::size_t ReservableUpstreamsDivisor = 4;
 
+bool isQueryPendingFor(const StepAdvice &advice, std::uint64_t upstream)
+{
+    return advice.queryPending && std::find(advice.pendingUpstreams.begin(), advice.pendingUpstreams.end(), upstream) != advice.pendingUpstreams.end();
+}
+
 } // namespace
 
 Planner::Planner(const PlanInput &planInput)
@@ -245,7 +250,7 @@
     for (UpstreamCapacity *capacity : this->reservableUpstreams(ready, pool)) {
         const std::uint32_t most = std::min(ready.step->tasks, this->rules.remainingTaskLimit(ready, *capacity));
         const std::uint32_t fittingTasks = std::min(most, this->preemptor.reclaimableCapacity(ready, *capacity).countFitting(*ready.step, most));
-        const bool hasTicket = this->rules.hasRequiredTicket(ready, advice, *capacity);
+        const bool hasTicket = this->rules.hasRequiredTicket(ready, advice, *capacity) || isQueryPendingFor(advice, capacity->upstream->number);
         options.push_back(
             {this->preemptor.preemptionCost(ready, *capacity).value_or(std::numeric_limits<std::size_t>::max()), hasTicket, fittingTasks, capacity});
         reclaimable += fittingTasks;
--- a/src/cell/Planner.h
+++ b/src/cell/Planner.h
@@ -57,7 +57,9 @@
     /// An upstream that could be reserved for waiting large work.
     struct ReservationOption {
         std::size_t preemptions = 0; ///< Runs to stop before a first task fits.
-        bool hasTicket = false; ///< No new ticket is needed for the upstream.
+        /// No new ticket is needed for the upstream, or one is on its way. A gang keeps such an upstream although another one becomes free meanwhile: otherwise
+        /// it would ask anew for each, and its first tickets would expire before the last one comes.
+        bool hasTicket = false;
         std::uint32_t fittingTasks = 0; ///< Tasks of the step that fit into the reclaimable capacity.
         UpstreamCapacity *capacity = nullptr;
 
--- a/tests/cell/PreemptorTest.cpp
+++ b/tests/cell/PreemptorTest.cpp
@@ -180,4 +180,36 @@
     BOOST_TEST(cell.plan().preemptions.empty());
 }
 
+/// Load pattern: at the end of a busy time one upstream after another becomes free, while a gang waits for its tickets.
+BOOST_AUTO_TEST_CASE(aGangKeepsTheUpstreamsThatItsPendingQueryNames)
+{
+    PlannedCell cell;
+    auto rules = rulesWithSlack();
+    for (const auto &queue : rules->queues) {
+        queue->advice = std::make_unique<cell::wire::AdviceT>();
+        queue->advice->decision_us = 500000;
+        queue->advice->valid_ms = 2000;
+    }
+    cell.state.apply(support::put(std::move(rules)));
+    const std::set<std::uint64_t> upstreams{1, 2, 3};
+    for (const std::uint64_t upstream : upstreams) {
+        cell.addUpstream("u" + std::to_string(upstream), 4000);
+    }
+    const cell::StepKey gang = support::key(cell.accept(support::job("gang", gangOf(2, 4000))), 0, 0).step;
+    cell.addTickets(gang, upstreams);
+    cell::StepAdvice &advice = cell.advice.adviceFor(gang);
+    for (auto &[upstream, ticket] : advice.allowed) {
+        ticket.placeUntil = cell.now;
+    }
+    advice.queryPending = true;
+    advice.pendingUpstreams = {2, 3};
+    const cell::StepKey small = support::key(cell.accept(support::job("small", support::step(3, 1000), "wide")), 0, 0).step;
+    cell.addTickets(small, upstreams);
+    const Plan plan = cell.plan();
+    BOOST_TEST(!plan.starts.empty());
+    for (const auto &start : plan.starts) {
+        BOOST_TEST(start.upstream == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
