Log and export who votes, who is silent and why an election fails

The leader knows for each member since when it has stored nothing (Core::peerHealth). New lines: group_members, group_unavailable, group_available, vote_refused, voter_silent, voter_counting. No decision changes.

--- a/src/cell/CellMember.cpp
+++ b/src/cell/CellMember.cpp
@@ -186,9 +186,9 @@
 
 void CellMember::checkMembership()
 {
-    for (const std::string &vm : this->group->status().members) {
-        this->caller.addSeeds({vm});
-    }
+    const replication::GroupStatus status = this->group->status();
+    this->caller.addSeeds(status.members);
+    this->voterWatch.update(status);
     this->joinIfNotMember();
     this->recordUnlinkedMembers();
     this->timers.postAfter(CheckInterval, [this] { this->checkMembership(); });
--- a/src/cell/CellMember.h
+++ b/src/cell/CellMember.h
@@ -6,6 +6,7 @@
 #include "cell/CellScheduler.h"
 #include "cell/CellStore.h"
 #include "cell/UpstreamCalls.h"
+#include "cell/VoterWatch.h"
 #include "link/LinkHub.h"
 #include "replication/Group.h"
 #include "replication/GroupTimings.h"
@@ -71,6 +72,7 @@
     CellStore store;
     CellScheduler scheduler;
     std::unique_ptr<replication::Group> group;
+    VoterWatch voterWatch; ///< Used on the thread of `timers` only.
     base::Mailbox timers;
     mutable absl::Mutex mutex;
     std::map<std::string, base::SteadyTime> unlinkedSince ABSL_GUARDED_BY(mutex); ///< On the leader: members without a link, and since when.
--- a/src/replication/Core.h
+++ b/src/replication/Core.h
@@ -4,10 +4,12 @@
 #include "replication/CoreOutput.h"
 #include "replication/CoreSafety.h"
 #include "replication/MemberProgress.h"
+#include "replication/PeerHealth.h"
 #include "replication/Presence.h"
 #include "replication/Recovered.h"
 #include "replication/ReplicatedLog.h"
 #include "replication/Role.h"
+#include "replication/VoteRefusal.h"
 
 #include "cranberryreel/base/Clock.h"
 #include "cranberryreel/base/ResultCode.h"
@@ -49,6 +51,9 @@
     /// committed or when no majority of the new members counts toward commits and responds.
     base::ResultCode changeMembers(const Membership &members, std::uint64_t &index, base::SteadyTime now);
 
+    /// The members as this leader sees them, itself included. Empty when this member does not lead.
+    std::vector<PeerHealth> peerHealth(base::SteadyTime now) const;
+
     /// Starts a linearizable read; CoreOutput::reads reports its outcome under the same id.
     void read(std::uint64_t id, base::SteadyTime now);
 
@@ -128,6 +133,12 @@
 
     const Membership &membership() const;
 
+    /// True while a change of the membership is not committed.
+    bool isChangingMembers() const
+    {
+        return !this->proposedMemberships.empty();
+    }
+
 private:
     using VoteSet = std::set<std::string>;
 
@@ -163,6 +174,10 @@
     bool allMembersRestarted(base::SteadyTime now) const;
     bool mayTrustDisk(base::SteadyTime now) const;
     bool isCandidateUpToDate(LogPosition candidate, base::SteadyTime now) const;
+
+    /// Returns None when this member may vote for the candidate at this log position.
+    VoteRefusal checkCandidate(const std::string &vm, LogPosition candidate, base::SteadyTime now) const;
+    void recordRefusal(const std::string &vm, VoteRefusal reason);
     bool hasRolledBack(const std::string &vm, LogPosition position) const;
     std::uint64_t nextTerm(std::uint64_t above) const;
     void startPreVote(base::SteadyTime now);
@@ -270,6 +285,7 @@
 
     // State of a leader.
     std::map<std::string, MemberProgress> progresses;
+    base::SteadyTime leadingSince;
     std::uint64_t termStartIndex = 0;
     base::SteadyTime nextHeartbeat;
     base::SteadyTime lastMajorityContact;
--- a/src/replication/CoreElection.cpp
+++ b/src/replication/CoreElection.cpp
@@ -130,9 +130,14 @@
 {
     Message reply = this->messageTo(message.from, MessageKind::PreVoteReply);
     const bool leaderActive = this->safety.refusesVoteDuringLeaderContact() && this->hasLeaderContact(now, this->options.timings.electionMin);
-    const LogPosition candidate{message.logTerm, message.index};
-    reply.granted = this->safety.mayVote(this->ownStanding) && message.term > this->currentHardState.term && !leaderActive
-        && this->isCandidateUpToDate(candidate, now) && !this->hasRolledBack(message.from, candidate);
+    VoteRefusal refusal = this->checkCandidate(message.from, LogPosition{message.logTerm, message.index}, now);
+    if (leaderActive) {
+        refusal = VoteRefusal::LeaderActive;
+    } else if (message.term <= this->currentHardState.term) {
+        refusal = VoteRefusal::StaleTerm;
+    }
+    this->recordRefusal(message.from, refusal);
+    reply.granted = refusal == VoteRefusal::None;
     reply.sequence = static_cast<std::int64_t>(message.term);
     this->send(std::move(reply));
 }
@@ -159,6 +164,7 @@
     const bool handedOver = message.handoverTerm != 0 && message.handoverTerm == this->currentHardState.term;
     const bool leaderActive = this->safety.refusesVoteDuringLeaderContact() && this->hasLeaderContact(now, this->options.timings.electionMin);
     if (leaderActive && !handedOver) {
+        this->recordRefusal(message.from, VoteRefusal::LeaderActive);
         return;
     }
     this->detectRolledBackDisk(message);
@@ -166,10 +172,14 @@
         this->becomeFollower(message.term, "", now);
     }
     Message reply = this->messageTo(message.from, MessageKind::VoteReply);
-    const LogPosition candidate{message.logTerm, message.index};
-    reply.granted = message.term == this->currentHardState.term && this->currentRole == Role::Follower && this->safety.mayVote(this->ownStanding)
-        && this->safety.isVoteAvailable(this->currentHardState, message.from) && this->isCandidateUpToDate(candidate, now)
-        && !this->hasRolledBack(message.from, candidate);
+    VoteRefusal refusal = this->checkCandidate(message.from, LogPosition{message.logTerm, message.index}, now);
+    if (message.term != this->currentHardState.term || this->currentRole != Role::Follower) {
+        refusal = VoteRefusal::StaleTerm;
+    } else if (!this->safety.isVoteAvailable(this->currentHardState, message.from)) {
+        refusal = VoteRefusal::AlreadyVoted;
+    }
+    this->recordRefusal(message.from, refusal);
+    reply.granted = refusal == VoteRefusal::None;
     if (reply.granted) {
         this->currentHardState.votedFor = message.from;
         this->output.hardState = this->currentHardState;
@@ -184,6 +194,27 @@
     return this->safety.isLogUpToDate(candidate, this->entries.last()) && !(belowFloor && this->safety.distrustsRolledBackDisk());
 }
 
+VoteRefusal Core::checkCandidate(const std::string &vm, LogPosition candidate, base::SteadyTime now) const
+{
+    if (!this->safety.mayVote(this->ownStanding)) {
+        return VoteRefusal::NotAdmitted;
+    }
+    if (!this->safety.isLogUpToDate(candidate, this->entries.last())) {
+        return VoteRefusal::LogBehind;
+    }
+    if (!this->isCandidateUpToDate(candidate, now)) {
+        return VoteRefusal::BelowVoteFloor;
+    }
+    return this->hasRolledBack(vm, candidate) ? VoteRefusal::RolledBack : VoteRefusal::None;
+}
+
+void Core::recordRefusal(const std::string &vm, VoteRefusal reason)
+{
+    if (reason != VoteRefusal::None) {
+        this->output.refusedVotes.push_back({vm, reason});
+    }
+}
+
 bool Core::hasRolledBack(const std::string &vm, LogPosition position) const
 {
     const auto known = this->acknowledged.find(vm);
--- a/src/replication/CoreLeader.cpp
+++ b/src/replication/CoreLeader.cpp
@@ -26,6 +26,7 @@
     this->trustedWithoutLeader = false;
     this->progresses.clear();
     this->handingOver = false;
+    this->leadingSince = now;
     this->lastMajorityContact = now;
     this->leaseUntil = now;
     this->appendOwn(openingKind, std::move(data));
@@ -159,6 +160,9 @@
     }
     progress.standing = message.standing;
     progress.answeredSendTime = std::max(progress.answeredSendTime, message.sequence);
+    if (this->safety.countsTowardCommit(message.standing)) {
+        progress.countedSendTime = progress.answeredSendTime;
+    }
     return true;
 }
 
--- a/src/replication/CoreLeadership.cpp
+++ b/src/replication/CoreLeadership.cpp
@@ -38,6 +38,24 @@
     }
 }
 
+std::vector<PeerHealth> Core::peerHealth(base::SteadyTime now) const
+{
+    std::vector<PeerHealth> peers;
+    if (this->currentRole != Role::Leader) {
+        return peers;
+    }
+    for (const Member &member : this->membership().all()) {
+        PeerHealth health{member.vm, this->countsTowardMajority(member), {}};
+        if (member.vm != this->options.ownVm) {
+            const auto progress = this->progresses.find(member.vm);
+            const base::SteadyTime counted = progress == this->progresses.end() ? base::SteadyTime() : fromNanoseconds(progress->second.countedSendTime);
+            health.silentFor = std::chrono::duration_cast<std::chrono::milliseconds>(now - std::max(counted, this->leadingSince));
+        }
+        peers.push_back(std::move(health));
+    }
+    return peers;
+}
+
 base::ResultCode Core::changeMembers(const Membership &members, std::uint64_t &index, base::SteadyTime now)
 {
     if (!this->isEstablishedLeader()) {
--- a/src/replication/CoreOutput.h
+++ b/src/replication/CoreOutput.h
@@ -5,10 +5,12 @@
 #include "replication/HardState.h"
 #include "replication/Message.h"
 #include "replication/Snapshot.h"
+#include "replication/VoteRefusal.h"
 
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace cranberryreel::replication
@@ -21,6 +23,12 @@
     std::uint64_t index = 0;
 };
 
+/// A request for a vote or a pre-vote that was not granted.
+struct RefusedVote {
+    std::string candidate; ///< VM.
+    VoteRefusal reason = VoteRefusal::None;
+};
+
 /// The actions that the core requests, in this order: send `messages`; write and sync `snapshot`, `hardState` and `entries`; send `messagesAfterSync`; call
 /// Core::markSynced; restore `snapshot`; apply `committed`; answer `reads`.
 struct CoreOutput {
@@ -32,11 +40,12 @@
     std::vector<Message> messagesAfterSync;
     std::vector<Entry> committed;
     std::vector<ReadOutcome> reads;
+    std::vector<RefusedVote> refusedVotes; ///< For the log only.
 
     bool empty() const
     {
         return this->messages.empty() && !this->snapshot && !this->hardState && this->entries.empty() && this->messagesAfterSync.empty()
-            && this->committed.empty() && this->reads.empty();
+            && this->committed.empty() && this->reads.empty() && this->refusedVotes.empty();
     }
 
     bool hasWrites() const
--- a/src/replication/Group.h
+++ b/src/replication/Group.h
@@ -3,6 +3,7 @@
 #include "cranberryreel/base/Clock.h"
 #include "cranberryreel/base/ResultCode.h"
 #include "replication/Member.h"
+#include "replication/PeerHealth.h"
 
 #include <chrono>
 #include <cstdint>
@@ -37,6 +38,8 @@
     std::uint64_t committed = 0;
     std::uint64_t applied = 0;
     std::vector<std::string> members;
+    bool changingMembers = false; ///< A change of the membership is not committed yet.
+    std::vector<PeerHealth> peers; ///< On the leader: the members, itself included; empty elsewhere.
     bool caughtUp = false; ///< False for a member that may not vote yet, for instance after a restart without its stored log.
     std::string reason; ///< Why the group cannot commit, as seen by this member; empty while it can.
     std::uint64_t formationTerm = 0; ///< The term of the last cold start; 0 when none is known.
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t MaxQueuedBytes =
     32UL * 1024 * 1024; ///< Limit of queued received bytes; messages beyond are dropped, which the protocol tolerates like network loss.
 constexpr std::chrono::milliseconds StorageRetryInterval{200};
+constexpr std::chrono::milliseconds LogInterval{1000}; ///< Shortest time between two equal lines about elections.
 
 const observe::Log &log()
 {
@@ -338,6 +339,7 @@
 
 void GroupRunner::processOutput(CoreOutput &output)
 {
+    this->logRefusedVotes(output.refusedVotes);
     this->publishLease(); // Must precede any message that lets another member lead.
     this->sendAll(output.messages);
     if (output.hasWrites()) {
@@ -436,10 +438,47 @@
     for (const Member &member : this->core->membership().all()) {
         status.members.push_back(member.vm);
     }
+    status.changingMembers = this->core->isChangingMembers();
+    status.peers = this->core->peerHealth(now);
+    this->logAvailability(status);
     const absl::MutexLock lock(&this->mutex);
     this->published = std::move(status);
 }
 
+/// Candidates ask several times a second while there is no leader; a repeated refusal is logged once a second.
+void GroupRunner::logRefusedVotes(const std::vector<RefusedVote> &refused)
+{
+    const base::SteadyTime now = base::steadyNow();
+    for (const RefusedVote &vote : refused) {
+        const bool repeated = vote.candidate == this->lastRefusedVote.candidate && vote.reason == this->lastRefusedVote.reason;
+        if (!repeated || now >= this->refusedVoteLoggedAt + LogInterval) {
+            log().info("event=vote_refused candidate={} reason={} last_index={}", vote.candidate, nameOf(vote.reason), this->core->log().lastIndex());
+            this->lastRefusedVote = vote;
+            this->refusedVoteLoggedAt = now;
+        }
+    }
+}
+
+void GroupRunner::logAvailability(const GroupStatus &status)
+{
+    const base::SteadyTime now = base::steadyNow();
+    if (status.reason == this->unavailableReason || (!status.reason.empty() && now < this->unavailableLoggedAt + LogInterval)) {
+        return;
+    }
+    if (status.reason.empty()) {
+        log().info("event=group_available leader={} term={}", status.leaderVm, status.term);
+    } else {
+        log().warn("event=group_unavailable role={} standing={} term={} last_index={} reason=\"{}\"",
+                   static_cast<int>(this->core->role()),
+                   static_cast<int>(this->core->standing()),
+                   status.term,
+                   this->core->log().lastIndex(),
+                   status.reason);
+        this->unavailableLoggedAt = now;
+    }
+    this->unavailableReason = status.reason;
+}
+
 void GroupRunner::sendAll(std::vector<Message> &messages)
 {
     for (const Message &message : messages) {
--- a/src/replication/GroupRunner.h
+++ b/src/replication/GroupRunner.h
@@ -59,6 +59,8 @@
     void publishLease();
     void publishStatus();
     void notifyLeadershipChange();
+    void logRefusedVotes(const std::vector<RefusedVote> &refused);
+    void logAvailability(const GroupStatus &status);
     void sendAll(std::vector<Message> &messages);
     bool shouldStop(base::SteadyTime now);
 
@@ -76,6 +78,10 @@
     std::size_t bytesSinceSnapshot = 0; ///< Payload bytes of entries applied since the last snapshot.
     std::uint64_t proposedTerm = 0; ///< The term of the pending proposals.
     std::uint64_t announcedTerm = 0; ///< The term whose leadership was reported to the listener; 0 for none.
+    RefusedVote lastRefusedVote; ///< As logged last.
+    base::SteadyTime refusedVoteLoggedAt{};
+    std::string unavailableReason; ///< As logged last; empty while the group can commit.
+    base::SteadyTime unavailableLoggedAt{};
     std::string initialState; ///< Snapshot of the state machine before any entry was applied.
     std::optional<base::SteadyTime> stopBy;
 
--- a/tests/docs/EventsTest.cpp
+++ b/tests/docs/EventsTest.cpp
@@ -72,6 +72,7 @@
     const std::filesystem::path root(CRANBERRYREEL_SOURCE_DIR);
     Events written;
     readSources(root / "src/cell", written);
+    readSources(root / "src/replication", written);
     readSources(root / "platform", written);
     const Events documented = readTable(root / "docs/EVENTS.md");
     BOOST_TEST(written.size() > 40U);
