--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -53,6 +53,11 @@
     this->kill();
 }
 
+pid_t Process::id() const
+{
+    return this->pid;
+}
+
 bool Process::running()
 {
     this->reap(WNOHANG);
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -19,6 +19,7 @@
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
 
+    pid_t id() const;
     bool running();
     void signal(int number);
 
