A lost voter's place is taken by a standby that already holds the log

Two of three voters were lost for the group, one by the deployment's terms.

Cause: the leader replaced a member only after 8 s without a link. The deployment stops counting a lost VM 4 s after its successor has started, so another disk could be lost before. The 8 s began anew with each leader and with each moment without a lease; a member that cannot write keeps its link and was never replaced; and the VM that asked became a member before it had the log, two of them if they asked within a moment. Class: what is lost goes on counting, and nothing that holds the data takes its place.

Now VMs outside the group that ask follow its log as standbys without counting, and are admitted as soon as they hold it. A member that has stored nothing for half of catch_up_s (new setting, from the deployment's terms), for whatever cause, loses its place to a standby that stores what the leader sends, one for one (GroupKeeper). At the change as many VMs hold the log as before. Commits of a change of members are told to the members at once, as those of admissions.

--- a/src/cell/CellDaemon.cpp
+++ b/src/cell/CellDaemon.cpp
@@ -66,7 +66,10 @@
         MemberOptions options;
         options.dataFolder = this->settings.dataFolder + "/cell";
         options.seeds = hostsOf(this->settings.seeds);
-        options.maxMembers = 2 * this->settings.toleratedVms + 1;
+        options.membership.maxMembers = 2 * this->settings.toleratedVms + 1;
+        options.membership.maxStandbys = std::max<std::size_t>(1, this->settings.toleratedVms);
+        // Leaves the other half of the time to a successor that has to copy the log first.
+        options.membership.replaceAfter = this->settings.catchUp / 2;
         options.firstStart = this->settings.firstStart;
         options.timings = groupTimings();
         this->relays = std::make_unique<ZoneRelays>(this->settings.cell.ownVm, *this->hub, upstreamCalls);
--- a/src/cell/CellMember.cpp
+++ b/src/cell/CellMember.cpp
@@ -3,6 +3,8 @@
 #include "observe/Log.h"
 #include "replication/GroupBuilder.h"
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -16,8 +18,6 @@
 
 constexpr std::chrono::milliseconds CheckInterval{500};
 constexpr std::chrono::milliseconds JoinLimit{450};
-/// A member without a link for this long is replaced by a VM that asks to join. Expected network cuts and restarts end within seven seconds.
-constexpr std::chrono::seconds ReplaceAfter{8};
 
 std::vector<replication::Member> foundingMembers(const MemberOptions &options, const std::string &ownVm)
 {
@@ -45,6 +45,7 @@
     , hub(linkHub)
     , caller(cellCaller)
     , scheduler(cell, store, calls, advice)
+    , keeper(options.membership)
 {
     this->group = replication::GroupBuilder()
                       .ownVm(this->cell.ownVm)
@@ -156,32 +157,11 @@
         reply(std::move(redirect));
         return;
     }
-    if (std::find(status.members.begin(), status.members.end(), vm) != status.members.end()) {
-        reply(makeReply(base::ResultCode::Ok));
-        return;
-    }
-    std::string replaced;
-    if (status.members.size() >= this->options.maxMembers) {
+    {
         const absl::MutexLock lock(&this->mutex);
-        for (const auto &[member, since] : this->unlinkedSince) {
-            replaced = base::steadyNow() - since > ReplaceAfter ? member : replaced;
-        }
-        if (replaced.empty()) {
-            reply(makeReply(base::ResultCode::Ok, "The group already has as many members as it needs."));
-            return;
-        }
+        this->keeper.recordRequest(vm, base::steadyNow());
     }
-    std::vector<replication::Member> members{{vm, true, false}};
-    for (const std::string &member : status.members) {
-        if (member != replaced) {
-            members.push_back({member, true, false});
-        }
-    }
-    Logger.info("event=member_join_requested vm={} in_place_of={} members={}", vm, replaced, members.size());
-    this->group->changeMembers(std::move(members), [reply, vm](const replication::ProposeResult &result) {
-        Logger.info("event=member_join_finished vm={} outcome={}", vm, static_cast<int>(result.code));
-        reply(makeReply(result.code));
-    });
+    reply(makeReply(base::ResultCode::Ok));
 }
 
 void CellMember::checkMembership()
@@ -189,14 +169,15 @@
     const replication::GroupStatus status = this->group->status();
     this->caller.addSeeds(status.members);
     this->voterWatch.update(status);
-    this->joinIfNotMember();
-    this->recordUnlinkedMembers();
+    this->requestStandby(status);
+    this->keepGroup(status);
     this->timers.postAfter(CheckInterval, [this] { this->checkMembership(); });
 }
 
-void CellMember::joinIfNotMember()
+void CellMember::requestStandby(const replication::GroupStatus &status)
 {
-    if (this->isInGroup() || isFoundingVm(this->options, this->cell.ownVm)) {
+    const bool isMember = std::find(status.members.begin(), status.members.end(), this->cell.ownVm) != status.members.end();
+    if ((isMember && this->isInGroup()) || isFoundingVm(this->options, this->cell.ownVm)) {
         return;
     }
     wire::CallT join;
@@ -204,20 +185,33 @@
     this->caller.call(join, JoinLimit, JoinLimit, [](const CallOutcome &) {});
 }
 
-void CellMember::recordUnlinkedMembers()
+void CellMember::keepGroup(const replication::GroupStatus &status)
 {
-    const base::SteadyTime now = base::steadyNow();
-    const bool isLeader = this->holdsLease();
-    const std::vector<std::string> members = this->group->status().members;
-    const absl::MutexLock lock(&this->mutex);
-    std::map<std::string, base::SteadyTime> unlinked;
-    for (const std::string &vm : members) {
-        if (isLeader && vm != this->cell.ownVm && !this->hub.isUp(vm)) {
-            const auto before = this->unlinkedSince.find(vm);
-            unlinked[vm] = before == this->unlinkedSince.end() ? now : before->second;
-        }
+    if (!this->holdsLease()) {
+        return;
     }
-    this->unlinkedSince = std::move(unlinked);
+    GroupKeeper::Plan plan;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        plan = this->keeper.plan(status, base::steadyNow());
+    }
+    this->group->setStandbys(plan.standbys);
+    if (plan.members) {
+        this->changeMembers(plan);
+    }
+}
+
+void CellMember::changeMembers(const GroupKeeper::Plan &plan)
+{
+    std::vector<replication::Member> members;
+    for (const std::string &vm : *plan.members) {
+        members.push_back({vm, true, false});
+    }
+    const std::string listed = absl::StrJoin(*plan.members, ",");
+    Logger.info("event=members_change_proposed members={} lost={}", listed, absl::StrJoin(plan.lost, ","));
+    this->group->changeMembers(std::move(members), [listed](const replication::ProposeResult &result) {
+        Logger.info("event=members_change_finished members={} outcome={}", listed, static_cast<int>(result.code));
+    });
 }
 
 } // namespace cranberryreel::cell
--- a/src/cell/CellMember.h
+++ b/src/cell/CellMember.h
@@ -5,6 +5,7 @@
 #include "cell/CellOptions.h"
 #include "cell/CellScheduler.h"
 #include "cell/CellStore.h"
+#include "cell/GroupKeeper.h"
 #include "cell/UpstreamCalls.h"
 #include "cell/VoterWatch.h"
 #include "link/LinkHub.h"
@@ -15,7 +16,6 @@
 #include <absl/synchronization/mutex.h>
 
 #include <chrono>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,12 +27,12 @@
 struct MemberOptions {
     std::string dataFolder;
     std::vector<std::string> seeds; ///< VM names.
-    std::size_t maxMembers = 3; ///< Odd, so that a split of the group always leaves a majority on one side.
+    GroupKeeper::Options membership;
     bool firstStart = false; ///< The whole cell starts for the first time: the seeds form the group.
     replication::GroupTimings timings;
 };
 
-/// One VM that holds the cell's state: a member of the replication group and its scheduler. It asks to join the group while it is not a member. Any thread.
+/// One VM that holds the cell's state: a member of the replication group and its scheduler. It asks to stand by while it is not a member. Any thread.
 /// Owned by the CellDaemon.
 class CellMember
 {
@@ -57,8 +57,9 @@
 
 private:
     void checkMembership();
-    void joinIfNotMember();
-    void recordUnlinkedMembers();
+    void requestStandby(const replication::GroupStatus &status);
+    void keepGroup(const replication::GroupStatus &status);
+    void changeMembers(const GroupKeeper::Plan &plan);
     bool isInGroup() const;
     void handleJoin(const std::string &vm, const ReplyCallback &reply);
     wire::ReplyT answerLookup() const;
@@ -75,7 +76,7 @@
     VoterWatch voterWatch; ///< Used on the thread of `timers` only.
     base::Mailbox timers;
     mutable absl::Mutex mutex;
-    std::map<std::string, base::SteadyTime> unlinkedSince ABSL_GUARDED_BY(mutex); ///< On the leader: members without a link, and since when.
+    GroupKeeper keeper ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/CellSettings.cpp
+++ b/src/cell/CellSettings.cpp
@@ -81,6 +81,16 @@
     return absl::SimpleAtoi(value, &target.toleratedVms) && target.toleratedVms <= Max;
 }
 
+bool parseCatchUp(CellSettings &target, const std::string &value)
+{
+    constexpr double MinSeconds = 1;
+    constexpr double MaxSeconds = 600;
+    double seconds = 0;
+    const bool valid = absl::SimpleAtod(value, &seconds) && seconds >= MinSeconds && seconds <= MaxSeconds;
+    target.catchUp = valid ? std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(seconds)) : target.catchUp;
+    return valid;
+}
+
 bool parseFirstStart(CellSettings &target, const std::string &value)
 {
     target.firstStart = value == "true";
@@ -135,6 +145,7 @@
         {"link", "key", true, "a text", textValue(&CellSettings::linkKey)},
         {"cell", "seeds", true, "IP:port, separated by commas", &parseSeeds},
         {"cell", "tolerate", false, "a whole number from 0 to 3", &parseToleratedVms},
+        {"cell", "catch_up_s", false, "seconds from 1 to 600", &parseCatchUp},
         {"cell", "first_start", false, "true or false", &parseFirstStart},
         {"cell", "data_folder", false, "a path", textValue(&CellSettings::dataFolder)},
         {"advice", "service", false, "IP:port", addressValue(&CellSettings::adviceService)},
--- a/src/cell/CellSettings.h
+++ b/src/cell/CellSettings.h
@@ -3,6 +3,7 @@
 #include "cell/CellOptions.h"
 #include "settings/SocketAddress.h"
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
     std::string linkKey;
     std::vector<settings::SocketAddress> seeds; ///< Only the hosts are used; they name the VMs.
     std::size_t toleratedVms = 1; ///< Number of VMs with state that may fail at the same time.
+    std::chrono::milliseconds catchUp{4000}; ///< Within this time a VM that returned, or the successor of a lost one, must count again.
     bool firstStart = false;
     std::string dataFolder; ///< If set, this VM holds the cell's state.
     settings::SocketAddress adviceService;
--- a/src/cell/VoterWatch.cpp
+++ b/src/cell/VoterWatch.cpp
@@ -39,6 +39,8 @@
     exportGauge("cranberryreel_group_leader_known", "1 when this VM knows a leader of the cell group.", &Figures::leaderKnown);
     exportGauge("cranberryreel_group_voters", "Members of the cell group. Unknown (NaN) on a VM that does not lead.", &Figures::voters);
     exportGauge("cranberryreel_group_voters_counting", "Members that store what the leader sends. NaN on a VM that does not lead.", &Figures::counting);
+    exportGauge(
+        "cranberryreel_group_standbys_ready", "VMs that can take a lost member's place at once. NaN on a VM that does not lead.", &Figures::standbysReady);
     exportGauge("cranberryreel_group_losses_tolerated",
                 "How many of the counting members may fail before the group stands still; negative when it does. NaN on a VM that does not lead.",
                 &Figures::lossesTolerated);
@@ -46,12 +48,18 @@
 
 void VoterWatch::update(const replication::GroupStatus &status)
 {
+    const auto &peers = status.peers;
+    const auto isCountingVoter = [](const replication::PeerHealth &peer) { return peer.voter && isCounting(peer); };
+    const auto isReadyStandby = [](const replication::PeerHealth &peer) { return !peer.voter && isCounting(peer); };
+    const auto voters = std::count_if(peers.begin(), peers.end(), [](const replication::PeerHealth &peer) { return peer.voter; });
+    const auto counting = std::count_if(peers.begin(), peers.end(), isCountingVoter);
+    const auto majority = voters / 2 + 1;
+    const auto onLeader = [&status](auto value) { return status.leader ? static_cast<double>(value) : Unknown; };
     this->figures->leaderKnown = status.leader || !status.leaderVm.empty() ? 1 : 0;
-    this->figures->voters = status.leader ? static_cast<double>(status.peers.size()) : Unknown;
-    const auto counting = static_cast<double>(std::count_if(status.peers.begin(), status.peers.end(), isCounting));
-    const auto majority = static_cast<double>(status.peers.size() / 2 + 1);
-    this->figures->counting = status.leader ? counting : Unknown;
-    this->figures->lossesTolerated = status.leader ? counting - majority : Unknown;
+    this->figures->voters = onLeader(voters);
+    this->figures->counting = onLeader(counting);
+    this->figures->lossesTolerated = onLeader(counting - majority);
+    this->figures->standbysReady = onLeader(std::count_if(peers.begin(), peers.end(), isReadyStandby));
     this->logMembers(status);
     this->logSilentVoters(status);
 }
@@ -69,6 +77,9 @@
 {
     std::set<std::string> now;
     for (const replication::PeerHealth &peer : status.peers) {
+        if (!peer.voter) {
+            continue;
+        }
         if (peer.silentFor >= ReportSilenceAfter) {
             now.insert(peer.vm);
             if (this->silent.count(peer.vm) == 0) {
--- a/src/cell/VoterWatch.h
+++ b/src/cell/VoterWatch.h
@@ -25,6 +25,7 @@
     struct Figures {
         std::atomic<double> voters;
         std::atomic<double> counting;
+        std::atomic<double> standbysReady;
         std::atomic<double> lossesTolerated;
         std::atomic<double> leaderKnown;
     };
--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -130,6 +130,13 @@
     return {vms.begin(), vms.end()};
 }
 
+bool Core::isStandby(const std::string &vm) const
+{
+    const std::vector<const Membership *> active = this->activeMemberships();
+    const bool member = std::any_of(active.begin(), active.end(), [&vm](const Membership *members) { return members->find(vm) != nullptr; });
+    return !member && this->standbys.count(vm) > 0;
+}
+
 std::int64_t Core::majorityValue(const std::function<std::int64_t(const Member &)> &value) const
 {
     std::optional<std::int64_t> lowest;
@@ -197,6 +204,7 @@
     this->leader = leaderVm;
     this->votes.clear();
     this->progresses.clear();
+    this->standbys.clear();
     this->formationBoots.clear();
     this->handingOver = false;
 }
--- a/src/replication/Core.h
+++ b/src/replication/Core.h
@@ -51,7 +51,11 @@
     /// committed or when no majority of the new members counts toward commits and responds.
     base::ResultCode changeMembers(const Membership &members, std::uint64_t &index, base::SteadyTime now);
 
-    /// The members as this leader sees them, itself included. Empty when this member does not lead.
+    /// Sets the standbys: VMs outside the membership that follow the log of this leader, so that one of them can take the place of a lost member at once. A
+    /// standby counts toward no majority. Does nothing when this member does not lead; forgotten when leadership ends.
+    void setStandbys(const std::set<std::string> &vms, base::SteadyTime now);
+
+    /// The members and standbys as this leader sees them, itself included. Empty when this member does not lead.
     std::vector<PeerHealth> peerHealth(base::SteadyTime now) const;
 
     /// Starts a linearizable read; CoreOutput::reads reports its outcome under the same id.
@@ -162,6 +166,7 @@
     void commitMemberships(std::uint64_t index);
     std::vector<const Membership *> activeMemberships() const;
     std::vector<std::string> otherMembers() const;
+    bool isStandby(const std::string &vm) const;
 
     /// The highest value that a majority of each active membership reaches or exceeds.
     std::int64_t majorityValue(const std::function<std::int64_t(const Member &)> &value) const;
@@ -190,6 +195,7 @@
 
     // CoreLeader.cpp
     void becomeLeader(EntryKind openingKind, std::string data, base::SteadyTime now);
+    std::vector<std::string> followers() const;
     void sendEntries(const std::string &vm, bool heartbeat, base::SteadyTime now);
     void sendAppend(const std::string &vm, MemberProgress &progress, std::vector<Entry> batch, base::SteadyTime now);
     void sendSnapshotChunk(const std::string &vm, MemberProgress &progress, base::SteadyTime now);
@@ -285,6 +291,7 @@
 
     // State of a leader.
     std::map<std::string, MemberProgress> progresses;
+    std::set<std::string> standbys;
     base::SteadyTime leadingSince;
     std::uint64_t termStartIndex = 0;
     base::SteadyTime nextHeartbeat;
--- a/src/replication/CoreLeader.cpp
+++ b/src/replication/CoreLeader.cpp
@@ -4,6 +4,7 @@
 #include "replication/SteadyNanoseconds.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cranberryreel::replication
@@ -25,6 +26,7 @@
     this->presences.clear();
     this->trustedWithoutLeader = false;
     this->progresses.clear();
+    this->standbys.clear();
     this->handingOver = false;
     this->leadingSince = now;
     this->lastMajorityContact = now;
@@ -55,8 +57,36 @@
     if (this->currentRole != Role::Leader) {
         return;
     }
-    for (const std::string &vm : this->otherMembers()) {
-        this->sendEntries(vm, false, now);
+    for (const std::string &vm : this->followers()) {
+        // An admitted standby need not keep up with every entry; it gets them in batches with the heartbeats.
+        if (!this->isStandby(vm) || this->progresses[vm].standing != Standing::Full) {
+            this->sendEntries(vm, false, now);
+        }
+    }
+}
+
+std::vector<std::string> Core::followers() const
+{
+    std::vector<std::string> vms = this->otherMembers();
+    std::copy_if(this->standbys.begin(), this->standbys.end(), std::back_inserter(vms), [this](const std::string &vm) { return this->isStandby(vm); });
+    return vms;
+}
+
+void Core::setStandbys(const std::set<std::string> &vms, base::SteadyTime now)
+{
+    if (this->currentRole != Role::Leader) {
+        return;
+    }
+    const std::set<std::string> before = std::exchange(this->standbys, vms);
+    for (const std::string &vm : before) {
+        if (this->membership().find(vm) == nullptr && vms.count(vm) == 0) {
+            this->progresses.erase(vm);
+        }
+    }
+    for (const std::string &vm : vms) {
+        if (before.count(vm) == 0 && this->isStandby(vm)) {
+            this->sendEntries(vm, true, now);
+        }
     }
 }
 
@@ -238,7 +268,8 @@
 void Core::admitIfCaughtUp(const std::string &vm, MemberProgress &progress)
 {
     const MemberBoot member{vm, progress.boot};
-    const bool mayAdmit = this->commit >= this->termStartIndex && this->membership().find(vm) != nullptr;
+    const bool follows = this->membership().find(vm) != nullptr || this->isStandby(vm);
+    const bool mayAdmit = this->commit >= this->termStartIndex && follows;
     const bool caughtUp = progress.match >= this->commit && progress.match + AdmissionGapEntries >= this->entries.lastIndex();
     if (!mayAdmit || !caughtUp || progress.standing == Standing::Full || progress.admissionIndex != 0 || this->committedRecord.admitted(member)) {
         return;
@@ -281,7 +312,8 @@
     const std::uint64_t before = this->commit;
     this->advanceCommit(index);
     for (std::uint64_t committedIndex = before + 1; committedIndex <= this->commit; ++committedIndex) {
-        if (const EntryKind kind = this->entries.at(committedIndex).kind; kind == EntryKind::Admission || kind == EntryKind::Formation) {
+        if (const EntryKind kind = this->entries.at(committedIndex).kind;
+            kind == EntryKind::Admission || kind == EntryKind::Formation || kind == EntryKind::Members) {
             this->nextHeartbeat = base::SteadyTime(); // Sends the commit index at once to the members that count from here on.
         }
     }
--- a/src/replication/CoreLeadership.cpp
+++ b/src/replication/CoreLeadership.cpp
@@ -33,7 +33,7 @@
         return;
     }
     this->nextHeartbeat = now + this->options.timings.heartbeat;
-    for (const std::string &vm : this->otherMembers()) {
+    for (const std::string &vm : this->followers()) {
         this->sendEntries(vm, true, now);
     }
 }
@@ -44,14 +44,22 @@
     if (this->currentRole != Role::Leader) {
         return peers;
     }
-    for (const Member &member : this->membership().all()) {
-        PeerHealth health{member.vm, this->countsTowardMajority(member), {}};
-        if (member.vm != this->options.ownVm) {
-            const auto progress = this->progresses.find(member.vm);
+    const auto add = [&](const std::string &vm, bool voter) {
+        PeerHealth health{vm, voter, this->countsTowardMajority(Member{vm}), {}};
+        if (vm != this->options.ownVm) {
+            const auto progress = this->progresses.find(vm);
             const base::SteadyTime counted = progress == this->progresses.end() ? base::SteadyTime() : fromNanoseconds(progress->second.countedSendTime);
             health.silentFor = std::chrono::duration_cast<std::chrono::milliseconds>(now - std::max(counted, this->leadingSince));
         }
         peers.push_back(std::move(health));
+    };
+    for (const Member &member : this->membership().all()) {
+        add(member.vm, true);
+    }
+    for (const std::string &vm : this->standbys) {
+        if (this->isStandby(vm)) {
+            add(vm, false);
+        }
     }
     return peers;
 }
--- a/src/replication/Group.h
+++ b/src/replication/Group.h
@@ -39,7 +39,7 @@
     std::uint64_t applied = 0;
     std::vector<std::string> members;
     bool changingMembers = false; ///< A change of the membership is not committed yet.
-    std::vector<PeerHealth> peers; ///< On the leader: the members, itself included; empty elsewhere.
+    std::vector<PeerHealth> peers; ///< On the leader: the members, itself included, and the standbys; empty elsewhere.
     bool caughtUp = false; ///< False for a member that may not vote yet, for instance after a restart without its stored log.
     std::string reason; ///< Why the group cannot commit, as seen by this member; empty while it can.
     std::uint64_t formationTerm = 0; ///< The term of the last cold start; 0 when none is known.
@@ -82,6 +82,9 @@
     /// callback works as in propose(); it also gets GroupUnavailable while an earlier change is not committed.
     virtual void changeMembers(std::vector<Member> members, ProposeCallback done) = 0;
 
+    /// Sets the standbys of the leader: VMs that are no members and follow the log, so that they can become members without delay. No effect on other members.
+    virtual void setStandbys(std::vector<std::string> vms) = 0;
+
     /// Makes the leader move to a term of at least `atLeast`: it loses leadership and acquires it again in the new term. No effect on other members.
     virtual void raiseTerm(std::uint64_t atLeast) = 0;
 
--- a/src/replication/GroupInbox.h
+++ b/src/replication/GroupInbox.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,6 +36,7 @@
     std::vector<Proposal> proposals;
     std::vector<std::function<void(base::ResultCode)>> reads;
     std::vector<MembersChange> changes;
+    std::optional<std::set<std::string>> standbys;
     std::uint64_t raiseTermTo = 0;
     std::optional<base::SteadyTime> stopBy;
 
@@ -43,7 +45,8 @@
 
     bool empty() const
     {
-        return this->received.empty() && this->proposals.empty() && this->reads.empty() && this->changes.empty() && this->raiseTermTo == 0 && !this->stopBy;
+        return this->received.empty() && this->proposals.empty() && this->reads.empty() && this->changes.empty() && !this->standbys && this->raiseTermTo == 0
+            && !this->stopBy;
     }
 };
 
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -108,6 +108,14 @@
     done(ProposeResult{base::ResultCode::NotLeader, ""});
 }
 
+void GroupRunner::setStandbys(std::vector<std::string> vms)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (!this->ended) {
+        this->inbox.standbys = std::set<std::string>(vms.begin(), vms.end());
+    }
+}
+
 void GroupRunner::raiseTerm(std::uint64_t atLeast)
 {
     const absl::MutexLock lock(&this->mutex);
@@ -266,6 +274,9 @@
             ++this->droppedMessages;
         }
     }
+    if (work.standbys) {
+        this->core->setStandbys(*work.standbys, now);
+    }
     if (work.raiseTermTo > 0) {
         this->core->raiseTerm(work.raiseTermTo, now);
     }
--- a/src/replication/GroupRunner.h
+++ b/src/replication/GroupRunner.h
@@ -36,6 +36,7 @@
     void propose(std::string command, Durability durability, ProposeCallback done) override;
     void readBarrier(std::function<void(base::ResultCode)> done) override;
     void changeMembers(std::vector<Member> members, ProposeCallback done) override;
+    void setStandbys(std::vector<std::string> vms) override;
     void raiseTerm(std::uint64_t atLeast) override;
     void receive(const std::string &fromVm, std::string bytes) override;
     GroupStatus status() const override;
--- a/src/replication/PeerHealth.h
+++ b/src/replication/PeerHealth.h
@@ -6,10 +6,11 @@
 namespace cranberryreel::replication
 {
 
-/// What a leader knows about one member of its group.
+/// What a leader knows about one member or standby of its group.
 struct PeerHealth {
     std::string vm;
-    bool counts = false; ///< Its log is admitted, so its acknowledgements count toward commits.
+    bool voter = false; ///< A member, as opposed to a standby.
+    bool counts = false; ///< Its log is admitted: its acknowledgements count toward commits, or would as soon as it is a member.
     std::chrono::milliseconds silentFor{0}; ///< Time since the leader sent the last message that it stored and answered; since the election if there is none.
 };
 
--- /dev/null
+++ b/tests/platform/LostVoterTest.cpp
@@ -0,0 +1,113 @@
+#include "support/Eventually.h"
+#include "support/PlatformCell.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace cranberryreel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A VM that is back, or the successor of a lost one, counts as available after this time.
+constexpr std::chrono::seconds CatchUpTime{4};
+/// The cell serves again within this time after the VMs are back.
+constexpr std::chrono::seconds RecoveryTime{12};
+
+/// A cell of four VMs with a disk, three of them voters, and its operator.
+class Operator
+{
+public:
+    Operator()
+        : cell({4, 1, 1})
+        , vms(this->cell.diskVms())
+    {
+        BOOST_REQUIRE(support::eventually([this] { return this->write(); }));
+    }
+
+    /// Sends the next configuration to one VM after the other; true once one has acknowledged it.
+    bool write()
+    {
+        return std::any_of(this->cell.diskVms().begin(), this->cell.diskVms().end(), [this](const std::string &vm) {
+            const bool accepted = this->cell.running(vm) && this->cell.putConfig(vm, this->acknowledged + 1) == 200;
+            this->acknowledged += accepted ? 1 : 0;
+            return accepted;
+        });
+    }
+
+    void writeFor(std::chrono::milliseconds time)
+    {
+        const auto until = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < until) {
+            this->write();
+            std::this_thread::sleep_for(50ms);
+        }
+    }
+
+    /// Checks that a VM returns the acknowledged configuration and that a newer one is accepted.
+    void checkServes()
+    {
+        const auto until = std::chrono::steady_clock::now() + RecoveryTime;
+        const auto left = [&until] { return std::chrono::duration_cast<std::chrono::milliseconds>(until - std::chrono::steady_clock::now()); };
+        BOOST_TEST(support::eventually([this] { return this->readsBack(); }, left()), "version " << this->acknowledged << " is not read back");
+        BOOST_TEST(support::eventually([this] { return this->write(); }, left()), "no newer version is accepted");
+    }
+
+    support::PlatformCell cell;
+    const std::vector<std::string> vms; ///< The VMs with a disk at the start; the first three are voters.
+
+private:
+    bool readsBack()
+    {
+        return std::any_of(this->cell.diskVms().begin(), this->cell.diskVms().end(), [this](const std::string &vm) {
+            const std::optional<int> read = this->cell.running(vm) ? this->cell.getConfig(vm) : std::nullopt;
+            BOOST_REQUIRE_GE(read.value_or(this->acknowledged), this->acknowledged);
+            return read.has_value();
+        });
+    }
+
+    int acknowledged = 4;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LostVoterTest)
+
+BOOST_DATA_TEST_CASE(aVoterThatIsGoneForGoodIsReplacedBeforeTheNextDiskIsLost, boost::unit_test::data::make({1, 2}), nextLost)
+{
+    Operator user;
+    user.cell.replace(user.vms[0]);
+    std::this_thread::sleep_for(CatchUpTime);
+    const std::vector<std::string> current = user.cell.diskVms();
+    for (const std::string &vm : current) {
+        user.cell.kill(vm);
+    }
+    user.cell.wipe(user.vms[nextLost]);
+    for (const std::string &vm : current) {
+        if (vm != user.vms[nextLost]) {
+            user.cell.start(vm);
+        }
+    }
+    user.checkServes();
+}
+
+BOOST_DATA_TEST_CASE(aVoterWhoseDiskStaysFullIsReplaced, boost::unit_test::data::make({0, 1, 2}), fullVoter)
+{
+    Operator user;
+    user.cell.setDiskFull(user.vms[fullVoter], true);
+    user.writeFor(CatchUpTime + 500ms);
+    user.cell.kill(user.vms[(fullVoter + 1) % 3]);
+    user.checkServes();
+    BOOST_TEST(user.cell.running(user.vms[fullVoter]));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/TemplateTest.cpp
+++ b/tests/platform/TemplateTest.cpp
@@ -36,6 +36,7 @@
             {"Seeds", "10.0.0.7:8100,10.0.0.8:8100,10.0.0.9:8100"},
             {"Bootstrap", "true"},
             {"Recommendation", "10.9.0.1:8200"},
+            {"Bounds.CatchUpS", "6"},
             {"Bounds.HoldMaxMs", "6000"},
             {"Bounds.StopTimeoutMs", "200"},
             {"Bounds.GangTimeoutMs", "3000"},
@@ -88,6 +89,7 @@
     const cell::CellSettings read = cell::parseCellSettings(filledTemplate(values), "file");
     BOOST_TEST(read.cell.advertisedAddress == "10.0.0.5:8100");
     BOOST_TEST(read.dataFolder == "/data/x");
+    BOOST_TEST(read.catchUp.count() == 6000);
 }
 
 BOOST_AUTO_TEST_CASE(reportsCodesOfInvalidSettings)
@@ -101,6 +103,7 @@
     BOOST_TEST((codeOf(replaced(good, "seeds =", "seed =")) == ResultCode::SettingsUnknownKey));
     BOOST_TEST((codeOf(replaced(good, "zone = z", "zone =")) == ResultCode::SettingsMissingKey));
     BOOST_TEST((codeOf(replaced(good, "10.0.0.8:8100", "somewhere")) == ResultCode::SettingsBadValue));
+    BOOST_TEST((codeOf(replaced(good, "catch_up_s = 6", "catch_up_s = 0")) == ResultCode::SettingsBadValue));
     BOOST_TEST((codeOf(replaced(good, "first_start = true", "first_start = yes")) == ResultCode::SettingsBadValue));
     BOOST_TEST((codeOf(replaced(good, "lease_max_ms = 6000", "lease_max_ms = 6 s")) == ResultCode::SettingsBadValue));
     BOOST_TEST((codeOf(replaced(good, "far_rack_factor = 1.5", "far_rack_factor = 0.5")) == ResultCode::SettingsBadValue));
--- a/tests/replication/JoiningTest.cpp
+++ b/tests/replication/JoiningTest.cpp
@@ -73,6 +73,59 @@
     BOOST_TEST(TestCluster::eventually([&] { return cluster.machine("c4").lines() == (std::vector<std::string>{"one", "two"}); }));
 }
 
+/// Guards against a replacement that leaves a member without the log behind: right after it all lose power and another member its disk.
+BOOST_AUTO_TEST_CASE(aStandbyHoldsTheLogBeforeItReplacesALostMember)
+{
+    const support::TemporaryFolder folder;
+    TestCluster cluster({C1, C2, C3}, folder.name());
+    cluster.startAll();
+    BOOST_TEST_REQUIRE(cluster.commit("one") != "");
+    cluster.setConfiguredMembers({C1, C2, C3, C4}, false);
+    cluster.start("c4");
+    BOOST_TEST_REQUIRE(cluster.followAsStandby("c4"));
+    BOOST_TEST((cluster.machine("c4").lines() == std::vector<std::string>{"one"}));
+    cluster.kill("c3");
+    BOOST_TEST_REQUIRE(cluster.changeMembers({C1, C2, C4}));
+    const std::vector<std::string> replaced{"c1", "c2", "c4"};
+    for (const std::string &vm : replaced) {
+        BOOST_TEST_REQUIRE(TestCluster::eventually([&] {
+            const GroupStatus status = cluster.group(vm).status();
+            return status.members == replaced && !status.changingMembers;
+        }));
+    }
+    for (const std::string &vm : replaced) {
+        cluster.kill(vm);
+    }
+    cluster.heal();
+    std::filesystem::remove_all(cluster.folderOf("c1"));
+    for (const std::string &vm : replaced) {
+        cluster.start(vm);
+    }
+    BOOST_TEST_REQUIRE(cluster.commit("two") != "");
+    BOOST_TEST(TestCluster::eventually([&] { return cluster.machine("c1").lines() == (std::vector<std::string>{"one", "two"}); }));
+}
+
+BOOST_AUTO_TEST_CASE(aStandbyCountsTowardNoMajority)
+{
+    const support::TemporaryFolder folder;
+    TestCluster cluster({C1, C2, C3}, folder.name());
+    cluster.startAll();
+    BOOST_TEST_REQUIRE(cluster.commit("one") != "");
+    cluster.setConfiguredMembers({C1, C2, C3, C4}, false);
+    cluster.start("c4");
+    BOOST_TEST_REQUIRE(cluster.followAsStandby("c4"));
+    const std::string leader = cluster.awaitLeader();
+    for (const std::string vm : {"c1", "c2", "c3"}) {
+        if (vm != leader) {
+            cluster.kill(vm);
+        }
+    }
+    BOOST_TEST((cluster.propose(leader, "two").code != base::ResultCode::Ok));
+    std::this_thread::sleep_for(LongEnough);
+    BOOST_TEST(!cluster.group(leader).status().leader);
+    BOOST_TEST(!cluster.group("c4").status().leader);
+}
+
 /// Guards against a restart that requires majorities of earlier memberships: a group grows from three members to five, then all lose power and two their
 /// disks.
 BOOST_AUTO_TEST_CASE(afterARestartOnlyTheLastCommittedMembershipCounts)
--- a/tests/replication/TestCluster.cpp
+++ b/tests/replication/TestCluster.cpp
@@ -143,6 +143,14 @@
     });
 }
 
+bool TestCluster::followAsStandby(const std::string &vm)
+{
+    return TestCluster::eventually([&] {
+        this->group(this->awaitLeader()).setStandbys({vm});
+        return this->group(vm).status().caughtUp;
+    });
+}
+
 void TestCluster::startAll()
 {
     for (const Member &member : this->members) {
--- a/tests/replication/TestCluster.h
+++ b/tests/replication/TestCluster.h
@@ -62,6 +62,9 @@
     /// Proposes this membership to the leader until the change is committed; false after the time limit.
     bool changeMembers(const std::vector<Member> &wanted);
 
+    /// Has the leader make a started VM a standby; false if it does not hold the log within the time limit.
+    bool followAsStandby(const std::string &vm);
+
     /// Ends the member without a handover; its in-memory state is lost.
     void kill(const std::string &vm);
     void stop(const std::string &vm, std::chrono::milliseconds limit);
--- a/tests/support/FakeGroup.cpp
+++ b/tests/support/FakeGroup.cpp
@@ -75,6 +75,10 @@
     done({base::ResultCode::NotLeader, {}});
 }
 
+void FakeGroup::setStandbys(std::vector<std::string> /*vms*/)
+{
+}
+
 void FakeGroup::raiseTerm(std::uint64_t atLeast)
 {
     this->raisedTo = atLeast;
--- a/tests/support/FakeGroup.h
+++ b/tests/support/FakeGroup.h
@@ -24,6 +24,7 @@
     void readBarrier(std::function<void(base::ResultCode)> done) override;
     void receive(const std::string &fromVm, std::string bytes) override;
     void changeMembers(std::vector<replication::Member> members, replication::ProposeCallback done) override;
+    void setStandbys(std::vector<std::string> vms) override;
     void raiseTerm(std::uint64_t atLeast) override;
     replication::GroupStatus status() const override;
     bool holdsLease(base::SteadyTime now) const override;
