A founding VM that lost its place stands by again

Callers saw: nothing yet; found while looking for the cause of the lost voters elsewhere. A cell whose founding VM was frozen or cut off long enough to be replaced runs with one VM less from then on, and stands still at the next loss that the terms allow.

Cause: a VM whose settings say first_start asked never to join, for as long as its process runs, also after others had taken its place.

Now every VM that is not a member asks; before the cell is founded nobody answers such a request.

--- a/src/cell/CellMember.cpp
+++ b/src/cell/CellMember.cpp
@@ -174,10 +174,11 @@
     this->timers.postAfter(CheckInterval, [this] { this->checkMembership(); });
 }
 
+/// A founding VM asks as well: it may lose its place while it is cut off.
 void CellMember::requestStandby(const replication::GroupStatus &status)
 {
     const bool isMember = std::find(status.members.begin(), status.members.end(), this->cell.ownVm) != status.members.end();
-    if ((isMember && this->isInGroup()) || isFoundingVm(this->options, this->cell.ownVm)) {
+    if (isMember && this->isInGroup()) {
         return;
     }
     wire::CallT join;
--- a/tests/platform/LostVoterTest.cpp
+++ b/tests/platform/LostVoterTest.cpp
@@ -110,4 +110,18 @@
     BOOST_TEST(user.cell.running(user.vms[fullVoter]));
 }
 
+BOOST_AUTO_TEST_CASE(aFoundingVmThatLostItsPlaceStandsByAgain)
+{
+    Operator user;
+    user.cell.signal(user.vms[0], SIGSTOP);
+    user.writeFor(10s);
+    user.cell.signal(user.vms[0], SIGCONT);
+    user.writeFor(CatchUpTime);
+    user.cell.kill(user.vms[1]);
+    user.writeFor(CatchUpTime);
+    // The founding VM and the one that took its place remain.
+    user.cell.kill(user.vms[2]);
+    user.checkServes();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
