A soak of platform daemons with seeded faults

cranberryreel_soak runs the daemons of a cell as processes and injects a seeded schedule of overlapping faults: kills, freezes, SIGTERM and SIGHUP, losses of power, full and wiped disks, VMs that are replaced for good, and disks lost while all others lose power. Clients keep their connections, an operator writes configurations, and the soak checks what they were told.

--- /dev/null
+++ b/tests/soak/Soak.cpp
@@ -0,0 +1,288 @@
+#include "soak/Soak.h"
+
+#include "support/Eventually.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <thread>
+
+namespace cranberryreel::soak
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds WatchInterval{10};
+constexpr int KilledStatus = 128 + SIGKILL;
+
+std::chrono::steady_clock::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+Soak::Soak(std::uint64_t randomSeed)
+    : seed(randomSeed)
+    , plan(randomSeed)
+    , cell(this->plan.layout())
+    , traffic(this->cell, this->report, randomSeed)
+{
+    for (const auto *group : {&this->cell.diskVms(), &this->cell.entryVms()}) {
+        for (const std::string &vm : *group) {
+            this->vms[vm] = {};
+        }
+    }
+}
+
+bool Soak::run(std::chrono::seconds time)
+{
+    const support::PlatformCellOptions &layout = this->plan.layout();
+    this->report.note(fmt::format("seed={} disks={} entries={} tolerate={}", this->seed, layout.diskVms, layout.entryVms, layout.tolerate));
+    const SteadyTime end = now() + time;
+    this->traffic.start();
+    this->checkServes();
+    while (now() < end && !this->report.failed()) {
+        this->runRound(this->plan.nextRound());
+    }
+    if (!this->report.failed()) {
+        this->traffic.checkJobs();
+        this->stopAll();
+    }
+    this->traffic.stop();
+    const ServedCounts counts = this->traffic.counts();
+    this->report.note(fmt::format("seed={} result={} configurations={} reads={} jobs={}{}",
+                                  this->seed,
+                                  this->report.failed() ? "FAILED" : "clean",
+                                  counts.acknowledged,
+                                  counts.readBack,
+                                  counts.acceptedJobs,
+                                  this->report.failed() ? " logs=" + this->cell.keepFolder() : ""));
+    return !this->report.failed();
+}
+
+void Soak::runRound(const SoakRound &round)
+{
+    const SteadyTime start = now();
+    for (const SoakStep &step : round.steps) {
+        this->wait(start + step.time);
+        if (this->report.failed()) {
+            return;
+        }
+        this->apply(step);
+    }
+    this->wait(start + round.closing);
+    this->close(round);
+    this->checkServes();
+    this->wait(now() + CatchUpTime);
+}
+
+void Soak::apply(const SoakStep &step)
+{
+    const std::string vm = this->vmAt(step);
+    this->report.note(fmt::format("{} {}", actionName(step.action), vm));
+    Expected &expected = this->vms[vm];
+    switch (step.action) {
+    case Action::Kill:
+        this->kill(vm);
+        break;
+    case Action::Start:
+        this->start(vm);
+        break;
+    case Action::Freeze:
+    case Action::Thaw:
+        expected.frozen = step.action == Action::Freeze && expected.up;
+        this->cell.signal(vm, expected.frozen ? SIGSTOP : SIGCONT);
+        break;
+    case Action::Terminate:
+        this->terminate(vm);
+        break;
+    case Action::Reload:
+        this->cell.signal(vm, SIGHUP);
+        break;
+    case Action::FillDisk:
+    case Action::FreeDisk:
+        this->cell.setDiskFull(vm, step.action == Action::FillDisk);
+        break;
+    case Action::Wipe:
+        this->kill(vm);
+        this->cell.wipe(vm);
+        break;
+    case Action::Remove:
+        this->kill(vm);
+        expected.removed = true;
+        break;
+    case Action::Succeed:
+        this->succeed(vm);
+        break;
+    case Action::PowerLoss:
+        this->cutPower();
+        break;
+    case Action::PowerBack:
+        for (const std::string &each : this->withoutPower) {
+            this->start(each);
+        }
+        this->withoutPower.clear();
+        break;
+    }
+}
+
+/// Injects the closing fault right after an acknowledgement, and starts all VMs again.
+void Soak::close(const SoakRound &round)
+{
+    const int before = this->traffic.counts().acknowledged;
+    support::eventually([this, before] { return this->traffic.counts().acknowledged > before; }, 2s);
+    if (round.powerLoss) {
+        this->cutPower();
+    }
+    std::string lost;
+    for (const std::size_t place : round.disksLost) {
+        const std::string &vm = this->cell.diskVms()[place];
+        this->kill(vm);
+        this->cell.wipe(vm);
+        lost += " " + vm;
+    }
+    this->report.note(fmt::format("closing power_loss={} disks_lost={}", round.powerLoss, lost));
+    this->wait(now() + round.downTime);
+    for (auto &[vm, expected] : this->vms) {
+        this->start(vm);
+    }
+    this->withoutPower.clear();
+    this->report.note("all are back");
+}
+
+void Soak::checkServes()
+{
+    const ServedCounts before = this->traffic.counts();
+    ServedCounts current = before;
+    const SteadyTime limit = now() + RecoveryTime;
+    const auto served = [&] {
+        return current.acknowledged > before.acknowledged && current.readBack > before.readBack && current.acceptedJobs > before.acceptedJobs;
+    };
+    while (!served() && now() < limit) {
+        this->wait(now() + WatchInterval);
+        current = this->traffic.counts();
+    }
+    if (!served()) {
+        this->report.addViolation(fmt::format("not served within {} s: configurations {} reads {} jobs {}",
+                                              RecoveryTime.count(),
+                                              current.acknowledged - before.acknowledged,
+                                              current.readBack - before.readBack,
+                                              current.acceptedJobs - before.acceptedJobs));
+    }
+}
+
+/// Stops all processes while the clients go on.
+void Soak::stopAll()
+{
+    this->report.note("terminate all");
+    for (auto &[vm, expected] : this->vms) {
+        this->cell.signal(vm, SIGTERM);
+    }
+    const SteadyTime limit = now() + GraceTime;
+    for (auto &[vm, expected] : this->vms) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(limit - now());
+        if (!expected.removed && !support::eventually([&, &name = vm] { return !this->cell.running(name); }, left)) {
+            this->report.addViolation(vm + " still runs after its grace time");
+        }
+    }
+}
+
+void Soak::wait(SteadyTime until)
+{
+    do {
+        this->watch();
+        std::this_thread::sleep_for(std::min<SteadyTime::duration>(WatchInterval, std::max<SteadyTime::duration>(until - now(), 0ms)));
+    } while (now() < until);
+}
+
+void Soak::watch()
+{
+    for (auto &[vm, expected] : this->vms) {
+        if (expected.stopping) {
+            this->watchStop(vm, expected);
+        } else if (expected.up && !this->cell.running(vm)) {
+            this->report.addViolation(fmt::format("{} ended by itself, status {}", vm, this->cell.exitStatus(vm).value_or(-1)));
+            this->start(vm);
+        }
+    }
+}
+
+void Soak::watchStop(const std::string &vm, Expected &expected)
+{
+    if (expected.frozen) {
+        expected.stopLimit = now() + GraceTime;
+    }
+    const bool running = this->cell.running(vm);
+    if (running && now() < expected.stopLimit) {
+        return;
+    }
+    if (running) {
+        this->report.addViolation(vm + " still runs after its grace time");
+    } else if (this->cell.exitStatus(vm).value_or(-1) != 0) {
+        this->report.addViolation(fmt::format("{} ended with status {} after SIGTERM", vm, this->cell.exitStatus(vm).value_or(-1)));
+    }
+    expected.up = false;
+    this->start(vm);
+}
+
+void Soak::kill(const std::string &vm)
+{
+    Expected &expected = this->vms[vm];
+    this->cell.kill(vm);
+    if (expected.up && !expected.stopping && this->cell.exitStatus(vm) != KilledStatus) {
+        this->report.addViolation(fmt::format("{} ended by itself, status {}", vm, this->cell.exitStatus(vm).value_or(-1)));
+    }
+    expected.up = false;
+    expected.stopping = false;
+    expected.frozen = false;
+}
+
+void Soak::start(const std::string &vm)
+{
+    if (Expected &expected = this->vms[vm]; !expected.removed && (!expected.up || !this->cell.running(vm))) {
+        this->cell.start(vm);
+        expected = {};
+    }
+}
+
+void Soak::terminate(const std::string &vm)
+{
+    if (Expected &expected = this->vms[vm]; expected.up) {
+        expected.stopLimit = expected.stopping ? expected.stopLimit : now() + GraceTime;
+        expected.stopping = true;
+        this->cell.signal(vm, SIGTERM);
+    }
+}
+
+void Soak::cutPower()
+{
+    for (const std::string &vm : this->cell.diskVms()) {
+        this->cell.signal(vm, SIGKILL);
+    }
+    for (const std::string &vm : this->cell.diskVms()) {
+        if (this->vms[vm].up) {
+            this->withoutPower.push_back(vm);
+        }
+        this->kill(vm);
+    }
+}
+
+void Soak::succeed(const std::string &vm)
+{
+    const std::string successor = this->cell.replace(vm);
+    this->vms[successor] = {};
+    this->traffic.setControlVms(this->cell.diskVms());
+    this->report.note("successor " + successor);
+}
+
+std::string Soak::vmAt(const SoakStep &step) const
+{
+    return step.onEntry ? this->cell.entryVms()[step.place] : this->cell.diskVms()[step.place];
+}
+
+} // namespace cranberryreel::soak
--- /dev/null
+++ b/tests/soak/Soak.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "soak/SoakPlan.h"
+#include "soak/SoakReport.h"
+#include "soak/SoakTraffic.h"
+#include "support/PlatformCell.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cranberryreel::soak
+{
+
+/// Runs the rounds of a plan against a cell and checks its processes. One thread.
+class Soak
+{
+public:
+    explicit Soak(std::uint64_t randomSeed);
+
+    /// Runs rounds until the time has passed or a promise was broken. Returns true if all promises were kept.
+    bool run(std::chrono::seconds time);
+
+private:
+    using SteadyTime = std::chrono::steady_clock::time_point;
+
+    /// What a VM's process is expected to do.
+    struct Expected {
+        bool up = true;
+        bool removed = false;
+        bool frozen = false;
+        bool stopping = false;
+        SteadyTime stopLimit;
+    };
+
+    void runRound(const SoakRound &round);
+    void apply(const SoakStep &step);
+    void close(const SoakRound &round);
+    void checkServes();
+    void stopAll();
+    void wait(SteadyTime until);
+    void watch();
+    void watchStop(const std::string &vm, Expected &expected);
+    void kill(const std::string &vm);
+    void start(const std::string &vm);
+    void terminate(const std::string &vm);
+    void cutPower();
+    void succeed(const std::string &vm);
+    std::string vmAt(const SoakStep &step) const;
+
+    const std::uint64_t seed;
+    SoakReport report;
+    SoakPlan plan;
+    support::PlatformCell cell;
+    SoakTraffic traffic;
+    std::map<std::string, Expected> vms;
+    std::vector<std::string> withoutPower;
+};
+
+} // namespace cranberryreel::soak
--- /dev/null
+++ b/tests/soak/SoakPlan.cpp
@@ -0,0 +1,141 @@
+#include "soak/SoakPlan.h"
+
+#include <algorithm>
+
+namespace cranberryreel::soak
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+constexpr milliseconds SuccessorDelay{2000};
+/// A process that is started again after SIGTERM is back within this time.
+constexpr milliseconds RestartTime = GraceTime + 500ms;
+
+} // namespace
+
+const char *actionName(Action action)
+{
+    static const char *const names[] = {
+        "kill", "start", "freeze", "thaw", "terminate", "reload", "fill_disk", "free_disk", "wipe", "remove", "succeed", "power_loss", "power_back"};
+    return names[static_cast<std::size_t>(action)];
+}
+
+SoakPlan::SoakPlan(std::uint64_t seed)
+    : random(seed)
+{
+    this->options.tolerate = this->below(3) == 0 ? 2 : 1;
+    const int voters = 2 * this->options.tolerate + 1;
+    this->options.diskVms = voters + static_cast<int>(this->below(3));
+    this->options.entryVms = 2;
+}
+
+const support::PlatformCellOptions &SoakPlan::layout() const
+{
+    return this->options;
+}
+
+SoakRound SoakPlan::nextRound()
+{
+    static const FaultKind kinds[] = {
+        {Action::Kill, Action::Start, 0ms, 3000ms},
+        {Action::Freeze, Action::Thaw, 300ms, 9000ms},
+        {Action::Terminate, Action::Start, RestartTime, RestartTime},
+        {Action::Terminate, Action::Kill, 0ms, 1500ms},
+        {Action::FillDisk, Action::FreeDisk, 500ms, 8000ms},
+        {Action::FillDisk, Action::FreeDisk, 3000ms, 12000ms},
+        {Action::Wipe, Action::Start, 200ms, 3000ms},
+        {Action::Remove, Action::Succeed, SuccessorDelay, SuccessorDelay},
+    };
+    constexpr std::size_t EntryShare = 5; // One in so many faults hits an entry VM; the same for a reload.
+    constexpr std::size_t PowerLossShare = 12;
+    SoakRound round;
+    this->lostUntil.assign(static_cast<std::size_t>(this->options.diskVms), 0ms);
+    const milliseconds length = this->between(6s, 14s);
+    for (milliseconds time = this->between(0ms, 1s); time < length; time += this->between(50ms, 1500ms)) {
+        const std::size_t place = this->below(this->lostUntil.size());
+        const auto lost = std::count_if(this->lostUntil.begin(), this->lostUntil.end(), [time](milliseconds until) { return until > time; });
+        if (this->below(EntryShare) == 0) {
+            this->addEntryFault(round, time);
+        } else if (this->below(EntryShare) == 0) {
+            round.steps.push_back({time, Action::Reload, false, place});
+        } else if (this->below(PowerLossShare) == 0) {
+            this->addPowerLoss(round, time);
+        } else if (lost < this->options.tolerate && this->lostUntil[place] <= time) {
+            this->addFault(round, kinds[this->below(std::size(kinds))], time, place);
+        }
+    }
+    this->addClosing(round);
+    std::stable_sort(round.steps.begin(), round.steps.end(), [](const SoakStep &a, const SoakStep &b) { return a.time < b.time; });
+    return round;
+}
+
+std::size_t SoakPlan::below(std::size_t bound)
+{
+    return static_cast<std::size_t>(this->random() % bound);
+}
+
+milliseconds SoakPlan::between(milliseconds shortest, milliseconds longest)
+{
+    return shortest + milliseconds(this->below(static_cast<std::size_t>((longest - shortest).count()) + 1));
+}
+
+void SoakPlan::addFault(SoakRound &round, const FaultKind &kind, milliseconds time, std::size_t place)
+{
+    const milliseconds end = time + this->between(kind.shortest, kind.longest);
+    round.steps.push_back({time, kind.begin, false, place});
+    round.steps.push_back({end, kind.end, false, place});
+    // A process that is killed while it stops is started again at once.
+    if (kind.end == Action::Kill) {
+        round.steps.push_back({end, Action::Start, false, place});
+    }
+    // A VM may restart while its disk is full.
+    if (kind.begin == Action::FillDisk && this->below(4) == 0) {
+        const milliseconds restart = this->between(time, end);
+        round.steps.push_back({restart, Action::Kill, false, place});
+        round.steps.push_back({restart + 100ms, Action::Start, false, place});
+    }
+    this->lostUntil[place] = end + CatchUpTime;
+}
+
+void SoakPlan::addPowerLoss(SoakRound &round, milliseconds time)
+{
+    const milliseconds back = time + this->between(100ms, 3s);
+    round.steps.push_back({time, Action::PowerLoss, false, 0});
+    round.steps.push_back({back, Action::PowerBack, false, 0});
+    for (milliseconds &until : this->lostUntil) {
+        until = std::max<milliseconds>(until, back + CatchUpTime);
+    }
+}
+
+void SoakPlan::addEntryFault(SoakRound &round, milliseconds time)
+{
+    const std::size_t place = this->below(static_cast<std::size_t>(this->options.entryVms));
+    static const std::pair<Action, Action> faults[] = {{Action::Kill, Action::Start}, {Action::Freeze, Action::Thaw}, {Action::Terminate, Action::Reload}};
+    const auto &[begin, end] = faults[this->below(std::size(faults))];
+    round.steps.push_back({time, begin, true, place});
+    round.steps.push_back({time + this->between(0ms, 2s), end, true, place});
+}
+
+void SoakPlan::addClosing(SoakRound &round)
+{
+    const milliseconds calm = *std::max_element(this->lostUntil.begin(), this->lostUntil.end());
+    for (const SoakStep &step : round.steps) {
+        round.closing = std::max({round.closing, step.time, calm});
+    }
+    round.closing += this->between(0ms, 300ms);
+    round.downTime = this->between(100ms, 3s);
+    const std::size_t lost = this->below(5) == 0 ? 0 : static_cast<std::size_t>(this->options.tolerate);
+    round.powerLoss = this->below(4) != 0 || lost == 0;
+    while (round.disksLost.size() < lost) {
+        if (const std::size_t place = this->below(this->lostUntil.size());
+            std::find(round.disksLost.begin(), round.disksLost.end(), place) == round.disksLost.end()) {
+            round.disksLost.push_back(place);
+        }
+    }
+}
+
+} // namespace cranberryreel::soak
--- /dev/null
+++ b/tests/soak/SoakReport.cpp
@@ -0,0 +1,45 @@
+#include "soak/SoakReport.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+
+namespace cranberryreel::soak
+{
+
+namespace
+{
+
+/// Later violations mostly follow from the first ones.
+constexpr std::size_t MaxPrintedViolations = 20;
+
+} // namespace
+
+void SoakReport::note(const std::string &text)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->print(text);
+}
+
+void SoakReport::addViolation(const std::string &text)
+{
+    const absl::MutexLock lock(&this->mutex);
+    if (++this->violations <= MaxPrintedViolations) {
+        this->print("VIOLATION " + text);
+    }
+}
+
+bool SoakReport::failed() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return this->violations > 0;
+}
+
+void SoakReport::print(const std::string &text)
+{
+    const std::chrono::duration<double> time = std::chrono::steady_clock::now() - this->start;
+    fmt::print("{:8.3f} {}\n", time.count(), text);
+    std::fflush(stdout);
+}
+
+} // namespace cranberryreel::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,46 @@
+#include "soak/Soak.h"
+
+#include <absl/strings/numbers.h>
+
+#include <getopt.h>
+
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+constexpr const char *Usage = "usage: cranberryreel_soak [--seconds N] SEED...\n";
+constexpr int UsageStatus = 2;
+constexpr std::int64_t DefaultSeconds = 60;
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    static const option longOptions[] = {{"seconds", required_argument, nullptr, 's'}, {nullptr, 0, nullptr, 0}};
+    std::int64_t seconds = DefaultSeconds;
+    bool valid = true;
+    for (int code = 0; (code = getopt_long(argc, argv, "", longOptions, nullptr)) != -1;) {
+        valid = valid && code == 's' && absl::SimpleAtoi(optarg, &seconds) && seconds > 0;
+    }
+    std::vector<std::uint64_t> seeds;
+    for (int i = optind; i < argc; ++i) {
+        valid = absl::SimpleAtoi(argv[i], &seeds.emplace_back()) && valid;
+    }
+    if (!valid || seeds.empty()) {
+        std::fputs(Usage, stderr);
+        return UsageStatus;
+    }
+    std::string failed;
+    for (const std::uint64_t seed : seeds) {
+        if (!cranberryreel::soak::Soak(seed).run(std::chrono::seconds(seconds))) {
+            failed += " " + std::to_string(seed);
+        }
+    }
+    std::printf("%zu seeds, failed:%s\n", seeds.size(), failed.empty() ? " none" : failed.c_str());
+    return failed.empty() ? 0 : 1;
+}
--- a/tests/support/PlatformCell.cpp
+++ b/tests/support/PlatformCell.cpp
@@ -81,6 +81,9 @@
     started.logReader = std::make_unique<Process>(std::vector<std::string>{"/bin/cat", pipe}, this->logOf(vm));
     const std::vector<std::string> command{std::string(CRANBERRYREEL_BINARY_DIR) + "/cranberryreel-platformd", "--settings", this->settingsFile(vm)};
     started.process = std::make_unique<Process>(command, pipe);
+    if (started.diskFull) {
+        limitWrites(started);
+    }
 }
 
 void PlatformCell::kill(const std::string &vm)
@@ -109,10 +112,8 @@
 
 void PlatformCell::setDiskFull(const std::string &vm, bool full)
 {
-    rlimit limit{};
-    ::getrlimit(RLIMIT_FSIZE, &limit);
-    limit.rlim_cur = full ? 0 : limit.rlim_max;
-    ::prlimit(this->vms.at(vm).process->id(), RLIMIT_FSIZE, &limit, nullptr);
+    this->vms.at(vm).diskFull = full;
+    limitWrites(this->vms.at(vm));
 }
 
 bool PlatformCell::running(const std::string &vm)
@@ -130,8 +131,9 @@
     return this->settingsFile(vm) + ".log";
 }
 
-const std::string &PlatformCell::folderName() const
+const std::string &PlatformCell::keepFolder()
 {
+    this->folder.keep();
     return this->folder.name();
 }
 
@@ -200,6 +202,16 @@
     return json["Version"].get<int>();
 }
 
+void PlatformCell::limitWrites(const Vm &vm)
+{
+    rlimit limit{};
+    ::getrlimit(RLIMIT_FSIZE, &limit);
+    limit.rlim_cur = vm.diskFull ? 0 : limit.rlim_max;
+    if (vm.process->running()) {
+        ::prlimit(vm.process->id(), RLIMIT_FSIZE, &limit, nullptr);
+    }
+}
+
 std::string PlatformCell::addVm(bool hasDisk, bool formsCell)
 {
     std::string name = loopbackAddress(this->addedVms++);
--- a/tests/support/PlatformCell.h
+++ b/tests/support/PlatformCell.h
@@ -45,7 +45,7 @@
     /// Kills a VM for good and starts its successor, which has a new address and an empty disk. Returns the successor.
     std::string replace(const std::string &vm);
 
-    /// Makes all writes of the VM's running process to files fail, or lets them succeed again.
+    /// Makes all writes of the VM's processes to files fail, or lets them succeed again.
     void setDiskFull(const std::string &vm, bool full);
 
     bool running(const std::string &vm);
@@ -53,7 +53,9 @@
 
     /// Path of the file that holds the output of all processes of the VM.
     std::string logOf(const std::string &vm) const;
-    const std::string &folderName() const;
+
+    /// Keeps the folder with logs, settings and disks after the test. Returns its path.
+    const std::string &keepFolder();
 
     std::string callers(const std::string &vm) const;
     std::string readiness(const std::string &vm) const;
@@ -76,11 +78,13 @@
 private:
     struct Vm {
         bool hasDisk = false;
+        bool diskFull = false;
         bool formsCell = false; ///< The next process starts the cell for the first time.
         std::unique_ptr<Process> logReader; ///< Copies the output to the log file, which therefore does not depend on the process's limits.
         std::unique_ptr<Process> process;
     };
 
+    static void limitWrites(const Vm &vm);
     std::string addVm(bool hasDisk, bool formsCell);
     void writeSettings(const std::string &name, const Vm &vm) const;
     std::string seeds() const;
--- a/tests/support/TemporaryFolder.h
+++ b/tests/support/TemporaryFolder.h
@@ -7,7 +7,7 @@
 namespace cranberryreel::support
 {
 
-/// A folder that the destructor deletes, unless CRANBERRYREEL_KEEP_FOLDERS is set. Owned by a test.
+/// A folder that the destructor deletes, unless keep() was called or CRANBERRYREEL_KEEP_FOLDERS is set. Owned by a test.
 class TemporaryFolder
 {
 public:
@@ -19,7 +19,7 @@
 
     ~TemporaryFolder()
     {
-        if (std::getenv("CRANBERRYREEL_KEEP_FOLDERS") == nullptr) {
+        if (!this->kept && std::getenv("CRANBERRYREEL_KEEP_FOLDERS") == nullptr) {
             std::error_code ignored;
             std::filesystem::remove_all(this->path, ignored);
         }
@@ -28,6 +28,11 @@
     TemporaryFolder(const TemporaryFolder &) = delete;
     TemporaryFolder &operator=(const TemporaryFolder &) = delete;
 
+    void keep()
+    {
+        this->kept = true;
+    }
+
     const std::string &name() const
     {
         return this->path;
@@ -35,6 +40,7 @@
 
 private:
     std::string path;
+    bool kept = false;
 };
 
 } // namespace cranberryreel::support
