A standby is ready only while it holds what was committed

A standby that was cut off and came back was taken for ready while it lacked up to 60 commands, so that a place given to it then left one copy of the log less; one that was still copying was exchanged for another that asked, again and again; one that had just begun to follow was reported as silent since the election; a place could go to a VM that the same plan stopped sending to.

Now the leader knows until when a follower holds all that was committed (MemberProgress::storedUntil), going from one commit index to the next, and counts silence from there or from its first message. A new follower is first asked where its log ends. The keeper keeps a standby that is ready or copies.

--- a/src/cell/GroupKeeper.cpp
+++ b/src/cell/GroupKeeper.cpp
@@ -14,6 +14,8 @@
 
 /// Standbys repeat their request twice a second.
 constexpr std::chrono::milliseconds RequestLifetime{2000};
+/// A standby that has not copied the log by then makes room for another.
+constexpr std::chrono::seconds CopyLimit{30};
 /// A standby that stored what the leader sent within this time may become a member.
 constexpr std::chrono::milliseconds ReadyWithin{1000};
 
@@ -23,9 +25,9 @@
     return found == status.peers.end() ? nullptr : &*found;
 }
 
-bool isReadyStandby(const PeerHealth &peer)
+bool isReadyStandby(const PeerHealth &peer, std::chrono::milliseconds within)
 {
-    return !peer.voter && peer.counts && peer.silentFor < ReadyWithin;
+    return !peer.voter && peer.counts && peer.silentFor < within;
 }
 
 } // namespace
@@ -53,36 +55,46 @@
     return plan;
 }
 
-/// Prefers VMs that follow already, and among them those that store what the leader sends.
+/// Prefers VMs that follow already, and among them those that hold the log. One that holds it is kept even if it no longer asks.
 std::vector<std::string> GroupKeeper::chooseStandbys(const GroupStatus &status) const
 {
-    std::vector<std::pair<int, std::string>> ranked;
+    enum Rank { Ready, Copying, Asking, Failing };
+    std::vector<std::pair<Rank, std::string>> ranked;
+    for (const PeerHealth &peer : status.peers) {
+        if (isReadyStandby(peer, this->readyWithin())) {
+            ranked.emplace_back(Ready, peer.vm);
+        } else if (!peer.voter && this->requests.count(peer.vm) > 0) {
+            const bool failing = peer.silentFor > (peer.counts ? this->options.replaceAfter : std::chrono::milliseconds(CopyLimit));
+            ranked.emplace_back(failing ? Failing : Copying, peer.vm);
+        }
+    }
     for (const auto &[vm, requestedAt] : this->requests) {
-        const PeerHealth *peer = findPeer(status, vm);
-        if (peer != nullptr && peer->voter) {
-            continue;
+        if (findPeer(status, vm) == nullptr) {
+            ranked.emplace_back(Asking, vm);
         }
-        const bool silent = peer != nullptr && peer->silentFor > this->options.replaceAfter;
-        ranked.emplace_back(silent ? 2 : (peer == nullptr ? 1 : 0), vm);
     }
     std::sort(ranked.begin(), ranked.end());
-    // Two are needed to grow a group by an even number.
-    const std::size_t wanted =
-        status.members.size() < this->options.maxMembers ? std::max<std::size_t>(2, this->options.maxStandbys) : this->options.maxStandbys;
+    // Two are needed to grow a group from one odd size to the next.
+    const bool grows = status.members.size() < this->options.maxMembers;
+    const std::size_t wanted = std::max<std::size_t>(grows ? 2 : 0, this->options.maxStandbys);
     std::vector<std::string> standbys;
-    for (const auto &[rank, vm] : ranked) {
-        if (standbys.size() < wanted) {
-            standbys.push_back(vm);
-        }
+    for (std::size_t i = 0; i < std::min(wanted, ranked.size()); ++i) {
+        standbys.push_back(ranked[i].second);
     }
     return standbys;
 }
 
+/// A standby that takes a place must have stored more lately than the member that loses it.
+std::chrono::milliseconds GroupKeeper::readyWithin() const
+{
+    return std::min(ReadyWithin, this->options.replaceAfter);
+}
+
 void GroupKeeper::planMembers(const GroupStatus &status, Plan &plan) const
 {
     std::vector<std::string> ready;
     for (const PeerHealth &peer : status.peers) {
-        if (isReadyStandby(peer)) {
+        if (isReadyStandby(peer, this->readyWithin())) {
             ready.push_back(peer.vm);
         }
     }
--- a/src/cell/GroupKeeper.h
+++ b/src/cell/GroupKeeper.h
@@ -40,6 +40,7 @@
     Plan plan(const replication::GroupStatus &status, base::SteadyTime now);
 
 private:
+    std::chrono::milliseconds readyWithin() const;
     std::vector<std::string> chooseStandbys(const replication::GroupStatus &status) const;
     void planMembers(const replication::GroupStatus &status, Plan &plan) const;
 
--- a/src/replication/Core.h
+++ b/src/replication/Core.h
@@ -196,6 +196,8 @@
     // CoreLeader.cpp
     void becomeLeader(EntryKind openingKind, std::string data, base::SteadyTime now);
     std::vector<std::string> followers() const;
+    MemberProgress &progressOf(const std::string &vm, base::SteadyTime now);
+    void recordStored(MemberProgress &progress, base::SteadyTime now) const;
     void sendEntries(const std::string &vm, bool heartbeat, base::SteadyTime now);
     void sendAppend(const std::string &vm, MemberProgress &progress, std::vector<Entry> batch, base::SteadyTime now);
     void sendSnapshotChunk(const std::string &vm, MemberProgress &progress, base::SteadyTime now);
@@ -292,7 +294,6 @@
     // State of a leader.
     std::map<std::string, MemberProgress> progresses;
     std::set<std::string> standbys;
-    base::SteadyTime leadingSince;
     std::uint64_t termStartIndex = 0;
     base::SteadyTime nextHeartbeat;
     base::SteadyTime lastMajorityContact;
--- a/src/replication/CoreLeader.cpp
+++ b/src/replication/CoreLeader.cpp
@@ -28,13 +28,12 @@
     this->progresses.clear();
     this->standbys.clear();
     this->handingOver = false;
-    this->leadingSince = now;
     this->lastMajorityContact = now;
     this->leaseUntil = now;
     this->appendOwn(openingKind, std::move(data));
     this->termStartIndex = this->entries.lastIndex();
     for (const std::string &vm : this->otherMembers()) {
-        MemberProgress &progress = this->progresses[vm];
+        MemberProgress &progress = this->progressOf(vm, now);
         progress.next = this->termStartIndex;
         this->sendAppend(vm, progress, {this->entries.at(this->termStartIndex)}, now);
     }
@@ -59,7 +58,7 @@
     }
     for (const std::string &vm : this->followers()) {
         // An admitted standby need not keep up with every entry; it gets them in batches with the heartbeats.
-        if (!this->isStandby(vm) || this->progresses[vm].standing != Standing::Full) {
+        if (!this->isStandby(vm) || this->progressOf(vm, now).standing != Standing::Full) {
             this->sendEntries(vm, false, now);
         }
     }
@@ -79,7 +78,9 @@
     }
     const std::set<std::string> before = std::exchange(this->standbys, vms);
     for (const std::string &vm : before) {
-        if (this->membership().find(vm) == nullptr && vms.count(vm) == 0) {
+        const std::vector<const Membership *> active = this->activeMemberships();
+        const bool member = std::any_of(active.begin(), active.end(), [&vm = vm](const Membership *members) { return members->find(vm) != nullptr; });
+        if (!member && vms.count(vm) == 0) {
             this->progresses.erase(vm);
         }
     }
@@ -90,9 +91,33 @@
     }
 }
 
+/// A new follower is asked first where its log ends; it may hold most of the entries already.
+MemberProgress &Core::progressOf(const std::string &vm, base::SteadyTime now)
+{
+    const auto [found, created] = this->progresses.try_emplace(vm);
+    MemberProgress &progress = found->second;
+    if (created) {
+        progress.next = this->entries.lastIndex() + 1;
+        progress.followsSince = now;
+        progress.nextTarget = std::max(this->commit, this->termStartIndex);
+        progress.nextTargetAt = now;
+    }
+    return progress;
+}
+
+/// Advances the time until which the follower certainly holds what was committed, from one index that it has reached to the next.
+void Core::recordStored(MemberProgress &progress, base::SteadyTime now) const
+{
+    if (this->safety.countsTowardCommit(progress.standing) && progress.match >= progress.nextTarget) {
+        progress.storedUntil = progress.nextTargetAt;
+        progress.nextTarget = std::max(this->commit, this->termStartIndex);
+        progress.nextTargetAt = now;
+    }
+}
+
 void Core::sendEntries(const std::string &vm, bool heartbeat, base::SteadyTime now)
 {
-    MemberProgress &progress = this->progresses[vm];
+    MemberProgress &progress = this->progressOf(vm, now);
     const bool compacted = !this->entries.termAt(progress.next - 1).has_value();
     if ((compacted || progress.snapshot) && this->latestSnapshot) {
         this->sendSnapshotChunk(vm, progress, now);
@@ -190,9 +215,6 @@
     }
     progress.standing = message.standing;
     progress.answeredSendTime = std::max(progress.answeredSendTime, message.sequence);
-    if (this->safety.countsTowardCommit(message.standing)) {
-        progress.countedSendTime = progress.answeredSendTime;
-    }
     return true;
 }
 
@@ -217,6 +239,7 @@
         }
         progress.next = std::max(progress.next, progress.match + 1);
         progress.probing = false;
+        this->recordStored(progress, now);
         if (progress.snapshot && progress.match >= progress.snapshotIndex) {
             progress.snapshot = nullptr;
         }
--- a/src/replication/CoreLeadership.cpp
+++ b/src/replication/CoreLeadership.cpp
@@ -46,10 +46,11 @@
     }
     const auto add = [&](const std::string &vm, bool voter) {
         PeerHealth health{vm, voter, this->countsTowardMajority(Member{vm}), {}};
-        if (vm != this->options.ownVm) {
-            const auto progress = this->progresses.find(vm);
-            const base::SteadyTime counted = progress == this->progresses.end() ? base::SteadyTime() : fromNanoseconds(progress->second.countedSendTime);
-            health.silentFor = std::chrono::duration_cast<std::chrono::milliseconds>(now - std::max(counted, this->leadingSince));
+        if (const auto found = this->progresses.find(vm); found != this->progresses.end()) {
+            const MemberProgress &progress = found->second;
+            const base::SteadyTime storedUntil = std::max(progress.storedUntil, progress.followsSince);
+            health.counts = health.counts && progress.storedUntil != base::SteadyTime();
+            health.silentFor = std::chrono::duration_cast<std::chrono::milliseconds>(now - storedUntil);
         }
         peers.push_back(std::move(health));
     };
--- a/src/replication/MemberProgress.h
+++ b/src/replication/MemberProgress.h
@@ -21,7 +21,10 @@
     std::uint64_t next = 1; ///< Index of the next entry to send.
     bool probing = true; ///< The last matching index is not known yet; one message is sent at a time.
     std::int64_t answeredSendTime = 0; ///< Sending time, in steady nanoseconds, of the latest of the leader's messages that the member answered.
-    std::int64_t countedSendTime = 0; ///< The same for the answers that counted toward commits.
+    base::SteadyTime followsSince; ///< When the leader began to send to the member.
+    base::SteadyTime storedUntil; ///< The member holds all that was committed at this time; not set until it counts and has caught up.
+    std::uint64_t nextTarget = 0; ///< Once the member holds this index, storedUntil is nextTargetAt.
+    base::SteadyTime nextTargetAt;
     std::uint64_t admissionIndex = 0; ///< Index of the proposed admission of `boot`; 0 for none.
 
     std::shared_ptr<const std::string> snapshot; ///< The encoded snapshot being sent; null for none.
--- a/src/replication/PeerHealth.h
+++ b/src/replication/PeerHealth.h
@@ -10,8 +10,8 @@
 struct PeerHealth {
     std::string vm;
     bool voter = false; ///< A member, as opposed to a standby.
-    bool counts = false; ///< Its log is admitted: its acknowledgements count toward commits, or would as soon as it is a member.
-    std::chrono::milliseconds silentFor{0}; ///< Time since the leader sent the last message that it stored and answered; since the election if there is none.
+    bool counts = false; ///< Its log is admitted and has caught up: its acknowledgements count toward commits, or would as soon as it is a member.
+    std::chrono::milliseconds silentFor{0}; ///< It holds all that was committed this long ago; time since the leader first sent to it if it has not caught up.
 };
 
 } // namespace cranberryreel::replication
--- a/tests/cell/GroupKeeperTest.cpp
+++ b/tests/cell/GroupKeeperTest.cpp
@@ -127,14 +127,16 @@
     BOOST_TEST(keeper.plan(status, Start).members.value() == (Names{"a", "c", "e", "f", "g"}), boost::test_tools::per_element());
 }
 
-BOOST_AUTO_TEST_CASE(aStandbyThatNoLongerAsksIsDropped)
+BOOST_AUTO_TEST_CASE(aSilentStandbyThatNoLongerAsksIsDropped)
 {
     GroupKeeper keeper = keeperFor(1);
     GroupStatus status = statusOf({"a", "b", "c"});
     addStandby(status, "d", true);
     keeper.recordRequest("d", Start);
     keeper.recordRequest("e", Start + 1500ms);
+    setSilence(status, "d", 1500ms);
     BOOST_TEST(keeper.plan(status, Start + 1500ms).standbys == (Names{"d"}), boost::test_tools::per_element());
+    setSilence(status, "d", 2500ms);
     BOOST_TEST(keeper.plan(status, Start + 2500ms).standbys == (Names{"e"}), boost::test_tools::per_element());
 }
 
@@ -150,4 +152,48 @@
     BOOST_TEST(keeper.plan(status, Start).standbys == (Names{"e"}), boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(aStandbyThatCopiesTheLogIsNotExchangedForAnother)
+{
+    GroupKeeper keeper = keeperFor(1);
+    Names standbys;
+    int changes = 0;
+    base::SteadyTime since = Start;
+    for (base::SteadyTime now = Start; now < Start + 10s; now += 500ms) {
+        GroupStatus status = statusOf({"a", "b", "c"});
+        for (const std::string &vm : standbys) {
+            status.peers.push_back({vm, false, false, std::chrono::duration_cast<std::chrono::milliseconds>(now - since)});
+        }
+        keeper.recordRequest("d", now);
+        keeper.recordRequest("e", now);
+        if (const Names chosen = keeper.plan(status, now).standbys; chosen != standbys) {
+            standbys = chosen;
+            since = now;
+            ++changes;
+        }
+    }
+    BOOST_TEST(changes == 1);
+}
+
+/// The place must not go to a VM that the same plan stops sending the log to.
+BOOST_AUTO_TEST_CASE(aNewMemberIsAmongTheStandbysOfThePlan)
+{
+    GroupKeeper keeper = keeperFor(1);
+    GroupStatus status = statusOf({"a", "b", "c"});
+    setSilence(status, "c", 9000ms);
+    addStandby(status, "d", true);
+    const GroupKeeper::Plan plan = keeper.plan(status, Start);
+    BOOST_TEST(plan.members.has_value());
+    BOOST_TEST(plan.standbys == (Names{"d"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(aStandbyThatIsSilentForLongerReplacesNobody)
+{
+    GroupKeeper keeper({3, 1, 500ms});
+    GroupStatus status = statusOf({"a", "b", "c"});
+    setSilence(status, "c", 510ms);
+    addStandby(status, "d", true);
+    setSilence(status, "d", 950ms);
+    BOOST_TEST(!keeper.plan(status, Start).members.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/replication/JoiningTest.cpp
+++ b/tests/replication/JoiningTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <filesystem>
 #include <thread>
 
@@ -19,6 +20,12 @@
 /// Several times the duration of an election with the timings of these tests.
 constexpr std::chrono::milliseconds LongEnough{1500};
 
+const PeerHealth *peerOf(const GroupStatus &status, const std::string &vm)
+{
+    const auto found = std::find_if(status.peers.begin(), status.peers.end(), [&vm](const PeerHealth &peer) { return peer.vm == vm; });
+    return found == status.peers.end() ? nullptr : &*found;
+}
+
 } // namespace
 
 /// Members that know each other from seeds only: the list in their settings may change or contain VMs that are no members.
@@ -181,4 +188,62 @@
     BOOST_TEST(TestCluster::eventually([&] { return cluster.machine("c2").lines() == (std::vector<std::string>{"one", "two"}); }));
 }
 
+/// A VM that has just become a standby has had no time to answer; the keeper would prefer any other VM to it.
+BOOST_AUTO_TEST_CASE(aNewStandbyIsNotSilentFromTheStartOfTheTerm)
+{
+    const support::TemporaryFolder folder;
+    TestCluster cluster({C1, C2, C3}, folder.name());
+    cluster.startAll();
+    BOOST_TEST_REQUIRE(cluster.commit("one") != "");
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    const std::string leader = cluster.awaitLeader();
+    std::chrono::milliseconds seen{-1};
+    cluster.group(leader).setStandbys({"c4"}); // Not started yet.
+    BOOST_TEST_REQUIRE(TestCluster::eventually([&] {
+        const GroupStatus status = cluster.group(leader).status();
+        const PeerHealth *peer = peerOf(status, "c4");
+        seen = peer == nullptr ? seen : peer->silentFor;
+        return peer != nullptr;
+    }));
+    BOOST_TEST(seen.count() < 1000);
+}
+
+/// A standby that answers but lacks the committed log is not ready to replace a member.
+BOOST_AUTO_TEST_CASE(aStandbyThatLagsDoesNotCount)
+{
+    const support::TemporaryFolder folder;
+    TestCluster cluster({C1, C2, C3}, folder.name());
+    cluster.startAll();
+    BOOST_TEST_REQUIRE(cluster.commit("one") != "");
+    cluster.setConfiguredMembers({C1, C2, C3, C4}, false);
+    cluster.start("c4");
+    BOOST_TEST_REQUIRE(cluster.followAsStandby("c4"));
+    cluster.isolate("c4");
+    const std::string large(1024 * 1024, 'x');
+    for (int i = 0; i < 60; ++i) {
+        BOOST_TEST_REQUIRE(cluster.commit(large + std::to_string(i)) != "");
+    }
+    const std::string leader = cluster.awaitLeader();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    BOOST_TEST_REQUIRE(cluster.group(leader).status().committed > cluster.group("c4").status().committed + 50);
+    cluster.heal();
+    base::SteadyTime firstSeen;
+    base::SteadyTime lastSeen;
+    const base::SteadyTime end = base::steadyNow() + std::chrono::seconds(3);
+    while (base::steadyNow() < end) {
+        const std::uint64_t applied = cluster.group("c4").status().applied;
+        const GroupStatus status = cluster.group(leader).status();
+        const PeerHealth *peer = peerOf(status, "c4");
+        const std::uint64_t appliedAfter = cluster.group("c4").status().applied;
+        if (status.leader && peer != nullptr && !peer->voter && peer->counts && peer->silentFor < std::chrono::milliseconds(1000) && applied == appliedAfter
+            && status.committed > appliedAfter) {
+            lastSeen = base::steadyNow();
+            firstSeen = firstSeen == base::SteadyTime() ? lastSeen : firstSeen;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    // A single sample may be older than the reply that it is compared with.
+    BOOST_TEST((lastSeen - firstSeen < std::chrono::milliseconds(20)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
