A group with more members than it needs gives up the surplus

Cause: a lost member was replaced by two VMs that asked within a moment.

Now the leader drops members beyond the wanted number, silent ones first, and a silent one of an even number.

--- a/src/cell/GroupKeeper.cpp
+++ b/src/cell/GroupKeeper.cpp
@@ -90,6 +90,25 @@
     return std::min(ReadyWithin, this->options.replaceAfter);
 }
 
+/// A group of more members than it needs, or of an even number, gives up silent ones first; never this leader.
+void GroupKeeper::dropSurplus(const GroupStatus &status, std::vector<std::string> &members, Plan &plan) const
+{
+    while (members.size() > 1 && (members.size() > this->options.maxMembers || members.size() % 2 == 0)) {
+        const PeerHealth *surplus = nullptr;
+        for (const PeerHealth &peer : status.peers) {
+            const bool listed = std::find(members.begin(), members.end(), peer.vm) != members.end();
+            if (listed && peer.vm != status.leaderVm && (surplus == nullptr || peer.silentFor > surplus->silentFor)) {
+                surplus = &peer;
+            }
+        }
+        if (surplus == nullptr || (members.size() <= this->options.maxMembers && surplus->silentFor <= this->options.replaceAfter)) {
+            return;
+        }
+        plan.lost.push_back(surplus->vm);
+        members.erase(std::find(members.begin(), members.end(), surplus->vm));
+    }
+}
+
 void GroupKeeper::planMembers(const GroupStatus &status, Plan &plan) const
 {
     std::vector<std::string> ready;
@@ -117,6 +136,7 @@
         members.push_back(ready.back());
         ready.pop_back();
     }
+    this->dropSurplus(status, members, plan);
     if (!plan.lost.empty() || members.size() > before) {
         std::sort(members.begin(), members.end());
         plan.members = std::move(members);
--- a/src/cell/GroupKeeper.h
+++ b/src/cell/GroupKeeper.h
@@ -42,6 +42,7 @@
 private:
     std::chrono::milliseconds readyWithin() const;
     std::vector<std::string> chooseStandbys(const replication::GroupStatus &status) const;
+    void dropSurplus(const replication::GroupStatus &status, std::vector<std::string> &members, Plan &plan) const;
     void planMembers(const replication::GroupStatus &status, Plan &plan) const;
 
     const Options options;
--- a/tests/cell/GroupKeeperTest.cpp
+++ b/tests/cell/GroupKeeperTest.cpp
@@ -196,4 +196,25 @@
     BOOST_TEST(!keeper.plan(status, Start).members.has_value());
 }
 
+/// Guards against a group of four, left over from a place that was taken twice: two of four cannot decide.
+BOOST_AUTO_TEST_CASE(aGroupWithMoreMembersThanItNeedsShrinks)
+{
+    GroupKeeper keeper = keeperFor(1);
+    GroupStatus status = statusOf({"a", "b", "c", "d"});
+    status.leaderVm = "a";
+    BOOST_TEST(keeper.plan(status, Start).members.value().size() == 3U);
+    setSilence(status, "c", 60s);
+    BOOST_TEST(keeper.plan(status, Start).members.value() == (Names{"a", "b", "d"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(anEvenGroupGivesUpASilentMember)
+{
+    GroupKeeper keeper = keeperFor(2);
+    GroupStatus status = statusOf({"a", "b", "c", "d"});
+    status.leaderVm = "a";
+    BOOST_TEST(!keeper.plan(status, Start).members.has_value());
+    setSilence(status, "d", 60s);
+    BOOST_TEST(keeper.plan(status, Start).members.value() == (Names{"a", "b", "c"}), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
