A founding VM that was replaced forms no second group

Callers saw: nothing; found in the review. A founding VM in its first run could lead a second group with older state: cut off while the others are replaced one after the other, then linked to two replaced VMs that came back with empty disks, it took part in a cold start as if the group did not exist. Replacing lost voters soon makes VMs that are no longer members more common.

Cause: the permission for a cold start held for the process's whole life. In the cell it now ends with the first commit (GroupBuilder::formsOnlyOnce): the log is on disks, and a group that lost more of them than it tolerates waits for one to come back. Groups of the first interface keep their cold start.

The test cluster now ends all members that it started, also later ones.

--- a/src/cell/CellMember.cpp
+++ b/src/cell/CellMember.cpp
@@ -51,6 +51,7 @@
                       .ownVm(this->cell.ownVm)
                       .members(foundingMembers(this->options, this->cell.ownVm))
                       .mayFormAnew(isFoundingVm(this->options, this->cell.ownVm))
+                      .formsOnlyOnce(true)
                       .dataFolder(this->options.dataFolder)
                       .stateMachine(this->store)
                       .listener(this->scheduler)
--- a/src/replication/CoreFormation.cpp
+++ b/src/replication/CoreFormation.cpp
@@ -101,7 +101,8 @@
 {
     const GroupTimings &timings = this->options.timings;
     const bool idle = this->currentRole == Role::Follower || this->currentRole == Role::PreCandidate;
-    if (!this->options.mayFormAnew || !idle || this->hasLeaderContact(now, timings.formationSettle)) {
+    const bool formed = this->options.formsOnlyOnce && this->commit > 0;
+    if (!this->options.mayFormAnew || formed || !idle || this->hasLeaderContact(now, timings.formationSettle)) {
         return false;
     }
     const bool patient = !this->hasLeaderContact(now, timings.formationPatience);
--- a/src/replication/GroupBuilder.cpp
+++ b/src/replication/GroupBuilder.cpp
@@ -55,6 +55,12 @@
     return *this;
 }
 
+GroupBuilder &GroupBuilder::formsOnlyOnce(bool once)
+{
+    this->formsOnce = once;
+    return *this;
+}
+
 GroupBuilder &GroupBuilder::dataFolder(std::string path)
 {
     this->folder = std::move(path);
@@ -128,6 +134,7 @@
     options.core.boot = randomNumber();
     options.core.members = Membership(this->memberList);
     options.core.mayFormAnew = this->formsAnew;
+    options.core.formsOnlyOnce = this->formsOnce;
     options.core.termFloor = this->floor.value_or(wallClockMilliseconds());
     options.core.seed = this->randomSeed.value_or(randomNumber());
     options.core.timings = this->groupTimings;
--- a/src/replication/GroupBuilder.h
+++ b/src/replication/GroupBuilder.h
@@ -28,6 +28,10 @@
     /// authoritative list of its members. Default: true.
     GroupBuilder &mayFormAnew(bool may);
 
+    /// True: this member takes no part in a cold start after it has committed anything. For a group whose members keep their logs on disks and are replaced
+    /// while it runs. Default: false.
+    GroupBuilder &formsOnlyOnce(bool once);
+
     /// The folder of this member's log; required for a member with a disk, an error for one without.
     GroupBuilder &dataFolder(std::string path);
 
@@ -63,6 +67,7 @@
     std::string folder;
     std::unique_ptr<LogStore> store;
     bool formsAnew = true;
+    bool formsOnce = false;
     StateMachine *machine = nullptr;
     LeadershipListener *leadership = nullptr;
     SendToMember send;
--- a/tests/replication/JoiningTest.cpp
+++ b/tests/replication/JoiningTest.cpp
@@ -17,6 +17,8 @@
 const Member C2{"c2", true, false};
 const Member C3{"c3", true, false};
 const Member C4{"c4", true, false};
+const Member C5{"c5", true, false};
+const Member C6{"c6", true, false};
 /// Several times the duration of an election with the timings of these tests.
 constexpr std::chrono::milliseconds LongEnough{1500};
 
@@ -246,4 +248,46 @@
     BOOST_TEST((lastSeen - firstSeen < std::chrono::milliseconds(20)));
 }
 
+/// A founding VM that was replaced while it was cut off must not form a second group with two other replaced VMs.
+BOOST_AUTO_TEST_CASE(aReplacedFoundingMemberFormsNoSecondGroup)
+{
+    const support::TemporaryFolder folder;
+    TestCluster cluster({C1, C2, C3}, folder.name());
+    cluster.setFormsOnlyOnce();
+    cluster.startAll();
+    BOOST_TEST_REQUIRE(cluster.commit("one") != "");
+    cluster.setConfiguredMembers({C1, C2, C3, C4, C5, C6}, false);
+    cluster.start("c4");
+    cluster.start("c5");
+    cluster.start("c6");
+    cluster.isolate("c3");
+    BOOST_TEST_REQUIRE(TestCluster::eventually([&] { return !cluster.group("c3").status().leader; }));
+    BOOST_TEST_REQUIRE(cluster.changeMembers({C1, C2, C4}));
+    BOOST_TEST_REQUIRE(cluster.commit("two") != "");
+    const auto caughtUp = [&](const std::string &vm) { return TestCluster::eventually([&] { return cluster.group(vm).status().caughtUp; }); };
+    BOOST_TEST_REQUIRE(caughtUp("c4"));
+    cluster.kill("c2");
+    BOOST_TEST_REQUIRE(cluster.changeMembers({C1, C4, C5}));
+    BOOST_TEST_REQUIRE(caughtUp("c5"));
+    cluster.kill("c1");
+    BOOST_TEST_REQUIRE(cluster.changeMembers({C4, C5, C6}));
+    BOOST_TEST_REQUIRE(caughtUp("c6"));
+    BOOST_TEST_REQUIRE(cluster.commit("three") != "");
+    std::filesystem::remove_all(cluster.folderOf("c1"));
+    std::filesystem::remove_all(cluster.folderOf("c2"));
+    cluster.setConfiguredMembers({C1, C2, C3}, false);
+    cluster.start("c1");
+    cluster.start("c2");
+    cluster.heal();
+    bool second = false;
+    const base::SteadyTime end = base::steadyNow() + std::chrono::seconds(6);
+    while (!second && base::steadyNow() < end) {
+        for (const std::string vm : {"c1", "c2", "c3"}) {
+            second = second || cluster.group(vm).status().leader;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    BOOST_TEST(!second);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/replication/TestCluster.cpp
+++ b/tests/replication/TestCluster.cpp
@@ -89,8 +89,15 @@
 
 TestCluster::~TestCluster()
 {
-    for (const Member &member : this->members) {
-        this->kill(member.vm);
+    std::vector<std::string> vms;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        for (const auto &[vm, node] : this->nodes) {
+            vms.push_back(vm);
+        }
+    }
+    for (const std::string &vm : vms) {
+        this->kill(vm);
     }
 }
 
@@ -109,6 +116,7 @@
     builder.ownVm(vm)
         .members(list)
         .mayFormAnew(this->mayFormAnew)
+        .formsOnlyOnce(this->formsOnlyOnce)
         .stateMachine(*node->machine)
         .listener(*node->listener)
         .timings(quickTimings())
@@ -133,6 +141,11 @@
     this->mayFormAnew = formsAnew;
 }
 
+void TestCluster::setFormsOnlyOnce()
+{
+    this->formsOnlyOnce = true;
+}
+
 bool TestCluster::changeMembers(const std::vector<Member> &wanted)
 {
     return TestCluster::eventually([&] {
--- a/tests/replication/TestCluster.h
+++ b/tests/replication/TestCluster.h
@@ -59,6 +59,9 @@
     /// Sets the membership and mayFormAnew in the settings of members started from now on. startAll() keeps using the constructor's list.
     void setConfiguredMembers(std::vector<Member> configuredMembers, bool mayFormAnew);
 
+    /// Members started from now on take no part in a cold start after they have committed anything.
+    void setFormsOnlyOnce();
+
     /// Proposes this membership to the leader until the change is committed; false after the time limit.
     bool changeMembers(const std::vector<Member> &wanted);
 
@@ -106,6 +109,7 @@
     std::optional<std::vector<Member>> configuredMembers;
     std::map<std::string, std::shared_ptr<std::atomic<bool>>> fullDisks; ///< By VM, for members with a disk that have been started.
     bool mayFormAnew = true;
+    bool formsOnlyOnce = false;
     std::string folder;
     absl::Mutex mutex;
     std::map<std::string, std::shared_ptr<Node>> nodes ABSL_GUARDED_BY(mutex);
