A member publishes that it left the group before it answers its callers

A caller whose proposal ended as GroupUnavailable because of a full disk could still read the old status: a leader, caught up, without a reason. leaveGroup ran the callbacks first and published afterwards. It now publishes, then fails the requests.

The new test reads the status in the callback itself.

--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -225,16 +225,10 @@
     }
 }
 
-/// Gives up the lease, fails all pending requests and takes no further ones.
+/// Gives up the lease, takes no further requests and fails the pending ones. The status is published first, since the callbacks may read it.
 void GroupRunner::leaveGroup(const std::string &reason)
 {
     this->leaseEnd = 0;
-    this->pending.failAll();
-    this->reads.failAll();
-    if (this->announcedTerm != 0 && this->options.listener != nullptr) {
-        this->options.listener->leadershipLost(this->announcedTerm);
-    }
-    this->announcedTerm = 0;
     GroupInbox remaining;
     {
         const absl::MutexLock lock(&this->mutex);
@@ -245,6 +239,12 @@
         remaining = std::exchange(this->inbox, GroupInbox());
         this->inbox.stopBy = remaining.stopBy;
     }
+    this->pending.failAll();
+    this->reads.failAll();
+    if (this->announcedTerm != 0 && this->options.listener != nullptr) {
+        this->options.listener->leadershipLost(this->announcedTerm);
+    }
+    this->announcedTerm = 0;
     remaining.rejectAll();
 }
 
--- a/tests/replication/GroupRunnerTest.cpp
+++ b/tests/replication/GroupRunnerTest.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
@@ -83,6 +84,23 @@
     BOOST_TEST(cluster.machine("c1").lines().size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(aFailedProposalFindsTheReasonInTheStatus)
+{
+    const support::TemporaryFolder folder;
+    TestCluster cluster({Member{"c1", true, false}}, folder.name());
+    cluster.startAll();
+    BOOST_TEST_REQUIRE(cluster.commit("before") == "c1");
+    cluster.setDiskFull("c1", true);
+    std::promise<GroupStatus> seen;
+    Group &group = cluster.group("c1");
+    group.propose("during", Durability::Majority, [&group, &seen](const ProposeResult & /*result*/) { seen.set_value(group.status()); });
+    const GroupStatus status = seen.get_future().get();
+    BOOST_TEST(!status.leader);
+    BOOST_TEST(!status.caughtUp);
+    BOOST_TEST(status.leaderVm.empty());
+    BOOST_TEST(status.reason == "Cannot write: no space.");
+}
+
 /// Load pattern: a disk is full for a while, and when it has space again another member is cut off.
 BOOST_AUTO_TEST_CASE(aMemberWhoseDiskWasFullStandsInForTheNextLostMember)
 {
