Data folders write through replaceable file operations

Tests need a disk with a byte budget, failing syncs and calls that do not return. RLIMIT_FSIZE limits each file but not their sum. No change of behaviour.

--- a/src/replication/DataFolder.cpp
+++ b/src/replication/DataFolder.cpp
@@ -29,16 +29,15 @@
 
 } // namespace
 
-DataFolder::DataFolder(std::string folder)
+DataFolder::DataFolder(std::string folder, FileOperations &fileOperations)
     : path(std::move(folder))
+    , operations(&fileOperations)
 {
-    std::error_code error;
-    std::filesystem::create_directories(this->path, error);
-    if (error) {
+    if (const std::error_code error = this->operations->createFolder(this->path); error) {
         throw base::Error(base::ResultCode::DataFolderUnwritable, fmt::format("Cannot create the data folder {}: {}.", this->path, error.message()));
     }
     const std::filesystem::path parent = std::filesystem::absolute(this->path).parent_path();
-    FileDescriptor(parent.string(), O_RDONLY | O_DIRECTORY).sync();
+    FileDescriptor(parent.string(), O_RDONLY | O_DIRECTORY, *this->operations).sync();
 }
 
 std::vector<std::string> DataFolder::files() const
@@ -67,7 +66,7 @@
 {
     const std::string target = this->pathOf(name);
     const std::string temporary = target + TemporarySuffix;
-    const FileDescriptor file(temporary, O_WRONLY | O_CREAT | O_TRUNC);
+    const FileDescriptor file(temporary, O_WRONLY | O_CREAT | O_TRUNC, *this->operations);
     file.writeAll(bytes);
     file.sync();
     std::error_code error;
@@ -90,14 +89,14 @@
 
 void DataFolder::checkWritable() const
 {
-    const FileDescriptor file(this->pathOf(std::string("check") + TemporarySuffix), O_WRONLY | O_CREAT | O_TRUNC);
+    const FileDescriptor file(this->pathOf(std::string("check") + TemporarySuffix), O_WRONLY | O_CREAT | O_TRUNC, *this->operations);
     file.writeAll(std::string(CheckBytes, '\0'));
     file.sync();
 }
 
 void DataFolder::syncFolder() const
 {
-    FileDescriptor(this->path, O_RDONLY | O_DIRECTORY).sync();
+    FileDescriptor(this->path, O_RDONLY | O_DIRECTORY, *this->operations).sync();
 }
 
 } // namespace cranberryreel::replication
--- a/src/replication/DataFolder.h
+++ b/src/replication/DataFolder.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "replication/FileOperations.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -14,8 +16,8 @@
 class DataFolder
 {
 public:
-    /// Creates the folder where it is missing.
-    explicit DataFolder(std::string path);
+    /// Creates the folder where it is missing. `operations` must outlive the folder.
+    explicit DataFolder(std::string path, FileOperations &operations = FileOperations::system());
 
     std::vector<std::string> files() const;
     std::string read(const std::string &name) const;
@@ -36,6 +38,7 @@
     void syncFolder() const;
 
     std::string path;
+    FileOperations *operations; ///< Not owned.
 };
 
 } // namespace cranberryreel::replication
--- a/src/replication/DiskLogStore.cpp
+++ b/src/replication/DiskLogStore.cpp
@@ -53,8 +53,9 @@
 
 } // namespace
 
-DiskLogStore::DiskLogStore(const std::string &path)
-    : folder(path)
+DiskLogStore::DiskLogStore(const std::string &path, FileOperations &fileOperations)
+    : operations(&fileOperations)
+    , folder(path, fileOperations)
 {
 }
 
@@ -106,7 +107,7 @@
         recovered = this->readLog(file, name, validBytes);
         this->generation = newest;
         this->hardState = recovered.hardState;
-        this->log = FileDescriptor(this->folder.pathOf(name), O_WRONLY | O_APPEND);
+        this->log = FileDescriptor(this->folder.pathOf(name), O_WRONLY | O_APPEND, *this->operations);
         if (validBytes < file.size()) {
             this->log.truncate(validBytes);
             this->log.sync();
@@ -204,7 +205,7 @@
     ++this->generation;
     const std::string name = logName(this->generation);
     this->folder.replace(name, LogFrame::encode(Codec::encode(first)));
-    this->log = FileDescriptor(this->folder.pathOf(name), O_WRONLY | O_APPEND);
+    this->log = FileDescriptor(this->folder.pathOf(name), O_WRONLY | O_APPEND, *this->operations);
 }
 
 void DiskLogStore::removeObsoleteFiles(std::uint64_t snapshotIndex) const
--- a/src/replication/DiskLogStore.h
+++ b/src/replication/DiskLogStore.h
@@ -19,7 +19,7 @@
 {
 public:
     /// Throws base::Error(DataFolderUnwritable).
-    explicit DiskLogStore(const std::string &folder);
+    explicit DiskLogStore(const std::string &folder, FileOperations &operations = FileOperations::system());
 
     Recovered recover() override;
     void write(const CoreOutput &output) override;
@@ -41,6 +41,7 @@
     void startLogFile(const LogBatch &first);
     void removeObsoleteFiles(std::uint64_t snapshotIndex) const;
 
+    FileOperations *operations; ///< Not owned.
     DataFolder folder;
     FileDescriptor log;
     std::uint64_t generation = 0;
--- a/src/replication/FileDescriptor.cpp
+++ b/src/replication/FileDescriptor.cpp
@@ -8,22 +8,15 @@
 #include <system_error>
 #include <utility>
 
-#include <fcntl.h>
 #include <unistd.h>
 
 namespace cranberryreel::replication
 {
 
-namespace
-{
-
-constexpr mode_t OwnerOnly = 0600;
-
-} // namespace
-
-FileDescriptor::FileDescriptor(const std::string &filePath, int flags)
-    : path(filePath)
-    , descriptor(::open(filePath.c_str(), flags | O_CLOEXEC, OwnerOnly))
+FileDescriptor::FileDescriptor(const std::string &filePath, int flags, FileOperations &fileOperations)
+    : operations(&fileOperations)
+    , path(filePath)
+    , descriptor(fileOperations.open(filePath, flags))
 {
     if (this->descriptor < 0) {
         this->throwWriteFailed("open");
@@ -38,13 +31,15 @@
 }
 
 FileDescriptor::FileDescriptor(FileDescriptor &&other) noexcept
-    : path(std::move(other.path))
+    : operations(other.operations)
+    , path(std::move(other.path))
     , descriptor(std::exchange(other.descriptor, -1))
 {
 }
 
 FileDescriptor &FileDescriptor::operator=(FileDescriptor &&other) noexcept
 {
+    std::swap(this->operations, other.operations);
     std::swap(this->path, other.path);
     std::swap(this->descriptor, other.descriptor);
     return *this;
@@ -53,7 +48,7 @@
 void FileDescriptor::writeAll(std::string_view bytes) const
 {
     while (!bytes.empty()) {
-        const ssize_t written = ::write(this->descriptor, bytes.data(), bytes.size());
+        const ssize_t written = this->operations->write(this->descriptor, bytes);
         if (written < 0 && errno == EINTR) {
             continue;
         }
@@ -66,7 +61,7 @@
 
 void FileDescriptor::sync() const
 {
-    if (::fsync(this->descriptor) != 0) {
+    if (this->operations->sync(this->descriptor) != 0) {
         this->throwWriteFailed("sync");
     }
 }
--- a/src/replication/FileDescriptor.h
+++ b/src/replication/FileDescriptor.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "replication/FileOperations.h"
+
 #include <string>
 #include <string_view>
 
@@ -11,7 +13,7 @@
 {
 public:
     FileDescriptor() = default;
-    FileDescriptor(const std::string &path, int flags);
+    FileDescriptor(const std::string &path, int flags, FileOperations &operations);
     ~FileDescriptor();
 
     FileDescriptor(const FileDescriptor &) = delete;
@@ -26,6 +28,7 @@
 private:
     [[noreturn]] void throwWriteFailed(const char *action) const;
 
+    FileOperations *operations = nullptr; ///< Not owned.
     std::string path;
     int descriptor = -1;
 };
