A full disk's log is used again without a second copy of it, and a failed compaction is undone

The store now knows how much of the file is synced: it truncates to that, still writes the log anew if there is space, and otherwise goes on with the truncated file.

--- a/src/replication/DataFolder.cpp
+++ b/src/replication/DataFolder.cpp
@@ -1,5 +1,6 @@
 #include "replication/DataFolder.h"
 
+#include "observe/Log.h"
 #include "replication/FileDescriptor.h"
 
 #include "cranberryreel/base/Error.h"
@@ -22,6 +23,12 @@
 constexpr const char *TemporarySuffix = ".tmp";
 constexpr std::size_t CheckBytes = 4096;
 
+const observe::Log &log()
+{
+    static const observe::Log instance("replication");
+    return instance;
+}
+
 [[noreturn]] void throwWriteFailed(const std::string &path, const std::error_code &error)
 {
     throw base::Error(base::ResultCode::StorageWriteFailed, fmt::format("Cannot change {}: {}.", path, error.message()));
@@ -64,17 +71,21 @@
 
 void DataFolder::replace(const std::string &name, std::string_view bytes) const
 {
-    const std::string target = this->pathOf(name);
-    const std::string temporary = target + TemporarySuffix;
-    const FileDescriptor file(temporary, O_WRONLY | O_CREAT | O_TRUNC, *this->operations);
-    file.writeAll(bytes);
-    file.sync();
-    std::error_code error;
-    std::filesystem::rename(temporary, target, error);
-    if (error) {
-        throwWriteFailed(target, error);
+    const std::string temporary = name + TemporarySuffix;
+    try {
+        const FileDescriptor file(this->pathOf(temporary), O_WRONLY | O_CREAT | O_TRUNC, *this->operations);
+        file.writeAll(bytes);
+        file.sync();
+        std::error_code error;
+        std::filesystem::rename(this->pathOf(temporary), this->pathOf(name), error);
+        if (error) {
+            throwWriteFailed(this->pathOf(name), error);
+        }
+    } catch (const base::Error &) {
+        this->tryRemove(temporary); // On a full disk its space may be all that is left for the log.
+        throw;
     }
-    this->syncFolder();
+    this->sync();
 }
 
 void DataFolder::remove(const std::string &name) const
@@ -84,17 +95,33 @@
     if (error) {
         throwWriteFailed(this->pathOf(name), error);
     }
-    this->syncFolder();
+    this->sync();
+}
+
+void DataFolder::tryRemove(const std::string &name) const
+{
+    std::error_code error;
+    std::filesystem::remove(this->pathOf(name), error);
+    if (error) {
+        log().warn("Cannot remove {}: {}.", this->pathOf(name), error.message());
+    }
 }
 
 void DataFolder::checkWritable() const
 {
-    const FileDescriptor file(this->pathOf(std::string("check") + TemporarySuffix), O_WRONLY | O_CREAT | O_TRUNC, *this->operations);
-    file.writeAll(std::string(CheckBytes, '\0'));
-    file.sync();
+    const std::string name = std::string("check") + TemporarySuffix;
+    try {
+        const FileDescriptor file(this->pathOf(name), O_WRONLY | O_CREAT | O_TRUNC, *this->operations);
+        file.writeAll(std::string(CheckBytes, '\0'));
+        file.sync();
+    } catch (const base::Error &) {
+        this->tryRemove(name);
+        throw;
+    }
+    this->tryRemove(name);
 }
 
-void DataFolder::syncFolder() const
+void DataFolder::sync() const
 {
     FileDescriptor(this->path, O_RDONLY | O_DIRECTORY, *this->operations).sync();
 }
--- a/src/replication/DataFolder.h
+++ b/src/replication/DataFolder.h
@@ -22,10 +22,16 @@
     std::vector<std::string> files() const;
     std::string read(const std::string &name) const;
 
-    /// Replaces the file atomically: after a crash the old or the new content is there.
+    /// Replaces the file atomically: after a crash the old or the new content is there. Leaves no temporary file behind when it throws.
     void replace(const std::string &name, std::string_view bytes) const;
     void remove(const std::string &name) const;
 
+    /// Removes the file if that is possible; a failure is only logged.
+    void tryRemove(const std::string &name) const;
+
+    /// Syncs the folder itself: the names of its files.
+    void sync() const;
+
     /// Throws while files cannot be created, written or synced.
     void checkWritable() const;
 
@@ -35,8 +41,6 @@
     }
 
 private:
-    void syncFolder() const;
-
     std::string path;
     FileOperations *operations; ///< Not owned.
 };
--- a/src/replication/DiskLogStore.cpp
+++ b/src/replication/DiskLogStore.cpp
@@ -1,5 +1,6 @@
 #include "replication/DiskLogStore.h"
 
+#include "observe/Log.h"
 #include "replication/Codec.h"
 #include "replication/LogFrame.h"
 
@@ -11,6 +12,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <fcntl.h>
@@ -24,6 +27,12 @@
 constexpr const char *LogPrefix = "log-";
 constexpr const char *SnapshotPrefix = "snapshot-";
 
+const observe::Log &logger()
+{
+    static const observe::Log instance("replication");
+    return instance;
+}
+
 std::string logName(std::uint64_t generation)
 {
     return fmt::format("{}{:020}", LogPrefix, generation);
@@ -62,62 +71,88 @@
 DiskLogStore::Generations DiskLogStore::logFiles() const
 {
     Generations generations;
+    std::string snapshotFile;
     for (const std::string &name : this->folder.files()) {
         std::uint64_t number = 0;
         if (absl::EndsWith(name, ".tmp")) {
-            this->folder.remove(name);
+            this->folder.tryRemove(name);
+        } else if (absl::StartsWith(name, SnapshotPrefix)) {
+            snapshotFile = name;
         } else if (absl::StartsWith(name, LogPrefix) && absl::SimpleAtoi(name.substr(std::string_view(LogPrefix).size()), &number)) {
             generations[number] = name;
         }
     }
+    if (generations.empty() && !snapshotFile.empty()) {
+        throwDamaged(base::ResultCode::LogCorrupt, "The log beside " + this->folder.pathOf(snapshotFile));
+    }
     return generations;
 }
 
-template<typename Operation>
-void DiskLogStore::checked(Operation operation)
+Recovered DiskLogStore::recover()
 {
-    try {
-        operation();
-    } catch (const base::Error &) {
-        this->mustRewrite = true;
-        throw;
+    const bool afterFailure = std::exchange(this->mustRecover, true);
+    Recovered recovered;
+    const Generations generations = this->logFiles();
+    if (generations.empty()) {
+        this->generation = 0;
+        this->hardState = HardState();
+        this->position = LogPosition();
+        LogBatch first;
+        first.base = this->position;
+        this->startLogFile(first);
+    } else {
+        const auto &[newest, name] = *generations.rbegin();
+        recovered = afterFailure ? this->recoverAfterFailure(newest, name) : this->useLog(newest, name, std::numeric_limits<std::size_t>::max());
     }
+    this->syncedGeneration = this->generation;
+    this->mustRecover = false;
+    return recovered;
 }
 
-/// After a failed sync the file system may drop the data and report later syncs as good, so files whose write failed are written anew.
-Recovered DiskLogStore::recover()
+/// After a failed sync the file system may drop what was written since the last good one and report later syncs as good. What is known to be synced is kept
+/// and, if there is space, written to a new file; a file of which that is not known must be written anew.
+Recovered DiskLogStore::recoverAfterFailure(std::uint64_t newest, const std::string &name)
 {
-    Recovered recovered;
-    this->checked([this, &recovered] {
-        if (this->mustRewrite) {
-            this->folder.checkWritable();
-        }
-        const Generations generations = this->logFiles();
-        if (generations.empty()) {
-            this->generation = 0;
-            this->hardState = HardState();
-            LogBatch first;
-            first.base = LogPosition();
-            this->startLogFile(first);
-            return;
-        }
-        const auto &[newest, name] = *generations.rbegin();
-        const std::string file = this->folder.read(name);
-        std::size_t validBytes = 0;
-        recovered = this->readLog(file, name, validBytes);
-        this->generation = newest;
-        this->hardState = recovered.hardState;
-        this->log = FileDescriptor(this->folder.pathOf(name), O_WRONLY | O_APPEND, *this->operations);
-        if (validBytes < file.size()) {
-            this->log.truncate(validBytes);
-            this->log.sync();
-        }
-        this->removeObsoleteFiles(recovered.snapshot ? recovered.snapshot->index : 0);
-        if (this->mustRewrite) {
-            this->replaceAll(recovered.snapshot ? *recovered.snapshot : Snapshot(), recovered.hardState, recovered.entries);
+    const bool knowsSynced = newest == this->syncedGeneration;
+    Recovered recovered = this->useLog(newest, name, knowsSynced ? this->syncedBytes : std::numeric_limits<std::size_t>::max());
+    this->folder.checkWritable();
+    LogBatch all;
+    all.base = this->position;
+    all.hardState = recovered.hardState;
+    all.entries = recovered.entries;
+    const std::string rewritten = logName(newest + 1);
+    try {
+        this->startLogFile(all);
+    } catch (const base::Error &error) {
+        if (!knowsSynced || this->mayExist(rewritten)) {
+            throw;
         }
-    });
-    this->mustRewrite = false;
+        logger().warn("The log cannot be written to a new file; {} stays in use: {}", this->folder.pathOf(name), error.what());
+    }
+    this->removeObsoleteFiles();
+    return recovered;
+}
+
+/// Reads the log file, at most up to `maxBytes`, and continues it.
+Recovered DiskLogStore::useLog(std::uint64_t newest, const std::string &name, std::size_t maxBytes)
+{
+    std::string file = this->folder.read(name);
+    const std::size_t fileBytes = file.size();
+    file.resize(std::min(fileBytes, maxBytes));
+    std::size_t validBytes = 0;
+    Recovered recovered = this->readLog(file, name, validBytes);
+    this->openLog(name);
+    if (validBytes < fileBytes) {
+        this->log.truncate(validBytes);
+    }
+    this->log.sync();
+    this->folder.sync(); // The name of the newest log must be durable before the older files are removed.
+    this->generation = newest;
+    this->hardState = recovered.hardState;
+    this->position = recovered.snapshot ? LogPosition{recovered.snapshot->term, recovered.snapshot->index} : LogPosition();
+    this->logBytes = validBytes;
+    this->syncedBytes = validBytes;
+    this->removeObsoleteFiles();
     return recovered;
 }
 
@@ -159,14 +194,20 @@
 
 void DiskLogStore::write(const CoreOutput &output)
 {
-    this->checked([this, &output] {
+    if (this->mustRecover) {
+        throw base::Error(base::ResultCode::StorageWriteFailed, "An earlier write failed; the log must be read back first.");
+    }
+    try {
         this->hardState = output.hardState.value_or(this->hardState);
         if (output.snapshot) {
             this->replaceAll(*output.snapshot, this->hardState, output.entries);
         } else {
             this->append(output);
         }
-    });
+    } catch (const base::Error &) {
+        this->mustRecover = true;
+        throw;
+    }
 }
 
 void DiskLogStore::append(const CoreOutput &output)
@@ -174,50 +215,88 @@
     LogBatch batch;
     batch.hardState = output.hardState;
     batch.entries = output.entries;
-    this->log.writeAll(LogFrame::encode(Codec::encode(batch)));
+    const std::string frame = LogFrame::encode(Codec::encode(batch));
+    this->log.writeAll(frame);
+    this->logBytes += frame.size();
     if (output.mustSync) {
         this->log.sync();
+        this->syncedBytes = this->logBytes;
     }
 }
 
 void DiskLogStore::compact(const Snapshot &snapshot, const HardState &state, const std::vector<Entry> &entriesAfter)
 {
-    this->checked([&] { this->replaceAll(snapshot, state, entriesAfter); });
+    const std::string newLog = logName(this->generation + 1);
+    try {
+        this->replaceAll(snapshot, state, entriesAfter);
+    } catch (const base::Error &) {
+        // A restart reads the new log file if it has got its name, so that the old one must not be continued.
+        this->mustRecover = this->mustRecover || this->mayExist(newLog);
+        if (!this->mustRecover) {
+            this->removeObsoleteFiles();
+        }
+        throw;
+    }
 }
 
 void DiskLogStore::replaceAll(const Snapshot &snapshot, const HardState &state, const std::vector<Entry> &entriesAfter)
 {
-    this->hardState = state;
-    const LogPosition position{snapshot.term, snapshot.index};
+    const LogPosition newPosition{snapshot.term, snapshot.index};
     if (snapshot.index > 0) {
-        this->folder.replace(snapshotName(position), Codec::encode(snapshot));
+        this->folder.replace(snapshotName(newPosition), Codec::encode(snapshot));
     }
     LogBatch first;
-    first.base = position;
+    first.base = newPosition;
     first.hardState = state;
     first.entries = entriesAfter;
     this->startLogFile(first);
-    this->removeObsoleteFiles(snapshot.index);
+    this->position = newPosition;
+    this->hardState = state;
+    this->removeObsoleteFiles();
 }
 
 void DiskLogStore::startLogFile(const LogBatch &first)
 {
+    const std::string name = logName(this->generation + 1);
+    const std::string frame = LogFrame::encode(Codec::encode(first));
+    this->folder.replace(name, frame);
+    this->openLog(name);
     ++this->generation;
-    const std::string name = logName(this->generation);
-    this->folder.replace(name, LogFrame::encode(Codec::encode(first)));
+    this->syncedGeneration = this->generation;
+    this->logBytes = frame.size();
+    this->syncedBytes = frame.size();
+}
+
+void DiskLogStore::openLog(const std::string &name)
+{
     this->log = FileDescriptor(this->folder.pathOf(name), O_WRONLY | O_APPEND, *this->operations);
 }
 
-void DiskLogStore::removeObsoleteFiles(std::uint64_t snapshotIndex) const
+void DiskLogStore::removeObsoleteFiles() const
 {
     const std::string currentLog = logName(this->generation);
-    const std::string currentSnapshot = fmt::format("{}{:020}-", SnapshotPrefix, snapshotIndex);
-    for (const std::string &name : this->folder.files()) {
-        const bool oldLog = absl::StartsWith(name, LogPrefix) && name < currentLog;
-        const bool oldSnapshot = absl::StartsWith(name, SnapshotPrefix) && !absl::StartsWith(name, currentSnapshot);
-        if (oldLog || oldSnapshot) {
-            this->folder.remove(name);
+    const std::string currentSnapshot = snapshotName(this->position);
+    try {
+        for (const std::string &name : this->folder.files()) {
+            const bool oldLog = absl::StartsWith(name, LogPrefix) && name < currentLog;
+            const bool oldSnapshot = absl::StartsWith(name, SnapshotPrefix) && name != currentSnapshot;
+            if (oldLog || oldSnapshot) {
+                this->folder.remove(name);
+            }
         }
+    } catch (const base::Error &error) {
+        logger().warn("Old files of the log are left behind: {}", error.what());
+    }
+}
+
+bool DiskLogStore::mayExist(const std::string &name) const
+{
+    try {
+        const std::vector<std::string> names = this->folder.files();
+        return std::find(names.begin(), names.end(), name) != names.end();
+    } catch (const base::Error &error) {
+        logger().warn("It is not known whether {} exists: {}", name, error.what());
+        return true;
     }
 }
 
--- a/src/replication/LogStore.h
+++ b/src/replication/LogStore.h
@@ -23,7 +23,8 @@
     /// base::Error(StorageWriteFailed).
     virtual void write(const CoreOutput &output) = 0;
 
-    /// Replaces all stored data with the snapshot, the hard state and the entries after the snapshot. Throws base::Error(StorageWriteFailed).
+    /// Replaces all stored data with the snapshot, the hard state and the entries after the snapshot. Throws base::Error(StorageWriteFailed); write() then goes
+    /// on with the data stored before, or throws if it is not known which data a restart would read.
     virtual void compact(const Snapshot &snapshot, const HardState &hardState, const std::vector<Entry> &entriesAfter) = 0;
 };
 
--- a/tests/replication/DiskLogStoreTest.cpp
+++ b/tests/replication/DiskLogStoreTest.cpp
@@ -1,3 +1,4 @@
+#include "LimitedDisk.h"
 #include "TestSeed.h"
 #include "support/TemporaryFolder.h"
 
@@ -11,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <limits>
 #include <random>
 
 #include <sys/resource.h>
@@ -102,6 +104,21 @@
     void (*previousHandler)(int);
 };
 
+std::uint64_t filesIn(const support::TemporaryFolder &folder)
+{
+    return static_cast<std::uint64_t>(std::distance(std::filesystem::directory_iterator(folder.name()), std::filesystem::directory_iterator()));
+}
+
+Snapshot snapshotAt(std::uint64_t index, std::size_t stateBytes)
+{
+    Snapshot snapshot;
+    snapshot.index = index;
+    snapshot.term = 1;
+    snapshot.record.members = Membership({Member{"c1", true, false}});
+    snapshot.state = std::string(stateBytes, 'x');
+    return snapshot;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(DiskLogStoreTest)
@@ -192,6 +209,158 @@
     BOOST_TEST(recovered.entries.size() == 15U);
 }
 
+BOOST_AUTO_TEST_CASE(aCompactionThatDoesNotFitReturnsItsSpaceAndTheLogIsAppended)
+{
+    const support::TemporaryFolder folder;
+    fill(folder);
+    LimitedDisk disk(folder.name());
+    DiskLogStore store(folder.name(), disk);
+    store.recover();
+    const std::size_t usedBefore = disk.usedBytes();
+    // The snapshot does not fit; then the snapshot fits but not the log after it.
+    for (const std::size_t stateBytes : {8000U, 3500U}) {
+        disk.setBudget(usedBefore + 4096);
+        CoreOutput rest = entriesFrom(11, 5);
+        rest.entries.back().data = std::string(2000, 'y');
+        BOOST_CHECK_EXCEPTION(
+            store.compact(snapshotAt(10, stateBytes), HardState{7, "c2", true}, rest.entries), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+        BOOST_TEST(disk.usedBytes() == usedBefore);
+        BOOST_TEST(filesIn(folder) == 1U);
+    }
+    store.write(entriesFrom(16, 2));
+    disk.setBudget(1000000);
+    store.compact(snapshotAt(10, 8000), HardState{7, "c2", true}, entriesFrom(11, 7).entries);
+    store.write(entriesFrom(18, 1));
+    DiskLogStore restarted(folder.name());
+    const Recovered recovered = restarted.recover();
+    BOOST_TEST_REQUIRE(recovered.snapshot != nullptr);
+    BOOST_TEST(recovered.snapshot->index == 10U);
+    BOOST_TEST(recovered.entries.size() == 8U);
+    BOOST_TEST(recovered.hardState.votedFor == "c2");
+}
+
+/// Whichever sync of a compaction fails, what the store accepts afterwards is what a restart reads.
+BOOST_AUTO_TEST_CASE(afterAnyFailedSyncOfACompactionNothingAcceptedIsLost)
+{
+    for (int succeeding = 0; succeeding < 5; ++succeeding) {
+        const support::TemporaryFolder folder;
+        fill(folder);
+        LimitedDisk disk(folder.name());
+        DiskLogStore store(folder.name(), disk);
+        Recovered recovered = store.recover();
+        disk.failSyncsAfter(succeeding);
+        try {
+            store.compact(snapshotAt(10, 100), recovered.hardState, entriesFrom(11, 5).entries);
+        } catch (const base::Error &error) {
+            BOOST_TEST((error.code() == base::ResultCode::StorageWriteFailed));
+        }
+        disk.failSyncsAfter(std::numeric_limits<int>::max());
+        try {
+            store.write(entriesFrom(16, 1));
+        } catch (const base::Error &) {
+            store.recover();
+            store.write(entriesFrom(16, 1));
+        }
+        DiskLogStore restarted(folder.name());
+        recovered = restarted.recover();
+        BOOST_TEST_CONTEXT("syncs before the failed one: " << succeeding)
+        {
+            BOOST_TEST_REQUIRE(!recovered.entries.empty());
+            BOOST_TEST(recovered.entries.back().index == 16U);
+            BOOST_TEST((recovered.snapshot ? recovered.snapshot->index : 0) + recovered.entries.size() == 16U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aLogThatCannotBeWrittenAnewIsUsedAgainOnceABatchFits)
+{
+    const support::TemporaryFolder folder;
+    LimitedDisk disk(folder.name());
+    DiskLogStore store(folder.name(), disk);
+    store.recover();
+    CoreOutput large = entriesFrom(1, 5);
+    large.entries.back().data = std::string(50000, 'x');
+    store.write(large);
+    disk.setBudget(disk.usedBytes() + 10);
+    BOOST_CHECK_EXCEPTION(store.write(entriesFrom(6, 5)), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    BOOST_CHECK_EXCEPTION(store.recover(), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    disk.setBudget(disk.usedBytes() + 8192);
+    BOOST_TEST(store.recover().entries.size() == 5U);
+    store.write(entriesFrom(6, 2));
+    DiskLogStore restarted(folder.name());
+    BOOST_TEST(restarted.recover().entries.size() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(afterAFailedSyncOnlySyncedEntriesAreRecoveredFromALogThatCannotBeWrittenAnew)
+{
+    const support::TemporaryFolder folder;
+    LimitedDisk disk(folder.name());
+    DiskLogStore store(folder.name(), disk);
+    store.recover();
+    CoreOutput large = entriesFrom(1, 5);
+    large.entries.back().data = std::string(50000, 'x');
+    store.write(large);
+    disk.failSyncsAfter(0);
+    BOOST_CHECK_EXCEPTION(store.write(entriesFrom(6, 5)), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    disk.failSyncsAfter(std::numeric_limits<int>::max());
+    disk.setBudget(disk.usedBytes() + 8192);
+    BOOST_TEST(store.recover().entries.size() == 5U);
+    DiskLogStore restarted(folder.name());
+    BOOST_TEST(restarted.recover().entries.size() == 5U);
+}
+
+/// A crash between the new log file and the removal of the old files leaves both; their space may be all that is missing.
+BOOST_AUTO_TEST_CASE(aFullDiskIsFreedOfWhatAnInterruptedCompactionLeft)
+{
+    const support::TemporaryFolder folder;
+    LimitedDisk disk(folder.name());
+    DiskLogStore store(folder.name(), disk);
+    store.recover();
+    store.write(entriesFrom(1, 5));
+    disk.setBudget(disk.usedBytes() + 10);
+    BOOST_CHECK_EXCEPTION(store.write(entriesFrom(6, 5)), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    for (const std::string name : {"/log-00000000000000000009.tmp", "/log-00000000000000000000", "/snapshot-00000000000000000007-00000000000000000001"}) {
+        writeFile(folder.name() + name, std::string(8192, 'x'));
+    }
+    disk.setBudget(disk.usedBytes());
+    BOOST_TEST(store.recover().entries.size() == 5U);
+    BOOST_TEST(filesIn(folder) == 1U);
+    store.write(entriesFrom(6, 5));
+}
+
+/// A process may end between a write and its sync; the next one reads what was written and must not take it for synced.
+BOOST_AUTO_TEST_CASE(aRestartSyncsWhatItReads)
+{
+    const support::TemporaryFolder folder;
+    fill(folder);
+    LimitedDisk disk(folder.name());
+    DiskLogStore store(folder.name(), disk);
+    disk.failSyncsAfter(0);
+    BOOST_CHECK_EXCEPTION(store.recover(), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    const std::string before = fileNamed(folder, "log-");
+    disk.failSyncsAfter(std::numeric_limits<int>::max());
+    disk.setBudget(disk.usedBytes());
+    for (int i = 0; i < 2; ++i) {
+        BOOST_CHECK_EXCEPTION(store.recover(), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    }
+    disk.setBudget(1000000);
+    BOOST_TEST(store.recover().entries.size() == 15U);
+    BOOST_TEST(fileNamed(folder, "log-") != before);
+}
+
+BOOST_AUTO_TEST_CASE(aSnapshotWithoutItsLogIsRefused)
+{
+    const support::TemporaryFolder folder;
+    {
+        DiskLogStore store(folder.name());
+        store.recover();
+        store.compact(snapshotAt(3, 10), HardState(), {});
+    }
+    std::filesystem::remove(fileNamed(folder, "log-"));
+    DiskLogStore store(folder.name());
+    BOOST_CHECK_EXCEPTION(store.recover(), base::Error, withCode(base::ResultCode::LogCorrupt));
+}
+
 BOOST_AUTO_TEST_CASE(aTornEndIsTruncated)
 {
     const support::TemporaryFolder folder;
