--- a/include/cranberryreel/base/ResultCode.h
+++ b/include/cranberryreel/base/ResultCode.h
@@ -72,6 +72,7 @@
     SnapshotCorrupt = 5007,
     StorageWriteFailed = 5008,
     GroupUnavailable = 5009,
+    LogNotCompacted = 5010,
 
     UpstreamUnreachable = 6001,
     UpstreamStaleEpoch = 6002,
--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -122,6 +122,8 @@
         return "StorageWriteFailed";
     case ResultCode::GroupUnavailable:
         return "GroupUnavailable";
+    case ResultCode::LogNotCompacted:
+        return "LogNotCompacted";
     case ResultCode::UpstreamUnreachable:
         return "UpstreamUnreachable";
     case ResultCode::UpstreamStaleEpoch:
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -393,15 +393,37 @@
 void GroupRunner::compactIfDue()
 {
     const bool manyEntries = this->applied >= this->snapshotIndex + this->options.snapshotEveryEntries;
-    if (!manyEntries && this->bytesSinceSnapshot < this->options.snapshotEveryBytes) {
+    const bool due = manyEntries || this->bytesSinceSnapshot >= this->options.snapshotEveryBytes;
+    if (!due || base::steadyNow() < this->nextCompaction) {
         return;
     }
     const auto snapshot = this->core->compact(this->options.stateMachine->snapshot(), this->options.retainedEntries, this->options.retainedBytes);
-    this->bytesSinceSnapshot = 0;
     const std::vector<Entry> after =
         this->core->log().slice(snapshot->index + 1, std::numeric_limits<std::size_t>::max(), std::numeric_limits<std::size_t>::max());
-    this->options.store->compact(*snapshot, this->core->hardState(), after);
-    this->snapshotIndex = snapshot->index;
+    try {
+        this->options.store->compact(*snapshot, this->core->hardState(), after);
+        this->bytesSinceSnapshot = 0;
+        this->snapshotIndex = snapshot->index;
+    } catch (const base::Error &error) {
+        this->handleFailedCompaction(error);
+    }
+}
+
+/// The member goes on without a shorter log; if the store cannot go on, the next write fails.
+void GroupRunner::handleFailedCompaction(const base::Error &error)
+{
+    if (error.code() != base::ResultCode::StorageWriteFailed) {
+        throw error;
+    }
+    static observe::Counter &failures = observe::counter("cranberryreel_group_compaction_failures_total", "Failed compactions of a member's log.");
+    failures.add();
+    constexpr base::ResultCode Reported = base::ResultCode::LogNotCompacted;
+    log().error("{} {}: the member goes on with the whole log and retries; {} bytes applied since the last snapshot. {}",
+                static_cast<int>(Reported),
+                base::resultName(Reported),
+                this->bytesSinceSnapshot,
+                error.what());
+    this->nextCompaction = base::steadyNow() + this->options.compactionRetryInterval;
 }
 
 void GroupRunner::publishLease()
--- a/src/replication/GroupRunner.h
+++ b/src/replication/GroupRunner.h
@@ -8,6 +8,8 @@
 #include "replication/PendingProposals.h"
 #include "replication/PendingReads.h"
 
+#include "cranberryreel/base/Error.h"
+
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
@@ -57,6 +59,7 @@
     void restore(const Snapshot &snapshot);
     void apply(const Entry &entry);
     void compactIfDue();
+    void handleFailedCompaction(const base::Error &error);
     void publishLease();
     void publishStatus();
     void notifyLeadershipChange();
@@ -77,6 +80,7 @@
     std::uint64_t applied = 0;
     std::uint64_t snapshotIndex = 0;
     std::size_t bytesSinceSnapshot = 0; ///< Payload bytes of entries applied since the last snapshot.
+    base::SteadyTime nextCompaction{}; ///< After a failed compaction, when the next one is tried.
     std::uint64_t proposedTerm = 0; ///< The term of the pending proposals.
     std::uint64_t announcedTerm = 0; ///< The term whose leadership was reported to the listener; 0 for none.
     RefusedVote lastRefusedVote; ///< As logged last.
--- a/tests/replication/GroupRunnerTest.cpp
+++ b/tests/replication/GroupRunnerTest.cpp
@@ -1,6 +1,9 @@
+#include "LimitedDisk.h"
 #include "TestCluster.h"
 #include "support/TemporaryFolder.h"
 
+#include "observe/Metrics.h"
+#include "replication/DiskLogStore.h"
 #include "replication/GroupRunner.h"
 
 #include "cranberryreel/base/Error.h"
@@ -8,9 +11,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <filesystem>
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 using namespace cranberryreel;
@@ -38,6 +44,81 @@
     }
 };
 
+/// A group of one member on a disk with limits.
+class LoneMember
+{
+public:
+    static constexpr std::uint64_t SnapshotEveryEntries = 20;
+
+    LoneMember()
+        : disk(this->folder.name())
+    {
+    }
+
+    /// The listener and the state machine are those of the last start.
+    void start()
+    {
+        this->machine = std::make_unique<ListMachine>();
+        this->listener = std::make_unique<CountingListener>();
+        GroupRunnerOptions options;
+        options.core.ownVm = "c1";
+        options.core.boot = ++this->boot;
+        options.core.members = Membership({Member{"c1", true, false}});
+        options.core.mayFormAnew = true;
+        options.core.timings.formationSettle = std::chrono::milliseconds(20);
+        options.core.timings.restartGrace = std::chrono::milliseconds(20);
+        options.store = std::make_unique<DiskLogStore>(this->dataFolder(), this->disk);
+        options.stateMachine = this->machine.get();
+        options.listener = this->listener.get();
+        options.sendToMember = [](const std::string & /*to*/, const std::string & /*bytes*/) {};
+        options.snapshotEveryEntries = SnapshotEveryEntries;
+        options.compactionRetryInterval = std::chrono::milliseconds(300);
+        this->group = std::make_unique<GroupRunner>(std::move(options));
+        this->group->start();
+    }
+
+    std::string dataFolder() const
+    {
+        return this->folder.name() + "/data";
+    }
+
+    base::ResultCode propose(const std::string &command)
+    {
+        std::promise<base::ResultCode> answer;
+        this->group->propose(command, Durability::Majority, [&answer](const ProposeResult &result) { answer.set_value(result.code); });
+        return answer.get_future().get();
+    }
+
+    bool eventuallyLeads()
+    {
+        return TestCluster::eventually([this] { return this->group->status().leader; });
+    }
+
+    bool hasSnapshot() const
+    {
+        for (const auto &item : std::filesystem::directory_iterator(this->dataFolder())) {
+            if (const std::string name = item.path().filename().string(); name.rfind("snapshot-", 0) == 0 && name.find(".tmp") == std::string::npos) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    support::TemporaryFolder folder;
+    LimitedDisk disk;
+    std::unique_ptr<ListMachine> machine;
+    std::unique_ptr<CountingListener> listener;
+    std::unique_ptr<GroupRunner> group;
+
+private:
+    std::uint64_t boot = 0;
+};
+
+std::uint64_t compactionFailures()
+{
+    return observe::counter("cranberryreel_group_compaction_failures_total", "Failed compactions of a member's log.").value();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(GroupRunnerTest)
@@ -154,6 +235,37 @@
     }
 }
 
+/// Load pattern: the disk has space for the log but not for a snapshot beside it.
+BOOST_AUTO_TEST_CASE(aLeaderThatCannotCompactGoesOnAndCompactsOnceThereIsSpace)
+{
+    LoneMember member;
+    member.start();
+    BOOST_TEST_REQUIRE(member.eventuallyLeads());
+    const std::string padding(500, 'x');
+    const std::uint64_t failuresBefore = compactionFailures();
+    for (int i = 0; i < 15; ++i) {
+        BOOST_TEST_REQUIRE((member.propose("early " + std::to_string(i) + padding) == base::ResultCode::Ok));
+    }
+    // Space for eleven commands, less than for a snapshot of twenty.
+    member.disk.setBudget(member.disk.usedBytes() + 8000);
+    for (int i = 0; i < 10; ++i) {
+        BOOST_TEST_REQUIRE((member.propose("late " + std::to_string(i) + padding) == base::ResultCode::Ok));
+    }
+    BOOST_TEST(!member.hasSnapshot());
+    BOOST_TEST(member.group->status().leader);
+    BOOST_TEST(compactionFailures() > failuresBefore);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    BOOST_TEST(compactionFailures() - failuresBefore <= 3U);
+    member.disk.setBudget(1000000);
+    BOOST_TEST(TestCluster::eventually([&member] { return member.hasSnapshot(); }));
+    BOOST_TEST(member.listener->acquisitions() == 1);
+    BOOST_TEST((member.propose("last") == base::ResultCode::Ok));
+    member.group.reset();
+    member.start();
+    BOOST_TEST_REQUIRE(member.eventuallyLeads());
+    BOOST_TEST(member.machine->lines().size() == 26U);
+}
+
 BOOST_AUTO_TEST_CASE(aBuilderRefusesInconsistentSettings)
 {
     ListMachine machine;
