A process starts although its disk is full or refuses its folder

The data folder's constructor threw when the disk had no space for the folder or refused its sync, so that the process ended and was restarted in a loop. Errors that a disk can recover from are now retried with each use of the folder, until it has been created once; the member reports the reason, logs it once and joins later. A path that no disk can hold (a file in its way, no permission) is still 1011 DataFolderUnwritable.

The iteration over the folder reports errors by code, so that it cannot throw std::filesystem errors.

--- a/src/replication/DataFolder.cpp
+++ b/src/replication/DataFolder.cpp
@@ -7,9 +7,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <utility>
 
 #include <fcntl.h>
@@ -34,25 +34,70 @@
     throw base::Error(base::ResultCode::StorageWriteFailed, fmt::format("Cannot change {}: {}.", path, error.message()));
 }
 
+/// Whether only a change of the settings or of the folder's surroundings can help, unlike with a disk that is full or fails.
+bool isMisconfiguration(const std::error_code &error)
+{
+    constexpr std::array Causes{std::errc::not_a_directory,
+                                std::errc::file_exists,
+                                std::errc::permission_denied,
+                                std::errc::operation_not_permitted,
+                                std::errc::filename_too_long,
+                                std::errc::too_many_symbolic_link_levels,
+                                std::errc::invalid_argument};
+    return std::any_of(Causes.begin(), Causes.end(), [&error](std::errc cause) { return error == cause; });
+}
+
 } // namespace
 
 DataFolder::DataFolder(std::string folder, FileOperations &fileOperations)
     : path(std::move(folder))
     , operations(&fileOperations)
 {
-    if (const std::error_code error = this->operations->createFolder(this->path); error) {
+    const std::error_code error = this->create();
+    if (error && isMisconfiguration(error)) {
         throw base::Error(base::ResultCode::DataFolderUnwritable, fmt::format("Cannot create the data folder {}: {}.", this->path, error.message()));
     }
-    const std::filesystem::path parent = std::filesystem::absolute(this->path).parent_path();
-    FileDescriptor(parent.string(), O_RDONLY | O_DIRECTORY, *this->operations).sync();
+    if (error) {
+        log().error("Cannot create the data folder {}, will try again: {}.", this->path, error.message());
+    }
+}
+
+/// Creates the folder once in the life of this object: a folder that vanishes later is a lost disk.
+std::error_code DataFolder::create() const
+{
+    if (this->created) {
+        return {};
+    }
+    std::error_code error = this->operations->createFolder(this->path);
+    const std::filesystem::path absolute = error ? std::filesystem::path() : std::filesystem::absolute(this->path, error);
+    if (error) {
+        return error;
+    }
+    try {
+        FileDescriptor(absolute.parent_path().string(), O_RDONLY | O_DIRECTORY, *this->operations).sync();
+    } catch (const base::Error &) {
+        return std::make_error_code(std::errc::io_error);
+    }
+    this->created = true;
+    return {};
+}
+
+void DataFolder::requireCreated() const
+{
+    if (const std::error_code error = this->create(); error) {
+        throwWriteFailed(this->path, error);
+    }
 }
 
 std::vector<std::string> DataFolder::files() const
 {
+    this->requireCreated();
     std::vector<std::string> names;
     std::error_code error;
-    for (const auto &item : std::filesystem::directory_iterator(this->path, error)) {
-        names.push_back(item.path().filename().string());
+    std::filesystem::directory_iterator item(this->path, error);
+    while (!error && item != std::filesystem::directory_iterator()) {
+        names.push_back(item->path().filename().string());
+        item.increment(error);
     }
     if (error) {
         throwWriteFailed(this->path, error);
@@ -62,15 +107,12 @@
 
 std::string DataFolder::read(const std::string &name) const
 {
-    std::ifstream file(this->pathOf(name), std::ios::binary);
-    if (!file) {
-        throwWriteFailed(this->pathOf(name), std::make_error_code(std::errc::io_error));
-    }
-    return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+    return FileDescriptor(this->pathOf(name), O_RDONLY, *this->operations).readAll();
 }
 
 void DataFolder::replace(const std::string &name, std::string_view bytes) const
 {
+    this->requireCreated();
     const std::string temporary = name + TemporarySuffix;
     try {
         const FileDescriptor file(this->pathOf(temporary), O_WRONLY | O_CREAT | O_TRUNC, *this->operations);
@@ -109,6 +151,7 @@
 
 void DataFolder::checkWritable() const
 {
+    this->requireCreated();
     const std::string name = std::string("check") + TemporarySuffix;
     try {
         const FileDescriptor file(this->pathOf(name), O_WRONLY | O_CREAT | O_TRUNC, *this->operations);
--- a/src/replication/DataFolder.h
+++ b/src/replication/DataFolder.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <system_error>
 #include <vector>
 
 namespace cranberryreel::replication
@@ -12,11 +13,12 @@
 
 /// A folder on disk that belongs to one member. Each change is synced, together with the folder itself, before the function returns. Owned by the
 /// DiskLogStore and used on the group's thread.
-/// Errors: base::Error(StorageWriteFailed); the constructor also throws base::Error(DataFolderUnwritable).
+/// Errors: base::Error(StorageWriteFailed), also for a file that cannot be read; the constructor throws base::Error(DataFolderUnwritable) for a path that no
+/// disk can ever hold.
 class DataFolder
 {
 public:
-    /// Creates the folder where it is missing. `operations` must outlive the folder.
+    /// Creates the folder where it is missing. On a disk that is full or fails, the functions below try again. `operations` must outlive the folder.
     explicit DataFolder(std::string path, FileOperations &operations = FileOperations::system());
 
     std::vector<std::string> files() const;
@@ -41,8 +43,12 @@
     }
 
 private:
+    std::error_code create() const;
+    void requireCreated() const;
+
     std::string path;
     FileOperations *operations; ///< Not owned.
+    mutable bool created = false;
 };
 
 } // namespace cranberryreel::replication
--- a/src/replication/DiskLogStore.cpp
+++ b/src/replication/DiskLogStore.cpp
@@ -178,12 +178,10 @@
     validBytes = offset;
     if (base.index > 0) {
         const std::string snapshotFile = snapshotName(base);
-        std::optional<Snapshot> snapshot;
-        try {
-            snapshot = Codec::decodeSnapshot(this->folder.read(snapshotFile));
-        } catch (const base::Error &) {
+        if (!this->mayExist(snapshotFile)) {
             throwDamaged(base::ResultCode::SnapshotCorrupt, snapshotFile);
         }
+        std::optional<Snapshot> snapshot = Codec::decodeSnapshot(this->folder.read(snapshotFile));
         if (!snapshot || snapshot->index != base.index || snapshot->term != base.term) {
             throwDamaged(base::ResultCode::SnapshotCorrupt, snapshotFile);
         }
--- a/src/replication/FileDescriptor.cpp
+++ b/src/replication/FileDescriptor.cpp
@@ -45,6 +45,28 @@
     return *this;
 }
 
+std::string FileDescriptor::readAll() const
+{
+    constexpr std::size_t ChunkBytes = 1UL << 20U;
+    std::string bytes;
+    std::size_t size = 0;
+    while (true) {
+        bytes.resize(size + ChunkBytes);
+        const ssize_t got = ::read(this->descriptor, &bytes[size], ChunkBytes);
+        if (got < 0 && errno == EINTR) {
+            continue;
+        }
+        if (got < 0) {
+            this->throwWriteFailed("read");
+        }
+        size += static_cast<std::size_t>(got);
+        if (got == 0) {
+            bytes.resize(size);
+            return bytes;
+        }
+    }
+}
+
 void FileDescriptor::writeAll(std::string_view bytes) const
 {
     while (!bytes.empty()) {
--- a/src/replication/FileDescriptor.h
+++ b/src/replication/FileDescriptor.h
@@ -21,6 +21,8 @@
     FileDescriptor(FileDescriptor &&other) noexcept;
     FileDescriptor &operator=(FileDescriptor &&other) noexcept;
 
+    /// Returns the bytes from the current position to the end.
+    std::string readAll() const;
     void writeAll(std::string_view bytes) const;
     void sync() const;
     void truncate(std::size_t bytes) const;
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -200,6 +200,9 @@
             throw;
         }
         const absl::MutexLock lock(&this->mutex);
+        if (this->published.reason != error.what()) {
+            log().error("The log cannot be used yet: {}", error.what());
+        }
         this->published.reason = error.what();
     }
 }
--- a/tests/replication/DiskLogStoreTest.cpp
+++ b/tests/replication/DiskLogStoreTest.cpp
@@ -460,6 +460,54 @@
     BOOST_CHECK_EXCEPTION(DiskLogStore(folder.name() + "/file/data"), base::Error, withCode(base::ResultCode::DataFolderUnwritable));
 }
 
+BOOST_AUTO_TEST_CASE(aFolderOnAFullDiskIsCreatedOnceThereIsSpace)
+{
+    const support::TemporaryFolder folder;
+    LimitedDisk disk(folder.name());
+    disk.setRefusesFolders(true);
+    DiskLogStore store(folder.name() + "/data", disk);
+    BOOST_CHECK_EXCEPTION(store.recover(), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    disk.setRefusesFolders(false);
+    disk.failSyncsAfter(0);
+    BOOST_CHECK_EXCEPTION(store.recover(), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    disk.failSyncsAfter(std::numeric_limits<int>::max());
+    BOOST_TEST(store.recover().entries.empty());
+    store.write(entriesFrom(1, 3));
+    BOOST_TEST(DiskLogStore(folder.name() + "/data").recover().entries.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(aFolderThatVanishedIsNotCreatedAnew)
+{
+    const support::TemporaryFolder folder;
+    const std::string path = folder.name() + "/data";
+    DiskLogStore store(path);
+    store.recover();
+    std::filesystem::remove_all(path);
+    BOOST_CHECK_EXCEPTION(store.recover(), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+    BOOST_TEST(!std::filesystem::exists(path));
+}
+
+BOOST_AUTO_TEST_CASE(aFileThatCannotBeReadIsNotTakenForDamaged)
+{
+    const support::TemporaryFolder folder;
+    {
+        DiskLogStore store(folder.name());
+        store.recover();
+        store.compact(snapshotAt(3, 10), HardState(), {});
+    }
+    for (const std::string prefix : {"snapshot-", "log-"}) {
+        const std::string path = fileNamed(folder, prefix);
+        std::filesystem::rename(path, folder.name() + "/kept");
+        std::filesystem::create_directory(path);
+        DiskLogStore unreadable(folder.name());
+        BOOST_CHECK_EXCEPTION(unreadable.recover(), base::Error, withCode(base::ResultCode::StorageWriteFailed));
+        std::filesystem::remove(path);
+        std::filesystem::rename(folder.name() + "/kept", path);
+    }
+    DiskLogStore readable(folder.name());
+    BOOST_TEST(readable.recover().snapshot != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(changedBytesNeverCrashTheReader)
 {
     constexpr int Rounds = 400;
--- a/tests/replication/GroupRunnerTest.cpp
+++ b/tests/replication/GroupRunnerTest.cpp
@@ -266,6 +266,23 @@
     BOOST_TEST(member.machine->lines().size() == 26U);
 }
 
+BOOST_AUTO_TEST_CASE(aMemberStartsOnADiskThatRefusesItsFolderAndJoinsLater)
+{
+    LoneMember member;
+    member.disk.setRefusesFolders(true);
+    member.disk.setBudget(0);
+    BOOST_REQUIRE_NO_THROW(member.start());
+    BOOST_TEST(!member.group->status().caughtUp);
+    BOOST_TEST(member.group->status().reason.find("No space left on device") != std::string::npos);
+    BOOST_TEST((member.propose("refused") == base::ResultCode::NotLeader));
+    member.disk.setRefusesFolders(false);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    BOOST_TEST(!member.group->status().leader);
+    member.disk.setBudget(1000000);
+    BOOST_TEST(member.eventuallyLeads());
+    BOOST_TEST((member.propose("accepted") == base::ResultCode::Ok));
+}
+
 BOOST_AUTO_TEST_CASE(aBuilderRefusesInconsistentSettings)
 {
     ListMachine machine;
