A member whose disk hangs answers its callers, and can be stopped

The group's thread wrote and synced by itself. On a disk that neither answers nor fails its callers waited without end, its status still named a leader and called it caught up, the queues of reads and changes grew without a bound, and stop() joined the blocked thread, so that the process did not end on SIGTERM. A start on such a disk blocked the whole process.

Calls to a log store with a disk now run on a StorageThread. When one takes longer than a request may (1 s), the member publishes the reason, ends requests in the log as GroupUnavailable and queued ones as NotLeader, rejects later ones at once, counts cranberryreel_group_storage_stalls_total, and goes on where it was when the call ends. Nothing changes for the protocol, and no new leadership is reported within a term. A stop waits for the call until its limit, at least 2 s, then leaves the thread behind; the call owns all that it uses. Queued reads, changes and the bytes of queued commands have limits. The storage part of GroupRunner moves to GroupRunnerStorage.cpp.

--- a/src/replication/DataFolder.cpp
+++ b/src/replication/DataFolder.cpp
@@ -53,7 +53,7 @@
     : path(std::move(folder))
     , operations(&fileOperations)
 {
-    const std::error_code error = this->create();
+    const std::error_code error = fileOperations.createFolder(this->path);
     if (error && isMisconfiguration(error)) {
         throw base::Error(base::ResultCode::DataFolderUnwritable, fmt::format("Cannot create the data folder {}: {}.", this->path, error.message()));
     }
--- a/src/replication/Group.h
+++ b/src/replication/Group.h
@@ -65,7 +65,8 @@
 
     virtual void start() = 0;
 
-    /// Hands leadership over if this member holds it, then stops; returns within the limit.
+    /// Hands leadership over if this member holds it, then stops; returns within the limit, or within 2 s where the limit is shorter and the disk does not
+    /// answer.
     virtual void stop(std::chrono::milliseconds limit) = 0;
 
     /// Proposes a command; only the leader can. The callback runs once, on the group's thread; it must not block.
--- a/src/replication/GroupInbox.h
+++ b/src/replication/GroupInbox.h
@@ -34,6 +34,7 @@
     std::vector<std::pair<std::string, std::string>> received; ///< Sender's VM and message bytes.
     std::size_t receivedBytes = 0;
     std::vector<Proposal> proposals;
+    std::size_t commandBytes = 0; ///< Of the proposals.
     std::vector<std::function<void(base::ResultCode)>> reads;
     std::vector<MembersChange> changes;
     std::optional<std::set<std::string>> standbys;
--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -9,7 +9,6 @@
 #include <absl/time/time.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace cranberryreel::replication
@@ -20,10 +19,13 @@
 
 constexpr std::size_t MaxCommandBytes = 3UL * 1024 * 1024; ///< Keeps a message with one command within the link's frame limit.
 constexpr std::size_t MaxQueuedProposals = 65536;
+constexpr std::size_t MaxQueuedReads = 65536;
+constexpr std::size_t MaxQueuedChanges = 64;
+constexpr std::size_t MaxQueuedCommandBytes = 32UL * 1024 * 1024;
 constexpr std::size_t MaxQueuedBytes =
     32UL * 1024 * 1024; ///< Limit of queued received bytes; messages beyond are dropped, which the protocol tolerates like network loss.
-constexpr std::chrono::milliseconds StorageRetryInterval{200};
 constexpr std::chrono::milliseconds LogInterval{1000}; ///< Shortest time between two equal lines about elections.
+constexpr std::chrono::milliseconds StorageGrace{2000}; ///< How long a stop waits at least for a call to the store that is under way.
 
 const observe::Log &log()
 {
@@ -35,9 +37,10 @@
 
 GroupRunner::GroupRunner(GroupRunnerOptions runnerOptions)
     : options(std::move(runnerOptions))
+    , storage(std::move(this->options.store))
 {
     this->initialState = this->options.stateMachine->snapshot();
-    this->recover();
+    this->recover(base::steadyNow() + this->options.core.timings.requestLimit);
 }
 
 GroupRunner::~GroupRunner()
@@ -61,7 +64,9 @@
     }
     {
         const absl::MutexLock lock(&this->mutex);
-        this->inbox.stopBy = base::steadyNow() + limit;
+        const base::SteadyTime now = base::steadyNow();
+        this->inbox.stopBy = now + limit;
+        this->abandonStoreBy = now + std::max(limit, StorageGrace);
     }
     this->thread.join();
 }
@@ -75,7 +80,9 @@
     base::ResultCode refusal = base::ResultCode::NotLeader;
     {
         const absl::MutexLock lock(&this->mutex);
-        if (!this->ended && this->inbox.proposals.size() < MaxQueuedProposals) {
+        const bool fits = this->inbox.proposals.size() < MaxQueuedProposals && this->inbox.commandBytes + command.size() <= MaxQueuedCommandBytes;
+        if (!this->ended && fits) {
+            this->inbox.commandBytes += command.size();
             this->inbox.proposals.push_back(GroupInbox::Proposal{std::move(command), durability, std::move(done)});
             return;
         }
@@ -88,7 +95,7 @@
 {
     {
         const absl::MutexLock lock(&this->mutex);
-        if (!this->ended) {
+        if (!this->ended && this->inbox.reads.size() < MaxQueuedReads) {
             this->inbox.reads.push_back(std::move(done));
             return;
         }
@@ -100,7 +107,7 @@
 {
     {
         const absl::MutexLock lock(&this->mutex);
-        if (!this->ended) {
+        if (!this->ended && this->inbox.changes.size() < MaxQueuedChanges) {
             this->inbox.changes.push_back(GroupInbox::MembersChange{std::move(members), std::move(done)});
             return;
         }
@@ -180,77 +187,10 @@
         log().error("Member leaves the group until its log can be written: {}", error.what());
         this->leaveGroup(error.what());
         this->core.reset();
-        this->nextRecovery = base::steadyNow() + StorageRetryInterval;
+        this->nextRecovery = base::steadyNow();
     }
 }
 
-/// Makes a core from what the store holds, as a new run of this member. Without a core afterwards if the store cannot be written.
-void GroupRunner::recover()
-{
-    try {
-        const Recovered recovered = this->options.store->recover();
-        this->restore(recovered.snapshot ? *recovered.snapshot : Snapshot());
-        this->core = std::make_unique<Core>(this->options.core, recovered, this->safety, base::steadyNow());
-        this->bytesSinceSnapshot = 0;
-        this->proposedTerm = 0;
-        ++this->options.core.boot; // Each run of a member has its own number.
-        this->publishStatus();
-    } catch (const base::Error &error) {
-        if (error.code() != base::ResultCode::StorageWriteFailed) {
-            throw;
-        }
-        const absl::MutexLock lock(&this->mutex);
-        if (this->published.reason != error.what()) {
-            log().error("The log cannot be used yet: {}", error.what());
-        }
-        this->published.reason = error.what();
-    }
-}
-
-void GroupRunner::awaitStorage()
-{
-    {
-        const absl::MutexLock lock(&this->mutex);
-        this->mutex.AwaitWithTimeout(absl::Condition(
-                                         +[](GroupInbox *work) { return work->stopBy.has_value(); }, &this->inbox),
-                                     absl::FromChrono(std::max(this->nextRecovery - base::steadyNow(), base::SteadyTime::duration::zero())));
-        this->stopBy = this->inbox.stopBy;
-    }
-    if (this->stopBy) {
-        return;
-    }
-    this->nextRecovery = base::steadyNow() + StorageRetryInterval;
-    this->recover();
-    if (this->core) {
-        log().info("Member returns to the group: its log can be written again, last index {}.", this->core->log().lastIndex());
-        const absl::MutexLock lock(&this->mutex);
-        this->ended = false;
-    }
-}
-
-/// Gives up the lease, takes no further requests and fails the pending ones. The status is published first, since the callbacks may read it.
-void GroupRunner::leaveGroup(const std::string &reason)
-{
-    this->leaseEnd = 0;
-    GroupInbox remaining;
-    {
-        const absl::MutexLock lock(&this->mutex);
-        this->ended = true;
-        this->published.leaderVm.clear();
-        this->published.caughtUp = false;
-        this->published.reason = reason;
-        remaining = std::exchange(this->inbox, GroupInbox());
-        this->inbox.stopBy = remaining.stopBy;
-    }
-    this->pending.failAll();
-    this->reads.failAll();
-    if (this->announcedTerm != 0 && this->options.listener != nullptr) {
-        this->options.listener->leadershipLost(this->announcedTerm);
-    }
-    this->announcedTerm = 0;
-    remaining.rejectAll();
-}
-
 GroupInbox GroupRunner::waitForWork()
 {
     const base::SteadyTime now = base::steadyNow();
@@ -337,10 +277,10 @@
 
 void GroupRunner::processOutputs()
 {
-    CoreOutput output = this->core->takeOutput();
-    while (!output.empty()) {
+    auto output = std::make_shared<CoreOutput>(this->core->takeOutput());
+    while (!output->empty()) {
         this->processOutput(output);
-        output = this->core->takeOutput();
+        output = std::make_shared<CoreOutput>(this->core->takeOutput());
     }
     this->publishLease();
     this->notifyLeadershipChange();
@@ -351,13 +291,14 @@
     this->publishStatus();
 }
 
-void GroupRunner::processOutput(CoreOutput &output)
+void GroupRunner::processOutput(const std::shared_ptr<const CoreOutput> &shared)
 {
+    const CoreOutput &output = *shared;
     this->logRefusedVotes(output.refusedVotes);
     this->publishLease(); // Must precede any message that lets another member lead.
     this->sendAll(output.messages);
     if (output.hasWrites()) {
-        this->options.store->write(output);
+        this->callStore([shared](LogStore &store) { store.write(*shared); });
     }
     this->sendAll(output.messagesAfterSync);
     if (!output.entries.empty()) {
@@ -393,42 +334,6 @@
     this->pending.completeApplied(entry.index, entry.term, std::move(result), base::steadyNow() + this->options.core.timings.requestLimit);
 }
 
-void GroupRunner::compactIfDue()
-{
-    const bool manyEntries = this->applied >= this->snapshotIndex + this->options.snapshotEveryEntries;
-    const bool due = manyEntries || this->bytesSinceSnapshot >= this->options.snapshotEveryBytes;
-    if (!due || base::steadyNow() < this->nextCompaction) {
-        return;
-    }
-    const auto snapshot = this->core->compact(this->options.stateMachine->snapshot(), this->options.retainedEntries, this->options.retainedBytes);
-    const std::vector<Entry> after =
-        this->core->log().slice(snapshot->index + 1, std::numeric_limits<std::size_t>::max(), std::numeric_limits<std::size_t>::max());
-    try {
-        this->options.store->compact(*snapshot, this->core->hardState(), after);
-        this->bytesSinceSnapshot = 0;
-        this->snapshotIndex = snapshot->index;
-    } catch (const base::Error &error) {
-        this->handleFailedCompaction(error);
-    }
-}
-
-/// The member goes on without a shorter log; if the store cannot go on, the next write fails.
-void GroupRunner::handleFailedCompaction(const base::Error &error)
-{
-    if (error.code() != base::ResultCode::StorageWriteFailed) {
-        throw error;
-    }
-    static observe::Counter &failures = observe::counter("cranberryreel_group_compaction_failures_total", "Failed compactions of a member's log.");
-    failures.add();
-    constexpr base::ResultCode Reported = base::ResultCode::LogNotCompacted;
-    log().error("{} {}: the member goes on with the whole log and retries; {} bytes applied since the last snapshot. {}",
-                static_cast<int>(Reported),
-                base::resultName(Reported),
-                this->bytesSinceSnapshot,
-                error.what());
-    this->nextCompaction = base::steadyNow() + this->options.compactionRetryInterval;
-}
-
 void GroupRunner::publishLease()
 {
     const bool announced = this->announcedTerm != 0 && this->announcedTerm == this->core->hardState().term;
@@ -515,7 +420,7 @@
     this->unavailableReason = status.reason;
 }
 
-void GroupRunner::sendAll(std::vector<Message> &messages)
+void GroupRunner::sendAll(const std::vector<Message> &messages)
 {
     for (const Message &message : messages) {
         this->options.sendToMember(message.to, Codec::encode(message));
--- a/src/replication/GroupRunner.h
+++ b/src/replication/GroupRunner.h
@@ -7,6 +7,7 @@
 #include "replication/GroupRunnerOptions.h"
 #include "replication/PendingProposals.h"
 #include "replication/PendingReads.h"
+#include "replication/StorageThread.h"
 
 #include "cranberryreel/base/Error.h"
 
@@ -25,11 +26,13 @@
 
 /// A Group that runs on its own thread: it passes messages, proposals and the time to the core and carries out the core's outputs. Built by GroupBuilder.
 /// Load pattern: a disk fills up or refuses writes for seconds, and shortly after it recovers another member is lost. The member leaves the group as if its
-/// process had ended, retries, and returns with what its disk holds as soon as the disk accepts writes again.
+/// process had ended, retries, and returns with what its disk holds as soon as the disk accepts writes again. A disk that neither answers nor fails suspends
+/// it: it takes no requests until the disk answers.
 class GroupRunner : public Group
 {
 public:
-    /// Recovers the state from the store; throws base::Error(LogCorrupt) or (SnapshotCorrupt). A store that cannot be written yet is retried after start().
+    /// Recovers the state from the store; throws base::Error(LogCorrupt) or (SnapshotCorrupt). A store that cannot be written yet, or does not answer within
+    /// the limit of a request, is retried after start().
     explicit GroupRunner(GroupRunnerOptions options);
     ~GroupRunner() override;
 
@@ -47,25 +50,34 @@
 private:
     void run();
     void runOnce();
-    void recover();
+
+    // GroupRunnerStorage.cpp
+    void recover(base::SteadyTime until);
+    void reportNoStore(const std::string &reason);
     void awaitStorage();
+    void awaitRecovery();
+    void callStore(StorageThread::Call call);
+    void throwIfStopIsDue(base::SteadyTime now);
+    void failRequests(const std::string &reason);
     void leaveGroup(const std::string &reason);
+    void compactIfDue();
+    void handleFailedCompaction(const base::Error &error);
+
+    // GroupRunner.cpp
     GroupInbox waitForWork();
     void handleInbox(GroupInbox &inbox);
     void handleProposals(std::vector<GroupInbox::Proposal> &proposals, base::SteadyTime now);
     void handleChange(GroupInbox::MembersChange &change);
     void processOutputs();
-    void processOutput(CoreOutput &output);
+    void processOutput(const std::shared_ptr<const CoreOutput> &output);
     void restore(const Snapshot &snapshot);
     void apply(const Entry &entry);
-    void compactIfDue();
-    void handleFailedCompaction(const base::Error &error);
     void publishLease();
     void publishStatus();
     void notifyLeadershipChange();
     void logRefusedVotes(const std::vector<RefusedVote> &refused);
     void logAvailability(const GroupStatus &status);
-    void sendAll(std::vector<Message> &messages);
+    void sendAll(const std::vector<Message> &messages);
     bool shouldStop(base::SteadyTime now);
 
     GroupRunnerOptions options;
@@ -73,6 +85,8 @@
     std::thread thread;
 
     // Used by the group's thread only.
+    StorageThread storage;
+    std::shared_ptr<Recovered> recovered; ///< What the store's recovery under way will find; null while there is none.
     std::unique_ptr<Core> core; ///< Null while the store cannot be written.
     base::SteadyTime nextRecovery{}; ///< When the store is tried again while there is no core.
     PendingProposals pending;
@@ -94,6 +108,7 @@
     std::atomic<std::uint64_t> droppedMessages{0};
     mutable absl::Mutex mutex;
     GroupInbox inbox ABSL_GUARDED_BY(mutex);
+    base::SteadyTime abandonStoreBy ABSL_GUARDED_BY(mutex){}; ///< After a stop(): how long a call to the store is waited for.
     bool ended ABSL_GUARDED_BY(mutex) = true;
     GroupStatus published ABSL_GUARDED_BY(mutex);
 };
--- a/src/replication/GroupRunnerOptions.h
+++ b/src/replication/GroupRunnerOptions.h
@@ -16,7 +16,7 @@
 /// Settings and dependencies of a GroupRunner, filled by GroupBuilder.
 struct GroupRunnerOptions {
     CoreOptions core;
-    std::unique_ptr<LogStore> store;
+    std::unique_ptr<LogStore> store; ///< Taken by the GroupRunner.
     StateMachine *stateMachine = nullptr; ///< Not owned.
     LeadershipListener *listener = nullptr; ///< Not owned; may be null.
     SendToMember sendToMember;
--- a/src/replication/LogStore.h
+++ b/src/replication/LogStore.h
@@ -26,6 +26,12 @@
     /// Replaces all stored data with the snapshot, the hard state and the entries after the snapshot. Throws base::Error(StorageWriteFailed); write() then goes
     /// on with the data stored before, or throws if it is not known which data a restart would read.
     virtual void compact(const Snapshot &snapshot, const HardState &hardState, const std::vector<Entry> &entriesAfter) = 0;
+
+    /// False for a store without a disk; its calls run on the group's thread.
+    virtual bool mayBlock() const
+    {
+        return true;
+    }
 };
 
 } // namespace cranberryreel::replication
--- a/src/replication/MemoryLogStore.h
+++ b/src/replication/MemoryLogStore.h
@@ -21,6 +21,11 @@
     void compact(const Snapshot & /*snapshot*/, const HardState & /*hardState*/, const std::vector<Entry> & /*entriesAfter*/) override
     {
     }
+
+    bool mayBlock() const override
+    {
+        return false;
+    }
 };
 
 } // namespace cranberryreel::replication
--- a/tests/replication/GroupRunnerTest.cpp
+++ b/tests/replication/GroupRunnerTest.cpp
@@ -283,6 +283,82 @@
     BOOST_TEST((member.propose("accepted") == base::ResultCode::Ok));
 }
 
+BOOST_AUTO_TEST_CASE(aLeaderWhoseDiskHangsAnswersItsCallersAndGoesOnAfterwards)
+{
+    LoneMember member;
+    member.start();
+    BOOST_TEST_REQUIRE(member.eventuallyLeads());
+    const auto answered = [](auto &answer) { return answer.wait_for(std::chrono::seconds(5)) == std::future_status::ready; };
+    const auto propose = [&member](const std::string &command) {
+        auto promise = std::make_shared<std::promise<base::ResultCode>>();
+        auto answer = promise->get_future();
+        member.group->propose(command, Durability::Majority, [promise](const ProposeResult &result) { promise->set_value(result.code); });
+        return answer;
+    };
+    member.disk.setHung(true);
+    auto inLog = propose("in the log");
+    BOOST_TEST_REQUIRE(TestCluster::eventually([&member] { return member.disk.isHolding(); }));
+    auto queued = propose("queued");
+    auto read = std::make_shared<std::promise<base::ResultCode>>();
+    auto barrier = read->get_future();
+    member.group->readBarrier([read](base::ResultCode code) { read->set_value(code); });
+    BOOST_CHECK(answered(inLog) && inLog.get() == base::ResultCode::GroupUnavailable);
+    BOOST_CHECK(answered(queued) && queued.get() == base::ResultCode::NotLeader);
+    BOOST_CHECK(answered(barrier) && barrier.get() == base::ResultCode::GroupUnavailable);
+    const GroupStatus status = member.group->status();
+    BOOST_TEST(!status.leader);
+    BOOST_TEST(!status.caughtUp);
+    BOOST_TEST(status.leaderVm.empty());
+    BOOST_TEST(!status.reason.empty());
+    BOOST_TEST(!member.group->holdsLease(base::steadyNow()));
+    auto late = propose("late");
+    BOOST_CHECK(answered(late) && late.get() == base::ResultCode::NotLeader);
+    member.group->receive("c2", "bytes");
+    member.disk.setHung(false);
+    BOOST_TEST(TestCluster::eventually([&member] { return member.group->status().leader && member.group->status().reason.empty(); }));
+    auto after = propose("after");
+    BOOST_CHECK(answered(after) && after.get() == base::ResultCode::Ok);
+    const std::vector<std::string> expected{"in the log", "after"};
+    BOOST_TEST(member.machine->lines() == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(aMemberWhoseDiskHangsStopsWithinItsLimit)
+{
+    LoneMember member;
+    member.start();
+    BOOST_TEST_REQUIRE(member.eventuallyLeads());
+    member.disk.setHung(true);
+    member.group->propose("held", Durability::Majority, [](const ProposeResult & /*result*/) {});
+    BOOST_TEST_REQUIRE(TestCluster::eventually([&member] { return member.disk.isHolding(); }));
+    constexpr std::chrono::milliseconds Limit{2500};
+    auto stopped = std::async(std::launch::async, [&member, Limit] { member.group->stop(Limit); });
+    BOOST_TEST((stopped.wait_for(Limit + std::chrono::milliseconds(1500)) == std::future_status::ready));
+    BOOST_TEST(member.disk.isHolding());
+    // The thread in the disk outlives the group, and must not use it once the disk returns.
+    auto destroyed = std::async(std::launch::async, [&member] { member.group.reset(); });
+    BOOST_TEST((destroyed.wait_for(std::chrono::seconds(1)) == std::future_status::ready));
+    member.disk.setHung(false);
+    BOOST_TEST(TestCluster::eventually([&member] { return !member.disk.isHolding(); }));
+    stopped.wait();
+    destroyed.wait();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+}
+
+BOOST_AUTO_TEST_CASE(aMemberStartsOnADiskThatHangsAndJoinsLater)
+{
+    LoneMember member;
+    member.disk.setHung(true);
+    auto started = std::async(std::launch::async, [&member] { member.start(); });
+    BOOST_TEST((started.wait_for(std::chrono::seconds(5)) == std::future_status::ready));
+    if (member.group != nullptr) {
+        BOOST_TEST(!member.group->status().caughtUp);
+        BOOST_TEST(!member.group->status().reason.empty());
+    }
+    member.disk.setHung(false);
+    started.wait();
+    BOOST_TEST(member.eventuallyLeads());
+}
+
 BOOST_AUTO_TEST_CASE(aBuilderRefusesInconsistentSettings)
 {
     ListMachine machine;
