A link hub can stop dialing a peer

A peer that was added was dialed for ever, about once a second. A cell whose VMs are replaced at new addresses collects peers that are gone for good, each of which costs a dial a second on every VM. LinkHub::stopDialing() ends that; a link that is up stays, and the peer may still connect by itself. The entry in the table of peers remains, since pointers to it must stay valid.

NewcomersTest/aPeerIsDialedOnlyWhileItIsWanted does not compile without it.

--- a/src/link/LinkHub.h
+++ b/src/link/LinkHub.h
@@ -84,6 +84,11 @@
     {
     }
 
+    /// Stops dialing a peer until it is added again. A link to it stays up until it is lost, and the peer may still connect by itself. Any thread.
+    virtual void stopDialing(const std::string & /*vm*/)
+    {
+    }
+
     virtual std::vector<PeerStatus> peers() const = 0;
     virtual LinkFigures figures() const = 0;
     virtual bool isUp(const std::string &vm) const = 0;
--- a/src/link/TcpLinkHub.cpp
+++ b/src/link/TcpLinkHub.cpp
@@ -378,4 +378,13 @@
     });
 }
 
+void TcpLinkHub::stopDialing(const std::string &vm)
+{
+    this->loop.post([this, vm] {
+        if (PeerLink *peer = this->findPeer(vm)) {
+            peer->setAddress({});
+        }
+    });
+}
+
 } // namespace cranberryreel::link
--- a/src/link/TcpLinkHub.h
+++ b/src/link/TcpLinkHub.h
@@ -33,6 +33,7 @@
         const std::string &toVm, Channel channel, std::string payload, std::chrono::milliseconds limit, const std::string &traceparent, CallDone done) override;
     void setKeys(LinkKeys keys) override;
     void addPeer(const std::string &vm, const std::string &address) override;
+    void stopDialing(const std::string &vm) override;
     std::vector<PeerStatus> peers() const override;
     LinkFigures figures() const override;
     bool isUp(const std::string &vm) const override;
--- a/tests/link/NewcomersTest.cpp
+++ b/tests/link/NewcomersTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <thread>
 
 using namespace cranberryreel;
 using namespace cranberryreel::link;
@@ -63,4 +64,24 @@
     stranger->stop();
 }
 
+BOOST_AUTO_TEST_CASE(aPeerIsDialedOnlyWhileItIsWanted)
+{
+    const std::uint16_t port = support::freePort();
+    const std::unique_ptr<LinkHub> hub = hubOf("hub", support::freePort(), "key");
+    hub->addPeer("peer", support::loopback(port));
+    std::unique_ptr<LinkHub> peer = hubOf("peer", port, "key");
+    BOOST_TEST_REQUIRE(eventually([&] { return hub->isUp("peer"); }));
+    hub->stopDialing("peer");
+    BOOST_TEST(answerOf(*hub, "peer") == "hub>peer:hello");
+    peer->stop();
+    BOOST_TEST_REQUIRE(eventually([&] { return !hub->isUp("peer"); }));
+    peer = hubOf("peer", port, "key");
+    std::this_thread::sleep_for(3 * LinkTimings().maxRedialPause);
+    BOOST_TEST(!hub->isUp("peer"));
+    hub->addPeer("peer", support::loopback(port));
+    BOOST_TEST(eventually([&] { return hub->isUp("peer"); }));
+    hub->stop();
+    peer->stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
