A VM that outlived its cell's first members no longer believes itself cut off

What callers saw: after several VMs with state had been lost for good and replaced at new addresses, an entry VM refused every submission at once, reported itself not ready and closed its connections, though the whole group was up, until it was restarted.

Cause: the caller of the leading scheduler kept every VM that it had ever heard of and took itself for cut off while fewer than half of them were linked.

Now the links to the members count that the leader named last. A reply of another VM does not change them, since that VM may not have heard of replacements; before the first reply of a leader the members of the own log count, or else all known VMs. VMs that no source names any more are not dialed any further. New seeds replace the earlier ones. Unchanged: with a link to any known VM but to fewer than half of the members a VM is cut off; without any link calls wait.

--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -42,23 +42,46 @@
     : hub(linkHub)
     , linkPort(port)
 {
-    this->addSeeds(seeds);
+    this->setSeeds(seeds);
 }
 
-void CellCaller::addSeeds(const std::vector<std::string> &seeds)
+void CellCaller::setSeeds(const std::vector<std::string> &seeds)
 {
     const absl::MutexLock lock(&this->mutex);
-    for (const std::string &vm : seeds) {
-        this->addPeer(vm);
-    }
+    this->vms.setSeeds(seeds);
+    this->updatePeers();
+}
+
+void CellCaller::setLoggedMembers(const std::vector<std::string> &members)
+{
+    const absl::MutexLock lock(&this->mutex);
+    this->vms.setLoggedMembers(members);
+    this->updatePeers();
 }
 
-void CellCaller::addPeer(const std::string &vm)
+void CellCaller::addNamed(const std::string &vm)
 {
-    if (std::find(this->vms.begin(), this->vms.end(), vm) == this->vms.end()) {
-        this->vms.push_back(vm);
-        this->hub.addPeer(vm, fmt::format("{}:{}", vm, this->linkPort));
+    this->vms.addNamed(vm);
+    this->updatePeers();
+}
+
+/// Dials exactly the known VMs.
+void CellCaller::updatePeers()
+{
+    const std::vector<std::string> all = this->vms.all();
+    const std::set<std::string> known(all.begin(), all.end());
+    for (const std::string &vm : known) {
+        if (this->dialedVms.count(vm) == 0) {
+            this->hub.addPeer(vm, fmt::format("{}:{}", vm, this->linkPort));
+        }
+    }
+    for (const std::string &vm : this->dialedVms) {
+        if (known.count(vm) == 0) {
+            Logger.info("event=vm_forgotten vm={}", vm);
+            this->hub.stopDialing(vm);
+        }
     }
+    this->dialedVms = known;
 }
 
 void CellCaller::start()
@@ -95,7 +118,7 @@
         this->leaderTerm = term;
         this->leaderVm = vm;
         this->leaderAnsweredAt = base::steadyNow();
-        this->addPeer(vm);
+        this->addNamed(vm);
     }
     Logger.info("event=leader_announced vm={} term={}", vm, term);
     this->timers.post([this, vm] { this->redirectTo(vm); });
@@ -120,7 +143,8 @@
 {
     const absl::MutexLock lock(&this->mutex);
     std::vector<std::string> order{std::exchange(pending.suggestedLeader, {}), this->leaderVm};
-    order.insert(order.end(), this->vms.begin(), this->vms.end());
+    const std::vector<std::string> known = this->vms.all();
+    order.insert(order.end(), known.begin(), known.end());
     for (const std::string &vm : order) {
         if (!vm.empty() && pending.triedThisRound.count(vm) == 0 && this->hub.isUp(vm)) {
             return vm;
@@ -175,7 +199,7 @@
         if (!reply->leader.empty() && reply->leader != vm) {
             pending->suggestedLeader = reply->leader;
             const absl::MutexLock lock(&this->mutex);
-            this->addPeer(reply->leader);
+            this->addNamed(reply->leader);
         }
         this->tryNext(pending);
         return;
@@ -192,9 +216,6 @@
 {
     const absl::MutexLock lock(&this->mutex);
     const auto code = static_cast<base::ResultCode>(reply.code);
-    for (const std::string &member : reply.members) {
-        this->addPeer(member);
-    }
     if (code == base::ResultCode::NotLeader || code == base::ResultCode::GroupUnavailable) {
         if (this->leaderVm == vm) {
             this->leaderVm.clear();
@@ -206,9 +227,19 @@
     if (fromLeader) {
         this->leaderVm = vm;
         this->leaderAnsweredAt = base::steadyNow();
-    } else if (!reply.leader.empty()) {
+        if (!reply.members.empty()) {
+            this->vms.setMembers(reply.members);
+            this->updatePeers();
+        }
+        return;
+    }
+    // The VMs that another VM names may have been replaced since.
+    for (const std::string &member : reply.members) {
+        this->addNamed(member);
+    }
+    if (!reply.leader.empty()) {
         this->leaderVm = reply.leader;
-        this->addPeer(reply.leader);
+        this->addNamed(reply.leader);
     }
 }
 
@@ -238,15 +269,22 @@
 
 bool CellCaller::isCutOff() const
 {
-    const std::vector<std::string> all = this->knownVms();
-    const auto up = std::count_if(all.begin(), all.end(), [this](const std::string &vm) { return this->hub.isUp(vm); });
-    return up > 0 && 2 * static_cast<std::size_t>(up) < all.size();
+    std::vector<std::string> voters;
+    std::vector<std::string> all;
+    {
+        const absl::MutexLock lock(&this->mutex);
+        voters = this->vms.voters();
+        all = this->vms.all();
+    }
+    const auto isUp = [this](const std::string &vm) { return this->hub.isUp(vm); };
+    const auto up = std::count_if(voters.begin(), voters.end(), isUp);
+    return 2 * static_cast<std::size_t>(up) < voters.size() && std::any_of(all.begin(), all.end(), isUp);
 }
 
 std::vector<std::string> CellCaller::knownVms() const
 {
     const absl::MutexLock lock(&this->mutex);
-    return this->vms;
+    return this->vms.all();
 }
 
 std::string CellCaller::leader() const
--- a/src/cell/CellCaller.h
+++ b/src/cell/CellCaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Mailbox.h"
+#include "cell/KnownVms.h"
 #include "cell/generated/cell_generated.h"
 #include "link/LinkHub.h"
 
@@ -29,8 +30,8 @@
 
 using CallOutcomeCallback = std::function<void(CallOutcome)>;
 
-/// Sends peer calls to the leading scheduler: tries VM after VM until one answers as the leader or the deadline passes. The VMs to try are the seeds and the
-/// members that replies name. Any thread. Owned by the CellDaemon.
+/// Sends peer calls to the leading scheduler: tries VM after VM until one answers as the leader or the deadline passes. The VMs to try are the seeds, the
+/// members and VMs that replies name. Any thread. Owned by the CellDaemon.
 class CellCaller
 {
 public:
@@ -46,8 +47,11 @@
     /// Looks up the leader and the members now and once a second. `relayZone`: the zone for which this VM offers to relay upstream calls; empty for none.
     void startLookups(const std::string &relayZone);
 
-    /// Adds VMs to try.
-    void addSeeds(const std::vector<std::string> &seeds);
+    /// Replaces the VMs that the settings list.
+    void setSeeds(const std::vector<std::string> &seeds);
+
+    /// Replaces the members that this VM's own log of the group names.
+    void setLoggedMembers(const std::vector<std::string> &members);
 
     /// Handles an announcement by `vm` that it leads `term`: calls that wait for another VM are redirected to it at once.
     void leaderAnnounced(const std::string &vm, std::uint64_t term);
@@ -55,14 +59,14 @@
     /// Whether a leading scheduler answered or announced itself within `age`.
     bool heardLeaderWithin(std::chrono::milliseconds age) const;
 
-    /// Whether this VM has links to some of the known VMs, but to fewer than half: it is then on the minority side of a network partition, which has no
-    /// leader. False without any link: all VMs may be restarting, and calls wait for them.
+    /// Whether this VM has links to some of the known VMs, but to fewer than half of the members that the leader named last: the group then has no leader, or
+    /// this VM is on the minority side of a network partition. False without any link: all VMs may be restarting, and calls wait for them.
     bool isCutOff() const;
 
     /// The VM that is believed to lead; empty if none is known.
     std::string leader() const;
 
-    /// The seeds, and the members that replies named.
+    /// The members, the seeds and the VMs that replies named.
     std::vector<std::string> knownVms() const;
 
 private:
@@ -74,13 +78,15 @@
     void finish(const std::shared_ptr<PendingCall> &pending, CallOutcome outcome);
     std::string chooseVm(PendingCall &pending);
     void learnFromReply(const std::string &vm, const wire::ReplyT &reply);
-    void addPeer(const std::string &vm) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void addNamed(const std::string &vm) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void updatePeers() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     link::LinkHub &hub;
     const std::uint16_t linkPort;
     base::Mailbox timers;
     mutable absl::Mutex mutex;
-    std::vector<std::string> vms ABSL_GUARDED_BY(mutex); ///< See knownVms().
+    KnownVms vms ABSL_GUARDED_BY(mutex);
+    std::set<std::string> dialedVms ABSL_GUARDED_BY(mutex);
     std::string leaderVm ABSL_GUARDED_BY(mutex);
     base::SteadyTime leaderAnsweredAt ABSL_GUARDED_BY(mutex){};
     std::uint64_t leaderTerm ABSL_GUARDED_BY(mutex) = 0; ///< The highest term that a VM announced.
--- a/src/cell/CellDaemon.cpp
+++ b/src/cell/CellDaemon.cpp
@@ -181,7 +181,7 @@
 void CellDaemon::reload(const CellSettings &changed)
 {
     Logger.info("event=reloaded seeds={}", changed.seeds.size());
-    this->cellCaller->addSeeds(hostsOf(changed.seeds));
+    this->cellCaller->setSeeds(hostsOf(changed.seeds));
 }
 
 bool CellDaemon::isReady() const
--- a/src/cell/CellMember.cpp
+++ b/src/cell/CellMember.cpp
@@ -168,7 +168,7 @@
 void CellMember::checkMembership()
 {
     const replication::GroupStatus status = this->group->status();
-    this->caller.addSeeds(status.members);
+    this->caller.setLoggedMembers(status.members);
     this->voterWatch.update(status);
     this->requestStandby(status);
     this->keepGroup(status);
--- a/tests/support/FakeHub.cpp
+++ b/tests/support/FakeHub.cpp
@@ -16,6 +16,24 @@
     return this->seen;
 }
 
+std::set<std::string> FakeHub::dialed() const
+{
+    absl::MutexLock lock(&this->mutex);
+    return this->dialedVms;
+}
+
+void FakeHub::addPeer(const std::string &vm, const std::string & /*address*/)
+{
+    absl::MutexLock lock(&this->mutex);
+    this->dialedVms.insert(vm);
+}
+
+void FakeHub::stopDialing(const std::string &vm)
+{
+    absl::MutexLock lock(&this->mutex);
+    this->dialedVms.erase(vm);
+}
+
 void FakeHub::onMessage(link::Channel /*channel*/, link::MessageHandler /*handler*/)
 {
 }
--- a/tests/support/FakeHub.h
+++ b/tests/support/FakeHub.h
@@ -28,7 +28,10 @@
 
     std::vector<Seen> calls() const;
 
-    /// VMs whose link is down. Set before the first call.
+    /// The VMs that were added as peers and are still dialed.
+    std::set<std::string> dialed() const;
+
+    /// VMs whose link is down. Set while no call is made.
     std::set<std::string> down;
 
     /// VMs that never answer. Set before the first call.
@@ -46,6 +49,8 @@
               std::chrono::milliseconds limit,
               const std::string &traceparent,
               link::CallDone done) override;
+    void addPeer(const std::string &vm, const std::string &address) override;
+    void stopDialing(const std::string &vm) override;
     std::vector<link::PeerStatus> peers() const override;
     link::LinkFigures figures() const override;
     bool isUp(const std::string &vm) const override;
@@ -54,6 +59,7 @@
     Script script;
     mutable absl::Mutex mutex;
     std::vector<Seen> seen ABSL_GUARDED_BY(mutex);
+    std::set<std::string> dialedVms ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace cranberryreel::testsupport
