A VM that led and left the group no longer names itself as the leader

What callers saw: a leader whose disk refuses writes leaves the group. If nobody takes its place, it went on answering lookups with itself as the leader, its own lookups included. It stayed ready on the strength of its own answers, and so did every VM that asked it; their calls were held until their deadline.

Cause: outside the group, lookups are answered from what the caller of the leading scheduler has learned, which after a term of its own is this VM. The check for an expired lease covered answers from the group status only. The caller also kept a VM as the leader that said it knew none.

CellMemberLookupTest failed on the previous code in all three checks of who leads, and passes now.

--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -240,6 +240,8 @@
     if (!reply.leader.empty()) {
         this->leaderVm = reply.leader;
         this->addNamed(reply.leader);
+    } else if (this->leaderVm == vm) {
+        this->leaderVm.clear();
     }
 }
 
--- a/src/cell/CellMember.cpp
+++ b/src/cell/CellMember.cpp
@@ -118,18 +118,18 @@
 wire::ReplyT CellMember::answerLookup() const
 {
     wire::ReplyT reply = makeReply(base::ResultCode::Ok);
-    if (!this->isInGroup()) {
+    if (this->isInGroup()) {
+        const replication::GroupStatus status = this->group->status();
+        reply.leader = this->holdsLease() ? this->cell.ownVm : status.leaderVm;
+        reply.members = status.members;
+    } else {
         reply.leader = this->caller.leader();
         reply.members = this->caller.knownVms();
-        return reply;
     }
-    const replication::GroupStatus status = this->group->status();
-    reply.leader = this->holdsLease() ? this->cell.ownVm : status.leaderVm;
-    // The group status may still name this VM after its lease has expired.
+    // The group status and the caller may still name this VM after its lease has expired.
     if (reply.leader == this->cell.ownVm && !this->holdsLease()) {
         reply.leader.clear();
     }
-    reply.members = status.members;
     return reply;
 }
 
