A revision that could not be saved takes effect once the disk has space

What operators saw: a change was answered as made, in force at no VM, and stayed so: if the disks of all members of the configuration group (or of its only member) failed the write of the revision file just after the change was synced to their logs, nobody tried again until the next change or a restart. All VMs showed the same old revision, so nothing called them stale.

Cause: a failed save was retried only by fetching the revision from another VM that has it in force.

One line is logged per revision instead of one per attempt, and cranberryreel_config_save_failures_total counts.

--- a/src/config/ActiveConfiguration.cpp
+++ b/src/config/ActiveConfiguration.cpp
@@ -3,6 +3,7 @@
 #include "config/ConfigurationReader.h"
 #include "cranberryreel/base/Error.h"
 #include "observe/Log.h"
+#include "observe/Metrics.h"
 
 #include <algorithm>
 
@@ -75,8 +76,8 @@
     }
     try {
         const auto next = readConfiguration(texts.revision, texts.registerText, texts.rulesText);
-        if (this->file) {
-            this->file->save(texts);
+        if (!this->save(texts)) {
+            return;
         }
         this->setCurrent(next);
     } catch (const base::Error &error) {
@@ -87,6 +88,35 @@
     this->answerWaiters();
 }
 
+bool ActiveConfiguration::save(const RevisionTexts &texts)
+{
+    try {
+        if (this->file) {
+            this->file->save(texts);
+        }
+    } catch (const base::Error &error) {
+        static observe::Counter &failures = observe::counter("cranberryreel_config_save_failures_total", "Failed writes of the revision file.");
+        failures.add();
+        if (!this->unsaved || this->unsaved->revision < texts.revision) {
+            log().error("Revision {} cannot take effect until it can be saved: {}", texts.revision, error.what());
+            this->unsaved = texts;
+        }
+        return false;
+    }
+    if (this->unsaved && this->unsaved->revision <= texts.revision) {
+        this->unsaved.reset();
+    }
+    return true;
+}
+
+void ActiveConfiguration::retryUnsaved()
+{
+    if (this->unsaved) {
+        const RevisionTexts texts = *this->unsaved;
+        this->activate(texts);
+    }
+}
+
 void ActiveConfiguration::notifyAtRevision(std::uint64_t revision, std::chrono::milliseconds limit, RevisionDone done)
 {
     if (this->revision() >= revision || limit <= std::chrono::milliseconds(0)) {
--- a/src/config/ActiveConfiguration.h
+++ b/src/config/ActiveConfiguration.h
@@ -45,6 +45,9 @@
     /// Puts the texts in force if their revision is higher. If a text is invalid or the disk cannot be written, the previous revision stays in force.
     void activate(const RevisionTexts &texts);
 
+    /// Activates the highest revision that could not be saved yet, if any.
+    void retryUnsaved();
+
     /// Calls `done` with the revision in force once it is at least `revision`, or when the limit has passed.
     void notifyAtRevision(std::uint64_t revision, std::chrono::milliseconds limit, RevisionDone done);
 
@@ -54,11 +57,13 @@
         RevisionDone done;
     };
 
+    bool save(const RevisionTexts &texts);
     void setCurrent(const std::shared_ptr<const Configuration> &next);
     void answerWaiters();
 
     const std::shared_ptr<base::Mailbox> worker;
     const std::unique_ptr<RevisionFile> file;
+    std::optional<RevisionTexts> unsaved; ///< The highest revision whose save failed.
     std::vector<Listener> listeners;
     std::list<std::shared_ptr<Waiter>> waiters;
     mutable absl::Mutex mutex;
--- a/src/config/ReplicatedConfigService.cpp
+++ b/src/config/ReplicatedConfigService.cpp
@@ -205,6 +205,7 @@
 
 void ReplicatedConfigService::tick()
 {
+    this->active->retryUnsaved();
     this->startCheck.step();
     this->exchange.runRound();
     *this->caughtUp = this->group && this->group->status().caughtUp;
--- a/tests/config/ReplicatedConfigServiceTest.cpp
+++ b/tests/config/ReplicatedConfigServiceTest.cpp
@@ -219,4 +219,39 @@
     BOOST_TEST(!deployment.servedLowerRevision());
 }
 
+/// Load pattern: the disks of all members fill up just after they have synced a change to their logs. No other VM has the revision to fetch it from.
+BOOST_AUTO_TEST_CASE(aRevisionThatNoMemberCouldSaveTakesEffectOnceTheDisksHaveSpace)
+{
+    TestDeployment deployment;
+    deployment.startAll();
+    BOOST_REQUIRE(deployment.allReady());
+    const std::vector<std::string> members{"rey-a", "hfj-a", "akr-a"};
+    for (const std::string &vm : members) {
+        deployment.fillDiskOfRevisionFile(vm);
+    }
+    const ChangeReply reply = deployment.change("rey-b", {"first", 0, ChangePart::Register, TestDeployment::registerWith(5)});
+    BOOST_TEST((reply.code == ResultCode::Ok), reply.reason);
+    BOOST_TEST(reply.inForceAt.empty());
+    BOOST_TEST(deployment.allAtRevision(0));
+    for (const std::string &vm : members) {
+        deployment.freeDiskOfRevisionFile(vm);
+    }
+    BOOST_TEST(deployment.allAtRevision(1));
+    BOOST_TEST(!deployment.servedLowerRevision());
+}
+
+BOOST_AUTO_TEST_CASE(aVmWhoseRevisionFileCannotBeReadStartsAndFetchesIt)
+{
+    TestDeployment deployment;
+    deployment.startAll();
+    BOOST_REQUIRE(deployment.allReady());
+    BOOST_TEST((deployment.change("rey-b", {"first", 0, ChangePart::Register, TestDeployment::registerWith(1)}).code == ResultCode::Ok));
+    deployment.stop("hfj-a");
+    deployment.makeRevisionFileUnreadable("hfj-a");
+    deployment.start("hfj-a");
+    BOOST_REQUIRE(support::eventually([&] { return deployment.isReady("hfj-a"); }));
+    BOOST_TEST(deployment["hfj-a"].current()->revision == 1U);
+    BOOST_TEST(!deployment.servedLowerRevision());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/config/TestDeployment.h
+++ b/tests/config/TestDeployment.h
@@ -86,6 +86,24 @@
         std::filesystem::remove_all(this->folder + "/" + vm);
     }
 
+    /// Makes each write of the VM's revision file fail as on a full disk.
+    void fillDiskOfRevisionFile(const std::string &vm) const
+    {
+        std::filesystem::create_symlink("/dev/full", this->revisionFile(vm) + ".tmp");
+    }
+
+    void freeDiskOfRevisionFile(const std::string &vm) const
+    {
+        std::filesystem::remove(this->revisionFile(vm) + ".tmp");
+    }
+
+    /// Replaces the VM's revision file by one that cannot be opened.
+    void makeRevisionFileUnreadable(const std::string &vm) const
+    {
+        std::filesystem::remove(this->revisionFile(vm));
+        std::filesystem::create_symlink("nowhere", this->revisionFile(vm));
+    }
+
     /// Partitions a zone from all other zones.
     void cutOff(const std::string &zone)
     {
@@ -180,6 +198,11 @@
         std::unique_ptr<cranberryreel::config::ReplicatedConfigService> service;
     };
 
+    std::string revisionFile(const std::string &vm) const
+    {
+        return this->folder + "/" + vm + "/config/configuration.revision";
+    }
+
     static std::string zoneOf(const std::string &vm)
     {
         return vm.substr(0, vm.find('-'));
