A revision file that cannot be read no longer ends the daemon

What operators saw: a VM whose disk fails the read of its saved configuration ended at its start with 'terminate called after throwing', and again at each start, though its zone and the configuration group were up.

Cause: the file is read on the config worker's thread, outside of the handler of errors.

Now the VM logs the error and starts like one without a saved revision: it gets ready only with what the group or its zone tells it.

Evidence: ReplicatedConfigServiceTest/aVmWhoseRevisionFileCannotBeReadStarts- AndFetchesIt aborted before; passed three times of three now.

--- a/src/config/ActiveConfiguration.cpp
+++ b/src/config/ActiveConfiguration.cpp
@@ -37,17 +37,17 @@
 
 bool ActiveConfiguration::loadFromDisk()
 {
-    const auto saved = this->file ? this->file->load() : std::nullopt;
-    if (!saved) {
-        return false;
-    }
     try {
+        const auto saved = this->file ? this->file->load() : std::nullopt;
+        if (!saved) {
+            return false;
+        }
         this->setCurrent(readConfiguration(saved->revision, saved->registerText, saved->rulesText));
     } catch (const base::Error &error) {
-        log().error("The revision {} saved on disk is invalid: {}", saved->revision, error.what());
+        log().error("The revision saved on disk cannot be used: {}", error.what());
         return false;
     }
-    log().info("Loaded revision {} from disk.", saved->revision);
+    log().info("Loaded revision {} from disk.", this->revision());
     return true;
 }
 
--- a/src/config/RevisionFile.h
+++ b/src/config/RevisionFile.h
@@ -20,7 +20,7 @@
     /// Throws base::Error(StorageWriteFailed) and then leaves the old file in place.
     void save(const RevisionTexts &texts) const;
 
-    /// Returns nullopt when the file is missing or damaged.
+    /// Returns nullopt when the file is missing or damaged. Throws base::Error(StorageWriteFailed) when it cannot be opened.
     std::optional<RevisionTexts> load() const;
 
 private:
