The metrics of a daemon tell when a group has lost members

A member of a zone's or of the configuration's group that is lost for good is replaced by an operator, but nothing called for one: a group one loss away from standing still showed the same figures as a whole one, and a zone's member that had left its group because of its disk showed none at all.

Each member now exports, for each of its groups, the number of members, how many it has links to and whether it votes itself, leading or not.

Evidence: DaemonProcessTest/metricsTellWhichGroupsHaveLostMembers, a zone of three of which one runs, failed before in all five checks and passes now.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -97,6 +97,21 @@
     });
 }
 
+/// Registers gauges that tell when a group has lost members, whether they lead or not.
+void Daemon::registerGroupMetrics(const std::string &group, const std::function<replication::GroupStatus()> &status)
+{
+    const std::string labels = "group=\"" + group + "\"";
+    observe::gauge("cranberryreel_group_members", "Members of the group, as this member knows them.", labels, [status] {
+        return static_cast<double>(status().members.size());
+    });
+    observe::gauge("cranberryreel_group_members_linked", "Members of the group to which this VM has a link, itself included.", labels, [this, status] {
+        const std::vector<std::string> members = status().members;
+        return static_cast<double>(std::count_if(members.begin(), members.end(), [this](const std::string &vm) { return this->hub->isUp(vm); }));
+    });
+    observe::gauge(
+        "cranberryreel_group_member_caught_up", "1 when this member of the group votes.", labels, [status] { return status().caughtUp ? 1.0 : 0.0; });
+}
+
 void Daemon::buildLinks()
 {
     link::LinkHubBuilder builder;
@@ -128,6 +143,12 @@
         this->zones[name] = std::make_unique<ZoneMember>(
             this->settings, zone, *this->hub, *this->adapter, *this->configuration, [this](const zone::Beacon &beacon) { this->sendBeacon(beacon); });
     }
+    for (const auto &[name, member] : this->zones) {
+        this->registerGroupMetrics("zone " + name, [&zoneMember = *member] { return zoneMember.status(); });
+    }
+    if (this->configuration->groupStatus()) {
+        this->registerGroupMetrics("configuration", [this] { return this->configuration->groupStatus().value_or(replication::GroupStatus()); });
+    }
     this->configuration->onChange([this](const std::shared_ptr<const config::Configuration> &) {
         for (auto &[name, member] : this->zones) {
             member->configurationChanged();
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -6,12 +6,14 @@
 #include "entry/EntryServer.h"
 #include "link/LinkHub.h"
 #include "observe/SpanRing.h"
+#include "replication/Group.h"
 #include "routing/RoutedDispatcher.h"
 #include "routing/ZoneDirectory.h"
 #include "settings/Settings.h"
 #include "upstream/HttpUpstreamAdapter.h"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -42,6 +44,7 @@
     void setUpTracing();
     void buildLinks();
     void registerLinkMetrics();
+    void registerGroupMetrics(const std::string &group, const std::function<replication::GroupStatus()> &status);
     void buildZones();
     void buildEntry();
     void registerMessageHandlers();
--- a/tests/daemon/DaemonProcessTest.cpp
+++ b/tests/daemon/DaemonProcessTest.cpp
@@ -1,5 +1,6 @@
 #include "support/FreePort.h"
 #include "support/Process.h"
+#include "support/RawConnection.h"
 #include "support/TemporaryFolder.h"
 
 #include <boost/test/unit_test.hpp>
@@ -14,6 +15,7 @@
 #include <vector>
 
 namespace support = cranberryreel::support;
+namespace testsupport = cranberryreel::testsupport;
 
 namespace
 {
@@ -98,6 +100,14 @@
         return true;
     }
 
+    /// What the daemon answers at /metrics, header included.
+    std::string metrics() const
+    {
+        const testsupport::RawConnection connection(this->httpPort);
+        connection.send("GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        return connection.receiveAll(WaitLimit);
+    }
+
     static int awaitEnd(support::Process &process)
     {
         const auto until = std::chrono::steady_clock::now() + WaitLimit;
@@ -176,4 +186,25 @@
     BOOST_TEST(awaitEnd(*first) == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(metricsTellWhichGroupsHaveLostMembers, DaemonFixture)
+{
+    const std::string absent = support::loopback(support::freePort());
+    std::string text = this->settings();
+    const std::string zone = "[zone z]\nmembers = a\n";
+    text.replace(text.find(zone), zone.size(), fmt::format("b = {0} zone=z disk=yes\nc = {0} zone=z disk=yes\n[zone z]\nmembers = a, b, c\n", absent));
+    this->write("settings.ini", text);
+    const auto daemon = this->start({"--settings", this->path("settings.ini")}, "daemon.log");
+    BOOST_REQUIRE(this->eventuallyContains("daemon.log", "Serving VM a in zone z"));
+    const std::string shown = this->metrics();
+    for (const char *line : {"cranberryreel_group_members{group=\"zone z\"} 3",
+                             "cranberryreel_group_members_linked{group=\"zone z\"} 1",
+                             "cranberryreel_group_member_caught_up{group=\"zone z\"} 0",
+                             "cranberryreel_group_members{group=\"configuration\"} 1",
+                             "cranberryreel_group_members_linked{group=\"configuration\"} 1"}) {
+        BOOST_TEST(contains(shown, line), line);
+    }
+    daemon->signal(SIGTERM);
+    BOOST_TEST(awaitEnd(*daemon) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
