Calls fail early once the group has long been without a leader

What callers saw: in an outage of a minute with the voters' processes up and linked, each submission was held until shortly before its deadline, and meanwhile asked every linked VM about sixteen times a second.

Cause: only links are looked at to tell that the group cannot serve. Voters that run but cannot write are linked.

After ten seconds with links and without an answer or announcement of a leader, a call fails as soon as all linked VMs have answered that they do not lead. The time counts from the last moment without any link, so that calls still wait for the election after a restart of all VMs. Whether the call may have been carried out is reported as before. Lookups go on, and the first answer of a leader ends this state.

--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -38,9 +38,10 @@
     bool isLookup = false; ///< A reply of any member completes the call.
 };
 
-CellCaller::CellCaller(link::LinkHub &linkHub, std::uint16_t port, const std::vector<std::string> &seeds)
+CellCaller::CellCaller(link::LinkHub &linkHub, std::uint16_t port, const std::vector<std::string> &seeds, std::chrono::milliseconds leaderless)
     : hub(linkHub)
     , linkPort(port)
+    , leaderlessLimit(leaderless)
 {
     this->setSeeds(seeds);
 }
@@ -166,6 +167,12 @@
     const std::uint64_t number = ++pending->tries;
     pending->awaitedVm = vm;
     if (vm.empty()) {
+        if (pending->triedThisRound.empty()) {
+            this->unlinkedAt = now;
+        } else if (!pending->isLookup && this->isLongLeaderless()) {
+            this->finish(pending, {false, pending->mayHaveActed, {}});
+            return;
+        }
         pending->triedThisRound.clear();
         this->timers.postAfter(std::min(left, RoundPause), [this, pending] { this->tryNext(pending); });
         return;
@@ -263,6 +270,12 @@
     });
 }
 
+bool CellCaller::isLongLeaderless() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return base::steadyNow() - std::max(this->leaderAnsweredAt, this->unlinkedAt) > this->leaderlessLimit;
+}
+
 bool CellCaller::heardLeaderWithin(std::chrono::milliseconds age) const
 {
     const absl::MutexLock lock(&this->mutex);
--- a/src/cell/CellCaller.h
+++ b/src/cell/CellCaller.h
@@ -35,8 +35,12 @@
 class CellCaller
 {
 public:
-    /// A VM is named by its IP address; every VM accepts links at `linkPort`.
-    CellCaller(link::LinkHub &linkHub, std::uint16_t linkPort, const std::vector<std::string> &seeds);
+    /// A VM is named by its IP address; every VM accepts links at `linkPort`. After `leaderlessLimit` with links but without a leader, a call fails as soon as
+    /// all linked VMs have answered that they do not lead.
+    CellCaller(link::LinkHub &linkHub,
+               std::uint16_t linkPort,
+               const std::vector<std::string> &seeds,
+               std::chrono::milliseconds leaderlessLimit = std::chrono::seconds(10));
 
     void start();
     void stop();
@@ -77,12 +81,14 @@
     void redirectTo(const std::string &vm);
     void finish(const std::shared_ptr<PendingCall> &pending, CallOutcome outcome);
     std::string chooseVm(PendingCall &pending);
+    bool isLongLeaderless() const;
     void learnFromReply(const std::string &vm, const wire::ReplyT &reply);
     void addNamed(const std::string &vm) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void updatePeers() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     link::LinkHub &hub;
     const std::uint16_t linkPort;
+    const std::chrono::milliseconds leaderlessLimit;
     base::Mailbox timers;
     mutable absl::Mutex mutex;
     KnownVms vms ABSL_GUARDED_BY(mutex);
@@ -90,6 +96,7 @@
     std::string leaderVm ABSL_GUARDED_BY(mutex);
     base::SteadyTime leaderAnsweredAt ABSL_GUARDED_BY(mutex){};
     std::uint64_t leaderTerm ABSL_GUARDED_BY(mutex) = 0; ///< The highest term that a VM announced.
+    base::SteadyTime unlinkedAt = base::steadyNow(); ///< When no VM was linked last. Used on the thread of `timers` only.
     std::set<std::shared_ptr<PendingCall>> pendingCalls; ///< Calls without an outcome. Used on the thread of `timers` only.
 };
 
--- a/tests/cell/CellCallerTest.cpp
+++ b/tests/cell/CellCallerTest.cpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace cranberryreel;
@@ -77,8 +78,8 @@
 };
 
 struct StartedCaller : cell::CellCaller {
-    StartedCaller(FakeHub &fakeHub, const std::vector<std::string> &seeds)
-        : cell::CellCaller(fakeHub, 7000, seeds)
+    StartedCaller(FakeHub &fakeHub, const std::vector<std::string> &seeds, std::chrono::milliseconds limit = std::chrono::seconds(10))
+        : cell::CellCaller(fakeHub, 7000, seeds, limit)
     {
         this->start();
     }
@@ -321,4 +322,45 @@
     BOOST_TEST(hub.dialed().size() <= 20U);
 }
 
+/// Load pattern: most voters run and are linked, but cannot write. The group has no leader for a minute, and callers come back for each refusal.
+BOOST_AUTO_TEST_CASE(callsFailAfterOneRoundOnceTheGroupHasLongBeenWithoutALeader)
+{
+    ScriptedCell cell;
+    FakeHub hub(cell.script());
+    constexpr std::chrono::milliseconds LeaderlessLimit{100};
+    StartedCaller caller(hub, cell.members, LeaderlessLimit);
+    caller.lookUp();
+    cell.leader = "";
+    std::this_thread::sleep_for(2 * LeaderlessLimit);
+    const base::SteadyTime since = base::steadyNow();
+    const std::size_t before = hub.calls().size();
+    const cell::CallOutcome outcome = outcomeOf(caller, cell::wire::CallKind::Submit);
+    BOOST_TEST(!outcome.answered);
+    BOOST_TEST(!outcome.mayHaveActed);
+    BOOST_TEST((base::steadyNow() - since < Limit / 2));
+    BOOST_TEST(hub.calls().size() == before + cell.members.size());
+    cell.leader = "127.0.0.3";
+    BOOST_TEST(outcomeOf(caller, cell::wire::CallKind::Submit).answered);
+}
+
+/// Load pattern: all VMs that hold the state lose power. They are linked again a moment before they have elected a leader.
+BOOST_AUTO_TEST_CASE(callsWaitForTheElectionAfterAllVmsRestarted)
+{
+    ScriptedCell cell;
+    FakeHub hub(cell.script());
+    constexpr std::chrono::seconds LeaderlessLimit{1};
+    StartedCaller caller(hub, cell.members, LeaderlessLimit);
+    caller.lookUp();
+    hub.down = {"127.0.0.1", "127.0.0.2", "127.0.0.3"};
+    cell.leader = "";
+    std::this_thread::sleep_for(LeaderlessLimit);
+    const base::SteadyTime downAt = base::steadyNow();
+    BOOST_TEST(!outcomeOf(caller, cell::wire::CallKind::Submit).answered);
+    BOOST_TEST((base::steadyNow() - downAt >= Limit));
+    hub.down.clear();
+    const base::SteadyTime upAt = base::steadyNow();
+    BOOST_TEST(!outcomeOf(caller, cell::wire::CallKind::Submit).answered);
+    BOOST_TEST((base::steadyNow() - upAt >= Limit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
