The trace file is written again after its disk was full

What operators saw: once a write of the trace file had failed, nothing more was written to it and nothing was logged, until 64 MiB of lost spans had been counted or the daemon was restarted.

Cause: an output stream that failed stays in its failed state.

After a failed flush the file is opened anew, once a second, and the first failure and the return are logged.

--- a/src/observe/SpanFile.cpp
+++ b/src/observe/SpanFile.cpp
@@ -1,10 +1,13 @@
 #include "observe/SpanFile.h"
 
+#include "observe/Log.h"
+
 #include "cranberryreel/base/Error.h"
 
 #include <fmt/format.h>
 
 #include <filesystem>
+#include <utility>
 
 namespace cranberryreel::observe
 {
@@ -12,6 +15,8 @@
 namespace
 {
 
+const Log Logger("trace");
+
 constexpr std::chrono::seconds FlushInterval{1};
 
 } // namespace
@@ -40,11 +45,25 @@
     this->file << otlpJsonLine << '\n';
     this->size += otlpJsonLine.size() + 1;
     if (const auto now = std::chrono::steady_clock::now(); now - this->lastFlush >= FlushInterval) {
-        this->file.flush();
+        this->flush();
         this->lastFlush = now;
     }
 }
 
+void SpanFile::flush()
+{
+    this->file.flush();
+    const bool failed = !this->file;
+    if (failed) {
+        this->file.close();
+        this->file.clear();
+        this->open();
+    }
+    if (failed != std::exchange(this->failing, failed)) {
+        Logger.warn(failed ? "Trace file '{}' cannot be written; spans are dropped until it can." : "Trace file '{}' can be written again.", this->path);
+    }
+}
+
 void SpanFile::open()
 {
     this->file.open(this->path, std::ios::app);
--- a/src/observe/SpanFile.h
+++ b/src/observe/SpanFile.h
@@ -21,11 +21,13 @@
     /// Throws base::Error(DataFolderUnwritable) when the file cannot be written.
     explicit SpanFile(const std::string &path, std::uint64_t maxBytes = DefaultMaxBytes);
 
-    /// Lines are flushed by the first write that comes a second or more after the last flush, and at destruction.
+    /// Lines are flushed by the first write that comes a second or more after the last flush, and at destruction. While the file cannot be written, lines are
+    /// dropped and the file is opened anew once a second.
     void write(const std::string &otlpJsonLine) override;
 
 private:
     void open() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void flush() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const std::string path;
     const std::uint64_t maxBytes;
@@ -33,6 +35,7 @@
     std::ofstream file ABSL_GUARDED_BY(mutex);
     std::uint64_t size ABSL_GUARDED_BY(mutex) = 0;
     std::chrono::steady_clock::time_point lastFlush ABSL_GUARDED_BY(mutex);
+    bool failing ABSL_GUARDED_BY(mutex) = false; ///< The last flush failed.
 };
 
 } // namespace cranberryreel::observe
--- a/tests/observe/SpanSinkTest.cpp
+++ b/tests/observe/SpanSinkTest.cpp
@@ -3,6 +3,8 @@
 #include "observe/SpanFile.h"
 #include "observe/SpanRing.h"
 
+#include "support/Eventually.h"
+
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -93,6 +95,20 @@
     BOOST_TEST(std::filesystem::file_size(spansPath()) < 8192U);
 }
 
+BOOST_AUTO_TEST_CASE(aFileIsWrittenAgainAfterTheDiskWasFull)
+{
+    std::filesystem::remove(spansPath());
+    std::filesystem::create_symlink("/dev/full", spansPath());
+    observe::SpanFile file(spansPath());
+    file.write("{}");
+    std::filesystem::remove(spansPath());
+    const bool written = support::eventually([&file] {
+        file.write("{}");
+        return std::filesystem::exists(spansPath()) && countJsonLines(spansPath()) > 0;
+    });
+    BOOST_TEST(written);
+}
+
 BOOST_AUTO_TEST_CASE(anUnwritableFileIsRefused)
 {
     BOOST_CHECK_EXCEPTION(observe::SpanFile("no/such/folder/spans"), base::Error, [](const base::Error &error) {
