A change that an earlier try may have made is not reported as not made

What operators saw: the answer to a change said that it was not made because no disk could sync it, though an earlier try of the same call had been lost on its way back from the leader and could still be committed.

Cause: NoDurableStore ended the call whatever the earlier tries had met.

--- a/src/config/ChangeRouter.cpp
+++ b/src/config/ChangeRouter.cpp
@@ -54,7 +54,9 @@
 
 void ChangeRouter::onReply(const std::shared_ptr<PendingChange> &pending, const std::string &member, const MemberReply &reply)
 {
-    const bool isFinal = isFinalAnswer(reply.reply.code);
+    // That no disk can sync this try says nothing about an earlier one.
+    const bool isUnknown = reply.reply.code == base::ResultCode::NoDurableStore && pending->mayBeCommitted;
+    const bool isFinal = isFinalAnswer(reply.reply.code) && !isUnknown;
     this->lastLeader = isFinal ? member : reply.leader;
     if (isFinal) {
         pending->done(reply.reply);
