--- a/src/replication/DataFolder.cpp
+++ b/src/replication/DataFolder.cpp
@@ -63,30 +63,18 @@
 }
 
 /// Creates the folder once in the life of this object: a folder that vanishes later is a lost disk.
-std::error_code DataFolder::create() const
+void DataFolder::requireCreated() const
 {
     if (this->created) {
-        return {};
+        return;
     }
     std::error_code error = this->operations->createFolder(this->path);
     const std::filesystem::path absolute = error ? std::filesystem::path() : std::filesystem::absolute(this->path, error);
     if (error) {
-        return error;
-    }
-    try {
-        FileDescriptor(absolute.parent_path().string(), O_RDONLY | O_DIRECTORY, *this->operations).sync();
-    } catch (const base::Error &) {
-        return std::make_error_code(std::errc::io_error);
-    }
-    this->created = true;
-    return {};
-}
-
-void DataFolder::requireCreated() const
-{
-    if (const std::error_code error = this->create(); error) {
         throwWriteFailed(this->path, error);
     }
+    FileDescriptor(absolute.parent_path().string(), O_RDONLY | O_DIRECTORY, *this->operations).sync();
+    this->created = true;
 }
 
 std::vector<std::string> DataFolder::files() const
--- a/src/replication/DataFolder.h
+++ b/src/replication/DataFolder.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <system_error>
 #include <vector>
 
 namespace cranberryreel::replication
@@ -43,7 +42,6 @@
     }
 
 private:
-    std::error_code create() const;
     void requireCreated() const;
 
     std::string path;
