--- a/tests/replication/GroupRunnerTest.cpp
+++ b/tests/replication/GroupRunnerTest.cpp
@@ -15,6 +15,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -44,12 +45,39 @@
     }
 };
 
+/// A state of constant size: the last command, padded.
+class SizedMachine : public StateMachine
+{
+public:
+    explicit SizedMachine(std::size_t stateBytes)
+        : state(stateBytes, ' ')
+    {
+    }
+
+    std::string apply(std::uint64_t /*index*/, std::string_view command) override
+    {
+        this->state.replace(0, command.size(), command);
+        return "";
+    }
+
+    std::string snapshot() const override
+    {
+        return this->state;
+    }
+
+    void restore(std::string_view bytes) override
+    {
+        this->state = std::string(bytes);
+    }
+
+private:
+    std::string state;
+};
+
 /// A group of one member on a disk with limits.
 class LoneMember
 {
 public:
-    static constexpr std::uint64_t SnapshotEveryEntries = 20;
-
     LoneMember()
         : disk(this->folder.name())
     {
@@ -68,10 +96,11 @@
         options.core.timings.formationSettle = std::chrono::milliseconds(20);
         options.core.timings.restartGrace = std::chrono::milliseconds(20);
         options.store = std::make_unique<DiskLogStore>(this->dataFolder(), this->disk);
-        options.stateMachine = this->machine.get();
+        options.stateMachine = this->otherMachine != nullptr ? this->otherMachine : this->machine.get();
         options.listener = this->listener.get();
         options.sendToMember = [](const std::string & /*to*/, const std::string & /*bytes*/) {};
-        options.snapshotEveryEntries = SnapshotEveryEntries;
+        options.snapshotEveryEntries = this->snapshotEveryEntries;
+        options.snapshotEveryBytes = this->snapshotEveryBytes;
         options.compactionRetryInterval = std::chrono::milliseconds(300);
         this->group = std::make_unique<GroupRunner>(std::move(options));
         this->group->start();
@@ -109,6 +138,9 @@
     std::unique_ptr<ListMachine> machine;
     std::unique_ptr<CountingListener> listener;
     std::unique_ptr<GroupRunner> group;
+    std::uint64_t snapshotEveryEntries = 20;
+    std::size_t snapshotEveryBytes = GroupRunnerOptions().snapshotEveryBytes;
+    StateMachine *otherMachine = nullptr; ///< Not owned; replaces the list where it is set.
 
 private:
     std::uint64_t boot = 0;
@@ -359,6 +391,33 @@
     BOOST_TEST(member.eventuallyLeads());
 }
 
+/// The folder holds at most the snapshot twice, during a compaction, and a log of the bytes after which a snapshot is due.
+BOOST_AUTO_TEST_CASE(theDataFolderStaysWithinTwoSnapshotsAndOneLog)
+{
+    constexpr std::size_t StateBytes = 48UL * 1024;
+    constexpr std::size_t CommandBytes = 512;
+    constexpr std::size_t FrameOverheadBytes = 256;
+    constexpr std::size_t FolderMargin = 8UL * 1024;
+    constexpr int Commands = 4000;
+    SizedMachine machine(StateBytes);
+    LoneMember member;
+    member.otherMachine = &machine;
+    member.snapshotEveryEntries = Commands;
+    member.snapshotEveryBytes = 64UL * 1024;
+    member.start();
+    BOOST_TEST_REQUIRE(member.eventuallyLeads());
+    const std::string padding(CommandBytes - 8, 'x');
+    for (int i = 0; i < Commands; ++i) {
+        BOOST_TEST_REQUIRE((member.propose(std::to_string(10000000 + i) + padding) == base::ResultCode::Ok));
+    }
+    const std::size_t logBytes = (member.snapshotEveryBytes / CommandBytes + 1) * (CommandBytes + FrameOverheadBytes);
+    BOOST_TEST_MESSAGE("commands " << Commands * CommandBytes << " B, state " << StateBytes << " B, snapshot due after " << member.snapshotEveryBytes
+                                   << " B; peak of the folder " << member.disk.peakBytes() << " B, at the end " << member.disk.usedBytes() << " B");
+    BOOST_TEST(member.disk.peakBytes() <= 2 * StateBytes + logBytes + FolderMargin);
+    BOOST_TEST(member.disk.peakBytes() > 2 * StateBytes);
+    member.group.reset();
+}
+
 BOOST_AUTO_TEST_CASE(aBuilderRefusesInconsistentSettings)
 {
     ListMachine machine;
