--- a/src/replication/GroupRunner.cpp
+++ b/src/replication/GroupRunner.cpp
@@ -179,15 +179,7 @@
         this->handleInbox(work);
         this->processOutputs();
     } catch (const base::Error &error) {
-        if (error.code() != base::ResultCode::StorageWriteFailed) {
-            throw;
-        }
-        static observe::Counter &failures = observe::counter("cranberryreel_group_storage_failures_total", "Failed writes of a member's log.");
-        failures.add();
-        log().error("Member leaves the group until its log can be written: {}", error.what());
-        this->leaveGroup(error.what());
-        this->core.reset();
-        this->nextRecovery = base::steadyNow();
+        this->handleFailedWrite(error);
     }
 }
 
--- a/src/replication/GroupRunner.h
+++ b/src/replication/GroupRunner.h
@@ -53,6 +53,7 @@
 
     // GroupRunnerStorage.cpp
     void recover(base::SteadyTime until);
+    void handleFailedWrite(const base::Error &error);
     void reportNoStore(const std::string &reason);
     void awaitStorage();
     void awaitRecovery();
--- a/src/replication/GroupRunnerStorage.cpp
+++ b/src/replication/GroupRunnerStorage.cpp
@@ -60,6 +60,19 @@
     }
 }
 
+void GroupRunner::handleFailedWrite(const base::Error &error)
+{
+    if (error.code() != base::ResultCode::StorageWriteFailed) {
+        throw error;
+    }
+    static observe::Counter &failures = observe::counter("cranberryreel_group_storage_failures_total", "Failed writes of a member's log.");
+    failures.add();
+    log().error("Member leaves the group until its log can be written: {}", error.what());
+    this->leaveGroup(error.what());
+    this->core.reset();
+    this->nextRecovery = base::steadyNow() + StorageRetryInterval;
+}
+
 void GroupRunner::reportNoStore(const std::string &reason)
 {
     const absl::MutexLock lock(&this->mutex);
