A VM that asks to join is not held back by missing links

A VM with state that reached the leader, but fewer than half of the members, refused its own requests to join the group: the check that lets callers try another zone early applied to them as well. A lost voter's place then stayed empty until further links were up.

CellCallerTest/aVmThatAsksToJoinIsNotHeldBackByMissingLinks failed before and passes now.

--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -36,6 +36,7 @@
     std::uint64_t tries = 0;
     bool mayHaveActed = false;
     bool isLookup = false; ///< A reply of any member completes the call.
+    bool failsEarly = false; ///< Fails as soon as the group is known to be unable to serve it, which leaves a caller of the cell time to try another zone.
 };
 
 CellCaller::CellCaller(link::LinkHub &linkHub, std::uint16_t port, const std::vector<std::string> &seeds, std::chrono::milliseconds leaderless)
@@ -103,6 +104,7 @@
     pending->tryLimit = tryLimit;
     pending->done = std::move(done);
     pending->isLookup = call.kind == wire::CallKind::Lookup;
+    pending->failsEarly = call.kind != wire::CallKind::Lookup && call.kind != wire::CallKind::Join;
     this->timers.post([this, pending] {
         this->pendingCalls.insert(pending);
         this->tryNext(pending);
@@ -158,8 +160,7 @@
 {
     const base::SteadyTime now = base::steadyNow();
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(pending->deadline - now);
-    // An early failure leaves the caller time to try another zone.
-    if (left.count() <= 0 || (!pending->isLookup && this->isCutOff())) {
+    if (left.count() <= 0 || (pending->failsEarly && this->isCutOff())) {
         this->finish(pending, {false, pending->mayHaveActed, {}});
         return;
     }
@@ -169,7 +170,7 @@
     if (vm.empty()) {
         if (pending->triedThisRound.empty()) {
             this->unlinkedAt = now;
-        } else if (!pending->isLookup && this->isLongLeaderless()) {
+        } else if (pending->failsEarly && this->isLongLeaderless()) {
             this->finish(pending, {false, pending->mayHaveActed, {}});
             return;
         }
--- a/tests/cell/CellCallerTest.cpp
+++ b/tests/cell/CellCallerTest.cpp
@@ -363,4 +363,16 @@
     BOOST_TEST((base::steadyNow() - upAt >= Limit));
 }
 
+/// Load pattern: a standby VM starts beside the leader while its links to the other members are still down.
+BOOST_AUTO_TEST_CASE(aVmThatAsksToJoinIsNotHeldBackByMissingLinks)
+{
+    ScriptedCell cell;
+    FakeHub hub(cell.script());
+    hub.down = {"127.0.0.2", "127.0.0.3"};
+    StartedCaller caller(hub, cell.members);
+    caller.lookUp();
+    BOOST_TEST(!outcomeOf(caller, cell::wire::CallKind::Submit).answered);
+    BOOST_TEST(outcomeOf(caller, cell::wire::CallKind::Join).answered);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
