--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -84,7 +84,8 @@
 void Soak::apply(const SoakStep &step)
 {
     const std::string vm = this->vmAt(step);
-    this->report.note(fmt::format("{} {}", actionName(step.action), vm));
+    const bool ofAll = step.action == Action::PowerLoss || step.action == Action::PowerBack;
+    this->report.note(fmt::format("{} {}", actionName(step.action), ofAll ? "" : vm));
     Expected &expected = this->vms[vm];
     switch (step.action) {
     case Action::Kill:
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -11,9 +11,11 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
-constexpr milliseconds SuccessorDelay{2000};
 /// A process that is started again after SIGTERM is back within this time.
 constexpr milliseconds RestartTime = GraceTime + 500ms;
+constexpr milliseconds KilledTime{100};
+
+constexpr FaultKind Removal{Action::Remove, Action::Succeed, 2000ms, 2000ms};
 
 } // namespace
 
@@ -39,22 +41,33 @@
 }
 
 SoakRound SoakPlan::nextRound()
+{
+    SoakRound round;
+    this->lostUntil.assign(static_cast<std::size_t>(this->options.diskVms), 0ms);
+    this->addFaults(round, this->between(3s, 10s));
+    if (this->below(2) == 0) {
+        this->addRemovals(round);
+    }
+    this->addClosing(round);
+    std::stable_sort(round.steps.begin(), round.steps.end(), [](const SoakStep &a, const SoakStep &b) { return a.time < b.time; });
+    return round;
+}
+
+void SoakPlan::addFaults(SoakRound &round, milliseconds length)
 {
     static const FaultKind kinds[] = {
         {Action::Kill, Action::Start, 0ms, 3000ms},
-        {Action::Freeze, Action::Thaw, 300ms, 9000ms},
+        {Action::Freeze, Action::Thaw, 300ms, 3000ms},
+        {Action::Freeze, Action::Thaw, 3000ms, 12000ms},
         {Action::Terminate, Action::Start, RestartTime, RestartTime},
         {Action::Terminate, Action::Kill, 0ms, 1500ms},
         {Action::FillDisk, Action::FreeDisk, 500ms, 8000ms},
         {Action::FillDisk, Action::FreeDisk, 3000ms, 12000ms},
         {Action::Wipe, Action::Start, 200ms, 3000ms},
-        {Action::Remove, Action::Succeed, SuccessorDelay, SuccessorDelay},
+        Removal,
     };
     constexpr std::size_t EntryShare = 5; // One in so many faults hits an entry VM; the same for a reload.
     constexpr std::size_t PowerLossShare = 12;
-    SoakRound round;
-    this->lostUntil.assign(static_cast<std::size_t>(this->options.diskVms), 0ms);
-    const milliseconds length = this->between(6s, 14s);
     for (milliseconds time = this->between(0ms, 1s); time < length; time += this->between(50ms, 1500ms)) {
         const std::size_t place = this->below(this->lostUntil.size());
         const auto lost = std::count_if(this->lostUntil.begin(), this->lostUntil.end(), [time](milliseconds until) { return until > time; });
@@ -68,9 +81,17 @@
             this->addFault(round, kinds[this->below(std::size(kinds))], time, place);
         }
     }
-    this->addClosing(round);
-    std::stable_sort(round.steps.begin(), round.steps.end(), [](const SoakStep &a, const SoakStep &b) { return a.time < b.time; });
-    return round;
+}
+
+/// Removes VMs last, so that the closing fault comes as soon as their successors no longer count as lost.
+void SoakPlan::addRemovals(SoakRound &round)
+{
+    const milliseconds calm = this->calmTime(round);
+    for (std::size_t removals = 1 + this->below(static_cast<std::size_t>(this->options.tolerate)); removals > 0; --removals) {
+        if (const std::size_t place = this->below(this->lostUntil.size()); this->lostUntil[place] <= calm) {
+            this->addFault(round, Removal, calm + this->between(0ms, 500ms), place);
+        }
+    }
 }
 
 std::size_t SoakPlan::below(std::size_t bound)
@@ -83,6 +104,15 @@
     return shortest + milliseconds(this->below(static_cast<std::size_t>((longest - shortest).count()) + 1));
 }
 
+milliseconds SoakPlan::calmTime(const SoakRound &round) const
+{
+    milliseconds calm = *std::max_element(this->lostUntil.begin(), this->lostUntil.end());
+    for (const SoakStep &step : round.steps) {
+        calm = std::max(calm, step.time);
+    }
+    return calm;
+}
+
 void SoakPlan::addFault(SoakRound &round, const FaultKind &kind, milliseconds time, std::size_t place)
 {
     const milliseconds end = time + this->between(kind.shortest, kind.longest);
@@ -96,9 +126,9 @@
     if (kind.begin == Action::FillDisk && this->below(4) == 0) {
         const milliseconds restart = this->between(time, end);
         round.steps.push_back({restart, Action::Kill, false, place});
-        round.steps.push_back({restart + 100ms, Action::Start, false, place});
+        round.steps.push_back({restart + KilledTime, Action::Start, false, place});
     }
-    this->lostUntil[place] = end + CatchUpTime;
+    this->lostUntil[place] = end + KilledTime + CatchUpTime;
 }
 
 void SoakPlan::addPowerLoss(SoakRound &round, milliseconds time)
@@ -122,11 +152,7 @@
 
 void SoakPlan::addClosing(SoakRound &round)
 {
-    const milliseconds calm = *std::max_element(this->lostUntil.begin(), this->lostUntil.end());
-    for (const SoakStep &step : round.steps) {
-        round.closing = std::max({round.closing, step.time, calm});
-    }
-    round.closing += this->between(0ms, 300ms);
+    round.closing = this->calmTime(round) + this->between(0ms, 300ms);
     round.downTime = this->between(100ms, 3s);
     const std::size_t lost = this->below(5) == 0 ? 0 : static_cast<std::size_t>(this->options.tolerate);
     round.powerLoss = this->below(4) != 0 || lost == 0;
--- a/tests/soak/SoakPlan.h
+++ b/tests/soak/SoakPlan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "soak/FaultKind.h"
 #include "soak/SoakStep.h"
 #include "support/PlatformCellOptions.h"
 
@@ -38,16 +39,13 @@
     SoakRound nextRound();
 
 private:
-    /// How a fault of one VM begins and ends.
-    struct FaultKind {
-        Action begin;
-        Action end;
-        std::chrono::milliseconds shortest;
-        std::chrono::milliseconds longest;
-    };
-
     std::size_t below(std::size_t bound);
     std::chrono::milliseconds between(std::chrono::milliseconds shortest, std::chrono::milliseconds longest);
+
+    /// The time after which no VM counts as lost and no step is left.
+    std::chrono::milliseconds calmTime(const SoakRound &round) const;
+    void addFaults(SoakRound &round, std::chrono::milliseconds length);
+    void addRemovals(SoakRound &round);
     void addFault(SoakRound &round, const FaultKind &kind, std::chrono::milliseconds time, std::size_t place);
     void addPowerLoss(SoakRound &round, std::chrono::milliseconds time);
     void addEntryFault(SoakRound &round, std::chrono::milliseconds time);
