--- a/tests/platform/PlatformProcessTest.cpp
+++ b/tests/platform/PlatformProcessTest.cpp
@@ -35,4 +35,14 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(aWriteBeyondTheFileSizeLimitDoesNotEndTheProcess)
+{
+    support::PlatformCell cell;
+    const std::vector<std::string> &disks = cell.diskVms();
+    BOOST_REQUIRE(support::eventually([&] { return cell.putConfig(disks[1], 5) == 200; }));
+    cell.setDiskFull(disks[0], true);
+    BOOST_TEST(support::eventually([&] { return cell.putConfig(disks[1], 6) == 200; }));
+    BOOST_TEST(!support::eventually([&] { return !cell.running(disks[0]); }, 500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/PlatformCell.cpp
+++ b/tests/support/PlatformCell.cpp
@@ -7,7 +7,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <csignal>
 #include <filesystem>
 #include <fstream>
 
@@ -42,8 +41,6 @@
     , metricsPort(freePort())
     , linkPort(freePort())
 {
-    // The processes inherit this; without it a write beyond the file-size limit ends a process instead of failing.
-    std::signal(SIGXFSZ, SIG_IGN);
     for (int i = 0; i < this->options.diskVms; ++i) {
         this->disks.push_back(this->addVm(true, i < static_cast<int>(SeedCount)));
     }
