--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -83,53 +83,28 @@
 
 void Soak::apply(const SoakStep &step)
 {
+    struct Handler {
+        const char *name;
+        void (Soak::*apply)(const std::string &);
+    };
+    // In the order of Action.
+    static const Handler handlers[] = {{"kill", &Soak::kill},
+                                       {"start", &Soak::start},
+                                       {"freeze", &Soak::freeze},
+                                       {"thaw", &Soak::thaw},
+                                       {"terminate", &Soak::terminate},
+                                       {"reload", &Soak::reload},
+                                       {"fill_disk", &Soak::fillDisk},
+                                       {"free_disk", &Soak::freeDisk},
+                                       {"wipe", &Soak::wipe},
+                                       {"remove", &Soak::remove},
+                                       {"succeed", &Soak::succeed},
+                                       {"power_loss", &Soak::cutPower},
+                                       {"power_back", &Soak::restorePower}};
+    const Handler &handler = handlers[static_cast<std::size_t>(step.action)];
     const std::string vm = this->vmAt(step);
-    const bool ofAll = step.action == Action::PowerLoss || step.action == Action::PowerBack;
-    this->report.note(fmt::format("{} {}", actionName(step.action), ofAll ? "" : vm));
-    Expected &expected = this->vms[vm];
-    switch (step.action) {
-    case Action::Kill:
-        this->kill(vm);
-        break;
-    case Action::Start:
-        this->start(vm);
-        break;
-    case Action::Freeze:
-    case Action::Thaw:
-        expected.frozen = step.action == Action::Freeze && expected.up;
-        this->cell.signal(vm, expected.frozen ? SIGSTOP : SIGCONT);
-        break;
-    case Action::Terminate:
-        this->terminate(vm);
-        break;
-    case Action::Reload:
-        this->cell.signal(vm, SIGHUP);
-        break;
-    case Action::FillDisk:
-    case Action::FreeDisk:
-        this->cell.setDiskFull(vm, step.action == Action::FillDisk);
-        break;
-    case Action::Wipe:
-        this->kill(vm);
-        this->cell.wipe(vm);
-        break;
-    case Action::Remove:
-        this->kill(vm);
-        expected.removed = true;
-        break;
-    case Action::Succeed:
-        this->succeed(vm);
-        break;
-    case Action::PowerLoss:
-        this->cutPower();
-        break;
-    case Action::PowerBack:
-        for (const std::string &each : this->withoutPower) {
-            this->start(each);
-        }
-        this->withoutPower.clear();
-        break;
-    }
+    this->report.note(fmt::format("{} {}", handler.name, vm));
+    (this->*handler.apply)(vm);
 }
 
 /// Injects the closing fault right after an acknowledgement, and starts all VMs again.
@@ -138,13 +113,12 @@
     const int before = this->traffic.counts().acknowledged;
     support::eventually([this, before] { return this->traffic.counts().acknowledged > before; }, 2s);
     if (round.powerLoss) {
-        this->cutPower();
+        this->cutPower({});
     }
     std::string lost;
     for (const std::size_t place : round.disksLost) {
         const std::string &vm = this->cell.diskVms()[place];
-        this->kill(vm);
-        this->cell.wipe(vm);
+        this->wipe(vm);
         lost += " " + vm;
     }
     this->report.note(fmt::format("closing power_loss={} disks_lost={}", round.powerLoss, lost));
@@ -260,7 +234,46 @@
     }
 }
 
-void Soak::cutPower()
+void Soak::freeze(const std::string &vm)
+{
+    this->vms[vm].frozen = this->vms[vm].up;
+    this->cell.signal(vm, SIGSTOP);
+}
+
+void Soak::thaw(const std::string &vm)
+{
+    this->vms[vm].frozen = false;
+    this->cell.signal(vm, SIGCONT);
+}
+
+void Soak::reload(const std::string &vm)
+{
+    this->cell.signal(vm, SIGHUP);
+}
+
+void Soak::fillDisk(const std::string &vm)
+{
+    this->cell.setDiskFull(vm, true);
+}
+
+void Soak::freeDisk(const std::string &vm)
+{
+    this->cell.setDiskFull(vm, false);
+}
+
+void Soak::wipe(const std::string &vm)
+{
+    this->kill(vm);
+    this->cell.wipe(vm);
+}
+
+void Soak::remove(const std::string &vm)
+{
+    this->kill(vm);
+    this->vms[vm].removed = true;
+}
+
+void Soak::cutPower(const std::string & /*vm*/)
 {
     for (const std::string &vm : this->cell.diskVms()) {
         this->cell.signal(vm, SIGKILL);
@@ -273,6 +286,14 @@
     }
 }
 
+void Soak::restorePower(const std::string & /*vm*/)
+{
+    for (const std::string &vm : this->withoutPower) {
+        this->start(vm);
+    }
+    this->withoutPower.clear();
+}
+
 void Soak::succeed(const std::string &vm)
 {
     const std::string successor = this->cell.replace(vm);
@@ -283,6 +304,9 @@
 
 std::string Soak::vmAt(const SoakStep &step) const
 {
+    if (step.action == Action::PowerLoss || step.action == Action::PowerBack) {
+        return "all disks";
+    }
     return step.onEntry ? this->cell.entryVms()[step.place] : this->cell.diskVms()[step.place];
 }
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -45,9 +45,17 @@
     void watchStop(const std::string &vm, Expected &expected);
     void kill(const std::string &vm);
     void start(const std::string &vm);
+    void freeze(const std::string &vm);
+    void thaw(const std::string &vm);
     void terminate(const std::string &vm);
-    void cutPower();
+    void reload(const std::string &vm);
+    void fillDisk(const std::string &vm);
+    void freeDisk(const std::string &vm);
+    void wipe(const std::string &vm);
+    void remove(const std::string &vm);
     void succeed(const std::string &vm);
+    void cutPower(const std::string &vm); ///< Of all VMs with a disk.
+    void restorePower(const std::string &vm); ///< Of the VMs that the last loss of power took down.
     std::string vmAt(const SoakStep &step) const;
 
     const std::uint64_t seed;
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -19,13 +19,6 @@
 
 } // namespace
 
-const char *actionName(Action action)
-{
-    static const char *const names[] = {
-        "kill", "start", "freeze", "thaw", "terminate", "reload", "fill_disk", "free_disk", "wipe", "remove", "succeed", "power_loss", "power_back"};
-    return names[static_cast<std::size_t>(action)];
-}
-
 SoakPlan::SoakPlan(std::uint64_t seed)
     : random(seed)
 {
--- a/tests/soak/SoakStep.h
+++ b/tests/soak/SoakStep.h
@@ -23,8 +23,6 @@
     PowerBack, ///< Starts the VMs that the last loss of power took down.
 };
 
-const char *actionName(Action action);
-
 /// One step of a soak's schedule.
 struct SoakStep {
     std::chrono::milliseconds time{0}; ///< From the start of the round.
