Simulation: standbys, machines gone for good, full and hung disks, power losses

A Simulation with Options::keeping runs the cell's GroupKeeper on the leader, counts lost machines by the terms of a deployment and requires at any time that no more voters are without the log than machines count as lost, that a new voter holds the log, that the number of voters stays odd, and a leader within 6 s of the last disturbance and 12 s of a power loss. CoreSafety gets two rules for mutations; isCaughtUp is the previous condition moved. The cell's timings move to a header, so that the simulation uses them.

--- a/src/cell/CellDaemon.cpp
+++ b/src/cell/CellDaemon.cpp
@@ -1,5 +1,6 @@
 #include "cell/CellDaemon.h"
 
+#include "cell/CellTimings.h"
 #include "cell/Codec.h"
 #include "link/LinkHubBuilder.h"
 #include "observe/Log.h"
@@ -32,20 +33,6 @@
     return hosts;
 }
 
-/// The VMs have half a core or less, shared with HTTP and the scheduler. The election timeouts are long enough to ride out a short CPU shortage.
-replication::GroupTimings groupTimings()
-{
-    replication::GroupTimings timings;
-    timings.heartbeat = std::chrono::milliseconds(120);
-    timings.electionMin = std::chrono::milliseconds(420);
-    timings.electionMax = std::chrono::milliseconds(620);
-    timings.restartGrace = std::chrono::milliseconds(620);
-    timings.formationSettle = std::chrono::milliseconds(620);
-    // The disks keep everything that was synced, so a member with a readable disk need not wait long for one with newer state.
-    timings.formationPatience = std::chrono::milliseconds(3000);
-    return timings;
-}
-
 } // namespace
 
 CellDaemon::CellDaemon(const CellSettings &cellSettings, UpstreamCalls &upstreamCalls, AdviceCalls &adviceCalls)
@@ -71,7 +58,7 @@
         // Leaves the other half of the time to a successor that has to copy the log first.
         options.membership.replaceAfter = this->settings.catchUp / 2;
         options.firstStart = this->settings.firstStart;
-        options.timings = groupTimings();
+        options.timings = cellGroupTimings();
         this->relays = std::make_unique<ZoneRelays>(this->settings.cell.ownVm, *this->hub, upstreamCalls);
         this->member = std::make_unique<CellMember>(options, this->settings.cell, *this->hub, *this->cellCaller, *this->relays, *this->adviceDispatcher);
         this->relays->setZoneLookup([this](const std::string &upstream) { return this->member->zoneOfUpstream(upstream); });
--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -145,6 +145,9 @@
         for (const Member &member : members->all()) {
             values.push_back(value(member));
         }
+        for (auto vm = this->standbys.begin(); vm != this->standbys.end() && this->safety.countsStandbys(); ++vm) {
+            values.push_back(value(Member{*vm}));
+        }
         std::sort(values.rbegin(), values.rend());
         const std::int64_t reached = values[members->majority() - 1];
         lowest = lowest ? std::min(*lowest, reached) : reached;
--- a/src/replication/CoreLeader.cpp
+++ b/src/replication/CoreLeader.cpp
@@ -10,14 +10,6 @@
 namespace cranberryreel::replication
 {
 
-namespace
-{
-
-/// A member at most this many entries behind the end of the log may be admitted.
-constexpr std::uint64_t AdmissionGapEntries = 64;
-
-} // namespace
-
 void Core::becomeLeader(EntryKind openingKind, std::string data, base::SteadyTime now)
 {
     this->currentRole = Role::Leader;
@@ -293,7 +285,7 @@
     const MemberBoot member{vm, progress.boot};
     const bool follows = this->membership().find(vm) != nullptr || this->isStandby(vm);
     const bool mayAdmit = this->commit >= this->termStartIndex && follows;
-    const bool caughtUp = progress.match >= this->commit && progress.match + AdmissionGapEntries >= this->entries.lastIndex();
+    const bool caughtUp = this->safety.isCaughtUp(progress.match, this->commit, this->entries.lastIndex());
     if (!mayAdmit || !caughtUp || progress.standing == Standing::Full || progress.admissionIndex != 0 || this->committedRecord.admitted(member)) {
         return;
     }
--- a/src/replication/CoreSafety.h
+++ b/src/replication/CoreSafety.h
@@ -44,6 +44,19 @@
         return standing == Standing::Full;
     }
 
+    /// Whether the standbys of a leader count like members.
+    virtual bool countsStandbys() const
+    {
+        return false;
+    }
+
+    /// Whether a member or standby that stored the log up to `match` may be admitted.
+    virtual bool isCaughtUp(std::uint64_t match, std::uint64_t commit, std::uint64_t lastIndex) const
+    {
+        constexpr std::uint64_t AllowedGap = 64;
+        return match >= commit && match + AllowedGap >= lastIndex;
+    }
+
     /// Whether an acknowledgement by a member of this standing counts toward a commit.
     virtual bool countsTowardCommit(Standing standing) const
     {
--- a/tests/replication/Mutations.h
+++ b/tests/replication/Mutations.h
@@ -156,4 +156,18 @@
     }
 };
 
+struct CountsStandbys : CoreSafety {
+    bool countsStandbys() const override
+    {
+        return true;
+    }
+};
+
+struct AdmitsNobody : CoreSafety {
+    bool isCaughtUp(std::uint64_t /*match*/, std::uint64_t /*commit*/, std::uint64_t /*lastIndex*/) const override
+    {
+        return false;
+    }
+};
+
 } // namespace cranberryreel::replication::mutations
--- a/tests/replication/Simulation.cpp
+++ b/tests/replication/Simulation.cpp
@@ -47,8 +47,10 @@
         const double fixed = this->nodes.size() == 1 ? -1.0 : 1.0;
         const double spread = this->options.firstIsSlow ? fixed : any;
         node.clockRate = 1.0 + spread * this->options.clockDrift;
+        node.machine = member.vm;
         this->start(node);
     }
+    this->addStandbys();
 }
 
 std::uint64_t Simulation::randomBelow(std::uint64_t below)
@@ -72,12 +74,29 @@
     if (this->options.spare && this->options.spare->vm == node.member.vm) {
         members.push_back(*this->options.spare);
     }
+    const bool founding = std::find(members.begin(), members.end(), node.member) != members.end();
+    if (this->options.keeping) {
+        if (!founding) {
+            members.push_back(node.member);
+        }
+        core.mayFormAnew = founding && !node.started;
+        if (node.keeper == nullptr) {
+            node.keeper = std::make_unique<cell::GroupKeeper>(*this->options.keeping);
+            node.nextMembershipCheck = this->now + milliseconds(this->randomBelow(500));
+        }
+    }
+    node.started = true;
+    node.diskFailed = false;
+    core.timings = this->options.timings;
     core.members = Membership(std::move(members));
     core.termFloor = 1000 + static_cast<std::uint64_t>(this->now.count());
     core.seed = this->random();
     core.maxEntriesPerMessage = this->options.maxEntriesPerMessage;
     core.snapshotChunkBytes = 64;
-    const Recovered recovered = node.member.hasDisk ? node.disk.crash() : Recovered();
+    Recovered recovered = node.member.hasDisk ? node.disk.crash() : Recovered();
+    if (this->options.forgetsMembersCommitted) {
+        recovered.hardState.membersCommitted = 0;
+    }
     node.stateHash = 0;
     node.applied = 0;
     node.snapshotIndex = 0;
@@ -104,10 +123,12 @@
 {
     this->now += Step;
     for (auto &[vm, node] : this->nodes) {
-        if (node.core == nullptr && this->now >= node.downUntil) {
+        if (node.core == nullptr && !node.gone && this->now >= node.downUntil) {
+            this->record(vm + " starts");
             this->start(node);
         }
     }
+    this->startSuccessors();
     if (this->now >= this->nextCheckpoint) {
         this->nextCheckpoint = this->now + CheckpointInterval;
         for (auto &[vm, node] : this->nodes) {
@@ -117,6 +138,7 @@
     this->deliver();
     this->tickAll();
     this->generateLoad();
+    this->keepMembership();
     this->checkInvariants();
 }
 
@@ -225,6 +247,10 @@
         this->crash(node, milliseconds(300));
         return;
     }
+    if (output.hasWrites() && this->now < node.diskFullUntil) {
+        this->failDisk(node);
+        return;
+    }
     if (output.hasWrites() && node.member.hasDisk) {
         node.disk.write(output);
     }
@@ -304,6 +330,10 @@
     if (node.applied < node.snapshotIndex + this->options.snapshotEvery) {
         return;
     }
+    if (this->now < node.diskFullUntil) {
+        this->failDisk(node);
+        return;
+    }
     const auto snapshot = node.core->compact(bytesOf(node.stateHash), RetainedEntries, Everything);
     node.snapshotIndex = snapshot->index;
     if (node.member.hasDisk) {
--- a/tests/replication/Simulation.h
+++ b/tests/replication/Simulation.h
@@ -2,8 +2,10 @@
 
 #include "Fault.h"
 #include "GroupOracle.h"
+#include "Loss.h"
 #include "SimulatedDisk.h"
 
+#include "cell/GroupKeeper.h"
 #include "replication/Core.h"
 #include "replication/CoreSafety.h"
 
@@ -40,11 +42,26 @@
         std::size_t maxEntriesPerMessage = 8;
         std::uint64_t proposalOneIn = 8; ///< A leader proposes in one of this many clock steps of 2 ms, on average.
         std::size_t snapshotEvery = 60; ///< Number of applied entries between two snapshots.
+        GroupTimings timings;
+
+        /// Set: the leader keeps the membership by a GroupKeeper, and faults are injected as losses of machines.
+        std::optional<cell::GroupKeeper::Options> keeping;
+        std::vector<Member> standbys; ///< Start with an empty disk and outside the membership.
+        std::size_t tolerated = 1; ///< At most this many machines count as lost at any time.
+        std::chrono::milliseconds catchUp{4000}; ///< A machine counts as lost until this long after its return.
+        std::chrono::milliseconds leaderWithin{6000}; ///< Longest time without a leader after the last fault, start or return of a machine.
+        std::chrono::milliseconds recoverWithin{12000}; ///< Longest time without a leader after a power loss, whatever else happens.
+        std::function<void(GroupStatus &)> altersStatus; ///< Changes what the keeper sees; for mutations.
+        std::function<void(cell::GroupKeeper::Plan &)> altersPlan; ///< Changes what the keeper plans; for mutations.
+        bool forgetsMembersCommitted = false; ///< Disks do not keep HardState::membersCommitted; for mutations.
     };
 
     Simulation(Options options, const CoreSafety &safety);
 
     void inject(const Fault &fault);
+
+    /// Injects the loss within the terms that the options state.
+    void inject(const Loss &loss);
     void runFor(std::chrono::milliseconds duration);
 
     /// Ends all faults and requires that within the limit the group commits, all members count again and all are up to date.
@@ -79,6 +96,15 @@
     /// Describes every member's state for a test's failure message.
     std::string describe() const;
 
+    /// The losses, leaders and memberships so far, one per line.
+    std::string history() const;
+
+    /// The time from the return of the last machine after a power loss until a leader held the lease, for each power loss.
+    const std::vector<std::chrono::milliseconds> &recoveryTimes() const
+    {
+        return this->recoveries;
+    }
+
 private:
     struct Node {
         Member member;
@@ -89,6 +115,13 @@
         std::chrono::milliseconds downUntil{0};
         std::chrono::milliseconds outputBlockedUntil{0}; ///< Messages from this member are dropped until then.
         std::chrono::milliseconds inputBlockedUntil{0}; ///< Messages to this member are dropped until then.
+        std::string machine; ///< The same for a VM and its successors.
+        bool gone = false; ///< For good.
+        bool started = false;
+        bool diskFailed = false; ///< The process runs without a core since a write failed.
+        std::chrono::milliseconds diskFullUntil{0};
+        std::chrono::milliseconds nextMembershipCheck{0};
+        std::unique_ptr<cell::GroupKeeper> keeper; ///< Null while the process is down.
         bool crashBeforeSync = false;
         bool lostMemory = false; ///< Reset when the member counts again.
         std::uint64_t stateHash = 0;
@@ -136,6 +169,32 @@
     Node *findLeaderNode();
     std::uint64_t randomBelow(std::uint64_t below);
 
+    // SimulationLosses.cpp
+    struct Successor {
+        std::chrono::milliseconds at{0};
+        Member member;
+        std::string machine;
+    };
+    void addStandbys();
+    void startSuccessors();
+    Node *runningNodeOf(const std::string &machine);
+    std::vector<std::string> machines() const;
+    std::string chooseMachine(const Loss &loss);
+    std::size_t lostMachines() const;
+    bool countsAsLost(const std::string &machine) const;
+    bool mayBeLost(const std::string &machine) const;
+    void disturb(const Loss &loss);
+    void lose(const Loss &loss, const std::string &machine);
+    void losePower();
+    void failDisk(Node &node);
+    void keepMembership();
+    void requestStandby(Node &node);
+    void followPlan(Node &node);
+    void checkLosses();
+    void checkVoters(const Core &leaderCore);
+    void checkLeaderTimes(bool hasLeader);
+    void record(const std::string &event);
+
     Options options;
     const CoreSafety &safety;
     std::mt19937_64 random;
@@ -147,6 +206,17 @@
     std::chrono::milliseconds now{0};
     std::chrono::milliseconds lossyUntil{0};
     std::chrono::milliseconds nextCheckpoint{0};
+    std::map<std::string, std::chrono::milliseconds> lostUntil; ///< By machine.
+    std::vector<Successor> successors; ///< Not started yet.
+    std::vector<std::string> events;
+    std::vector<std::chrono::milliseconds> recoveries;
+    std::string recordedLeader;
+    std::string recordedMembers;
+    std::size_t memberCount = 0;
+    std::chrono::milliseconds lastDisturbance{0};
+    std::chrono::milliseconds lastLeaderAt{0};
+    std::chrono::milliseconds powerBackAt{0};
+    bool awaitsRecovery = false;
     bool crashAfterRepair = false;
     bool recovering = false;
     std::uint64_t nextBoot = 1;
--- a/tests/replication/SimulationFaults.cpp
+++ b/tests/replication/SimulationFaults.cpp
@@ -27,6 +27,7 @@
         node.lostMemory = true;
     }
     node.core = nullptr;
+    node.keeper = nullptr;
     node.downUntil = this->now + down;
 }
 
@@ -260,6 +261,7 @@
     for (Node *node : this->allNodes()) {
         node->pausedUntil = node->outputBlockedUntil = node->inputBlockedUntil = milliseconds(0);
         node->downUntil = std::min(node->downUntil, this->now);
+        node->diskFullUntil = milliseconds(0);
         node->crashBeforeSync = false;
     }
 }
--- a/tests/replication/SimulationReport.cpp
+++ b/tests/replication/SimulationReport.cpp
@@ -21,6 +21,7 @@
         }
     }
     this->invariants.leasesHeld(leases);
+    this->checkLosses();
     this->crashLeaderAfterRepair();
 }
 
