A standby that never answers makes room for another

Cause: a VM that asked to stand by but whose answers never came kept the place of a standby for 30 s as if it copied the log, and the successor of a lost member got none. Copying now needs answers (PeerHealth::unansweredFor).

--- a/src/cell/GroupKeeper.cpp
+++ b/src/cell/GroupKeeper.cpp
@@ -12,7 +12,7 @@
 using replication::GroupStatus;
 using replication::PeerHealth;
 
-/// Standbys repeat their request twice a second.
+/// Standbys repeat their request several times a second.
 constexpr std::chrono::milliseconds RequestLifetime{2000};
 /// A standby that has not copied the log by then makes room for another.
 constexpr std::chrono::seconds CopyLimit{30};
@@ -58,14 +58,20 @@
 /// Prefers VMs that follow already, and among them those that hold the log. One that holds it is kept even if it no longer asks.
 std::vector<std::string> GroupKeeper::chooseStandbys(const GroupStatus &status) const
 {
-    enum Rank { Ready, Copying, Asking, Failing };
+    enum Rank {
+        Ready,
+        Copying,
+        Asking,
+        Failing
+    };
     std::vector<std::pair<Rank, std::string>> ranked;
     for (const PeerHealth &peer : status.peers) {
         if (isReadyStandby(peer, this->readyWithin())) {
             ranked.emplace_back(Ready, peer.vm);
         } else if (!peer.voter && this->requests.count(peer.vm) > 0) {
-            const bool failing = peer.silentFor > (peer.counts ? this->options.replaceAfter : std::chrono::milliseconds(CopyLimit));
-            ranked.emplace_back(failing ? Failing : Copying, peer.vm);
+            const bool copies = !peer.counts && peer.unansweredFor <= this->options.replaceAfter && peer.silentFor <= CopyLimit;
+            const bool catchesUp = peer.counts && peer.silentFor <= this->options.replaceAfter;
+            ranked.emplace_back(copies || catchesUp ? Copying : Failing, peer.vm);
         }
     }
     for (const auto &[vm, requestedAt] : this->requests) {
--- a/tests/cell/GroupKeeperTest.cpp
+++ b/tests/cell/GroupKeeperTest.cpp
@@ -174,6 +174,17 @@
     BOOST_TEST(changes == 1);
 }
 
+/// Guards against a VM that asks but never answers, which kept the only place of a standby from the successor of a lost member.
+BOOST_AUTO_TEST_CASE(aStandbyThatNeverAnswersMakesRoomForAnother)
+{
+    GroupKeeper keeper = keeperFor(1);
+    GroupStatus status = statusOf({"a", "b", "c"});
+    status.peers.push_back({"d", false, false, 2500ms, 2500ms});
+    keeper.recordRequest("d", Start);
+    keeper.recordRequest("e", Start);
+    BOOST_TEST(keeper.plan(status, Start).standbys == (Names{"e"}), boost::test_tools::per_element());
+}
+
 /// The place must not go to a VM that the same plan stops sending the log to.
 BOOST_AUTO_TEST_CASE(aNewMemberIsAmongTheStandbysOfThePlan)
 {
