--- a/tests/replication/JoiningTest.cpp
+++ b/tests/replication/JoiningTest.cpp
@@ -221,7 +221,7 @@
     cluster.start("c4");
     BOOST_TEST_REQUIRE(cluster.followAsStandby("c4"));
     cluster.isolate("c4");
-    const std::string large(1024 * 1024, 'x');
+    const std::string large(1024UL * 1024, 'x');
     for (int i = 0; i < 60; ++i) {
         BOOST_TEST_REQUIRE(cluster.commit(large + std::to_string(i)) != "");
     }
