Data folders write temporary files in one place

Reading the change since: replace() and checkWritable() opened, wrote, synced and, after a failure, removed a temporary file with the same lines. writeTemporary() does it for both. No behaviour changes.

--- a/src/replication/DataFolder.cpp
+++ b/src/replication/DataFolder.cpp
@@ -98,23 +98,30 @@
     return FileDescriptor(this->pathOf(name), O_RDONLY, *this->operations).readAll();
 }
 
-void DataFolder::replace(const std::string &name, std::string_view bytes) const
+/// Leaves no file behind if it cannot be written: on a full disk its space may be all that is left for the log.
+void DataFolder::writeTemporary(const std::string &temporary, std::string_view bytes) const
 {
     this->requireCreated();
-    const std::string temporary = name + TemporarySuffix;
     try {
         const FileDescriptor file(this->pathOf(temporary), O_WRONLY | O_CREAT | O_TRUNC, *this->operations);
         file.writeAll(bytes);
         file.sync();
-        std::error_code error;
-        std::filesystem::rename(this->pathOf(temporary), this->pathOf(name), error);
-        if (error) {
-            throwWriteFailed(this->pathOf(name), error);
-        }
     } catch (const base::Error &) {
-        this->tryRemove(temporary); // On a full disk its space may be all that is left for the log.
+        this->tryRemove(temporary);
         throw;
     }
+}
+
+void DataFolder::replace(const std::string &name, std::string_view bytes) const
+{
+    const std::string temporary = name + TemporarySuffix;
+    this->writeTemporary(temporary, bytes);
+    std::error_code error;
+    std::filesystem::rename(this->pathOf(temporary), this->pathOf(name), error);
+    if (error) {
+        this->tryRemove(temporary);
+        throwWriteFailed(this->pathOf(name), error);
+    }
     this->sync();
 }
 
@@ -139,16 +146,8 @@
 
 void DataFolder::checkWritable() const
 {
-    this->requireCreated();
     const std::string name = std::string("check") + TemporarySuffix;
-    try {
-        const FileDescriptor file(this->pathOf(name), O_WRONLY | O_CREAT | O_TRUNC, *this->operations);
-        file.writeAll(std::string(CheckBytes, '\0'));
-        file.sync();
-    } catch (const base::Error &) {
-        this->tryRemove(name);
-        throw;
-    }
+    this->writeTemporary(name, std::string(CheckBytes, '\0'));
     this->tryRemove(name);
 }
 
--- a/src/replication/DataFolder.h
+++ b/src/replication/DataFolder.h
@@ -42,6 +42,7 @@
     }
 
 private:
+    void writeTemporary(const std::string &temporary, std::string_view bytes) const;
     void requireCreated() const;
 
     std::string path;
