What a leader knows of a peer is asked in one place

Besides, a join request copied the whole status of the group on the leader, which only the redirect needs, and the check for being cut off, made for each call and each answer, copied all known VMs where the members suffice.

No behaviour changes; the tests keep their checks.

--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -286,15 +286,17 @@
 bool CellCaller::isCutOff() const
 {
     std::vector<std::string> voters;
-    std::vector<std::string> all;
     {
         const absl::MutexLock lock(&this->mutex);
         voters = this->vms.voters();
-        all = this->vms.all();
     }
     const auto isUp = [this](const std::string &vm) { return this->hub.isUp(vm); };
     const auto up = std::count_if(voters.begin(), voters.end(), isUp);
-    return 2 * static_cast<std::size_t>(up) < voters.size() && std::any_of(all.begin(), all.end(), isUp);
+    if (2 * static_cast<std::size_t>(up) >= voters.size()) {
+        return false;
+    }
+    const std::vector<std::string> all = this->knownVms();
+    return std::any_of(all.begin(), all.end(), isUp);
 }
 
 std::vector<std::string> CellCaller::knownVms() const
--- a/src/cell/CellMember.cpp
+++ b/src/cell/CellMember.cpp
@@ -151,10 +151,9 @@
 
 void CellMember::handleJoin(const std::string &vm, const ReplyCallback &reply)
 {
-    const replication::GroupStatus status = this->group->status();
     if (!this->holdsLease()) {
         wire::ReplyT redirect = makeReply(base::ResultCode::NotLeader, "Another VM leads.");
-        redirect.leader = status.leaderVm;
+        redirect.leader = this->group->status().leaderVm;
         reply(std::move(redirect));
         return;
     }
--- a/src/cell/GroupKeeper.cpp
+++ b/src/cell/GroupKeeper.cpp
@@ -19,15 +19,9 @@
 /// A standby that stored what the leader sent within this time may become a member.
 constexpr std::chrono::milliseconds ReadyWithin{1000};
 
-const PeerHealth *findPeer(const GroupStatus &status, const std::string &vm)
-{
-    const auto found = std::find_if(status.peers.begin(), status.peers.end(), [&vm](const PeerHealth &peer) { return peer.vm == vm; });
-    return found == status.peers.end() ? nullptr : &*found;
-}
-
 bool isReadyStandby(const PeerHealth &peer, std::chrono::milliseconds within)
 {
-    return !peer.voter && peer.counts && peer.silentFor < within;
+    return !peer.voter && peer.hasStoredWithin(within);
 }
 
 } // namespace
@@ -75,7 +69,7 @@
         }
     }
     for (const auto &[vm, requestedAt] : this->requests) {
-        if (findPeer(status, vm) == nullptr) {
+        if (status.findPeer(vm) == nullptr) {
             ranked.emplace_back(Asking, vm);
         }
     }
--- a/src/cell/VoterWatch.cpp
+++ b/src/cell/VoterWatch.cpp
@@ -23,7 +23,7 @@
 
 bool isCounting(const replication::PeerHealth &peer)
 {
-    return peer.counts && peer.silentFor < ReportSilenceAfter;
+    return peer.hasStoredWithin(ReportSilenceAfter);
 }
 
 } // namespace
--- a/src/replication/Group.h
+++ b/src/replication/Group.h
@@ -5,6 +5,7 @@
 #include "replication/Member.h"
 #include "replication/PeerHealth.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -44,6 +45,13 @@
     std::string reason; ///< Why the group cannot commit, as seen by this member; empty while it can.
     std::uint64_t formationTerm = 0; ///< The term of the last cold start; 0 when none is known.
     std::uint64_t droppedMessages = 0; ///< Count of received payloads that did not decode as a message of the group.
+
+    /// Returns null when the VM is not among the peers.
+    const PeerHealth *findPeer(const std::string &vm) const
+    {
+        const auto found = std::find_if(this->peers.begin(), this->peers.end(), [&vm](const PeerHealth &peer) { return peer.vm == vm; });
+        return found == this->peers.end() ? nullptr : &*found;
+    }
 };
 
 /// Receives changes of leadership on the group's own thread. When leadership is acquired, every committed command of earlier terms has been applied already.
--- a/tests/replication/JoiningTest.cpp
+++ b/tests/replication/JoiningTest.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
 #include <filesystem>
 #include <thread>
 
@@ -24,12 +23,6 @@
 /// Several times the duration of an election with the timings of these tests.
 constexpr std::chrono::milliseconds LongEnough{1500};
 
-const PeerHealth *peerOf(const GroupStatus &status, const std::string &vm)
-{
-    const auto found = std::find_if(status.peers.begin(), status.peers.end(), [&vm](const PeerHealth &peer) { return peer.vm == vm; });
-    return found == status.peers.end() ? nullptr : &*found;
-}
-
 } // namespace
 
 /// Members that know each other from seeds only: the list in their settings may change or contain VMs that are no members.
@@ -205,7 +198,7 @@
     cluster.group(leader).setStandbys({"c4"}); // Not started yet.
     BOOST_TEST_REQUIRE(TestCluster::eventually([&] {
         const GroupStatus status = cluster.group(leader).status();
-        const PeerHealth *peer = peerOf(status, "c4");
+        const PeerHealth *peer = status.findPeer("c4");
         seen = peer == nullptr ? seen : peer->silentFor;
         return peer != nullptr;
     }));
@@ -232,7 +225,7 @@
     BOOST_TEST_REQUIRE(cluster.group(leader).status().committed > cluster.group("c4").status().committed + 50);
     const auto isReady = [&] {
         const GroupStatus status = cluster.group(leader).status();
-        const PeerHealth *peer = peerOf(status, "c4");
+        const PeerHealth *peer = status.findPeer("c4");
         return peer != nullptr && peer->counts && peer->silentFor < std::chrono::milliseconds(1000);
     };
     BOOST_TEST(!isReady());
