Core: one check of the active memberships, and no second one in each flush

A flush, which runs for each answer of a follower, asked it again for every member that it had just taken from the memberships; now only for standbys. The reason of a refused vote compared the logs twice; the vote floor is a check of its own. The rule for standbys in majorities is asked once, not for each standby.

No behaviour changes.

--- a/src/replication/Core.cpp
+++ b/src/replication/Core.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 namespace cranberryreel::replication
@@ -131,11 +132,15 @@
     return {vms.begin(), vms.end()};
 }
 
-bool Core::isStandby(const std::string &vm) const
+bool Core::isActiveMember(const std::string &vm) const
 {
     const std::vector<const Membership *> active = this->activeMemberships();
-    const bool member = std::any_of(active.begin(), active.end(), [&vm](const Membership *members) { return members->find(vm) != nullptr; });
-    return !member && this->standbys.count(vm) > 0;
+    return std::any_of(active.begin(), active.end(), [&vm](const Membership *members) { return members->find(vm) != nullptr; });
+}
+
+bool Core::isStandby(const std::string &vm) const
+{
+    return this->standbys.count(vm) > 0 && !this->isActiveMember(vm);
 }
 
 std::int64_t Core::majorityValue(const std::function<std::int64_t(const Member &)> &value) const
@@ -146,8 +151,9 @@
         for (const Member &member : members->all()) {
             values.push_back(value(member));
         }
-        for (auto vm = this->standbys.begin(); vm != this->standbys.end() && this->safety.countsStandbys(); ++vm) {
-            values.push_back(value(Member{*vm}));
+        if (this->safety.countsStandbys()) {
+            std::transform(
+                this->standbys.begin(), this->standbys.end(), std::back_inserter(values), [&value](const std::string &vm) { return value(Member{vm}); });
         }
         std::sort(values.rbegin(), values.rend());
         const std::int64_t reached = values[members->majority() - 1];
--- a/src/replication/Core.h
+++ b/src/replication/Core.h
@@ -167,6 +167,7 @@
     void commitMemberships(std::uint64_t index);
     std::vector<const Membership *> activeMemberships() const;
     std::vector<std::string> otherMembers() const;
+    bool isActiveMember(const std::string &vm) const;
     bool isStandby(const std::string &vm) const;
 
     /// The highest value that a majority of each active membership reaches or exceeds.
@@ -176,9 +177,9 @@
     // CoreElection.cpp
     void tickElection(base::SteadyTime now);
     void resetElectionDeadline(base::SteadyTime now);
-    bool isMember() const;
     bool allMembersRestarted(base::SteadyTime now) const;
     bool mayTrustDisk(base::SteadyTime now) const;
+    bool isBelowVoteFloor(LogPosition candidate, base::SteadyTime now) const;
     bool isCandidateUpToDate(LogPosition candidate, base::SteadyTime now) const;
 
     /// Returns None when this member may vote for the candidate at this log position.
--- a/src/replication/CoreElection.cpp
+++ b/src/replication/CoreElection.cpp
@@ -15,12 +15,6 @@
     }
 }
 
-bool Core::isMember() const
-{
-    const std::vector<const Membership *> active = this->activeMemberships();
-    return std::any_of(active.begin(), active.end(), [this](const Membership *members) { return members->find(this->options.ownVm) != nullptr; });
-}
-
 /// When all members have restarted and none has heard a leader since, none of them can be the leader that the restart grace waits for.
 bool Core::allMembersRestarted(base::SteadyTime now) const
 {
@@ -74,7 +68,7 @@
     }
     this->resetElectionDeadline(now);
     this->leader.clear();
-    const bool mayLead = this->safety.mayVote(this->ownStanding) && this->isMember();
+    const bool mayLead = this->safety.mayVote(this->ownStanding) && this->isActiveMember(this->options.ownVm);
     if (!mayLead || !this->isCandidateUpToDate(this->entries.last(), now)) {
         this->currentRole = Role::Follower;
     } else if (this->safety.usesPreVote()) {
@@ -188,10 +182,15 @@
     this->sendAfterSync(std::move(reply));
 }
 
+bool Core::isBelowVoteFloor(LogPosition candidate, base::SteadyTime now) const
+{
+    const bool below = candidate < this->voteFloor && this->hasLeaderContact(now, this->options.timings.formationPatience);
+    return below && this->safety.distrustsRolledBackDisk();
+}
+
 bool Core::isCandidateUpToDate(LogPosition candidate, base::SteadyTime now) const
 {
-    const bool belowFloor = candidate < this->voteFloor && this->hasLeaderContact(now, this->options.timings.formationPatience);
-    return this->safety.isLogUpToDate(candidate, this->entries.last()) && !(belowFloor && this->safety.distrustsRolledBackDisk());
+    return this->safety.isLogUpToDate(candidate, this->entries.last()) && !this->isBelowVoteFloor(candidate, now);
 }
 
 VoteRefusal Core::checkCandidate(const std::string &vm, LogPosition candidate, base::SteadyTime now) const
@@ -202,7 +201,7 @@
     if (!this->safety.isLogUpToDate(candidate, this->entries.last())) {
         return VoteRefusal::LogBehind;
     }
-    if (!this->isCandidateUpToDate(candidate, now)) {
+    if (this->isBelowVoteFloor(candidate, now)) {
         return VoteRefusal::BelowVoteFloor;
     }
     return this->hasRolledBack(vm, candidate) ? VoteRefusal::RolledBack : VoteRefusal::None;
--- a/src/replication/CoreLeader.cpp
+++ b/src/replication/CoreLeader.cpp
@@ -51,9 +51,12 @@
     if (this->currentRole != Role::Leader) {
         return;
     }
-    for (const std::string &vm : this->followers()) {
+    for (const std::string &vm : this->otherMembers()) {
+        this->sendEntries(vm, false, now);
+    }
+    for (const std::string &vm : this->standbys) {
         // An admitted standby need not keep up with every entry; it gets them in batches with the heartbeats.
-        if (!this->isStandby(vm) || this->progressOf(vm, now).standing != Standing::Full) {
+        if (this->isStandby(vm) && this->progressOf(vm, now).standing != Standing::Full) {
             this->sendEntries(vm, false, now);
         }
     }
@@ -73,9 +76,7 @@
     }
     const std::set<std::string> before = std::exchange(this->standbys, vms);
     for (const std::string &vm : before) {
-        const std::vector<const Membership *> active = this->activeMemberships();
-        const bool member = std::any_of(active.begin(), active.end(), [&vm = vm](const Membership *members) { return members->find(vm) != nullptr; });
-        if (!member && vms.count(vm) == 0) {
+        if (vms.count(vm) == 0 && !this->isActiveMember(vm)) {
             this->progresses.erase(vm);
         }
     }
