Review case 1, LOST: a job whose route gets another name is answered 410 and never ends

Cause: jobs are bound to the name of their route. After a version that removes the route and adds one of another name in its place, a GET for the job finds no route of the job's name there, and its further starts carry no ticket. Done: a script that sends such a version while the first step of a job runs, with an advice service as a stand-in.

--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -1,14 +1,14 @@
+#include "../standins/AdviceService.h"
 #include "../standins/CaseRun.h"
 #include "../standins/Cell.h"
 #include "../standins/Fleet.h"
+#include "../standins/HttpClient.h"
 
 #include <chrono>
-#include <csignal>
 #include <string>
 #include <thread>
 
-// A runner loses power and is back at once under its id, while the VM that takes its heartbeats is frozen. It carries out an order and lists the end before the
-// leader knows that its counts have started anew.
+// A version of the configuration removes a route and adds one of another name with the same host and prefix, while a job of the first one runs.
 
 using namespace cranberryreel::review;
 using namespace std::chrono_literals;
@@ -16,87 +16,80 @@
 namespace
 {
 
-constexpr int Rounds = 8;
-constexpr int EndsBefore = 4; ///< Ends that the leader takes note of before each loss of power.
 constexpr std::int64_t Cpu = 16000;
+constexpr int EntryVms = 8;
 constexpr auto StartTime = 2s;
-constexpr auto EndInterval = 600ms;
-constexpr auto CrashAfterEnd = 400ms;
-constexpr auto DownTime = 300ms;
-constexpr auto FreezeTime = 3500ms;
-constexpr auto RoundPause = 3s;
-constexpr auto JobLimit = 8s;
-constexpr const char *LongTask = R"("Count":1,"Requirements":"b","Cpu":1000,"MemRequestMb":64,"EstimateMs":600000)";
-constexpr const char *ShortTask = R"("Count":1,"Requirements":"b","Cpu":1000,"MemRequestMb":64,"EstimateMs":200)";
+constexpr auto FirstStepLimit = 5s;
+constexpr auto VisibleTime = 3000ms; ///< visible_ms of the pages.
+constexpr auto ApplyTime = 2000ms; ///< ConfigApplyMs of the pages.
+constexpr auto FinishTime = 14s; ///< finish_s of the pages.
+constexpr auto IdleTime = 3s; ///< A job may have nothing running for this long while the turn of a task has come.
+constexpr const char *Payload = "work=6000 cpu=1000 advised";
+/// Two steps, the second after the first.
+constexpr const char *Steps =
+    R"("Count":2,"Cpu":1000,"MemRequestMb":256,"EstimateMs":6000},{"Count":2,"Cpu":1000,"MemRequestMb":256,"EstimateMs":6000,"After":[0])";
+constexpr const char *BehindVersion =
+    R"(,"Routes":[{"Host":"h","PathPrefix":"/p/","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":250,"Priority":1,"Service":"s","MaxAttempts":3,)"
+    R"("SlackFactor":2.2,"Recommendation":{"DecisionMs":18.0,"PerWorkerMs":0.25,"ValidMs":2000},"Name":")";
+constexpr const char *BehindName =
+    R"("}],"Services":[{"Name":"s","HealthPath":"/health","MaxConns":64,"Protocol":"h1","Tls":false,"AdmissionCheck":false,"Standby":false}],)"
+    R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
 
-class Rig
+std::string configuration(int version, const std::string &routeName)
 {
-public:
-    Rig(CaseRun &caseRun, Cell &caseCell)
-        : record(caseRun.record())
-        , cell(caseCell)
-    {
-    }
-
-    std::string submit(const std::string &payload, const char *step)
-    {
-        const std::string id = jobId(++this->jobs);
-        return submitJob(this->record, this->cell.frontend(0), id, payload, step) == 200 ? id : std::string();
-    }
+    std::string document = R"({"Version":)" + std::to_string(version);
+    return document.append(BehindVersion).append(routeName).append(BehindName);
+}
 
-    bool completes(const std::string &id)
-    {
-        return waitUntil([&] { return stateOfJob(this->cell.frontend(0), id) == "completed"; }, JobLimit);
+/// Asks each entry VM for the job's state; returns how many answered 410.
+int countGone(Record &record, const Cell &cell, const std::string &job)
+{
+    int gone = 0;
+    for (int i = 0; i < EntryVms; ++i) {
+        const std::string state = stateOfJob(cell.frontend(i), job);
+        std::string line = "client: GET job " + job;
+        record.write(line.append(" at ").append(cell.frontend(i)).append(" -> ").append(state));
+        gone += state == "410" ? 1 : 0;
     }
-
-private:
-    Record &record;
-    Cell &cell;
-    int jobs = 0;
-};
+    return gone;
+}
 
 int run(CaseRun &current)
 {
     Record &record = current.record();
-    Cell cell({}, current.workFolder(), record);
-    if (!cell.configure(sampleConfiguration(1))) {
+    Cell cell({4, EntryVms}, current.workFolder(), record);
+    const AdviceService advice(cell.adviceAddress(), record);
+    if (!cell.configure(configuration(1, "r"))) {
         return current.couldNotRun("no configuration was acknowledged");
     }
-    const std::string frozen = bystander(cell);
     TaskLog tasks(record);
-    Fleet fleet(cell, frozen, Cpu, tasks, record);
-    Runner &runner = fleet.runner();
-    runner.start();
+    Fleet fleet(cell, cell.diskVms().front(), Cpu, tasks, record);
+    fleet.runner().start();
     std::this_thread::sleep_for(StartTime);
-    Rig rig(current, cell);
-    rig.submit("work=600000 cpu=1000", LongTask); // Keeps a renewal waiting at the runner all the time.
-    for (int round = 0; round < Rounds && tasks.violations().empty(); ++round) {
-        for (int i = 0; i < EndsBefore; ++i) {
-            if (const std::string id = rig.submit("work=200 cpu=1000", ShortTask); id.empty() || !rig.completes(id)) {
-                return current.couldNotRun("a job was not completed before the disruption");
-            }
-            std::this_thread::sleep_for(EndInterval);
-        }
-        std::this_thread::sleep_for(CrashAfterEnd);
-        if (current.hasTrouble()) {
-            cell.signal(frozen, SIGSTOP, "freezes");
-            runner.losePower();
-            std::this_thread::sleep_for(DownTime);
-            runner.start();
-        }
-        const auto frozenAt = std::chrono::steady_clock::now();
-        const std::string id = rig.submit("work=200 cpu=1000", ShortTask);
-        std::this_thread::sleep_until(frozenAt + FreezeTime);
-        if (current.hasTrouble()) {
-            cell.signal(frozen, SIGCONT, "wakes");
-        }
-        const bool completed = !id.empty() && rig.completes(id);
-        record.write("client: job " + id + (completed ? " is completed" : " isn't completed yet"));
-        std::this_thread::sleep_for(RoundPause);
+    const std::string job = jobId(1);
+    if (submitJob(record, cell.frontend(0), job, Payload, Steps) != 200) {
+        return current.couldNotRun("the job was not accepted");
+    }
+    if (!waitUntil([&] { return tasks.starts(job + ".0.0.0") > 0 && tasks.starts(job + ".0.0.1") > 0; }, FirstStepLimit)) {
+        return current.couldNotRun("the first step was not started");
+    }
+    std::this_thread::sleep_for(VisibleTime);
+    countGone(record, cell, job);
+    const std::string changed = configuration(2, current.hasTrouble() ? "r2" : "r");
+    const int acknowledged = send({cell.control(cell.diskVms().front()), "POST", "/api/config/put", changed, ""}).status;
+    record.write("operator: " + changed + " -> " + std::to_string(acknowledged));
+    if (acknowledged != 200) {
+        return current.couldNotRun("the second configuration was not acknowledged");
     }
+    std::this_thread::sleep_for(ApplyTime);
+    int gone = countGone(record, cell, job);
+    std::this_thread::sleep_for(FinishTime);
+    gone += countGone(record, cell, job);
+    const bool secondStepIdle = !waitUntil([&] { return tasks.starts(job + ".0.1.0") > 0 && tasks.starts(job + ".0.1.1") > 0; }, IdleTime);
+    record.write(std::to_string(gone) + " answers 410 for the accepted job; its second step was " + (secondStepIdle ? "never started" : "started"));
     fleet.stop();
     cell.stop();
-    return current.finish(!tasks.violations().empty());
+    return current.finish(gone > 0 || secondStepIdle);
 }
 
 } // namespace
--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -3,11 +3,12 @@
 #include "../standins/Fleet.h"
 
 #include <chrono>
+#include <csignal>
 #include <string>
 #include <thread>
 
-// The time of day of a runner's machine is two seconds ahead when the runner begins, and jumps back. The runner crashes and begins again under its id, so that
-// its second life was born earlier than its first, by its own words.
+// A runner loses power and is back at once under its id, while the VM that takes its heartbeats is frozen. It carries out an order and lists the end before the
+// leader knows that its counts have started anew.
 
 using namespace cranberryreel::review;
 using namespace std::chrono_literals;
@@ -15,15 +16,44 @@
 namespace
 {
 
+constexpr int Rounds = 8;
+constexpr int EndsBefore = 4; ///< Ends that the leader takes note of before each loss of power.
 constexpr std::int64_t Cpu = 16000;
 constexpr auto StartTime = 2s;
-constexpr auto AnnounceTime = 250ms;
-constexpr auto ClockStep = 2000ms;
+constexpr auto EndInterval = 600ms;
+constexpr auto CrashAfterEnd = 400ms;
 constexpr auto DownTime = 300ms;
-constexpr auto JobLimit = 6s;
-constexpr int EndsBefore = 4;
-constexpr const char *Tasks = R"("Count":4,"Requirements":"b","Cpu":1000,"MemRequestMb":64,"EstimateMs":100)";
-constexpr const char *OneTask = R"("Count":1,"Requirements":"b","Cpu":1000,"MemRequestMb":64,"EstimateMs":200)";
+constexpr auto FreezeTime = 3500ms;
+constexpr auto RoundPause = 3s;
+constexpr auto JobLimit = 8s;
+constexpr const char *LongTask = R"("Count":1,"Requirements":"b","Cpu":1000,"MemRequestMb":64,"EstimateMs":600000)";
+constexpr const char *ShortTask = R"("Count":1,"Requirements":"b","Cpu":1000,"MemRequestMb":64,"EstimateMs":200)";
+
+class Rig
+{
+public:
+    Rig(CaseRun &caseRun, Cell &caseCell)
+        : record(caseRun.record())
+        , cell(caseCell)
+    {
+    }
+
+    std::string submit(const std::string &payload, const char *step)
+    {
+        const std::string id = jobId(++this->jobs);
+        return submitJob(this->record, this->cell.frontend(0), id, payload, step) == 200 ? id : std::string();
+    }
+
+    bool completes(const std::string &id)
+    {
+        return waitUntil([&] { return stateOfJob(this->cell.frontend(0), id) == "completed"; }, JobLimit);
+    }
+
+private:
+    Record &record;
+    Cell &cell;
+    int jobs = 0;
+};
 
 int run(CaseRun &current)
 {
@@ -32,31 +62,38 @@
     if (!cell.configure(sampleConfiguration(1))) {
         return current.couldNotRun("no configuration was acknowledged");
     }
+    const std::string frozen = bystander(cell);
     TaskLog tasks(record);
-    Fleet fleet(cell, cell.diskVms().front(), Cpu, tasks, record);
+    Fleet fleet(cell, frozen, Cpu, tasks, record);
     Runner &runner = fleet.runner();
-    std::this_thread::sleep_for(StartTime);
-    const std::string frontend = cell.frontend(0);
-    const auto completes = [&](const std::string &id) { return waitUntil([&] { return stateOfJob(frontend, id) == "completed"; }, JobLimit); };
-    if (current.hasTrouble()) {
-        runner.setTimeOfDayOffset(ClockStep);
-    }
     runner.start();
-    std::this_thread::sleep_for(AnnounceTime);
-    submitJob(record, frontend, jobId(1), "work=100 cpu=1000", Tasks);
-    if (!completes(jobId(1)) || runner.starts() < EndsBefore) {
-        return current.couldNotRun("the first job was not completed");
-    }
-    runner.setTimeOfDayOffset(0ms);
-    if (current.hasTrouble()) {
-        record.write("platform: the time of day of the runner's machine jumps back by 2000 ms");
-        runner.crash();
-        std::this_thread::sleep_for(DownTime);
-        runner.start();
+    std::this_thread::sleep_for(StartTime);
+    Rig rig(current, cell);
+    rig.submit("work=600000 cpu=1000", LongTask); // Keeps a renewal waiting at the runner all the time.
+    for (int round = 0; round < Rounds && tasks.violations().empty(); ++round) {
+        for (int i = 0; i < EndsBefore; ++i) {
+            if (const std::string id = rig.submit("work=200 cpu=1000", ShortTask); id.empty() || !rig.completes(id)) {
+                return current.couldNotRun("a job was not completed before the disruption");
+            }
+            std::this_thread::sleep_for(EndInterval);
+        }
+        std::this_thread::sleep_for(CrashAfterEnd);
+        if (current.hasTrouble()) {
+            cell.signal(frozen, SIGSTOP, "freezes");
+            runner.losePower();
+            std::this_thread::sleep_for(DownTime);
+            runner.start();
+        }
+        const auto frozenAt = std::chrono::steady_clock::now();
+        const std::string id = rig.submit("work=200 cpu=1000", ShortTask);
+        std::this_thread::sleep_until(frozenAt + FreezeTime);
+        if (current.hasTrouble()) {
+            cell.signal(frozen, SIGCONT, "wakes");
+        }
+        const bool completed = !id.empty() && rig.completes(id);
+        record.write("client: job " + id + (completed ? " is completed" : " isn't completed yet"));
+        std::this_thread::sleep_for(RoundPause);
     }
-    submitJob(record, frontend, jobId(2), "work=200 cpu=1000", OneTask);
-    const bool completed = completes(jobId(2));
-    record.write(std::string("client: the second job ") + (completed ? "is completed" : "isn't completed yet"));
     fleet.stop();
     cell.stop();
     return current.finish(!tasks.violations().empty());
--- a/review/5/Case.cpp
+++ b/review/5/Case.cpp
@@ -26,6 +26,7 @@
 constexpr auto ContactTime = 3s; ///< Without a disruption for this long, machines are in touch.
 constexpr auto WatchTime = 20s;
 constexpr const char *Step = R"("Count":4,"Requirements":"b","Cpu":1000,"MemRequestMb":256,"EstimateMs":1000,"LongRunning":true,"MaxUnavailable":1)";
+constexpr const char *BatchStep = R"("Count":1,"Requirements":"b","Cpu":1000,"MemRequestMb":256,"EstimateMs":8000)";
 
 int run(CaseRun &current)
 {
@@ -58,6 +59,7 @@
     if (submitJob(record, cell.frontend(0), job, "lasts cpu=1000", Step) != 200 || !waitUntil([&] { return runner.runningTasks().size() == 4; }, StartLimit)) {
         return current.couldNotRun("the job's tasks were not started");
     }
+    submitJob(record, cell.frontend(0), jobId(2), "work=8000 cpu=1000", BatchStep);
     if (current.hasTrouble()) {
         record.write("network: the path heals");
         path.heal();
@@ -66,7 +68,8 @@
     const std::size_t before = runner.lapsedTasks().size();
     std::this_thread::sleep_for(WatchTime);
     const std::size_t lapsed = runner.lapsedTasks().size() - before;
-    record.write(std::to_string(lapsed) + " runs of the job's four tasks ended by a lapsed lease later than 3 s after the last disruption");
+    record.write(std::to_string(lapsed) + " runs ended by a lapsed lease later than 3 s after the last disruption");
+    record.write("client: GET the job whose one task takes 8 s -> " + stateOfJob(cell.frontend(0), jobId(2)));
     cancelJob(record, cell.frontend(0), job);
     fleet.stop();
     cell.stop();
--- a/review/standins/Cell.cpp
+++ b/review/standins/Cell.cpp
@@ -62,6 +62,7 @@
     , controlPort(freePort())
     , linkPort(freePort())
     , metricsPort(freePort())
+    , advice(this->freeAddress())
 {
     for (int i = 0; i < size.diskVms; ++i) {
         this->addVm(true, "z" + std::to_string(i + 1));
@@ -103,6 +104,11 @@
     return vm + ":" + std::to_string(this->controlPort);
 }
 
+const std::string &Cell::adviceAddress() const
+{
+    return this->advice;
+}
+
 std::string Cell::freeAddress()
 {
     return this->nextAddress() + ":" + std::to_string(this->controlPort);
@@ -200,7 +206,7 @@
         {"FaultTolerance.Machines", "1"},
         {"Bootstrap", "true"},
         {"DataDir", own.hasDisk ? this->folder + "/" + vm + ".disk" : ""},
-        {"Recommendation", "127.0.0.1:1"},
+        {"Recommendation", this->advice},
         {"Bounds.CatchUpS", "4"},
         {"Bounds.HoldMaxMs", "6000"},
         {"Bounds.StopTimeoutMs", "200"},
--- a/review/standins/Cell.h
+++ b/review/standins/Cell.h
@@ -35,6 +35,9 @@
     std::string frontend(int entryVm = 0) const;
     std::string control(const std::string &vm) const;
 
+    /// Where the VMs look for the advice service; nothing listens there before a stand-in does.
+    const std::string &adviceAddress() const;
+
     /// An address on which nothing listens yet, for a stand-in.
     std::string freeAddress();
 
@@ -71,6 +74,7 @@
     const std::uint16_t linkPort;
     const std::uint16_t metricsPort;
     int usedAddresses = 0;
+    const std::string advice;
     std::vector<std::string> disks;
     std::vector<std::string> entries;
     std::map<std::string, Vm> vms;
--- a/review/standins/Runner.cpp
+++ b/review/standins/Runner.cpp
@@ -1,5 +1,6 @@
 #include "Runner.h"
 
+#include "AdviceService.h"
 #include "HttpClient.h"
 
 #include <algorithm>
@@ -234,6 +235,10 @@
     if (const auto closed = this->life->closed.find(task); closed != this->life->closed.end() && attempt <= closed->second) {
         return this->refusal("old");
     }
+    const std::string step = task.substr(0, task.rfind('.'));
+    if (payload.find("advised") != std::string::npos && body.value("Ticket", std::string()) != AdviceService::ticketFor(step, this->spec.id)) {
+        return this->refusal("ticket");
+    }
     Run run;
     run.attempt = attempt;
     run.startedAt = this->clock();
--- a/review/standins/Runner.h
+++ b/review/standins/Runner.h
@@ -32,8 +32,8 @@
 };
 
 /// Plays one runner whose interface the users' page PROTOCOL describes. It runs a task for as long as its Spec says ("work=MS", or "lasts"), and takes the
-/// task's size from there ("cpu=MILLIS"). It doesn't guard its capacity. A crash ends a life of the runner; the next one has the same id and knows nothing of
-/// it. Any thread. Owned by the case.
+/// task's size from there ("cpu=MILLIS"). A start with "advised" in its Spec needs a ticket. It doesn't guard its capacity. A crash ends a life of the runner;
+/// the next one has the same id and knows nothing of it. Any thread. Owned by the case.
 class Runner
 {
 public:
