A job keeps its route when a configuration renames the route

Cause: jobs were bound to their route by its name. PeerCallHandler compared that name with the name of the route that the path selects now; ReadySteps found no queue of the old name, so the step counted as needing no ticket, its starts were refused (409, ticket) and later ended as ticket_expired before they were sent. Class: a name trusted after its owner changed. Related paths had the same fault: a removed route left its jobs without tickets, priority and objective, and an unrelated route that took over the name took over the jobs, their service and their limit of failures. A cancel did not look at the route at all.

Fix: a job keeps a copy of its route as accepted (JobSpec.route); CellState::queueOf() gives the present route of that host and path prefix, or the copy. Both identify a route, since a configuration may hold a place only once. Reading, cancelling, submitting again, counting, planning, preemption and the limit of failures go through it. Jobs from the log of an earlier version have no copy and are found by name as before.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -150,7 +150,7 @@
 
 void CellState::checkFailureLimit(wire::JobT &job, const wire::TaskRefT &ref, std::int64_t nowMs)
 {
-    const wire::QueueT *jobQueue = this->queue(job.spec->queue);
+    const wire::QueueT *jobQueue = this->queueOf(*job.spec);
     const std::uint32_t limit = std::max<std::uint32_t>(jobQueue == nullptr ? job.spec->max_failures : jobQueue->max_failures, 1);
     const wire::StepT &step = *job.spec->steps[ref.step];
     std::uint32_t failures = 0;
@@ -254,6 +254,21 @@
     return found == queues.end() ? nullptr : found->get();
 }
 
+const wire::QueueT *CellState::queueOf(const wire::JobSpecT &spec) const
+{
+    if (!spec.route) {
+        return this->queue(spec.queue);
+    }
+    if (this->currentRules) {
+        for (const auto &each : this->currentRules->queues) {
+            if (each->path_prefix == spec.route->path_prefix && each->host == spec.route->host) {
+                return each.get();
+            }
+        }
+    }
+    return spec.route.get();
+}
+
 const wire::QueueT *CellState::queueAt(std::string_view host, std::string_view path) const
 {
     const wire::QueueT *best = nullptr;
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -40,6 +40,10 @@
     /// Null when the rules have no queue of this name.
     const wire::QueueT *queue(const std::string &name) const;
 
+    /// The queue that the job belongs to. Host and path prefix identify a queue; its name may change or pass to another queue. The queue as it was when the job
+    /// was accepted if the rules no longer have it; null only for jobs accepted by an earlier version of the program.
+    const wire::QueueT *queueOf(const wire::JobSpecT &spec) const;
+
     /// The queue of this host with the longest path prefix that matches the path; null when none matches.
     const wire::QueueT *queueAt(std::string_view host, std::string_view path) const;
 
--- a/src/cell/PeerCallHandler.cpp
+++ b/src/cell/PeerCallHandler.cpp
@@ -15,27 +15,29 @@
 
 const observe::Log Logger("cell");
 
-/// The queue that a host and path belong to, and the job id that follows the queue's path prefix; the id is empty if the path names the queue itself.
+/// What a call's host and path select. Refers to the CellState that it was made from.
 struct QueueMatch {
     bool configured = false; ///< A configuration has been committed.
-    bool known = false; ///< A queue matches, and the rest of the path is a valid job id.
-    std::string queue;
-    std::string service;
-    std::uint32_t maxFailures = 0;
-    std::string jobId;
+    const wire::QueueT *queue = nullptr; ///< Null when no queue matches, or the rest of the path is no valid job id.
+    std::string jobId; ///< What follows the queue's path prefix; empty if the path names the queue itself.
+    const wire::JobT *job = nullptr; ///< The job of this id, if it belongs to the queue.
 };
 
 QueueMatch matchQueue(const CellState &state, const wire::CallT &call)
 {
     QueueMatch match;
     match.configured = state.rules() != nullptr;
-    if (const wire::QueueT *queue = state.queueAt(call.host, call.path)) {
-        match.known = true;
-        match.queue = queue->name;
-        match.service = queue->service;
-        match.maxFailures = queue->max_failures;
-        match.jobId = call.path.substr(queue->path_prefix.size());
-        match.known = match.jobId.find_first_of("/.") == std::string::npos;
+    const wire::QueueT *queue = state.queueAt(call.host, call.path);
+    if (queue == nullptr) {
+        return match;
+    }
+    match.jobId = call.path.substr(queue->path_prefix.size());
+    if (match.jobId.find_first_of("/.") != std::string::npos) {
+        return match;
+    }
+    match.queue = queue;
+    if (const wire::JobT *job = state.jobNamed(match.jobId); job != nullptr && state.queueOf(*job->spec) == queue) {
+        match.job = job;
     }
     return match;
 }
@@ -46,7 +48,7 @@
     if (!match.configured) {
         return makeReply(ResultCode::ConfigurationUnavailable, "No configuration has been set yet.");
     }
-    if (!match.known) {
+    if (match.queue == nullptr) {
         return makeReply(ResultCode::NotFound, "No queue has this host and path.");
     }
     return std::nullopt;
@@ -139,31 +141,31 @@
 
 void PeerCallHandler::submit(wire::CallT &call, const ReplyCallback &reply)
 {
-    bool accepted = false;
-    const QueueMatch match = this->context.store.read([&](const CellState &state) {
-        QueueMatch found = matchQueue(state, call);
-        const wire::JobT *job = state.jobNamed(found.jobId);
-        accepted = found.known && job != nullptr && job->spec->queue == found.queue;
-        return found;
+    const std::optional<wire::ReplyT> known = this->context.store.read([&call](const CellState &state) -> std::optional<wire::ReplyT> {
+        const QueueMatch match = matchQueue(state, call);
+        if (const auto refusal = refusalFor(match)) {
+            return refusal;
+        }
+        if (match.job != nullptr) {
+            return makeReply(ResultCode::Ok);
+        }
+        call.job->id = match.jobId;
+        call.job->queue = match.queue->name;
+        call.job->service = match.queue->service;
+        call.job->max_failures = match.queue->max_failures;
+        call.job->route = std::make_unique<wire::QueueT>(*match.queue);
+        return std::nullopt;
     });
-    if (accepted) {
-        reply(makeReply(ResultCode::Ok));
+    if (known) {
+        reply(*known);
         return;
     }
-    if (const auto refusal = refusalFor(match)) {
-        reply(*refusal);
-        return;
-    }
-    call.job->id = match.jobId;
-    call.job->queue = match.queue;
-    call.job->service = match.service;
-    call.job->max_failures = match.maxFailures;
     call.job->zone = call.zone;
-    this->context.batch.command().jobs.push_back(std::move(call.job));
-    this->context.batch.onOutcome([reply, id = match.jobId, queue = match.queue](ResultCode code) {
+    this->context.batch.onOutcome([reply, id = call.job->id, queue = call.job->queue](ResultCode code) {
         Logger.info("event=job_submitted job={} queue={} outcome={}", id, queue, static_cast<int>(code));
         reply(makeReply(code));
     });
+    this->context.batch.command().jobs.push_back(std::move(call.job));
     this->context.wake();
 }
 
@@ -174,12 +176,11 @@
         if (const auto refusal = refusalFor(match)) {
             return *refusal;
         }
-        const wire::JobT *job = state.jobNamed(match.jobId);
-        if (job == nullptr || job->spec->queue != match.queue) {
+        if (match.job == nullptr) {
             return makeReply(ResultCode::UpstreamUnknown, "No such job.");
         }
         wire::ReplyT found = makeReply(ResultCode::Ok);
-        found.state = job->state;
+        found.state = match.job->state;
         return found;
     });
     reply(answer);
@@ -187,22 +188,24 @@
 
 void PeerCallHandler::cancelJob(const wire::CallT &call, const ReplyCallback &reply)
 {
+    bool known = false;
     bool active = false;
-    const QueueMatch match = this->context.store.read([&](const CellState &state) {
-        QueueMatch found = matchQueue(state, call);
-        const wire::JobT *job = state.jobNamed(found.jobId);
-        active = job != nullptr && isActive(*job);
-        return found;
+    std::string id;
+    const std::optional<wire::ReplyT> refusal = this->context.store.read([&](const CellState &state) {
+        const QueueMatch match = matchQueue(state, call);
+        known = match.job != nullptr;
+        active = known && isActive(*match.job);
+        id = match.jobId;
+        return refusalFor(match);
     });
-    if (const auto refusal = refusalFor(match)) {
+    if (refusal) {
         reply(*refusal);
         return;
     }
-    const bool known = active || this->context.store.read([&](const CellState &state) { return state.jobNamed(match.jobId) != nullptr; });
     if (!known) {
         // The job may be in the batch that is not proposed yet, ahead of this cancel.
         const auto &jobs = this->context.batch.command().jobs;
-        const bool waiting = std::any_of(jobs.begin(), jobs.end(), [&match](const std::unique_ptr<wire::JobSpecT> &spec) { return spec->id == match.jobId; });
+        const bool waiting = std::any_of(jobs.begin(), jobs.end(), [&id](const std::unique_ptr<wire::JobSpecT> &spec) { return spec->id == id; });
         if (!waiting) {
             reply(makeReply(ResultCode::UpstreamUnknown, "No such job."));
             return;
@@ -212,8 +215,8 @@
         reply(makeReply(ResultCode::Ok));
         return;
     }
-    this->context.batch.command().cancels.push_back(match.jobId);
-    this->context.batch.onOutcome([reply, id = match.jobId](ResultCode code) {
+    this->context.batch.command().cancels.push_back(id);
+    this->context.batch.onOutcome([reply, id](ResultCode code) {
         Logger.info("event=job_cancelled job={} outcome={}", id, static_cast<int>(code));
         reply(makeReply(code));
     });
@@ -230,7 +233,7 @@
         wire::ReplyT found = makeReply(ResultCode::Ok);
         for (const std::uint64_t number : state.openJobs()) {
             const wire::JobT &job = *state.job(number);
-            found.pending += isActive(job) && !job.started && job.spec->queue == match.queue ? 1 : 0;
+            found.pending += isActive(job) && !job.started && state.queueOf(*job.spec) == match.queue ? 1 : 0;
         }
         return found;
     });
--- a/src/cell/PlacementRules.h
+++ b/src/cell/PlacementRules.h
@@ -39,7 +39,7 @@
     std::map<std::pair<StepKey, std::uint64_t>, std::uint32_t> plannedRuns;
 };
 
-/// The service whose upstreams run the step: that of its queue, or of the job when the rules no longer name the queue.
+/// The service whose upstreams run the step: that of its queue, or of the job when its queue is unknown.
 const std::string &serviceOf(const ReadyStep &ready);
 
 /// Whether the upstream is outside the submitter's zone. Jobs prefer that zone, so that a zone that is cut off delays hardly any jobs but its own.
--- a/src/cell/Preemptor.cpp
+++ b/src/cell/Preemptor.cpp
@@ -39,7 +39,7 @@
     const DeadlineEstimator deadlines(this->input.acceptedAt, this->input.now);
     forEachRun(this->input.state, [this, &deadlines](const wire::RunT &run, const wire::StepT &step, const wire::JobT &job, const TaskKey &task) {
         UpstreamCapacity *capacity = this->capacities.find(run.upstream);
-        const wire::QueueT *queue = this->input.state.queue(job.spec->queue);
+        const wire::QueueT *queue = this->input.state.queueOf(*job.spec);
         if (capacity == nullptr || !capacity->usable || queue == nullptr) {
             return;
         }
--- a/src/cell/ReadySteps.cpp
+++ b/src/cell/ReadySteps.cpp
@@ -50,7 +50,7 @@
                 if (!predecessorsDone(step, occurrence)) {
                     continue;
                 }
-                ReadyStep entry{{number, k, s}, &job, &step, occurrence.steps[s].get(), state.queue(job.spec->queue), waitingTasks(step, *occurrence.steps[s])};
+                ReadyStep entry{{number, k, s}, &job, &step, occurrence.steps[s].get(), state.queueOf(*job.spec), waitingTasks(step, *occurrence.steps[s])};
                 if (!entry.waiting.empty()) {
                     ready.push_back(std::move(entry));
                 }
--- a/src/cell/ReadySteps.h
+++ b/src/cell/ReadySteps.h
@@ -15,7 +15,7 @@
     const wire::JobT *job = nullptr;
     const wire::StepT *step = nullptr;
     const wire::StepStateT *state = nullptr;
-    const wire::QueueT *queue = nullptr; ///< Null when the rules no longer name it.
+    const wire::QueueT *queue = nullptr; ///< CellState::queueOf().
     std::vector<std::uint32_t> waiting; ///< Indices of the tasks that are not done and have no run.
 };
 
