A renewal repeated after a restart acknowledges no ends of the earlier incarnation

Cause: ends are numbered anew in each incarnation, and a renewal names the upstream's id alone. The leader put the highest committed end into every renewal, also into one that repeated an unanswered renewal. It reached the next incarnation, which forgot its own ends up to the same number before they had been read. Class: a number trusted after its owner changed.

Fix: UpstreamTracker::endToAcknowledge(). Ends are acknowledged only in a renewal that follows an answer of the same incarnation within 200 ms, not in one that repeats an unanswered renewal or goes to a silent upstream, and not again once an answer confirmed it. An upstream cannot start again, take a start order and end a task in that time but for tasks of milliseconds. A renewal that withholds an acknowledgement does not wait, so that the acknowledgement follows at once.

Ruled out: binding the acknowledgement to an incarnation, for which the protocol has no field.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -194,10 +194,12 @@
 {
     RenewRequest request;
     request.epoch = this->context.epoch;
-    request.acknowledged = tracker.lastCommittedEnd;
+    request.acknowledged = tracker.endToAcknowledge(now);
     if (tracker.readBack && tracker.silentCalls == 0 && !tracker.retryingRenewal && !tracker.leaving) {
         request.deadline = tracker.grantLease(now);
-        request.wait = this->context.runs.countOnUpstream(number) > 0 ? tracker.renewalWait() : std::chrono::milliseconds(0);
+        // An acknowledgement that this renewal withholds follows right after its answer.
+        const bool withheld = request.acknowledged == 0 && tracker.lastCommittedEnd > tracker.lastAcknowledgedEnd;
+        request.wait = this->context.runs.countOnUpstream(number) > 0 && !withheld ? tracker.renewalWait() : std::chrono::milliseconds(0);
     }
     tracker.renewalPending = true;
     tracker.renewalSentAt = now;
@@ -241,10 +243,7 @@
     if (tracker.silentCalls > 0) {
         Logger.info("event=upstream_responsive number={} after_silent_calls={}", number, tracker.silentCalls);
     }
-    tracker.silentCalls = 0;
-    tracker.retryingRenewal = false;
-    tracker.isLost = false;
-    tracker.lastAcknowledgedEnd = std::max(tracker.lastAcknowledgedEnd, acknowledged);
+    tracker.recordAnswer(acknowledged, now);
     tracker.nextRenewal = now + RenewalSpacing;
     if (result.callResult.clock) {
         tracker.recordClock(*result.callResult.clock, now);
--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds MinRenewalWait{300};
 constexpr std::chrono::milliseconds MaxRenewalWait{1500};
 constexpr int EndIntervalsPerWait = 3;
+/// Ends are acknowledged at most this long after an answer. A commit takes milliseconds; an upstream needs longer to start again and end a task.
+constexpr std::chrono::milliseconds AcknowledgementMaxAge{200};
 /// Weight of the newest interval between ends in the smoothed one.
 constexpr double NewestIntervalWeight = 0.3;
 
@@ -42,6 +44,7 @@
     this->lastCommittedEnd = 0;
     this->lastProposedEnd = 0;
     this->lastAcknowledgedEnd = 0;
+    this->answeredAt = {};
     this->leaving = false;
     this->announcedAt = now;
     this->announcementSequence = 0;
@@ -103,6 +106,21 @@
     this->lastEndsAt = now;
 }
 
+std::uint64_t UpstreamTracker::endToAcknowledge(base::SteadyTime now) const
+{
+    const bool answering = !this->retryingRenewal && this->silentCalls == 0 && now - this->answeredAt <= AcknowledgementMaxAge;
+    return answering && this->lastCommittedEnd > this->lastAcknowledgedEnd ? this->lastCommittedEnd : 0;
+}
+
+void UpstreamTracker::recordAnswer(std::uint64_t acknowledged, base::SteadyTime now)
+{
+    this->silentCalls = 0;
+    this->retryingRenewal = false;
+    this->isLost = false;
+    this->lastAcknowledgedEnd = std::max(this->lastAcknowledgedEnd, acknowledged);
+    this->answeredAt = now;
+}
+
 bool UpstreamTracker::leasesExpired(base::SteadyTime now) const
 {
     if (now < this->inheritedLeasesUntil) {
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -37,6 +37,14 @@
     /// Records that a renewal answered at `now` reported new ends.
     void recordEnds(base::SteadyTime now);
 
+    /// The number up to which a renewal sent at `now` may acknowledge ends; 0 for none. A request cannot name the incarnation that it is meant for, and the
+    /// next incarnation numbers its ends anew. So ends are acknowledged only right after an answer of this incarnation, and not again once it has confirmed
+    /// them.
+    std::uint64_t endToAcknowledge(base::SteadyTime now) const;
+
+    /// Records that this incarnation answered a renewal that acknowledged ends up to `acknowledged`.
+    void recordAnswer(std::uint64_t acknowledged, base::SteadyTime now);
+
     /// Whether all leases that any request may have granted have certainly expired.
     bool leasesExpired(base::SteadyTime now) const;
 
@@ -61,6 +69,7 @@
     std::uint64_t lastCommittedEnd = 0; ///< Ends up to this number are committed.
     std::uint64_t lastProposedEnd = 0; ///< Ends up to this number are proposed or committed.
     std::uint64_t lastAcknowledgedEnd = 0; ///< Highest number that an answered renewal has acknowledged.
+    base::SteadyTime answeredAt{}; ///< When this incarnation last answered a renewal.
 
     // Announcements.
     bool leaving = false; ///< The upstream said that it stops.
--- /dev/null
+++ b/tests/cell/IncarnationTest.cpp
@@ -0,0 +1,51 @@
+#include "cell/CellRig.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cranberryreel;
+using cell::RunEndKind;
+using cell::wire::JobState;
+using std::chrono::milliseconds;
+using support::CellRig;
+
+namespace
+{
+
+/// Runs a job of one task on "u1" to its end and until the end is acknowledged; returns false if that takes too long.
+bool completeJob(CellRig &rig, const std::string &id)
+{
+    rig.submit(support::job(id, support::step(1, 1000)));
+    const std::string task = id + ".0.0.0";
+    if (!rig.runUntil([&] { return rig.upstreams.upstreamOf(task) == "u1"; }, std::chrono::seconds(2))) {
+        return false;
+    }
+    rig.upstreams.finish("u1", task, RunEndKind::Done);
+    return rig.runUntil([&] { return rig.jobState(id) == JobState::Completed && rig.upstreams.upstreams["u1"].ended.empty(); }, std::chrono::seconds(2));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(IncarnationTest)
+
+/// Failure: a renewal repeated after an upstream's restart carried the acknowledgement of the earlier incarnation, so that the upstream forgot an end that
+/// nobody had recorded, and the task ran twice.
+BOOST_AUTO_TEST_CASE(anAcknowledgementOfAnEarlierIncarnationDoesNotReachTheNextOne)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("long", support::step(1, 1000))); // Keeps a renewal waiting at the upstream.
+    for (const char *id : {"a", "b", "c"}) {
+        BOOST_REQUIRE(completeJob(rig, id));
+    }
+    rig.upstreams.upstreams["u1"].holdsRenewals = true;
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.heldRenewals.empty(); }));
+    rig.upstreams.restart("u1");
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.startCounts["j.0.0.0"] == 1; }));
+    rig.upstreams.finish("u1", "j.0.0.0", RunEndKind::Done);
+    rig.upstreams.breakRenewals();
+    BOOST_TEST(rig.runUntil([&] { return rig.jobState("j") == JobState::Completed; }));
+    BOOST_TEST(rig.upstreams.startCounts["j.0.0.0"] == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -106,6 +106,10 @@
 {
     Upstream &upstream = this->upstreams[target.id];
     cell::RenewResult renewed;
+    if (upstream.holdsRenewals) {
+        this->heldRenewals.push_back(std::move(done));
+        return;
+    }
     if (upstream.renewalsToDrop > 0) {
         --upstream.renewalsToDrop;
         done(renewed);
@@ -164,6 +168,13 @@
     }
 }
 
+void ScriptedUpstreams::breakRenewals()
+{
+    for (const cell::RenewCallback &done : std::exchange(this->heldRenewals, {})) {
+        done({});
+    }
+}
+
 void ScriptedUpstreams::restart(const std::string &id)
 {
     const std::int64_t born = this->upstreams[id].bornMs;
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -32,6 +32,7 @@
         bool dropsAnswers = false; ///< Start requests are carried out, but their answers are lost.
         bool dropsStops = false;
         bool refusesAsFull = false;
+        bool holdsRenewals = false; ///< Renewals wait until breakRenewals().
         int renewalsToDrop = 0; ///< So many renewals from now on get no answer.
         std::vector<std::chrono::milliseconds> startLimits; ///< Time limits of all start requests.
         int startRequests = 0;
@@ -70,6 +71,9 @@
     /// Carries out the start requests that had no answer.
     void deliverDelayedStarts(const std::string &id);
 
+    /// Ends the renewals that wait, without an answer.
+    void breakRenewals();
+
     /// Starts a new incarnation under the same id and address.
     void restart(const std::string &id);
 
@@ -81,6 +85,7 @@
 
     std::map<std::string, Upstream> upstreams;
     std::map<std::string, int> startCounts; ///< Number of runs started, by task.
+    std::vector<cell::RenewCallback> heldRenewals; ///< Renewals that wait.
     std::set<std::string> ranTwice; ///< Tasks that ran twice at the same time, which must never happen.
 
 private:
--- a/tests/cell/UpstreamTrackerTest.cpp
+++ b/tests/cell/UpstreamTrackerTest.cpp
@@ -81,6 +81,23 @@
     BOOST_TEST((tracker.renewalWait() == longest));
 }
 
+/// Failure: an acknowledgement was repeated without an answer and reached the upstream's next incarnation.
+BOOST_AUTO_TEST_CASE(endsAreAcknowledgedOnlyRightAfterAnAnswerAndOnce)
+{
+    UpstreamTracker tracker(Lease, Start);
+    tracker.lastCommittedEnd = 5;
+    BOOST_TEST(tracker.endToAcknowledge(Start) == 0U); // This incarnation has not answered yet.
+    tracker.recordAnswer(0, Start);
+    BOOST_TEST(tracker.endToAcknowledge(Start + milliseconds(50)) == 5U);
+    BOOST_TEST(tracker.endToAcknowledge(Start + milliseconds(500)) == 0U);
+    tracker.retryingRenewal = true;
+    BOOST_TEST(tracker.endToAcknowledge(Start + milliseconds(50)) == 0U);
+    tracker.recordAnswer(0, Start + milliseconds(600));
+    BOOST_TEST(tracker.endToAcknowledge(Start + milliseconds(650)) == 5U);
+    tracker.recordAnswer(5, Start + milliseconds(700));
+    BOOST_TEST(tracker.endToAcknowledge(Start + milliseconds(700)) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(repeatedExclusionsDouble)
 {
     UpstreamTracker tracker(Lease, Start);
