A job that was cancelled before its submission arrived never runs

Cause: a cancel of an unknown job left no trace. Two related ways to the same end: a cancel that came while its job was being committed was answered 410 and the job ran; a cancel collected in the same command as its job was answered 200, but was applied before the job, without effect.

Fix: a cancel always goes through the log, which decides the order. Jobs are applied before the cancels of the same command. At most 100,000 ids are kept; beyond that a cancel of an unknown job is answered 503. A cancel costs one entry in the log also if no job is known.

Weighed: accepting the job as cancelled (200); refused, since a caller would take it for run.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -68,12 +68,13 @@
     for (const auto &end : command.ends) {
         this->applyEnd(*end, command.now_ms);
     }
-    for (const std::string &id : command.cancels) {
-        this->applyCancel(id, command.now_ms);
-    }
+    // A cancel in the same command as its job came after it.
     for (const auto &spec : command.jobs) {
         this->applyJob(*spec, command.now_ms);
     }
+    for (const std::string &id : command.cancels) {
+        this->applyCancel(id, command.now_ms);
+    }
     for (const auto &ref : command.due) {
         this->applyDueOccurrence(*ref);
     }
@@ -86,6 +87,9 @@
             this->jobTable.erase(number);
         }
     }
+    for (const std::string &id : command.forget_cancelled) {
+        this->cancelledIdTable.erase(id);
+    }
 }
 
 void CellState::applyUpstream(const wire::UpstreamT &change)
@@ -184,7 +188,7 @@
 
 void CellState::applyJob(const wire::JobSpecT &spec, std::int64_t nowMs)
 {
-    if (this->jobNumbers.contains(spec.id)) {
+    if (this->jobNumbers.contains(spec.id) || this->isCancelledId(spec.id)) {
         return;
     }
     auto job = std::make_unique<wire::JobT>();
@@ -204,10 +208,11 @@
 
 void CellState::applyCancel(const std::string &id, std::int64_t nowMs)
 {
-    if (const auto found = this->jobNumbers.find(id); found != this->jobNumbers.end()) {
-        if (wire::JobT *job = this->mutableJob(found->second); isActive(*job)) {
-            this->endJob(*job, wire::JobState::Cancelled, nowMs);
-        }
+    const auto found = this->jobNumbers.find(id);
+    if (found == this->jobNumbers.end()) {
+        this->cancelledIdTable.try_emplace(id, nowMs);
+    } else if (wire::JobT *job = this->mutableJob(found->second); isActive(*job)) {
+        this->endJob(*job, wire::JobState::Cancelled, nowMs);
     }
 }
 
@@ -347,6 +352,12 @@
     for (const auto &[number, upstream] : this->upstreamTable) {
         state.upstreams.push_back(std::make_unique<wire::UpstreamT>(upstream));
     }
+    for (const auto &[id, cancelledMs] : this->cancelledIdTable) {
+        auto cancelled = std::make_unique<wire::CancelledIdT>();
+        cancelled->id = id;
+        cancelled->cancelled_ms = cancelledMs;
+        state.cancelled_ids.push_back(std::move(cancelled));
+    }
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(wire::State::Pack(builder, &state));
     return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
@@ -373,6 +384,9 @@
         decoded.upstreamNumbers[upstream->id] = upstream->number;
         decoded.upstreamTable[upstream->number] = *upstream;
     }
+    for (const auto &cancelled : state.cancelled_ids) {
+        decoded.cancelledIdTable[cancelled->id] = cancelled->cancelled_ms;
+    }
     return decoded;
 }
 
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -51,6 +51,18 @@
     const wire::JobT *job(std::uint64_t number) const;
     const wire::JobT *jobNamed(const std::string &id) const;
 
+    /// Whether a job of this id was cancelled before it was accepted; it is not accepted any more.
+    bool isCancelledId(const std::string &id) const
+    {
+        return this->cancelledIdTable.count(id) > 0;
+    }
+
+    /// The ids for which isCancelledId() holds, each with the Unix time of its cancellation in milliseconds.
+    const std::map<std::string, std::int64_t> &cancelledIds() const
+    {
+        return this->cancelledIdTable;
+    }
+
     /// All jobs by number, which is also the order of their acceptance.
     const std::map<std::uint64_t, std::unique_ptr<wire::JobT>> &jobs() const
     {
@@ -97,6 +109,7 @@
     std::map<std::uint64_t, std::unique_ptr<wire::JobT>> jobTable;
     absl::flat_hash_map<std::string, std::uint64_t> jobNumbers;
     std::set<std::uint64_t> openJobNumbers;
+    std::map<std::string, std::int64_t> cancelledIdTable;
     std::map<std::uint64_t, wire::UpstreamT> upstreamTable;
     absl::flat_hash_map<std::string, std::uint64_t> upstreamNumbers;
 };
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -401,6 +401,11 @@
                 this->context.batch.command().forget.push_back(number);
             }
         }
+        for (const auto &[id, cancelledMs] : state.cancelledIds()) {
+            if (cancelledMs < endedBefore) {
+                this->context.batch.command().forget_cancelled.push_back(id);
+            }
+        }
     });
 }
 
--- a/src/cell/PeerCallHandler.cpp
+++ b/src/cell/PeerCallHandler.cpp
@@ -15,6 +15,9 @@
 
 const observe::Log Logger("cell");
 
+/// Bounds the memory that cancels of unknown jobs can take; each is kept as long as an ended job.
+constexpr std::size_t MaxCancelledIds = 100000;
+
 /// What a call's host and path select. Refers to the CellState that it was made from.
 struct QueueMatch {
     bool configured = false; ///< A configuration has been committed.
@@ -54,6 +57,11 @@
     return std::nullopt;
 }
 
+wire::ReplyT cancelledReply()
+{
+    return makeReply(ResultCode::CancelledBeforeStart, "The job was cancelled before it arrived, and never runs.");
+}
+
 /// Whether the job has steps and every step depends on earlier steps only.
 bool isComplete(const wire::JobSpecT &job)
 {
@@ -149,6 +157,9 @@
         if (match.job != nullptr) {
             return makeReply(ResultCode::Ok);
         }
+        if (state.isCancelledId(match.jobId)) {
+            return cancelledReply();
+        }
         call.job->id = match.jobId;
         call.job->queue = match.queue->name;
         call.job->service = match.queue->service;
@@ -161,9 +172,11 @@
         return;
     }
     call.job->zone = call.zone;
-    this->context.batch.onOutcome([reply, id = call.job->id, queue = call.job->queue](ResultCode code) {
-        Logger.info("event=job_submitted job={} queue={} outcome={}", id, queue, static_cast<int>(code));
-        reply(makeReply(code));
+    this->context.batch.onOutcome([this, reply, id = call.job->id, queue = call.job->queue](ResultCode code) {
+        // A cancel that was being committed when the job arrived comes first in the log, and the job is then left out.
+        const bool cancelled = code == ResultCode::Ok && this->context.store.read([&id](const CellState &state) { return state.isCancelledId(id); });
+        Logger.info("event=job_submitted job={} queue={} outcome={} cancelled={}", id, queue, static_cast<int>(code), cancelled);
+        reply(cancelled ? cancelledReply() : makeReply(code));
     });
     this->context.batch.command().jobs.push_back(std::move(call.job));
     this->context.wake();
@@ -188,37 +201,38 @@
 
 void PeerCallHandler::cancelJob(const wire::CallT &call, const ReplyCallback &reply)
 {
-    bool known = false;
-    bool active = false;
+    bool ended = false;
     std::string id;
-    const std::optional<wire::ReplyT> refusal = this->context.store.read([&](const CellState &state) {
+    const std::optional<wire::ReplyT> refusal = this->context.store.read([&](const CellState &state) -> std::optional<wire::ReplyT> {
         const QueueMatch match = matchQueue(state, call);
-        known = match.job != nullptr;
-        active = known && isActive(*match.job);
         id = match.jobId;
-        return refusalFor(match);
+        ended = match.job != nullptr && !isActive(*match.job);
+        if (const auto refused = refusalFor(match)) {
+            return refused;
+        }
+        const bool otherQueues = match.job == nullptr && state.jobNamed(id) != nullptr;
+        if (otherQueues || state.isCancelledId(id)) {
+            return makeReply(ResultCode::UpstreamUnknown, "No such job.");
+        }
+        if (match.job == nullptr && state.cancelledIds().size() >= MaxCancelledIds) {
+            return makeReply(ResultCode::QueueFull, "Too many jobs were cancelled before they were accepted.");
+        }
+        return std::nullopt;
     });
     if (refusal) {
         reply(*refusal);
         return;
     }
-    if (!known) {
-        // The job may be in the batch that is not proposed yet, ahead of this cancel.
-        const auto &jobs = this->context.batch.command().jobs;
-        const bool waiting = std::any_of(jobs.begin(), jobs.end(), [&id](const std::unique_ptr<wire::JobSpecT> &spec) { return spec->id == id; });
-        if (!waiting) {
-            reply(makeReply(ResultCode::UpstreamUnknown, "No such job."));
-            return;
-        }
-    }
-    if (known && !active) {
+    if (ended) {
         reply(makeReply(ResultCode::Ok));
         return;
     }
+    // Also proposed if no such job is known: its submission may be in a batch that is being committed, or wait at a VM that is slow or frozen.
     this->context.batch.command().cancels.push_back(id);
-    this->context.batch.onOutcome([reply, id](ResultCode code) {
-        Logger.info("event=job_cancelled job={} outcome={}", id, static_cast<int>(code));
-        reply(makeReply(code));
+    this->context.batch.onOutcome([this, reply, id](ResultCode code) {
+        const bool known = this->context.store.read([&id](const CellState &state) { return state.jobNamed(id) != nullptr; });
+        Logger.info("event=job_cancelled job={} outcome={} known={}", id, static_cast<int>(code), known);
+        reply(code == ResultCode::Ok && !known ? makeReply(ResultCode::UpstreamUnknown, "No such job.") : makeReply(code));
     });
     this->context.wake();
 }
--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -1,6 +1,5 @@
 #include "cell/CellRig.h"
 
-#include <optional>
 #include <thread>
 #include <utility>
 
@@ -109,10 +108,16 @@
     this->call(std::move(call));
 }
 
-base::ResultCode CellRig::call(cell::wire::CallT call)
+std::shared_ptr<std::optional<base::ResultCode>> CellRig::send(cell::wire::CallT call)
 {
     auto answered = std::make_shared<std::optional<base::ResultCode>>();
     this->leader->call(std::move(call), [answered](const cell::wire::ReplyT &reply) { *answered = static_cast<base::ResultCode>(reply.code); });
+    return answered;
+}
+
+base::ResultCode CellRig::call(cell::wire::CallT call)
+{
+    const auto answered = this->send(std::move(call));
     this->runUntil([answered] { return answered->has_value(); });
     return answered->value_or(base::ResultCode::Internal);
 }
--- a/tests/cell/CellRig.h
+++ b/tests/cell/CellRig.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cranberryreel::support
@@ -37,7 +38,10 @@
     /// Delivers a message of the upstream, or of an earlier incarnation of it, that it is leaving.
     void leave(const std::string &id);
 
-    /// Makes a peer call as another VM would and returns the result code of the reply.
+    /// Makes a peer call as another VM would; the result code is set when the scheduler replies.
+    std::shared_ptr<std::optional<base::ResultCode>> send(cell::wire::CallT call);
+
+    /// Makes a peer call and returns the result code of the reply.
     base::ResultCode call(cell::wire::CallT call);
 
     /// Submits the job and returns the result code.
--- a/tests/cell/CellStateTest.cpp
+++ b/tests/cell/CellStateTest.cpp
@@ -189,6 +189,34 @@
     BOOST_TEST(read.jobNamed("l")->number == 3U);
 }
 
+/// Failure: a cancel in the same command as its job was applied first and had no effect, so that the cancelled job ran.
+BOOST_AUTO_TEST_CASE(aJobIsCancelledByACancelInItsOwnCommand)
+{
+    CellState state = withUpstreamAndRules();
+    cell::wire::CommandT command = support::accept(support::job("j", support::step(1, 1000)));
+    command.cancels.push_back("j");
+    state.apply(command);
+    BOOST_TEST((state.jobNamed("j")->state == JobState::Cancelled));
+}
+
+/// Failure: a job that was cancelled before it arrived was accepted later and ran.
+BOOST_AUTO_TEST_CASE(aCancelledIdIsNotAcceptedUntilItIsForgotten)
+{
+    CellState state = withUpstreamAndRules();
+    cell::wire::CommandT cancel;
+    cancel.cancels.push_back("j");
+    state.apply(cancel);
+    CellState read = CellState::decode(state.encode());
+    read.apply(support::accept(support::job("j", support::step(1, 1000))));
+    BOOST_TEST(read.jobNamed("j") == nullptr);
+    BOOST_TEST(read.isCancelledId("j"));
+    cell::wire::CommandT forget;
+    forget.forget_cancelled.push_back("j");
+    read.apply(forget);
+    read.apply(support::accept(support::job("j", support::step(1, 1000))));
+    BOOST_TEST(read.jobNamed("j") != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(onlyEndedJobsAreRemoved)
 {
     CellState state = withUpstreamAndRules();
--- a/tests/platform/JobHandlerTest.cpp
+++ b/tests/platform/JobHandlerTest.cpp
@@ -90,6 +90,15 @@
     BOOST_TEST((refused.headers == std::vector<std::pair<std::string, std::string>>{{"Retry-After", "1"}}));
 }
 
+/// A job that was cancelled before it arrived is never accepted, whatever became of an earlier attempt.
+BOOST_AUTO_TEST_CASE(aSubmissionAfterItsCancelIsAnsweredGone)
+{
+    const FakeHub::Script lostThenCancelled = [](const FakeHub::Seen &, std::size_t number) {
+        return number == 1 ? link::CallResult{ResultCode::LinkDown, true, {}} : answered(cell::makeReply(ResultCode::CancelledBeforeStart));
+    };
+    BOOST_TEST(HandlerFixture(lostThenCancelled).send("POST", JobPath, OneTask).status == 410U);
+}
+
 /// A refusal guarantees that the job never runs, so it is not allowed after an attempt whose outcome is unknown.
 BOOST_AUTO_TEST_CASE(reportsUnknownOutcomeAfterALostAttempt)
 {
