A late deregistration no longer ends the renewal of an upstream's leases

When the old message arrived, everything on the upstream was killed every 6 s for the rest of its life; four tasks at work of a step with MaxUnavailable 1 lapsed together, and a job of 8 s was never completed.

Cause: a deregistration names the id alone, so handleLeave() marked the present incarnation as leaving. sendRenewal() renewed no leases of a leaving upstream, and only a further restart took the mark away. Class: a mark that outlives its owner. Upstreams that truly leave were hit too: they may serve for many seconds after their deregistration, and their tasks lapsed before they ended.

Fix: an upstream that answers has not ended, so its leases are renewed whether it leaves or not; the mark only says that nobody listening at the address means the end. It goes with the first answer of an upstream that has not announced that it drains, since a planned end begins with that.

Evidence: IncarnationTest/aLeaveMessageOfAnEarlierIncarnationDoesNotEndTheRenewalOfLeases and anUpstreamThatLeavesKeepsItsLeasesUntilItEnds, red with UpstreamManager of the commit before (three starts instead of one; upstream removed; lapsed), green with the change; all cases of cell_tests pass.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -120,7 +120,7 @@
     if (number != 0) {
         Logger.info("event=upstream_leaving upstream={} number={}", id, number);
         UpstreamTracker &tracker = this->trackerOf(number, now);
-        // The message may be a delayed one of an earlier incarnation. The next renewal shows who answers at the address.
+        // The message may be a delayed one of an earlier incarnation. Renewals go on and show whether the present one has ended.
         tracker.leaving = true;
         tracker.nextRenewal = now;
     }
@@ -195,7 +195,7 @@
     RenewRequest request;
     request.epoch = this->context.epoch;
     request.acknowledged = tracker.endToAcknowledge(now);
-    if (tracker.readBack && tracker.silentCalls == 0 && !tracker.retryingRenewal && !tracker.leaving) {
+    if (tracker.readBack && tracker.silentCalls == 0 && !tracker.retryingRenewal) {
         request.deadline = tracker.grantLease(now);
         // An acknowledgement that this renewal withholds follows right after its answer.
         const bool withheld = request.acknowledged == 0 && tracker.lastCommittedEnd > tracker.lastAcknowledgedEnd;
@@ -232,14 +232,16 @@
         this->handleSilence(number, tracker, now, result.callResult.status);
         return;
     }
-    const std::int64_t born = this->context.store.read([number](const CellState &state) {
+    const auto [born, draining] = this->context.store.read([number](const CellState &state) {
         const auto upstream = state.upstreams().find(number);
-        return upstream == state.upstreams().end() ? std::int64_t{0} : upstream->second.born_ms;
+        return upstream == state.upstreams().end() ? std::pair(std::int64_t{0}, false) : std::pair(upstream->second.born_ms, upstream->second.draining);
     });
     if (result.bornMs > born) {
         this->handleRestart(number, result.bornMs);
         return;
     }
+    // An upstream drains before it leaves, so an earlier incarnation of this one sent the message.
+    tracker.leaving = tracker.leaving && draining;
     if (tracker.silentCalls > 0) {
         Logger.info("event=upstream_responsive number={} after_silent_calls={}", number, tracker.silentCalls);
     }
--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -97,6 +97,16 @@
 }
 
 void CellRig::announce(const std::string &id, std::uint64_t sequence)
+{
+    this->announce(id, sequence, false);
+}
+
+void CellRig::announceDraining(const std::string &id, std::uint64_t sequence)
+{
+    this->announce(id, sequence, true);
+}
+
+void CellRig::announce(const std::string &id, std::uint64_t sequence, bool draining)
 {
     cell::wire::CallT call;
     call.kind = cell::wire::CallKind::Announce;
@@ -104,6 +114,7 @@
     call.announcement->upstream =
         this->store.read([&id](const cell::CellState &state) { return std::make_unique<cell::wire::UpstreamT>(*state.upstreamNamed(id)); });
     call.announcement->upstream->born_ms = this->upstreams.upstreams[id].bornMs;
+    call.announcement->upstream->draining = draining;
     call.announcement->sequence = sequence;
     this->call(std::move(call));
 }
--- a/tests/cell/CellRig.h
+++ b/tests/cell/CellRig.h
@@ -34,6 +34,7 @@
 
     void addUpstream(const std::string &id, std::uint32_t cpuMillis);
     void announce(const std::string &id, std::uint64_t sequence);
+    void announceDraining(const std::string &id, std::uint64_t sequence);
 
     /// Delivers a message of the upstream, or of an earlier incarnation of it, that it is leaving.
     void leave(const std::string &id);
@@ -67,6 +68,7 @@
     AllowAllAdvice advice;
 
 private:
+    void announce(const std::string &id, std::uint64_t sequence, bool draining);
     void runPosted();
 
     cell::CellOptions options;
--- a/tests/cell/IncarnationTest.cpp
+++ b/tests/cell/IncarnationTest.cpp
@@ -48,4 +48,40 @@
     BOOST_TEST(rig.upstreams.startCounts["j.0.0.0"] == 1);
 }
 
+/// Failure: a leave message of an earlier incarnation arrived late, and the leases of the present one were never renewed again; all its runs lapsed.
+BOOST_AUTO_TEST_CASE(aLeaveMessageOfAnEarlierIncarnationDoesNotEndTheRenewalOfLeases)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.startCounts["j.0.0.0"] == 1; }));
+    rig.leave("u1");
+    rig.run(milliseconds(1000)); // Leases last 400 ms.
+    BOOST_TEST(rig.upstreams.upstreamOf("j.0.0.0") == "u1");
+    BOOST_TEST(rig.upstreams.startCounts["j.0.0.0"] == 1);
+    // The message has no effect later either: an address where nobody listens for a moment does not remove the upstream.
+    rig.upstreams.upstreams["u1"].unreachableStatus = cell::UpstreamCallStatus::Absent;
+    rig.upstreams.upstreams["u1"].reachable = false;
+    rig.run(milliseconds(100));
+    BOOST_TEST(rig.store.read([](const cell::CellState &state) { return state.upstreamNamed("u1") != nullptr; }));
+}
+
+/// Failure: as above, for a leave message that is true; an upstream may serve for many seconds after it, and the tasks there lapsed before it ended.
+BOOST_AUTO_TEST_CASE(anUpstreamThatLeavesKeepsItsLeasesUntilItEnds)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.startCounts["j.0.0.0"] == 1; }));
+    rig.announceDraining("u1", 2);
+    rig.leave("u1");
+    rig.run(milliseconds(1000));
+    BOOST_TEST(rig.upstreams.upstreamOf("j.0.0.0") == "u1");
+    rig.addUpstream("u2", 8000);
+    rig.upstreams.upstreams["u1"].unreachableStatus = cell::UpstreamCallStatus::Absent;
+    rig.upstreams.upstreams["u1"].reachable = false;
+    rig.upstreams.upstreams["u1"].running.clear();
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf("j.0.0.0") == "u2"; }, milliseconds(300)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
