A refusal from an upstream's earlier address does not remove the upstream

Callers would see: an upstream starts again under its id at another address. A start or stop sent to the earlier address is refused (421), since another upstream listens there by then, and the upstream, alive and announced, is removed with all its runs until it announces itself anew.

Cause: RunManager looked at the incarnation for the clock in an answer, but not for the refusal.

Fix: the refusal counts only for the incarnation that the request was sent to; otherwise a start counts as never started and a stop is repeated.

--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -145,10 +145,11 @@
     }
     run->callPending = false;
     const auto found = this->context.trackers.find(run->upstream);
-    if (found != this->context.trackers.end() && found->second.incarnation == incarnation && result.clock) {
+    const bool sameIncarnation = found != this->context.trackers.end() && found->second.incarnation == incarnation;
+    if (sameIncarnation && result.clock) {
         found->second.recordClock(*result.clock, now);
     }
-    if (result.status == UpstreamCallStatus::OtherUpstream) {
+    if (sameIncarnation && result.status == UpstreamCallStatus::OtherUpstream) {
         this->onUpstreamReplaced(run->upstream);
         return;
     }
@@ -251,7 +252,7 @@
     run->callPending = false;
     const auto found = this->context.trackers.find(run->upstream);
     const bool sameIncarnation = found != this->context.trackers.end() && found->second.incarnation == incarnation;
-    if (result.status == UpstreamCallStatus::OtherUpstream) {
+    if (sameIncarnation && result.status == UpstreamCallStatus::OtherUpstream) {
         this->onUpstreamReplaced(run->upstream);
     } else if (result.status == UpstreamCallStatus::Done && sameIncarnation) {
         run->stopConfirmedAt = now;
--- a/tests/cell/IncarnationTest.cpp
+++ b/tests/cell/IncarnationTest.cpp
@@ -84,4 +84,24 @@
     BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf("j.0.0.0") == "u2"; }, milliseconds(300)));
 }
 
+/// Failure: an upstream began again at another address; the refusal from its earlier address, where another upstream listened by then, removed it.
+BOOST_AUTO_TEST_CASE(aRefusalFromTheAddressOfAnEarlierIncarnationDoesNotRemoveTheUpstream)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    const auto numberOf = [&rig] {
+        return rig.store.read([](const cell::CellState &state) { return state.upstreamNamed("u1") == nullptr ? 0 : state.upstreamNamed("u1")->number; });
+    };
+    const std::uint64_t number = numberOf();
+    rig.upstreams.upstreams["u1"].holdsStarts = true;
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.heldStarts.empty(); }));
+    rig.upstreams.restart("u1");
+    rig.announce("u1", 1);
+    rig.upstreams.answerStarts(cell::UpstreamCallStatus::OtherUpstream);
+    rig.run(milliseconds(50));
+    BOOST_TEST(numberOf() == number);
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf("j.0.0.0") == "u1"; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -64,6 +64,10 @@
 {
     Upstream &upstream = this->upstreams[target.id];
     upstream.startLimits.push_back(limit);
+    if (upstream.holdsStarts) {
+        this->heldStarts.push_back(std::move(done));
+        return;
+    }
     if (!upstream.reachable || upstream.dropsStarts) {
         upstream.delayedStarts.push_back(request);
         done({UpstreamCallStatus::Unknown, std::nullopt, "no answer"});
@@ -168,6 +172,13 @@
     }
 }
 
+void ScriptedUpstreams::answerStarts(cell::UpstreamCallStatus status)
+{
+    for (const cell::UpstreamCallback &done : std::exchange(this->heldStarts, {})) {
+        done({status, std::nullopt, {}});
+    }
+}
+
 void ScriptedUpstreams::breakRenewals()
 {
     for (const cell::RenewCallback &done : std::exchange(this->heldRenewals, {})) {
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -29,6 +29,7 @@
         bool reachable = true;
         cell::UpstreamCallStatus unreachableStatus = cell::UpstreamCallStatus::Unknown; ///< The result of renewals while not reachable.
         bool dropsStarts = false; ///< Start requests are not answered; they stay in `delayedStarts`.
+        bool holdsStarts = false; ///< Start requests are not carried out and wait until answerStarts().
         bool dropsAnswers = false; ///< Start requests are carried out, but their answers are lost.
         bool dropsStops = false;
         bool refusesAsFull = false;
@@ -71,6 +72,9 @@
     /// Carries out the start requests that had no answer.
     void deliverDelayedStarts(const std::string &id);
 
+    /// Answers the start requests that wait.
+    void answerStarts(cell::UpstreamCallStatus status);
+
     /// Ends the renewals that wait, without an answer.
     void breakRenewals();
 
@@ -85,6 +89,7 @@
 
     std::map<std::string, Upstream> upstreams;
     std::map<std::string, int> startCounts; ///< Number of runs started, by task.
+    std::vector<cell::UpstreamCallback> heldStarts; ///< Start requests that wait.
     std::vector<cell::RenewCallback> heldRenewals; ///< Renewals that wait.
     std::set<std::string> ranTwice; ///< Tasks that ran twice at the same time, which must never happen.
 
