Nothing is placed on a restarted upstream until it announces itself

Cause: where a renewal's answer showed the restart first, handleRestart() recorded the new start time beside the description of the earlier incarnation, and the next renewal made the upstream usable.

Fix: such an incarnation is recorded without size, labels and service until it announces itself. The record is in the log, so the next leader does not fill it either. The tracker knows the start time that it last began with, so that a renewal answered before the announcement is committed does not undo the announcement.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -88,7 +88,7 @@
     }
     if (announced.born_ms > known->born_ms) {
         Logger.info("event=upstream_restarted upstream={} number={} born={} earlier={}", announced.id, known->number, announced.born_ms, known->born_ms);
-        tracker.beginIncarnation(now);
+        tracker.beginIncarnation(announced.born_ms, now);
     }
     tracker.announcementSequence = announcement.sequence;
     tracker.announcedAt = now;
@@ -236,8 +236,9 @@
         const auto upstream = state.upstreams().find(number);
         return upstream == state.upstreams().end() ? std::pair(std::int64_t{0}, false) : std::pair(upstream->second.born_ms, upstream->second.draining);
     });
-    if (result.bornMs > born) {
-        this->handleRestart(number, result.bornMs);
+    // The record of an incarnation that announced itself just now may not be committed yet.
+    if (result.bornMs > std::max(born, tracker.bornMs)) {
+        this->handleRestart(number, tracker, result.bornMs);
         return;
     }
     // An upstream drains before it leaves, so an earlier incarnation of this one sent the message.
@@ -257,14 +258,18 @@
     this->context.wake();
 }
 
-void UpstreamManager::handleRestart(std::uint64_t number, std::int64_t bornMs)
+void UpstreamManager::handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs)
 {
     Logger.info("event=upstream_restarted number={} born={}", number, bornMs);
-    this->trackerOf(number, base::steadyNow()).beginIncarnation(base::steadyNow());
-    std::optional<wire::UpstreamT> change = this->context.upstreamRecord(number);
-    if (change) {
-        change->born_ms = bornMs;
-        this->proposeUpstream(*change, [](base::ResultCode) {});
+    tracker.beginIncarnation(bornMs, base::steadyNow());
+    if (const std::optional<wire::UpstreamT> known = this->context.upstreamRecord(number)) {
+        // The new incarnation may be smaller, of another kind or of another service, so nothing is placed there until it announces itself.
+        wire::UpstreamT undescribed;
+        undescribed.id = known->id;
+        undescribed.address = known->address;
+        undescribed.zone = known->zone;
+        undescribed.born_ms = bornMs;
+        this->proposeUpstream(undescribed, [](base::ResultCode) {});
     }
 }
 
--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -27,12 +27,13 @@
 UpstreamTracker::UpstreamTracker(std::chrono::milliseconds maxLease, base::SteadyTime now)
     : leaseMax(maxLease)
 {
-    this->beginIncarnation(now);
+    this->beginIncarnation(0, now);
 }
 
-void UpstreamTracker::beginIncarnation(base::SteadyTime now)
+void UpstreamTracker::beginIncarnation(std::int64_t born, base::SteadyTime now)
 {
     ++this->incarnation;
+    this->bornMs = born;
     this->readBack = false;
     this->isLost = false;
     this->retryingRenewal = false;
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -52,8 +52,9 @@
     /// done there ends the doubling.
     void exclude(base::SteadyTime now, std::chrono::milliseconds least);
 
-    /// Resets the state for a new incarnation of the upstream: earlier runs are gone, its clock and the numbers of its ends start anew.
-    void beginIncarnation(base::SteadyTime now);
+    /// Resets the state for the incarnation of the upstream that started at `born`, Unix time in milliseconds: earlier runs are gone, its clock and the numbers
+    /// of its ends start anew.
+    void beginIncarnation(std::int64_t born, base::SteadyTime now);
 
     // Renewals.
     bool renewalPending = false; ///< A renewal has no answer yet.
@@ -64,6 +65,7 @@
     bool readBack = false; ///< The runs and ends of this incarnation were read in this term.
     bool isLost = false; ///< All leases expired while the upstream was silent, and its runs were ended.
     std::uint64_t incarnation = 0; ///< Counts the incarnations seen in this term, so that late answers of an earlier one can be discarded.
+    std::int64_t bornMs = 0; ///< Start time of the incarnation, Unix time in milliseconds; 0 while it is the recorded one.
 
     // Ends.
     std::uint64_t lastCommittedEnd = 0; ///< Ends up to this number are committed.
--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -83,6 +83,7 @@
     call.kind = cell::wire::CallKind::Announce;
     call.announcement = std::make_unique<cell::wire::AnnouncementT>();
     call.announcement->upstream = upstream(id, cpuMillis);
+    this->descriptions[id] = *call.announcement->upstream;
     call.announcement->sequence = 1;
     this->call(std::move(call));
     this->run(std::chrono::milliseconds(20));
@@ -107,14 +108,19 @@
 }
 
 void CellRig::announce(const std::string &id, std::uint64_t sequence, bool draining)
+{
+    cell::wire::UpstreamT description = this->descriptions.at(id);
+    description.born_ms = this->upstreams.upstreams[id].bornMs;
+    description.draining = draining;
+    this->announce(description, sequence);
+}
+
+void CellRig::announce(const cell::wire::UpstreamT &description, std::uint64_t sequence)
 {
     cell::wire::CallT call;
     call.kind = cell::wire::CallKind::Announce;
     call.announcement = std::make_unique<cell::wire::AnnouncementT>();
-    call.announcement->upstream =
-        this->store.read([&id](const cell::CellState &state) { return std::make_unique<cell::wire::UpstreamT>(*state.upstreamNamed(id)); });
-    call.announcement->upstream->born_ms = this->upstreams.upstreams[id].bornMs;
-    call.announcement->upstream->draining = draining;
+    call.announcement->upstream = std::make_unique<cell::wire::UpstreamT>(description);
     call.announcement->sequence = sequence;
     this->call(std::move(call));
 }
--- a/tests/cell/CellRig.h
+++ b/tests/cell/CellRig.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,6 +35,7 @@
 
     void addUpstream(const std::string &id, std::uint32_t cpuMillis);
     void announce(const std::string &id, std::uint64_t sequence);
+    void announce(const cell::wire::UpstreamT &description, std::uint64_t sequence);
     void announceDraining(const std::string &id, std::uint64_t sequence);
 
     /// Delivers a message of the upstream, or of an earlier incarnation of it, that it is leaving.
@@ -71,6 +73,7 @@
     void announce(const std::string &id, std::uint64_t sequence, bool draining);
     void runPosted();
 
+    std::map<std::string, cell::wire::UpstreamT> descriptions; ///< Of the upstreams added, by id.
     cell::CellOptions options;
     testsupport::FakeHub hub;
     cell::AdviceDispatcher pool;
--- a/tests/cell/IncarnationTest.cpp
+++ b/tests/cell/IncarnationTest.cpp
@@ -104,4 +104,26 @@
     BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf("j.0.0.0") == "u1"; }));
 }
 
+/// Failure: an upstream began again with a quarter of its size and was filled to its earlier size until it announced itself.
+BOOST_AUTO_TEST_CASE(nothingIsPlacedOnARestartedUpstreamUntilItAnnouncesItself)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("long", support::step(1, 1000))); // Keeps renewals going, which show the restart.
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf("long.0.0.0") == "u1"; }));
+    rig.upstreams.restart("u1");
+    rig.submit(support::job("j", support::step(8, 1000)));
+    rig.run(milliseconds(200));
+    BOOST_TEST(rig.upstreams.runningTasks().empty());
+    rig.takeOver(); // Holds for the next leader too.
+    rig.run(milliseconds(200));
+    BOOST_TEST(rig.upstreams.runningTasks().empty());
+    const auto smaller = support::upstream("u1", 2000);
+    smaller->born_ms = rig.upstreams.upstreams["u1"].bornMs;
+    rig.announce(*smaller, 1);
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.runningTasks().size() == 2; }));
+    rig.run(milliseconds(100));
+    BOOST_TEST(rig.upstreams.runningTasks().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/PlannerTest.cpp
+++ b/tests/cell/PlannerTest.cpp
@@ -124,7 +124,7 @@
     cell.state.apply(support::accept(support::job("j", support::step(1, 1000))));
     cell.advice.adviceFor({1, 0, 0}).allowed[1] = {"ticket", Now + std::chrono::seconds(2), cell.trackers.at(1).incarnation, Now + std::chrono::seconds(2)};
     BOOST_TEST(cell.plan().starts.size() == 1U);
-    cell.trackers.at(1).beginIncarnation(Now);
+    cell.trackers.at(1).beginIncarnation(2, Now);
     cell.trackers.at(1).readBack = true;
     BOOST_TEST(cell.plan().starts.empty());
 }
--- a/tests/cell/UpstreamTrackerTest.cpp
+++ b/tests/cell/UpstreamTrackerTest.cpp
@@ -56,7 +56,7 @@
     tracker.lastCommittedEnd = 17;
     tracker.readBack = true;
     const std::uint64_t before = tracker.incarnation;
-    tracker.beginIncarnation(Start + milliseconds(10000));
+    tracker.beginIncarnation(1, Start + milliseconds(10000));
     BOOST_TEST(tracker.incarnation > before);
     BOOST_TEST(tracker.lastCommittedEnd == 0U);
     BOOST_TEST(!tracker.readBack);
@@ -77,7 +77,7 @@
         tracker.recordEnds(Start + std::chrono::seconds(4 + i));
     }
     BOOST_TEST((tracker.renewalWait() == longest));
-    tracker.beginIncarnation(Start + std::chrono::seconds(30));
+    tracker.beginIncarnation(1, Start + std::chrono::seconds(30));
     BOOST_TEST((tracker.renewalWait() == longest));
 }
 
