The answer to a renewal, not the later start time, tells which incarnation runs

Cause: incarnations were ordered by a time of the upstream's clock. Announcements with an earlier start time counted as delayed, and so did answers to renewals, although an answer can only come from what runs now: an answer that an earlier incarnation sent is dropped by the tracker's incarnation number.

Fix: a start time in a renewal's answer that differs from the known one means a restart, whichever is later. An announcement with an earlier one is kept and checked by a renewal at once; if that shows the same start time, its description is recorded.

Left: an announcement of an earlier incarnation with a later start time is believed until the next renewal, a few milliseconds.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -81,13 +81,21 @@
         return;
     }
     UpstreamTracker &tracker = this->trackerOf(known->number, now);
-    const bool stale = announced.born_ms < known->born_ms || (announced.born_ms == known->born_ms && announcement.sequence <= tracker.announcementSequence);
-    if (stale) {
+    const std::int64_t born = tracker.bornOr(known->born_ms);
+    if (announced.born_ms < born) {
+        // A delayed announcement, or the upstream's clock was set back before it started again. A renewal shows which incarnation runs.
+        tracker.earlierBorn = announced;
+        tracker.nextRenewal = now;
+        done(base::ResultCode::Ok);
+        this->context.wake();
+        return;
+    }
+    if (announced.born_ms == born && announcement.sequence <= tracker.announcementSequence) {
         done(base::ResultCode::Ok);
         return;
     }
-    if (announced.born_ms > known->born_ms) {
-        Logger.info("event=upstream_restarted upstream={} number={} born={} earlier={}", announced.id, known->number, announced.born_ms, known->born_ms);
+    if (announced.born_ms > born) {
+        Logger.info("event=upstream_restarted upstream={} number={} born={} earlier={}", announced.id, known->number, announced.born_ms, born);
         tracker.beginIncarnation(announced.born_ms, now);
     }
     tracker.announcementSequence = announcement.sequence;
@@ -151,7 +159,7 @@
 bool UpstreamManager::needsRenewal(std::uint64_t number, const UpstreamTracker &tracker, base::SteadyTime now) const
 {
     const bool announcementOverdue = now - tracker.announcedAt > AnnouncementMaxAge;
-    return announcementOverdue || !tracker.readBack || tracker.leaving || this->context.runs.countOnUpstream(number) > 0
+    return announcementOverdue || !tracker.readBack || tracker.leaving || tracker.earlierBorn || this->context.runs.countOnUpstream(number) > 0
         || tracker.lastCommittedEnd > tracker.lastAcknowledgedEnd;
 }
 
@@ -236,11 +244,12 @@
         const auto upstream = state.upstreams().find(number);
         return upstream == state.upstreams().end() ? std::pair(std::int64_t{0}, false) : std::pair(upstream->second.born_ms, upstream->second.draining);
     });
-    // The record of an incarnation that announced itself just now may not be committed yet.
-    if (result.bornMs > std::max(born, tracker.bornMs)) {
+    // The record of an incarnation that announced itself just now may not be committed yet. A later incarnation may have been born earlier by its clock.
+    if (result.bornMs != 0 && result.bornMs != tracker.bornOr(born)) {
         this->handleRestart(number, tracker, result.bornMs);
         return;
     }
+    tracker.earlierBorn.reset();
     // An upstream drains before it leaves, so an earlier incarnation of this one sent the message.
     tracker.leaving = tracker.leaving && draining;
     if (tracker.silentCalls > 0) {
@@ -261,8 +270,11 @@
 void UpstreamManager::handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs)
 {
     Logger.info("event=upstream_restarted number={} born={}", number, bornMs);
+    const std::optional<wire::UpstreamT> announced = std::exchange(tracker.earlierBorn, std::nullopt);
     tracker.beginIncarnation(bornMs, base::steadyNow());
-    if (const std::optional<wire::UpstreamT> known = this->context.upstreamRecord(number)) {
+    if (announced && announced->born_ms == bornMs) {
+        this->proposeUpstream(*announced, [](base::ResultCode) {});
+    } else if (const std::optional<wire::UpstreamT> known = this->context.upstreamRecord(number)) {
         // The new incarnation may be smaller, of another kind or of another service, so nothing is placed there until it announces itself.
         wire::UpstreamT undescribed;
         undescribed.id = known->id;
--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -49,6 +49,7 @@
     this->leaving = false;
     this->announcedAt = now;
     this->announcementSequence = 0;
+    this->earlierBorn.reset();
     this->lastClock.reset();
     this->latestLeaseEnd = {};
     this->hasGrantedLease = false;
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/UpstreamCalls.h"
+#include "cell/generated/cell_generated.h"
 
 #include "cranberryreel/base/Clock.h"
 
@@ -45,6 +46,12 @@
     /// Records that this incarnation answered a renewal that acknowledged ends up to `acknowledged`.
     void recordAnswer(std::uint64_t acknowledged, base::SteadyTime now);
 
+    /// The start time of the known incarnation, where `recorded` is that of the upstream's record.
+    std::int64_t bornOr(std::int64_t recorded) const
+    {
+        return this->bornMs == 0 ? recorded : this->bornMs;
+    }
+
     /// Whether all leases that any request may have granted have certainly expired.
     bool leasesExpired(base::SteadyTime now) const;
 
@@ -77,6 +84,7 @@
     bool leaving = false; ///< The upstream said that it stops.
     base::SteadyTime announcedAt{}; ///< When the last announcement arrived.
     std::uint64_t announcementSequence = 0;
+    std::optional<wire::UpstreamT> earlierBorn; ///< The last announcement of an incarnation that started before the known one, by its own clock.
 
     // Failures and exclusion.
     int failuresInRow = 0; ///< Failed tasks of different jobs without a task done in between.
--- a/tests/cell/IncarnationTest.cpp
+++ b/tests/cell/IncarnationTest.cpp
@@ -126,4 +126,30 @@
     BOOST_TEST(rig.upstreams.runningTasks().size() == 2U);
 }
 
+/// Failure: an upstream whose clock was set back began again with an earlier start time; it was taken for the earlier incarnation, and its first ends for ends
+/// already recorded, so that tasks that were done ran again.
+BOOST_AUTO_TEST_CASE(anIncarnationBornEarlierByItsClockIsRecognized)
+{
+    CellRig rig;
+    rig.upstreams.upstreams["u1"].bornMs = 10;
+    rig.addUpstream("u1", 8000);
+    rig.announce("u1", 1);
+    for (const char *id : {"a", "b", "c"}) {
+        BOOST_REQUIRE(completeJob(rig, id));
+    }
+    rig.upstreams.restart("u1");
+    rig.upstreams.upstreams["u1"].bornMs = 5;
+    rig.announce("u1", 1);
+    BOOST_TEST(completeJob(rig, "d"));
+    BOOST_TEST(rig.upstreams.startCounts["d.0.0.0"] == 1);
+    // A delayed announcement of the earlier incarnation changes nothing for long.
+    rig.upstreams.upstreams["u1"].bornMs = 10;
+    rig.announce("u1", 9);
+    rig.upstreams.upstreams["u1"].bornMs = 5;
+    rig.run(milliseconds(50));
+    rig.announce("u1", 2);
+    BOOST_TEST(completeJob(rig, "e"));
+    BOOST_TEST(rig.upstreams.startCounts["e.0.0.0"] == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
