Starts sent to an upstream that has just died no longer extend its leases

An upstream that dies is noticed after up to 2.3 s (a renewal that waits, and its repetition), starts sent by then are repeated for 1.3 s, and only 6.3 s after the last of them were its runs given up: 9.9 s. Ruled out by the record: a change of leader (the spans are calm), waiting for room or advice (attempts are consecutive, room is given).

Fix: UpstreamTracker::leaseForStart(). A start extends the lease only where less than half of it is left and the upstream answers its renewals; else it carries the lease that the last renewal granted. Runs of a dead upstream are given up 6.3 s after its last renewal.

--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -86,7 +86,7 @@
         run.nextCall = now + StartRetryInterval;
         return;
     }
-    const auto deadline = tracker->second.grantLease(now);
+    const auto deadline = tracker->second.leaseForStart(now);
     if (!deadline) {
         run.nextCall = now + StartRetryInterval;
         return;
--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds MinRenewalWait{300};
 constexpr std::chrono::milliseconds MaxRenewalWait{1500};
 constexpr int EndIntervalsPerWait = 3;
+/// A start is sent with a lease that has at least this part of the longest lease left; renewals come several times as often.
+constexpr int MinStartLeaseDivisor = 2;
 /// Ends are acknowledged at most this long after an answer. A commit takes milliseconds; an upstream needs longer to start again and end a task.
 constexpr std::chrono::milliseconds AcknowledgementMaxAge{200};
 /// Weight of the newest interval between ends in the smoothed one.
@@ -95,6 +97,16 @@
     return this->latestLeaseEnd;
 }
 
+std::optional<std::chrono::milliseconds> UpstreamTracker::leaseForStart(base::SteadyTime now)
+{
+    const auto clock = this->minimumClock(now);
+    if (!clock || !this->hasGrantedLease) {
+        return this->grantLease(now);
+    }
+    const bool answers = this->silentCalls == 0 && !this->retryingRenewal;
+    return answers && this->latestLeaseEnd - *clock < this->leaseMax / MinStartLeaseDivisor ? this->grantLease(now) : this->latestLeaseEnd;
+}
+
 std::chrono::milliseconds UpstreamTracker::renewalWait() const
 {
     return this->endInterval ? std::clamp(EndIntervalsPerWait * *this->endInterval, MinRenewalWait, MaxRenewalWait) : MaxRenewalWait;
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -31,6 +31,10 @@
     /// an answer. Nothing before the first clock reading.
     std::optional<std::chrono::milliseconds> grantLease(base::SteadyTime now);
 
+    /// Returns the lease deadline for a start request sent at `now`. A start extends the leases only where little of them is left and the upstream answers its
+    /// renewals: they cover all that runs there, and on an upstream that has just died each extension would delay the restart of all of it.
+    std::optional<std::chrono::milliseconds> leaseForStart(base::SteadyTime now);
+
     /// How long the upstream may delay its answer to a renewal while no task ends there: a few times the usual time between ends. Where tasks end often, a lost
     /// answer is so noticed before it delays many jobs; where they end rarely, few renewals are sent.
     std::chrono::milliseconds renewalWait() const;
--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -382,4 +382,25 @@
     BOOST_TEST(rig.upstreams.ranTwice.empty());
 }
 
+/// Failure: tasks placed on an upstream that had just died, before its silence showed, extended its leases, and what had run there was started again late.
+BOOST_AUTO_TEST_CASE(startsSentToADeadUpstreamDoNotDelayTheRestartOfItsTasks)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("long", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf("long.0.0.0") == "u1"; }));
+    auto &scripted = rig.upstreams.upstreams["u1"];
+    scripted.holdsRenewals = true;
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.heldRenewals.empty(); }));
+    scripted.reachable = false;
+    const milliseconds renewed = scripted.deadline;
+    rig.run(milliseconds(50));
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return !scripted.delayedStarts.empty(); }));
+    for (const cell::StartRequest &request : scripted.delayedStarts) {
+        BOOST_TEST((request.deadline <= rig.upstreams.heldDeadline));
+    }
+    BOOST_TEST((renewed <= rig.upstreams.heldDeadline));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -112,6 +112,7 @@
     cell::RenewResult renewed;
     if (upstream.holdsRenewals) {
         this->heldRenewals.push_back(std::move(done));
+        this->heldDeadline = request.deadline.value_or(std::chrono::milliseconds(0));
         return;
     }
     if (upstream.renewalsToDrop > 0) {
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -91,6 +91,7 @@
     std::map<std::string, int> startCounts; ///< Number of runs started, by task.
     std::vector<cell::UpstreamCallback> heldStarts; ///< Start requests that wait.
     std::vector<cell::RenewCallback> heldRenewals; ///< Renewals that wait.
+    std::chrono::milliseconds heldDeadline{0}; ///< Deadline of the last of them.
     std::set<std::string> ranTwice; ///< Tasks that ran twice at the same time, which must never happen.
 
 private:
--- a/tests/cell/UpstreamTrackerTest.cpp
+++ b/tests/cell/UpstreamTrackerTest.cpp
@@ -98,6 +98,21 @@
     BOOST_TEST(tracker.endToAcknowledge(Start + milliseconds(700)) == 0U);
 }
 
+/// Failure: starts sent to an upstream that had just died extended its leases, so that lasting tasks there were started again only after 10 s.
+BOOST_AUTO_TEST_CASE(aStartExtendsLeasesOnlyWhereLittleIsLeftAndTheUpstreamAnswers)
+{
+    UpstreamTracker tracker(Lease, Start);
+    tracker.recordClock(milliseconds(0), Start);
+    BOOST_TEST((tracker.leaseForStart(Start) == milliseconds(6000))); // Nothing was granted yet.
+    BOOST_TEST((tracker.leaseForStart(Start + milliseconds(2000)) == milliseconds(6000)));
+    BOOST_TEST((tracker.leaseForStart(Start + milliseconds(4000)) == milliseconds(9920)));
+    tracker.retryingRenewal = true;
+    BOOST_TEST((tracker.leaseForStart(Start + milliseconds(9000)) == milliseconds(9920)));
+    tracker.retryingRenewal = false;
+    tracker.silentCalls = 1;
+    BOOST_TEST((tracker.leaseForStart(Start + milliseconds(9500)) == milliseconds(9920)));
+}
+
 BOOST_AUTO_TEST_CASE(repeatedExclusionsDouble)
 {
     UpstreamTracker tracker(Lease, Start);
