--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -235,6 +235,26 @@
     }
 }
 
+/// Failure: numbers too large for their field were cut off or undefined, so that a list named runs, ends and clocks that do not exist.
+BOOST_AUTO_TEST_CASE(rejectsNumbersThatAreTooLarge)
+{
+    const std::vector<std::string> bad = {R"({"ClockMs":70,"Running":[["j.0.1.2",4294967297,"",41]]})",
+                                          R"({"ClockMs":70,"Running":[["j.0.1.2",-1,"",41]]})",
+                                          R"({"ClockMs":70,"Finished":[[18446744073709551615,"j.0.0.1",1,"done",""]]})",
+                                          R"({"ClockMs":70,"Finished":[[58,"j.0.0.1",4294967297,"done",""]]})"};
+    for (const std::string &each : bad) {
+        BOOST_TEST((platform::decodeRenewResponse(responseWith(200, each)).callResult.status == UpstreamCallStatus::Unknown), each);
+    }
+    const cell::RenewResult read = platform::decodeRenewResponse(responseWith(200, R"({"ClockMs":70,"Running":[["j.0.1.2",1,"",1e300,-1e300]]})"));
+    BOOST_REQUIRE(read.running.size() == 1U);
+    BOOST_TEST((read.running[0].percent == 100 && read.running[0].measurement == 0));
+    BOOST_TEST(!platform::decodeCallResponse(responseWith(200, R"({"ClockMs":9223372036854775807})")).clock.has_value());
+    for (const char *field : {"/Address", "/ClockMs"}) {
+        const nlohmann::json value = std::string(field) == "/Address" ? nlohmann::json("10.9.8.7:0") : nlohmann::json(9223372036854775807);
+        BOOST_TEST(throwsError([&] { platform::decodeAnnouncement("i", edited(AnnouncementBody, field, value).dump()); }), field);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(rejectsPartlyInvalidAdvice)
 {
     const cell::AdviceResult good = platform::decodeAdviceResponse(responseWith(200, R"({"Allowed":[["i-1","t1"],["i-2","t2"]],"ValidMs":900})"));
--- a/tests/support/PlatformCell.cpp
+++ b/tests/support/PlatformCell.cpp
@@ -174,6 +174,11 @@
     return this->call("POST", this->control(vm), "/api/config/put", body).status;
 }
 
+long PlatformCell::announce(const std::string &vm, const std::string &upstream, const std::string &body)
+{
+    return this->call("POST", this->control(vm), "/api/instances/" + upstream + "/heartbeat", body).status;
+}
+
 long PlatformCell::putConfig(const std::string &vm, int version)
 {
     return this->put(vm, configuration(version));
--- a/tests/support/PlatformCell.h
+++ b/tests/support/PlatformCell.h
@@ -70,6 +70,8 @@
     long put(const std::string &vm, const std::string &body);
     long putConfig(const std::string &vm, int version);
     long submit(const std::string &entryVm, const std::string &job);
+    /// Sends an upstream's announcement.
+    long announce(const std::string &vm, const std::string &upstream, const std::string &body);
     long stateOf(const std::string &entryVm, const std::string &job);
 
     /// The version that the VM returns; empty if it returns none.
