Test: a cell whose disks were full in turn accepts changes afterwards

LostVoterTest/aCellWhoseDisksWereFullInTurnAcceptsChanges plays it with real processes, three and four VMs with a disk, two rounds of 3 s a disk without a pause between them and a write every 50 ms, and a loss of power of all at the end.

--- a/tests/platform/LostVoterTest.cpp
+++ b/tests/platform/LostVoterTest.cpp
@@ -23,12 +23,12 @@
 /// The cell serves again within this time after the VMs are back.
 constexpr std::chrono::seconds RecoveryTime{12};
 
-/// A cell of four VMs with a disk, three of them voters, and its operator.
+/// A cell of four VMs with a disk by default, three of them voters, and its operator.
 class Operator
 {
 public:
-    Operator()
-        : cell({4, 1, 1})
+    explicit Operator(int diskVms = 4)
+        : cell({diskVms, 1, 1})
         , vms(this->cell.diskVms())
     {
         BOOST_REQUIRE(support::eventually([this] { return this->write(); }));
@@ -143,4 +143,25 @@
     user.checkServes();
 }
 
+/// Reported by operators of another system: disks were full for seconds, one after another and never two at once; afterwards changes were refused to the end.
+BOOST_DATA_TEST_CASE(aCellWhoseDisksWereFullInTurnAcceptsChanges, boost::unit_test::data::make({3, 4}), diskVms)
+{
+    Operator user(diskVms);
+    for (int round = 0; round < 2; ++round) {
+        for (const std::string &vm : user.vms) {
+            user.cell.setDiskFull(vm, true);
+            user.writeFor(3s);
+            user.cell.setDiskFull(vm, false);
+        }
+    }
+    user.checkServes();
+    for (const std::string &vm : user.vms) {
+        BOOST_TEST(user.cell.running(vm));
+    }
+    // Every member holds the changes again, so that the loss of any one is borne.
+    std::this_thread::sleep_for(CatchUpTime);
+    user.losePower("");
+    user.checkServes();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
