A withheld acknowledgement follows on an upstream that runs nothing else

Found by reading again: an upstream without runs is renewed once a second, an acknowledgement is sent only within 200 ms of an answer, so one that had been withheld from a repeated renewal there was withheld for ever. The short interval between renewals now lasts until all committed ends are acknowledged.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -261,7 +261,8 @@
         tracker.recordClock(*result.callResult.clock, now);
     }
     this->processLists(number, tracker, sentAt, result);
-    if (this->context.runs.countOnUpstream(number) == 0 && tracker.lastProposedEnd == tracker.lastCommittedEnd) {
+    const bool allAcknowledged = tracker.lastProposedEnd == tracker.lastCommittedEnd && tracker.lastCommittedEnd == tracker.lastAcknowledgedEnd;
+    if (this->context.runs.countOnUpstream(number) == 0 && allAcknowledged) {
         tracker.nextRenewal = now + IdleRenewalInterval;
     }
     this->context.wake();
--- a/tests/cell/IncarnationTest.cpp
+++ b/tests/cell/IncarnationTest.cpp
@@ -48,6 +48,26 @@
     BOOST_TEST(rig.upstreams.startCounts["j.0.0.0"] == 1);
 }
 
+/// Guards the above: an acknowledgement that was withheld from a repeated renewal follows, also on an upstream that runs nothing else.
+BOOST_AUTO_TEST_CASE(aWithheldAcknowledgementFollows)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf("j.0.0.0") == "u1"; }));
+    rig.group.stalls = true;
+    rig.upstreams.finish("u1", "j.0.0.0", RunEndKind::Done);
+    rig.run(milliseconds(100)); // The end has been listed and is being committed.
+    auto &scripted = rig.upstreams.upstreams["u1"];
+    scripted.holdsRenewals = true;
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.heldRenewals.empty(); }));
+    rig.group.resume();
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.jobState("j") == JobState::Completed; }));
+    scripted.holdsRenewals = false;
+    rig.upstreams.breakRenewals();
+    BOOST_TEST(rig.runUntil([&] { return scripted.ended.empty(); }, milliseconds(3000)));
+}
+
 /// Failure: a leave message of an earlier incarnation arrived late, and the leases of the present one were never renewed again; all its runs lapsed.
 BOOST_AUTO_TEST_CASE(aLeaveMessageOfAnEarlierIncarnationDoesNotEndTheRenewalOfLeases)
 {
