--- a/src/cell/PeerCallHandler.cpp
+++ b/src/cell/PeerCallHandler.cpp
@@ -151,7 +151,7 @@
 {
     const std::optional<wire::ReplyT> known = this->context.store.read([&call](const CellState &state) -> std::optional<wire::ReplyT> {
         const QueueMatch match = matchQueue(state, call);
-        if (const auto refusal = refusalFor(match)) {
+        if (auto refusal = refusalFor(match)) {
             return refusal;
         }
         if (match.job != nullptr) {
@@ -207,7 +207,7 @@
         const QueueMatch match = matchQueue(state, call);
         id = match.jobId;
         ended = match.job != nullptr && !isActive(*match.job);
-        if (const auto refused = refusalFor(match)) {
+        if (auto refused = refusalFor(match)) {
             return refused;
         }
         const bool otherQueues = match.job == nullptr && state.jobNamed(id) != nullptr;
