Tests: one way to announce an upstream in the cell's rig

CellRig::addUpstream() built the announcement call that announce() builds since. No check changes; cell_tests pass, lint of the file is clean.

--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -79,13 +79,8 @@
 void CellRig::addUpstream(const std::string &id, std::uint32_t cpuMillis)
 {
     this->upstreams.upstreams[id];
-    cell::wire::CallT call;
-    call.kind = cell::wire::CallKind::Announce;
-    call.announcement = std::make_unique<cell::wire::AnnouncementT>();
-    call.announcement->upstream = upstream(id, cpuMillis);
-    this->descriptions[id] = *call.announcement->upstream;
-    call.announcement->sequence = 1;
-    this->call(std::move(call));
+    this->descriptions[id] = *upstream(id, cpuMillis);
+    this->announce(this->descriptions[id], 1);
     this->run(std::chrono::milliseconds(20));
 }
 
