The log tells how long a lost upstream's leases outlived its last answer

Whether a lease was extended after an upstream had died, was too long, or was waited out although the upstream had announced its end could not be told from the log. upstream_lost now says whether the upstream drained, how long ago it last answered a renewal, and how long ago a request last extended its leases.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -32,6 +32,12 @@
 /// Rounding allowance beyond the deadline of a start request.
 constexpr std::chrono::milliseconds DeadlineSlack{100};
 
+/// -1 when `earlier` never was.
+std::int64_t millisecondsBetween(base::SteadyTime earlier, base::SteadyTime later)
+{
+    return earlier == base::SteadyTime() ? -1 : std::chrono::duration_cast<std::chrono::milliseconds>(later - earlier).count();
+}
+
 wire::EndKind toEndKind(RunEndKind kind)
 {
     switch (kind) {
@@ -156,6 +162,14 @@
     }
 }
 
+bool UpstreamManager::isDraining(std::uint64_t number) const
+{
+    return this->context.store.read([number](const CellState &state) {
+        const auto upstream = state.upstreams().find(number);
+        return upstream != state.upstreams().end() && upstream->second.draining;
+    });
+}
+
 bool UpstreamManager::needsRenewal(std::uint64_t number, const UpstreamTracker &tracker, base::SteadyTime now) const
 {
     const bool announcementOverdue = now - tracker.announcedAt > AnnouncementMaxAge;
@@ -179,11 +193,14 @@
         UpstreamTracker &tracker = this->trackerOf(number, now);
         if (tracker.silentCalls > 0 && tracker.leasesExpired(now)) {
             if (!std::exchange(tracker.isLost, true)) {
-                Logger.warn("event=upstream_lost upstream={} number={} silent_calls={} runs={}",
+                Logger.warn("event=upstream_lost upstream={} number={} silent_calls={} runs={} draining={} since_answer_ms={} since_grant_ms={}",
                             target.id,
                             number,
                             tracker.silentCalls,
-                            this->context.runs.countOnUpstream(number));
+                            this->context.runs.countOnUpstream(number),
+                            this->isDraining(number),
+                            millisecondsBetween(tracker.answeredAt, now),
+                            millisecondsBetween(tracker.grantedAt, now));
                 tracker.readBack = false;
             }
             this->endAllRuns(number); // At each tick, since a placement may have been committed after the loss.
@@ -240,9 +257,9 @@
         this->handleSilence(number, tracker, now, result.callResult.status);
         return;
     }
-    const auto [born, draining] = this->context.store.read([number](const CellState &state) {
+    const std::int64_t born = this->context.store.read([number](const CellState &state) {
         const auto upstream = state.upstreams().find(number);
-        return upstream == state.upstreams().end() ? std::pair(std::int64_t{0}, false) : std::pair(upstream->second.born_ms, upstream->second.draining);
+        return upstream == state.upstreams().end() ? std::int64_t{0} : upstream->second.born_ms;
     });
     // The record of an incarnation that announced itself just now may not be committed yet. A later incarnation may have been born earlier by its clock.
     if (result.bornMs != 0 && result.bornMs != tracker.bornOr(born)) {
@@ -251,7 +268,7 @@
     }
     tracker.earlierBorn.reset();
     // An upstream drains before it leaves, so an earlier incarnation of this one sent the message.
-    tracker.leaving = tracker.leaving && draining;
+    tracker.leaving = tracker.leaving && this->isDraining(number);
     if (tracker.silentCalls > 0) {
         Logger.info("event=upstream_responsive number={} after_silent_calls={}", number, tracker.silentCalls);
     }
--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -48,6 +48,7 @@
     this->lastProposedEnd = 0;
     this->lastAcknowledgedEnd = 0;
     this->answeredAt = {};
+    this->grantedAt = {};
     this->leaving = false;
     this->announcedAt = now;
     this->announcementSequence = 0;
@@ -94,6 +95,7 @@
     }
     this->latestLeaseEnd = std::max(this->latestLeaseEnd, *clock + this->leaseMax);
     this->hasGrantedLease = true;
+    this->grantedAt = now;
     return this->latestLeaseEnd;
 }
 
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -83,6 +83,7 @@
     std::uint64_t lastProposedEnd = 0; ///< Ends up to this number are proposed or committed.
     std::uint64_t lastAcknowledgedEnd = 0; ///< Highest number that an answered renewal has acknowledged.
     base::SteadyTime answeredAt{}; ///< When this incarnation last answered a renewal.
+    base::SteadyTime grantedAt{}; ///< When a request last extended the leases.
 
     // Announcements.
     bool leaving = false; ///< The upstream said that it stops.
