--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds TestLease{400};
 constexpr std::chrono::milliseconds TickInterval{5};
 
 std::string queuePath(const std::string &queueName, const std::string &id)
@@ -36,14 +35,14 @@
     done(std::move(result));
 }
 
-CellRig::CellRig()
+CellRig::CellRig(std::chrono::milliseconds leaseMax)
     : hub([](const testsupport::FakeHub::Seen &, std::size_t) {
         return link::CallResult{base::ResultCode::LinkDown, false, {}};
     })
     , pool("vm", hub, advice)
 {
     this->options.ownVm = "vm";
-    this->options.leaseMax = TestLease;
+    this->options.leaseMax = leaseMax;
     this->takeOver();
     this->putRules(rules(1));
 }
--- a/tests/cell/CellRig.h
+++ b/tests/cell/CellRig.h
@@ -30,7 +30,8 @@
 class CellRig
 {
 public:
-    CellRig();
+    /// `leaseMax` is the longest lease that the upstreams' platform allows.
+    explicit CellRig(std::chrono::milliseconds leaseMax = std::chrono::milliseconds(400));
     ~CellRig();
 
     void addUpstream(const std::string &id, std::uint32_t cpuMillis);
