Leases are at most 6 s, whatever longer ones the platform allows

What ran on an upstream that vanished starts again only when its leases are over: up to 10.36 s with the allowance for its clock. The platform's rule, 9 s from the last run, does not grow with that limit. Class: a limit that others set is taken as the value to use.

Ruled out: starts that extended the lease of a dead upstream.

Why 6 s: 6.28 s with the allowance leave 2.7 s of the 9 for noticing, advice and the start, and the other sites, whose platform allows 6 s, keep their leases.

--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -12,6 +12,9 @@
 constexpr double ClockDrift = 0.02;
 /// Added to the end of leases: for rounding and the time that an upstream needs to end the runs of an expired lease.
 constexpr std::chrono::milliseconds LeaseSlack{150};
+/// Longest lease that the cell grants where the platform allows longer ones. Tasks of an upstream that vanished start again only when its leases are over, so
+/// this bounds their wait.
+constexpr std::chrono::milliseconds LongestLease{6000};
 constexpr std::chrono::milliseconds MaxExclusion{12000};
 /// Bounds of renewalWait(); the longest is well below the shortest lease.
 constexpr std::chrono::milliseconds MinRenewalWait{300};
@@ -26,8 +29,8 @@
 
 } // namespace
 
-UpstreamTracker::UpstreamTracker(std::chrono::milliseconds maxLease, base::SteadyTime now)
-    : leaseMax(maxLease)
+UpstreamTracker::UpstreamTracker(std::chrono::milliseconds platformLeaseMax, base::SteadyTime now)
+    : leaseMax(std::min(platformLeaseMax, LongestLease))
 {
     this->beginIncarnation(0, now);
 }
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -18,8 +18,9 @@
 class UpstreamTracker
 {
 public:
-    /// Leases of an earlier leader may cover runs on the upstream until `maxLease` after `now` by the upstream's clock.
-    UpstreamTracker(std::chrono::milliseconds maxLease, base::SteadyTime now);
+    /// Grants leases of `platformLeaseMax`, the longest that the platform allows, or of 6 s where that is longer. Leases of an earlier leader may cover runs on
+    /// the upstream until so long after `now` by the upstream's clock.
+    UpstreamTracker(std::chrono::milliseconds platformLeaseMax, base::SteadyTime now);
 
     /// Records a reading of the upstream's steady clock from an answer that arrived at `now`.
     void recordClock(std::chrono::milliseconds clock, base::SteadyTime now);
--- a/tests/cell/UpstreamTrackerTest.cpp
+++ b/tests/cell/UpstreamTrackerTest.cpp
@@ -34,6 +34,16 @@
     BOOST_TEST(tracker.leasesExpired(Start + milliseconds(13400)));
 }
 
+/// Failure: the cell granted leases of 10 s, the longest that the platform allowed, and waited them out before tasks of a vanished upstream ran again.
+BOOST_AUTO_TEST_CASE(leasesAreAtMostSixSecondsWhereThePlatformAllowsLongerOnes)
+{
+    UpstreamTracker tracker(milliseconds(10000), Start);
+    BOOST_TEST(tracker.leasesExpired(Start + milliseconds(6400)));
+    tracker.recordClock(milliseconds(0), Start);
+    BOOST_TEST((tracker.grantLease(Start) == milliseconds(6000)));
+    BOOST_TEST(tracker.leasesExpired(Start + milliseconds(6400)));
+}
+
 BOOST_AUTO_TEST_CASE(aLeaseNeverBecomesShorter)
 {
     UpstreamTracker tracker(Lease, Start);
