An upstream that announced its end has ended once nobody listens at its address

Cause: only a leave message (deregistration) made a refused connection count as the end. An upstream may end without one, or without an acknowledgement of it. Its announcement that it drains tells the same, is bound to its incarnation by its start time, and was not used. Class: proof of an end that is at hand is not used. A crashed upstream that announced nothing is still waited out: a moment in which nobody listens is then no planned end.

Evidence: UpstreamLossTest/tasksOfAnUpstreamThatAnnouncedItsEndRunAgainOnceNobodyListensThere, failed before, passes; tasksOfAnUpstreamThatAnnouncedItsEndAndIsCutOffAreWaitedOut holds before and after.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -305,8 +305,9 @@
 
 void UpstreamManager::handleSilence(std::uint64_t number, UpstreamTracker &tracker, base::SteadyTime now, UpstreamCallStatus status)
 {
-    // Only an address that nobody listens at proves that a leaving upstream has ended. Other failures may lie on the way to it or to the relaying VM.
-    if (tracker.leaving && status == UpstreamCallStatus::Absent) {
+    // Only an address that nobody listens at proves that an upstream that announced its end has ended. It may end without a leave message, or the message may
+    // be lost. Other failures may lie on the way to it or to the relaying VM.
+    if (status == UpstreamCallStatus::Absent && (tracker.leaving || this->isDraining(number))) {
         this->removeUpstream(number);
         return;
     }
