The log tells what waiting steps wait for

Each second now: for each queue the waiting steps by reason (event=waiting), and for the four oldest jobs the step, its reason, its place in the order, the upstreams known to be allowed and the valid tickets (event=step_waiting, with id and number). Some ten lines a second where work waits.

--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -6,6 +6,7 @@
 #include "observe/Metrics.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -26,6 +27,8 @@
 constexpr std::chrono::milliseconds SendTicketMargin{100};
 constexpr std::chrono::milliseconds QueryRetryInterval{150};
 constexpr std::chrono::seconds LoadLogInterval{1};
+/// Waiting steps that are logged one by one each time, those of the oldest jobs.
+constexpr std::size_t MaxWaitingStepsLogged = 4;
 /// Interval of the check of all runs. The runs of a batch's jobs are checked when the batch is committed; this check covers the others.
 constexpr std::chrono::milliseconds ReconcileInterval{250};
 /// Pause after a plan without a decision, unless a job or an end arrives. Hundreds of renewals a second wake the planner and rarely change its result.
@@ -123,7 +126,11 @@
         const PlanInput input{state, this->context.trackers, this->adviceCache, this->runs.failedUpstreams(), this->jobLog.acceptanceTimes(), now, viewRun};
         return Planner(input).makePlan();
     });
-    this->logLoad(plan.loads, now);
+    if (now >= this->nextLoadLog) {
+        this->nextLoadLog = now + LoadLogInterval;
+        this->logLoad(plan.loads);
+        this->logWaiting(plan.waiting, now);
+    }
     this->preempt(plan.preemptions);
     const bool asked = this->sendAdviceQueries(plan.adviceQueries);
     this->nextPlan = plan.starts.empty() && !asked ? now + IdlePlanInterval : base::SteadyTime();
@@ -145,12 +152,8 @@
     });
 }
 
-void CellTerm::logLoad(const std::vector<ServiceLoad> &loads, base::SteadyTime now)
+void CellTerm::logLoad(const std::vector<ServiceLoad> &loads)
 {
-    if (now < this->nextLoadLog) {
-        return;
-    }
-    this->nextLoadLog = now + LoadLogInterval;
     for (const ServiceLoad &load : loads) {
         Logger.info("event=load service={} usable_cpu_millis={} free_cpu_millis={} usable_accelerators={} free_accelerators={} runs={} urgent_waiting={} "
                     "other_waiting={}",
@@ -165,6 +168,49 @@
     }
 }
 
+/// Logs how much waits for what, and the steps of the oldest jobs one by one.
+void CellTerm::logWaiting(const std::vector<WaitingStep> &waiting, base::SteadyTime now)
+{
+    struct Count {
+        std::size_t steps = 0;
+        std::size_t tasks = 0;
+    };
+    std::map<std::pair<std::string, WaitReason>, Count> counts;
+    std::vector<std::size_t> places(waiting.size());
+    std::iota(places.begin(), places.end(), 0);
+    const std::size_t logged = std::min(places.size(), MaxWaitingStepsLogged);
+    std::partial_sort(places.begin(), places.begin() + static_cast<std::ptrdiff_t>(logged), places.end(), [&waiting](std::size_t left, std::size_t right) {
+        return waiting[left].step < waiting[right].step;
+    });
+    places.resize(logged);
+    this->context.store.read([&](const CellState &state) {
+        for (const WaitingStep &each : waiting) {
+            Count &count = counts[{state.job(each.step.job)->spec->queue, each.reason}];
+            ++count.steps;
+            count.tasks += each.tasks;
+        }
+        for (const std::size_t place : places) {
+            const WaitingStep &each = waiting[place];
+            const wire::JobSpecT &spec = *state.job(each.step.job)->spec;
+            const auto &allowed = this->adviceCache.adviceFor(each.step).allowed;
+            const auto tickets = std::count_if(allowed.begin(), allowed.end(), [now](const auto &ticket) { return ticket.second.placeUntil > now; });
+            Logger.info("event=step_waiting job={} job_number={} step={} queue={} reason={} tasks={} place={} allowed={} tickets={}",
+                        spec.id,
+                        each.step.job,
+                        each.step.step,
+                        spec.queue,
+                        waitReasonName(each.reason),
+                        each.tasks,
+                        place,
+                        allowed.size(),
+                        tickets);
+        }
+    });
+    for (const auto &[key, count] : counts) {
+        Logger.info("event=waiting queue={} reason={} steps={} tasks={}", key.first, waitReasonName(key.second), count.steps, count.tasks);
+    }
+}
+
 RunView CellTerm::runView(const RunKey &key)
 {
     RunView view;
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -49,7 +49,8 @@
     void planStarts(base::SteadyTime now);
     RunView runView(const RunKey &key);
     void preempt(const std::vector<RunKey> &stops);
-    void logLoad(const std::vector<ServiceLoad> &loads, base::SteadyTime now);
+    void logLoad(const std::vector<ServiceLoad> &loads);
+    void logWaiting(const std::vector<WaitingStep> &waiting, base::SteadyTime now);
     bool sendAdviceQueries(std::vector<AdviceQuery> queries);
     bool sendAdviceQuery(const AdviceQuery &query);
     void recordAdviceUse(const std::vector<PlannedStart> &starts);
--- a/src/cell/Planner.cpp
+++ b/src/cell/Planner.cpp
@@ -49,10 +49,11 @@
             continue;
         }
         auto query = ready.step->gang ? std::nullopt : this->queryPlanner.planQuery(ready, static_cast<std::uint32_t>(unplaced.size()), pool);
-        const bool waitsForTicketsOnly = query && query->timing == QueryTiming::Immediate;
-        if (ready.step->gang || (pool.isLargeTask(*ready.step) && !waitsForTicketsOnly)) {
-            query = this->reserveForLargeWork(ready, static_cast<std::uint32_t>(unplaced.size()), pool);
+        WaitReason reason = this->waitReason(ready, pool, query);
+        if (ready.step->gang || (pool.isLargeTask(*ready.step) && reason != WaitReason::Advice)) {
+            query = this->reserveForLargeWork(ready, static_cast<std::uint32_t>(unplaced.size()), pool, reason);
         }
+        this->plan.waiting.push_back({ready.key, reason, unplaced.size()});
         if (query) {
             this->plan.adviceQueries.push_back(std::move(*query));
         }
@@ -64,6 +65,15 @@
     return std::move(this->plan);
 }
 
+/// Why a step without reservations waits; `query` is what it asks the advice service in this plan.
+WaitReason Planner::waitReason(const ReadyStep &ready, const ServicePool &pool, const std::optional<AdviceQuery> &query) const
+{
+    if (!leavesHeadroom(ready, pool)) {
+        return WaitReason::Headroom;
+    }
+    return query && query->timing == QueryTiming::Immediate ? WaitReason::Advice : WaitReason::Capacity;
+}
+
 /// The rack of the step's data. For a step whose tasks share a rack, the rack where some run, or else the one where most of them fit.
 std::string Planner::preferredRack(const ReadyStep &ready, const ServicePool &pool)
 {
@@ -208,16 +218,19 @@
     return reservable;
 }
 
-/// Reserves upstreams for large work that does not fit, and returns the query for their tickets, if one is needed now.
-std::optional<AdviceQuery> Planner::reserveForLargeWork(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool)
+/// Reserves upstreams for large work that does not fit, and returns the query for their tickets, if one is needed now. Sets `reason` to what the step waits
+/// for.
+std::optional<AdviceQuery> Planner::reserveForLargeWork(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool, WaitReason &reason)
 {
     // The tasks of a gang start together; other large tasks get their capacity one by one.
     const std::uint32_t tasks = ready.step->gang ? unplaced : 1;
     if (!this->admitLargeWork(ready, tasks, pool)) {
+        reason = WaitReason::Budget;
         return std::nullopt;
     }
-    const std::vector<UpstreamCapacity *> reserved = this->reserveUpstreams(ready, tasks, pool);
-    return this->queryPlanner.planLargeQuery(ready, unplaced, pool, reserved);
+    const LargeWorkReservation reservation = this->reserveUpstreams(ready, tasks, pool);
+    reason = reservation.reason;
+    return this->queryPlanner.planLargeQuery(ready, unplaced, pool, reservation.upstreams);
 }
 
 /// Waiting large work reserves upstreams and sends advice queries only while the service could hold all of it at once; work later in the order would find no
@@ -241,7 +254,7 @@
 
 /// Reserves the upstreams where the fewest runs must be preempted for the tasks, and returns them. When preemption cannot free enough capacity, some upstreams
 /// are closed to work that could not be preempted later, and none is returned.
-std::vector<UpstreamCapacity *> Planner::reserveUpstreams(const ReadyStep &ready, std::size_t tasks, ServicePool &pool)
+Planner::LargeWorkReservation Planner::reserveUpstreams(const ReadyStep &ready, std::size_t tasks, ServicePool &pool)
 {
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
     std::vector<ReservationOption> options;
@@ -259,8 +272,11 @@
     const auto alreadyReserved = static_cast<std::size_t>(std::count_if(
         pool.capacities.begin(), pool.capacities.end(), [](const UpstreamCapacity *capacity) { return capacity->reservation != Reservation::None; }));
     const std::size_t maxReserved = std::max(pool.capacities.size() / ReservableUpstreamsDivisor, alreadyReserved == 0 ? tasks : 0);
-    if (fittingWhenEmpty < tasks || maxReserved <= alreadyReserved) {
-        return {};
+    if (fittingWhenEmpty < tasks) {
+        return {{}, WaitReason::Allowed};
+    }
+    if (maxReserved <= alreadyReserved) {
+        return {{}, WaitReason::ReservationLimit};
     }
     std::sort(options.begin(), options.end());
     const bool reclaimableNow = reclaimable >= tasks;
@@ -275,9 +291,11 @@
         for (const ReservationOption &option : options) {
             option.capacity->reservation = Reservation::PreemptibleOnly;
         }
-        return {};
+        return {{}, reclaimableNow ? WaitReason::ReservationLimit : WaitReason::Capacity};
     }
-    return this->reserveExclusively(ready, tasks, options);
+    const bool allTickets = std::all_of(
+        options.begin(), options.end(), [&](const ReservationOption &option) { return this->rules.hasRequiredTicket(ready, advice, *option.capacity); });
+    return {this->reserveExclusively(ready, tasks, options), allTickets ? WaitReason::Stops : WaitReason::Advice};
 }
 
 std::vector<UpstreamCapacity *> Planner::reserveExclusively(const ReadyStep &ready, std::size_t tasks, const std::vector<ReservationOption> &options)
--- a/src/cell/Planner.h
+++ b/src/cell/Planner.h
@@ -7,6 +7,7 @@
 #include "cell/ReadySteps.h"
 #include "cell/ServicePool.h"
 #include "cell/UpstreamCapacity.h"
+#include "cell/WaitReason.h"
 
 #include <cstdint>
 #include <map>
@@ -30,6 +31,7 @@
     std::vector<RunKey> preemptions; ///< Runs to stop for work of a higher priority.
     std::vector<AdviceQuery> adviceQueries; ///< In the order in which the steps are served.
     std::vector<ServiceLoad> loads; ///< One entry for each service.
+    std::vector<WaitingStep> waiting; ///< Steps with tasks that start nowhere, in the order in which the steps are served.
 };
 
 /// Decides which waiting tasks start on which upstreams. Reads the replicated state and does no I/O. Used on the scheduler's thread; made anew for each plan.
@@ -66,15 +68,22 @@
         bool operator<(const ReservationOption &other) const;
     };
 
+    /// What a step that waits has reserved, and what it waits for.
+    struct LargeWorkReservation {
+        std::vector<UpstreamCapacity *> upstreams;
+        WaitReason reason = WaitReason::Capacity;
+    };
+
     std::string preferredRack(const ReadyStep &ready, const ServicePool &pool);
     std::vector<Candidate> candidatesFor(const ReadyStep &ready, ServicePool &pool);
     UpstreamCapacity *bestUpstream(const ReadyStep &ready, std::uint32_t task, const std::vector<Candidate> &candidates) const;
     std::vector<std::uint32_t> placeTasks(const ReadyStep &ready, ServicePool &pool);
     std::vector<std::uint32_t> placeGang(const ReadyStep &ready, ServicePool &pool);
     std::vector<UpstreamCapacity *> reservableUpstreams(const ReadyStep &ready, const ServicePool &pool) const;
-    std::optional<AdviceQuery> reserveForLargeWork(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool);
+    WaitReason waitReason(const ReadyStep &ready, const ServicePool &pool, const std::optional<AdviceQuery> &query) const;
+    std::optional<AdviceQuery> reserveForLargeWork(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool, WaitReason &reason);
     bool admitLargeWork(const ReadyStep &ready, std::uint32_t tasks, ServicePool &pool);
-    std::vector<UpstreamCapacity *> reserveUpstreams(const ReadyStep &ready, std::size_t tasks, ServicePool &pool);
+    LargeWorkReservation reserveUpstreams(const ReadyStep &ready, std::size_t tasks, ServicePool &pool);
     std::vector<UpstreamCapacity *> reserveExclusively(const ReadyStep &ready, std::size_t tasks, const std::vector<ReservationOption> &options);
     void planStart(const ReadyStep &ready, std::uint32_t task, std::uint32_t attempt, UpstreamCapacity &capacity, ServicePool &pool);
     void undoStarts(const ReadyStep &ready, std::size_t firstUndone, ServicePool &pool);
--- /dev/null
+++ b/src/cell/WaitReason.cpp
@@ -0,0 +1,12 @@
+#include "cell/WaitReason.h"
+
+namespace cranberryreel::cell
+{
+
+const char *waitReasonName(WaitReason reason)
+{
+    static constexpr const char *Names[] = {"capacity", "headroom", "advice", "allowed", "stops", "budget", "reservation_limit"};
+    return Names[static_cast<std::size_t>(reason)];
+}
+
+} // namespace cranberryreel::cell
