A gang whose first advice did not suffice asks about all other upstreams at once

Cause: a gang starts only with all its tickets on upstreams that are free together. It asked about as many upstreams as its members were likely to need, each time; by the answer, a second later, other gangs had filled part of the few that it had learned to be allowed, and it asked about a few more. In a simulated backlog the gangs that were passed over knew 3 to 5 allowed and free upstreams where 9 to 12 were. Class: a question sized by what is free now, where the answer comes later.

Ruled out by the simulation: the piecemeal renewal of tickets of reserved upstreams (renewing all known ones with them changed nothing: 44 gangs lost before, 34 after, in 10 backlogs of 100), and a turn for gangs beyond the limit of reserved upstreams (nothing gained).

Fix: the first question is as before; a gang that has to ask again asks about all upstreams that it knows nothing of, up to the 100 that a call takes.

--- a/src/cell/AdviceQueryPlanner.cpp
+++ b/src/cell/AdviceQueryPlanner.cpp
@@ -41,6 +41,13 @@
     return static_cast<std::size_t>(std::clamp(worth, 1.0, MaxSpareUpstreams));
 }
 
+/// A gang whose first answer did not suffice asks about all other upstreams at once. Asked about a few at a time, those that it learns to be allowed fill up
+/// before it knows enough that are free together.
+bool asksForAll(const ReadyStep &ready, const StepAdvice &advice)
+{
+    return ready.step->gang && !advice.queried.empty();
+}
+
 /// Work on accelerators fills partly used upstreams, which keeps others empty for work that needs whole upstreams. Other work goes to the emptiest upstreams.
 auto preferenceRank(const ReadyStep &ready, const UpstreamCapacity &capacity)
 {
@@ -228,9 +235,10 @@
     for (const UpstreamCapacity *capacity : groups.notQueried) {
         expectedTasks += this->input.advice.allowRates.rateFor(ready.queue->name) * reclaimable(*capacity).countFitting(*ready.step, tasks);
     }
-    if (expectedTasks >= tasks) {
+    const bool tooFewAllowed = groups.allowedCount < static_cast<std::size_t>(GangTicketMargin * tasks) + 1;
+    if (expectedTasks >= tasks && !asksForAll(ready, advice)) {
         this->addNotQueried(ready, tasks, groups, reclaimable, chosen);
-    } else if (groups.allowedCount < static_cast<std::size_t>(GangTicketMargin * tasks) + 1) {
+    } else if (expectedTasks >= tasks || tooFewAllowed) {
         const AvailableCapacity totalCapacity = [](const UpstreamCapacity &capacity) { return Capacity::totalOf(*capacity.upstream); };
         this->addNotQueried(ready, tasks, this->groupUpstreams(ready, tasks, pool, totalCapacity), totalCapacity, chosen);
     }
@@ -245,14 +253,15 @@
 {
     const double allowRate = this->input.advice.allowRates.rateFor(ready.queue->name);
     const double needed = (ready.step->gang ? GangTicketMargin : 1.0) * tasks;
+    const bool all = asksForAll(ready, this->input.advice.adviceFor(ready.key));
     double expectedTasks = 0;
     std::size_t spareLeft = spareUpstreams(*ready.queue->advice);
     const std::size_t limit = ready.step->gang ? MaxUpstreamsPerGangQuery : MaxUpstreamsPerQuery;
     for (UpstreamCapacity *capacity : groups.notQueried) {
-        if (chosen.size() >= limit || (expectedTasks >= needed && spareLeft == 0)) {
+        if (chosen.size() >= limit || (!all && expectedTasks >= needed && spareLeft == 0)) {
             return;
         }
-        spareLeft -= expectedTasks >= needed ? 1 : 0;
+        spareLeft -= !all && expectedTasks >= needed ? 1 : 0;
         expectedTasks += allowRate * availableOn(*capacity).countFitting(*ready.step, std::min(tasks, this->rules.remainingTaskLimit(ready, *capacity)));
         chosen.push_back(capacity);
     }
--- a/tests/cell/PlannedCell.h
+++ b/tests/cell/PlannedCell.h
@@ -69,9 +69,14 @@
     }
 
     cell::Plan plan()
+    {
+        return this->plan(this->now);
+    }
+
+    cell::Plan plan(base::SteadyTime time)
     {
         const auto view = [this](const cell::RunKey &key) { return this->runViews[key]; };
-        const cell::PlanInput input{this->state, this->trackers, this->advice, this->failedUpstreams, this->acceptedAt, this->now, view};
+        const cell::PlanInput input{this->state, this->trackers, this->advice, this->failedUpstreams, this->acceptedAt, time, view};
         return cell::Planner(input).makePlan();
     }
 };
