Reverted: an upstream that drains has not ended because its address refuses connections

At 33.5 s a zone is cut off and the cut resets connections. All upstreams of the zone answered as if nobody listened (upstream_silent answer=11); those that were draining were removed at once, and their tasks ran a second time while they worked on.

Conclusion: a refused connection is no proof of an end, since the network can refuse in an upstream's place. Open: an upstream that said that it leaves is still removed on a refused connection. It may serve for seconds after that; a cut in them would show the same.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -305,9 +305,9 @@
 
 void UpstreamManager::handleSilence(std::uint64_t number, UpstreamTracker &tracker, base::SteadyTime now, UpstreamCallStatus status)
 {
-    // Only an address that nobody listens at proves that an upstream that announced its end has ended. It may end without a leave message, or the message may
-    // be lost. Other failures may lie on the way to it or to the relaying VM.
-    if (status == UpstreamCallStatus::Absent && (tracker.leaving || this->isDraining(number))) {
+    // An address where nobody listens shows that an upstream that said that it leaves has ended. Other failures may lie on the way to it or to the relaying VM.
+    // Before it says so it may work on: a cut can answer for its address that nobody listens.
+    if (tracker.leaving && status == UpstreamCallStatus::Absent) {
         this->removeUpstream(number);
         return;
     }
