A restarted upstream may hold the longest lease of the platform

Callers would see (TWICE): where the platform allows leases of 10 s, a task is started again while an upstream that is cut off still works on it.

Cause: an upstream that starts again under its id has a clock that starts anew. A renewal or start on its way with the deadline of the earlier incarnation lies far ahead on that clock, and the upstream shortens it to the platform's limit, 10 s, not to the 6 s that the cell grants since. The tracker waited out 6.27 s after the restart. Class: what the cell grants is taken for what an upstream may hold.

Fix: after a restart the tracker reckons with the platform's limit. A new leader still reckons with what leaders grant, so the restart of tasks after a change of leader is no later than before.

Evidence: UpstreamLossTest/aLeaseThatARenewalOfAnEarlierIncarnationGaveTheNextOneIsWaitedOut, failed before (the third run began before the lease was over), passes; UpstreamTrackerTest (10 cases) and UpstreamLossTest (4 cases) pass, one run each. The scripted upstreams shorten leases to a limit where a test sets one; by default it is an hour.

--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -27,12 +27,20 @@
 /// Weight of the newest interval between ends in the smoothed one.
 constexpr double NewestIntervalWeight = 0.3;
 
+/// How long a lease of this length may last by this VM's clock.
+std::chrono::milliseconds longestDuration(std::chrono::milliseconds lease)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(lease / (1.0 - ClockDrift)) + LeaseSlack;
+}
+
 } // namespace
 
-UpstreamTracker::UpstreamTracker(std::chrono::milliseconds platformLeaseMax, base::SteadyTime now)
-    : leaseMax(std::min(platformLeaseMax, LongestLease))
+UpstreamTracker::UpstreamTracker(std::chrono::milliseconds maxLease, base::SteadyTime now)
+    : platformLeaseMax(maxLease)
+    , leaseMax(std::min(maxLease, LongestLease))
 {
     this->beginIncarnation(0, now);
+    this->inheritedLeasesUntil = now + longestDuration(this->leaseMax);
 }
 
 void UpstreamTracker::beginIncarnation(std::int64_t born, base::SteadyTime now)
@@ -59,8 +67,9 @@
     this->lastClock.reset();
     this->latestLeaseEnd = {};
     this->hasGrantedLease = false;
-    const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(this->leaseMax / (1.0 - ClockDrift));
-    this->inheritedLeasesUntil = now + longest + LeaseSlack;
+    // The clock starts anew, so the deadline of a request meant for the earlier incarnation lies so far ahead that the upstream shortens it to the platform's
+    // limit.
+    this->inheritedLeasesUntil = now + longestDuration(this->platformLeaseMax);
 }
 
 void UpstreamTracker::recordClock(std::chrono::milliseconds clock, base::SteadyTime now)
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -18,9 +18,9 @@
 class UpstreamTracker
 {
 public:
-    /// Grants leases of `platformLeaseMax`, the longest that the platform allows, or of 6 s where that is longer. Leases of an earlier leader may cover runs on
-    /// the upstream until so long after `now` by the upstream's clock.
-    UpstreamTracker(std::chrono::milliseconds platformLeaseMax, base::SteadyTime now);
+    /// Grants leases of `maxLease`, the longest that the platform allows, or of 6 s where that is longer. Leases of an earlier leader may cover runs on the
+    /// upstream until so long after `now` by the upstream's clock.
+    UpstreamTracker(std::chrono::milliseconds maxLease, base::SteadyTime now);
 
     /// Records a reading of the upstream's steady clock from an answer that arrived at `now`.
     void recordClock(std::chrono::milliseconds clock, base::SteadyTime now);
@@ -99,7 +99,8 @@
     std::chrono::milliseconds exclusionTime{0}; ///< Length of the last exclusion; the next one doubles it.
 
 private:
-    std::chrono::milliseconds leaseMax;
+    std::chrono::milliseconds platformLeaseMax; ///< Upstreams shorten longer leases to this.
+    std::chrono::milliseconds leaseMax; ///< Length of the leases granted.
     std::optional<std::chrono::milliseconds> lastClock;
     base::SteadyTime lastClockAt{};
     base::SteadyTime lastEndsAt{}; ///< When a renewal last reported new ends.
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -26,6 +26,11 @@
     upstream.running.clear();
 }
 
+void ScriptedUpstreams::extendLease(Upstream &upstream, std::chrono::milliseconds deadline) const
+{
+    upstream.deadline = std::max(upstream.deadline, std::min(deadline, clockOf(upstream) + this->leaseMax));
+}
+
 UpstreamCallStatus ScriptedUpstreams::executeStart(Upstream &upstream, const cell::StartRequest &request)
 {
     ++upstream.startRequests;
@@ -47,7 +52,7 @@
     if (upstream.refusesAsFull) {
         return UpstreamCallStatus::InsufficientCapacity;
     }
-    upstream.deadline = std::max(upstream.deadline, request.deadline);
+    this->extendLease(upstream, request.deadline);
     if (!this->upstreamOf(request.run.task).empty()) {
         this->ranTwice.insert(request.run.task);
     }
@@ -134,7 +139,7 @@
         return;
     }
     upstream.epoch = request.epoch;
-    upstream.deadline = std::max(upstream.deadline, request.deadline.value_or(std::chrono::milliseconds(0)));
+    this->extendLease(upstream, request.deadline.value_or(std::chrono::milliseconds(0)));
     while (!upstream.ended.empty() && upstream.ended.front().number <= request.acknowledged) {
         upstream.ended.pop_front();
     }
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -92,11 +92,13 @@
     std::vector<cell::UpstreamCallback> heldStarts; ///< Start requests that wait.
     std::vector<cell::RenewCallback> heldRenewals; ///< Renewals that wait.
     std::chrono::milliseconds heldDeadline{0}; ///< Deadline of the last of them.
+    std::chrono::milliseconds leaseMax = std::chrono::hours(1); ///< Longer leases are shortened to this.
     std::set<std::string> ranTwice; ///< Tasks that ran twice at the same time, which must never happen.
 
 private:
     static std::chrono::milliseconds clockOf(const Upstream &upstream);
     cell::UpstreamCallStatus executeStart(Upstream &upstream, const cell::StartRequest &request);
+    void extendLease(Upstream &upstream, std::chrono::milliseconds deadline) const;
     void expireLeases(Upstream &upstream);
 };
 
--- a/tests/cell/UpstreamLossTest.cpp
+++ b/tests/cell/UpstreamLossTest.cpp
@@ -74,4 +74,27 @@
     BOOST_TEST(rig.upstreams.upstreams["u2"].running.count("j.0.0.0") == 1);
 }
 
+/// Failure: a renewal meant for an earlier incarnation gave the next one, whose clock had started anew, a lease of 10 s. When that one was cut off, its tasks
+/// ran again elsewhere after 6.3 s, while it still worked on them.
+BOOST_AUTO_TEST_CASE(aLeaseThatARenewalOfAnEarlierIncarnationGaveTheNextOneIsWaitedOut)
+{
+    CellRig rig(LongPlatformLease);
+    rig.upstreams.leaseMax = LongPlatformLease;
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    upstream.startedAt -= std::chrono::minutes(1);
+    rig.addUpstream("u1", 8000);
+    rig.submit(lastingJob("j"));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf("j.0.0.0") == "u1"; }));
+    rig.run(milliseconds(100));
+    rig.upstreams.restart("u1");
+    BOOST_REQUIRE(rig.runUntil([&] { return upstream.deadline.count() > 0; }));
+    rig.announce("u1", 1);
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf("j.0.0.0") == "u1"; }));
+    rig.addUpstream("u2", 8000);
+    upstream.reachable = false;
+    const base::SteadyTime leaseEnd = upstream.startedAt + upstream.deadline;
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.startCounts["j.0.0.0"] == 3; }, milliseconds(12000)));
+    BOOST_TEST((base::steadyNow() > leaseEnd));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
