An upstream that began again is not removed for what its earlier incarnation announced

Callers would see: an upstream that drained and started again under its id, at another address, is taken out of the cell until it announces itself to the leader anew.

Fix: isDraining() holds only where the record is that of the known incarnation.

Evidence: IncarnationTest/anUpstreamThatBeganAgainAfterDrainingIsNotRemovedForTheDrainingOfTheEarlierIncarnation, failed before (the upstream was gone), passes with the other 7 cases, one run.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -162,11 +162,12 @@
     }
 }
 
-bool UpstreamManager::isDraining(std::uint64_t number) const
+/// Whether the known incarnation announced its end. The record may still be that of an earlier one.
+bool UpstreamManager::isDraining(std::uint64_t number, const UpstreamTracker &tracker) const
 {
-    return this->context.store.read([number](const CellState &state) {
+    return this->context.store.read([number, &tracker](const CellState &state) {
         const auto upstream = state.upstreams().find(number);
-        return upstream != state.upstreams().end() && upstream->second.draining;
+        return upstream != state.upstreams().end() && upstream->second.draining && tracker.bornOr(upstream->second.born_ms) == upstream->second.born_ms;
     });
 }
 
@@ -198,7 +199,7 @@
                             number,
                             tracker.silentCalls,
                             this->context.runs.countOnUpstream(number),
-                            this->isDraining(number),
+                            this->isDraining(number, tracker),
                             millisecondsBetween(tracker.answeredAt, now),
                             millisecondsBetween(tracker.grantedAt, now));
                 tracker.readBack = false;
@@ -268,7 +269,7 @@
     }
     tracker.earlierBorn.reset();
     // An upstream drains before it leaves, so an earlier incarnation of this one sent the message.
-    tracker.leaving = tracker.leaving && this->isDraining(number);
+    tracker.leaving = tracker.leaving && this->isDraining(number, tracker);
     if (tracker.silentCalls > 0) {
         Logger.info("event=upstream_responsive number={} after_silent_calls={}", number, tracker.silentCalls);
     }
@@ -307,7 +308,7 @@
 {
     // Only an address that nobody listens at proves that an upstream that announced its end has ended. It may end without a leave message, or the message may
     // be lost. Other failures may lie on the way to it or to the relaying VM.
-    if (status == UpstreamCallStatus::Absent && (tracker.leaving || this->isDraining(number))) {
+    if (status == UpstreamCallStatus::Absent && (tracker.leaving || this->isDraining(number, tracker))) {
         this->removeUpstream(number);
         return;
     }
--- a/src/cell/UpstreamManager.h
+++ b/src/cell/UpstreamManager.h
@@ -39,7 +39,7 @@
 
 private:
     UpstreamTracker &trackerOf(std::uint64_t number, base::SteadyTime now);
-    bool isDraining(std::uint64_t number) const;
+    bool isDraining(std::uint64_t number, const UpstreamTracker &tracker) const;
     bool needsRenewal(std::uint64_t number, const UpstreamTracker &tracker, base::SteadyTime now) const;
     void sendRenewal(std::uint64_t number, UpstreamTracker &tracker, const UpstreamTarget &target, base::SteadyTime now);
     void handleRenewal(std::uint64_t number, std::uint64_t incarnation, std::uint64_t acknowledged, base::SteadyTime sentAt, const RenewResult &result);
--- a/tests/cell/IncarnationTest.cpp
+++ b/tests/cell/IncarnationTest.cpp
@@ -104,6 +104,35 @@
     BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf("j.0.0.0") == "u2"; }, milliseconds(300)));
 }
 
+/// Failure: an upstream that had drained began again; until its new record was committed, an address where nobody listened removed it as if it still drained.
+BOOST_AUTO_TEST_CASE(anUpstreamThatBeganAgainAfterDrainingIsNotRemovedForTheDrainingOfTheEarlierIncarnation)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    const auto numberOf = [&rig] {
+        return rig.store.read([](const cell::CellState &state) { return state.upstreamNamed("u1") == nullptr ? 0 : state.upstreamNamed("u1")->number; });
+    };
+    const std::uint64_t number = numberOf();
+    rig.announceDraining("u1", 2);
+    rig.run(milliseconds(100));
+    rig.upstreams.restart("u1");
+    rig.upstreams.upstreams["u1"].unreachableStatus = cell::UpstreamCallStatus::Absent; // At the recorded address, which is that of the earlier incarnation.
+    rig.upstreams.upstreams["u1"].reachable = false;
+    rig.group.stalls = true;
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::Announce;
+    call.announcement = std::make_unique<cell::wire::AnnouncementT>();
+    call.announcement->upstream = support::upstream("u1", 8000);
+    call.announcement->upstream->born_ms = rig.upstreams.upstreams["u1"].bornMs;
+    call.announcement->sequence = 1;
+    const auto answered = rig.send(std::move(call));
+    rig.run(milliseconds(200));
+    rig.group.resume();
+    BOOST_REQUIRE(rig.runUntil([answered] { return answered->has_value(); }));
+    rig.run(milliseconds(100));
+    BOOST_TEST(numberOf() == number);
+}
+
 /// Failure: an upstream began again at another address; the refusal from its earlier address, where another upstream listened by then, removed it.
 BOOST_AUTO_TEST_CASE(aRefusalFromTheAddressOfAnEarlierIncarnationDoesNotRemoveTheUpstream)
 {
