A gang that asks about all upstreams names those with free capacity first

Callers would see: on services with more than 100 upstreams that a gang knows nothing of, its second question, of a second and more, names none that has room.

Cause: since the second question chooses by total capacity, in the order of preference, and work on accelerators prefers the fullest. A call takes 100 names, so the full ones fill it.

Fix: first the upstreams with capacity that the gang could have now, then the others.

Evidence: AdviceQueryPlannerTest/aGangThatAsksAgainNamesUpstreamsWithFreeCapacityFirst: of 37 free upstreams none was named before, all are now.

--- a/src/cell/AdviceQueryPlanner.cpp
+++ b/src/cell/AdviceQueryPlanner.cpp
@@ -236,9 +236,15 @@
         expectedTasks += this->input.advice.allowRates.rateFor(ready.queue->name) * reclaimable(*capacity).countFitting(*ready.step, tasks);
     }
     const bool tooFewAllowed = groups.allowedCount < static_cast<std::size_t>(GangTicketMargin * tasks) + 1;
-    if (expectedTasks >= tasks && !asksForAll(ready, advice)) {
+    if (expectedTasks < tasks && !tooFewAllowed) {
+        return chosen;
+    }
+    const bool all = asksForAll(ready, advice);
+    // A query takes a limited number of names, so those with free capacity come first.
+    if (expectedTasks >= tasks || all) {
         this->addNotQueried(ready, tasks, groups, reclaimable, chosen);
-    } else if (expectedTasks >= tasks || tooFewAllowed) {
+    }
+    if (expectedTasks < tasks || all) {
         const AvailableCapacity totalCapacity = [](const UpstreamCapacity &capacity) { return Capacity::totalOf(*capacity.upstream); };
         this->addNotQueried(ready, tasks, this->groupUpstreams(ready, tasks, pool, totalCapacity), totalCapacity, chosen);
     }
@@ -258,6 +264,9 @@
     std::size_t spareLeft = spareUpstreams(*ready.queue->advice);
     const std::size_t limit = ready.step->gang ? MaxUpstreamsPerGangQuery : MaxUpstreamsPerQuery;
     for (UpstreamCapacity *capacity : groups.notQueried) {
+        if (std::find(chosen.begin(), chosen.end(), capacity) != chosen.end()) {
+            continue;
+        }
         if (chosen.size() >= limit || (!all && expectedTasks >= needed && spareLeft == 0)) {
             return;
         }
--- a/tests/cell/AdviceQueryPlannerTest.cpp
+++ b/tests/cell/AdviceQueryPlannerTest.cpp
@@ -119,6 +119,37 @@
     BOOST_TEST(cell.plan().starts.size() == 37U);
 }
 
+/// Failure: a gang that asked again about all upstreams named the fullest first, and on a large service none of the 100 names of its query had free capacity.
+BOOST_AUTO_TEST_CASE(aGangThatAsksAgainNamesUpstreamsWithFreeCapacityFirst)
+{
+    PlannedCell cell;
+    cell.state.apply(support::put(rulesWithSlowAdvice()));
+    constexpr std::uint64_t Full = 120;
+    constexpr std::uint64_t All = 160;
+    for (std::uint64_t i = 1; i <= All; ++i) {
+        auto accelerated = support::upstream("u" + std::to_string(i), 8000);
+        accelerated->accelerators = 8;
+        cell.addUpstream(std::move(accelerated));
+    }
+    auto filling = longStep(Full, 4000);
+    filling->accelerators = 8;
+    cell.accept(support::job("fills", std::move(filling), "wide"));
+    for (std::uint64_t i = 0; i < Full; ++i) {
+        cell.addRun({{1, 0, 0}, static_cast<std::uint32_t>(i)}, i + 1);
+    }
+    auto gang = longStep(4, 4000);
+    gang->gang = true;
+    gang->accelerators = 8;
+    const std::uint64_t job = cell.accept(support::job("j", std::move(gang), "wide"));
+    cell.advice.adviceFor({job, 0, 0}).queried = {Full + 1, Full + 2, Full + 3};
+    const Plan plan = cell.plan();
+    BOOST_REQUIRE(plan.adviceQueries.size() == 1U);
+    const std::vector<std::uint64_t> &named = plan.adviceQueries.front().upstreams;
+    BOOST_TEST(named.size() == 100U);
+    BOOST_TEST(std::set<std::uint64_t>(named.begin(), named.end()).size() == named.size());
+    BOOST_TEST(std::count_if(named.begin(), named.end(), [](std::uint64_t upstream) { return upstream > Full; }) == All - Full - 3);
+}
+
 BOOST_AUTO_TEST_CASE(queriesOfOnePlanNameDifferentUpstreams)
 {
     PlannedCell cell;
