A job is pending until a task of it is known to have begun

Cause: Job.started, which the count of pending jobs uses, was set when a placement was committed. Where the start was refused, found nobody, or was held up until the leases lapsed, the job waited on and was never counted again. Class: a decision taken for its effect.

Fix: the leader records in the log which jobs have begun (Command.begun), once an upstream confirmed a start, listed a run or reported its end. Ends that only an upstream which began the run reports set it themselves. In the replicated state because a new leader can't tell whether runs had begun that have ended since, or that are on upstreams which it doesn't reach. Job.started keeps its place in the schema; Command has one more field.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -54,6 +54,13 @@
     return end.kind == wire::EndKind::Done && !task.done && end.attempt > 0 && end.attempt <= task.last_attempt;
 }
 
+/// Whether only upstreams that have begun the run report this end. A scheduler that ends a run itself, with any other kind, may not know whether it had begun.
+bool provesBeginning(wire::EndKind kind)
+{
+    return kind == wire::EndKind::Done || kind == wire::EndKind::Failed || kind == wire::EndKind::Lapsed || kind == wire::EndKind::Broken
+        || kind == wire::EndKind::Alone;
+}
+
 bool isPrefixOf(std::string_view prefix, std::string_view path)
 {
     return path.substr(0, prefix.size()) == prefix;
@@ -87,6 +94,11 @@
     for (const auto &placement : command.placements) {
         this->applyPlacement(*placement);
     }
+    for (const std::uint64_t number : command.begun) {
+        if (wire::JobT *job = this->mutableJob(number)) {
+            job->started = true;
+        }
+    }
     for (const std::uint64_t number : command.forget) {
         if (const wire::JobT *job = this->job(number); job != nullptr && this->openJobNumbers.count(number) == 0) {
             this->jobNumbers.erase(job->spec->id);
@@ -137,6 +149,7 @@
     } else if (!isLateDone(end, *task)) {
         return;
     }
+    job->started = job->started || provesBeginning(end.kind);
     const wire::StepT &step = *job->spec->steps[end.task->step];
     auto &members = job->occurrences[end.task->occurrence]->steps[end.task->step]->tasks;
     if (!end.checkpoint.empty()) {
@@ -244,7 +257,6 @@
     task->last_attempt = placement.attempt;
     task->runs.push_back(std::move(run));
     job->state = wire::JobState::Running;
-    job->started = true;
 }
 
 void CellState::updateOpenJobs(const wire::JobT &job)
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -48,7 +48,7 @@
                    AdviceDispatcher &advice,
                    replication::Group &cellGroup,
                    std::function<void(std::function<void()>)> post)
-    : context{cellOptions, term, store, calls, advice, {}, {}, {}, {}, std::move(post), {}, {}}
+    : context{cellOptions, term, store, calls, advice, {}, {}, {}, {}, {}, std::move(post), {}, {}}
     , group(cellGroup)
     , runs(context, adviceCache)
     , upstreams(context, runs)
@@ -114,6 +114,7 @@
     if (const base::SteadyTime now = base::steadyNow(); now >= this->nextPlan) {
         this->planStarts(now);
     }
+    this->addBegunJobs();
     if (!this->context.batch.empty()) {
         this->proposeBatch();
     }
@@ -416,6 +417,32 @@
     this->planAndPropose();
 }
 
+void CellTerm::addBegunJobs()
+{
+    if (this->context.batch.empty() && !this->context.begunJobs.isDue(base::steadyNow())) {
+        return;
+    }
+    std::vector<std::uint64_t> begun;
+    this->context.store.read([&](const CellState &state) {
+        for (const std::uint64_t number : this->context.begunJobs.take()) {
+            if (const wire::JobT *job = state.job(number); job != nullptr && !job->started) {
+                begun.push_back(number);
+            }
+        }
+    });
+    if (begun.empty()) {
+        return;
+    }
+    this->context.batch.command().begun = begun;
+    this->context.batch.onOutcome([this, begun](base::ResultCode code) {
+        for (const std::uint64_t number : begun) {
+            if (code != base::ResultCode::Ok) {
+                this->context.begunJobs.add(number, base::steadyNow());
+            }
+        }
+    });
+}
+
 void CellTerm::addDueOccurrences()
 {
     const std::int64_t now = unixTimeMs();
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -58,6 +58,7 @@
     void proposeBatch();
     void handleProposeResult(const wire::CommandT &command, base::ResultCode code);
     void recordJobProgress(const wire::CommandT &command);
+    void addBegunJobs();
     void addDueOccurrences();
     void addJobsToForget();
 
--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -164,6 +164,9 @@
         this->onUpstreamReplaced(run->upstream);
         return;
     }
+    if (result.status == UpstreamCallStatus::Done) {
+        this->recordBegun(*run);
+    }
     if (run->phase != RunPhase::StartRequested) {
         run->startUnanswered = run->startUnanswered || result.status == UpstreamCallStatus::Unknown;
         return;
@@ -291,6 +294,13 @@
     this->context.wake();
 }
 
+void RunManager::recordBegun(TrackedRun &run)
+{
+    if (!std::exchange(run.begun, true)) {
+        this->context.begunJobs.add(run.key.task.step.job, base::steadyNow());
+    }
+}
+
 void RunManager::proposeLateDone(const RunKey &key, std::uint64_t upstream, const std::string &checkpoint)
 {
     const bool waits = this->context.store.read([&key](const CellState &state) {
--- a/src/cell/RunManager.h
+++ b/src/cell/RunManager.h
@@ -43,6 +43,9 @@
     /// Adds the end of the run to the next batch; the run is no longer tracked once the end is committed.
     void proposeEnd(TrackedRun &run, wire::EndKind kind, const std::string &checkpoint);
 
+    /// Called with each sign that the upstream has begun the run. Its job is no longer pending then.
+    void recordBegun(TrackedRun &run);
+
     /// Adds the end `done` of a run that is no longer tracked, if its task still waits or runs again.
     void proposeLateDone(const RunKey &key, std::uint64_t upstream, const std::string &checkpoint);
 
--- a/src/cell/TermContext.h
+++ b/src/cell/TermContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/AdviceDispatcher.h"
+#include "cell/BegunJobs.h"
 #include "cell/CellOptions.h"
 #include "cell/CellStore.h"
 #include "cell/CommandBatch.h"
@@ -27,6 +28,7 @@
     AdviceDispatcher &adviceDispatcher;
     CommandBatch batch;
     RunTable runs;
+    BegunJobs begunJobs;
     SlowUpstreamDetector slowUpstreamDetector;
     std::map<std::uint64_t, UpstreamTracker> trackers; ///< By upstream number.
 
--- a/src/cell/TrackedRun.h
+++ b/src/cell/TrackedRun.h
@@ -29,6 +29,7 @@
     std::chrono::milliseconds latestDeadline{
         0}; ///< Latest deadline that a start request carried, on the upstream's clock; the upstream refuses requests that arrive later.
     bool startUnanswered = false; ///< Some start request had no answer and may still be carried out.
+    bool begun = false; ///< The upstream has begun the run, as this leader knows.
     bool endProposed = false; ///< The end of the run has been proposed and is not committed yet.
     bool callPending = false; ///< A start or stop request has no answer yet.
     base::SteadyTime nextCall{}; ///< No request is sent before.
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -369,12 +369,13 @@
             unexpected.upstream = number;
             unexpected.phase = RunPhase::Stopping;
             if (run == nullptr) {
-                this->context.runs.add(std::move(unexpected));
+                this->runs.recordBegun(this->context.runs.add(std::move(unexpected)));
             }
             listed.insert(*key);
             continue;
         }
         listed.insert(*key);
+        this->runs.recordBegun(*run);
         if (run->phase == RunPhase::Adopted || run->phase == RunPhase::StartRequested) {
             run->phase = RunPhase::Confirmed;
             run->startedAt = now;
@@ -405,6 +406,7 @@
         highest = std::max(highest, report.number);
         TrackedRun *run = key ? this->context.runs.find(*key) : nullptr;
         if (run != nullptr && run->upstream == number) {
+            this->runs.recordBegun(*run);
             this->recordEnd(number, tracker, *run, report.kind);
             this->runs.proposeEnd(*run, toEndKind(report.kind), report.checkpoint);
         } else if (key && run == nullptr && report.kind == RunEndKind::Done) {
--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -158,6 +158,17 @@
     return this->store.read([&id](const cell::CellState &state) { return state.jobNamed(id)->state; });
 }
 
+std::uint64_t CellRig::pendingJobs(const std::string &queueName)
+{
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::CountPending;
+    call.host = "host";
+    call.path = queuePath(queueName, {});
+    std::optional<std::uint64_t> pending;
+    this->leader->call(std::move(call), [&pending](const cell::wire::ReplyT &reply) { pending = reply.pending; });
+    return pending.value(); // Reads are answered at once.
+}
+
 void CellRig::runPosted()
 {
     while (!this->posted.empty()) {
--- a/tests/cell/CellRig.h
+++ b/tests/cell/CellRig.h
@@ -53,6 +53,9 @@
     base::ResultCode cancel(const std::string &id);
     cell::wire::JobState jobState(const std::string &id) const;
 
+    /// The number of pending jobs that the scheduler gives for this queue.
+    std::uint64_t pendingJobs(const std::string &queueName);
+
     /// Runs the scheduler for this time: ticks and posted functions.
     void run(std::chrono::milliseconds time);
 
--- a/tests/support/FakeGroup.cpp
+++ b/tests/support/FakeGroup.cpp
@@ -25,6 +25,11 @@
         done({base::ResultCode::NotLeader, {}});
         return;
     }
+    if (this->proposalsToRefuse > 0) {
+        --this->proposalsToRefuse;
+        done({base::ResultCode::NotLeader, {}});
+        return;
+    }
     if (durability == replication::Durability::SyncedDisk && !this->hasDisk) {
         done({base::ResultCode::NoDurableStore, {}});
         return;
--- a/tests/support/FakeGroup.h
+++ b/tests/support/FakeGroup.h
@@ -31,6 +31,7 @@
 
     std::atomic<bool> leads{true};
     std::atomic<bool> hasDisk{true};
+    std::atomic<int> proposalsToRefuse{0}; ///< So many proposals from now on are not committed.
 
     /// While true, proposals wait, as with a slow disk.
     std::atomic<bool> stalls{false};
