Only a refused connection proves that nobody listens at an upstream's address

Cause: each connection that could not be opened counted as Absent, and libcurl reports a lack of local descriptors by the code of a refused connection. Class: a failure of one's own is taken as proof about others.

Fix: the client tells a refusal by the system's error (ClientResponse::refused); other failures to connect are NotSent.

--- a/src/http/ClientResponse.h
+++ b/src/http/ClientResponse.h
@@ -20,6 +20,7 @@
 struct ClientResponse {
     CallOutcome outcome = CallOutcome::Answered;
     bool sent = true; ///< False only if it is certain that no byte of the request left this process.
+    bool refused = false; ///< The address refused the connection: nobody listens there.
     long status = 0; ///< HTTP status; 0 unless answered.
     std::string body;
     std::string error; ///< Cause for the log; empty if answered.
--- a/src/http/Transfer.cpp
+++ b/src/http/Transfer.cpp
@@ -3,6 +3,7 @@
 #include "observe/Metrics.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 namespace cranberryreel::http
@@ -155,6 +156,10 @@
     this->response.outcome = outcomeOf(result);
     // A request whose sending has begun may have arrived, even if libcurl counts no byte of it after a failed write.
     this->response.sent = result == CURLE_OK || this->sendBegun || this->hasSentBytes();
+    // libcurl reports a lack of local sockets or of a path to the host by the same code as a refusal.
+    long systemError = 0;
+    curl_easy_getinfo(this->curl, CURLINFO_OS_ERRNO, &systemError);
+    this->response.refused = result == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
     curl_easy_getinfo(this->curl, CURLINFO_RESPONSE_CODE, &this->response.status);
     if (result != CURLE_OK) {
         this->response.error = curl_easy_strerror(result);
--- a/tests/http/ClientTest.cpp
+++ b/tests/http/ClientTest.cpp
@@ -6,9 +6,11 @@
 
 #include <atomic>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace cranberryreel::http;
 using cranberryreel::support::eventually;
@@ -112,9 +114,36 @@
     request.host = "127.0.0.1:" + std::to_string(closed.port);
     const ClientResponse response = this->client.callAndWait(std::move(request));
     BOOST_TEST((response.outcome == CallOutcome::Unreachable));
+    BOOST_TEST(response.refused);
     BOOST_TEST(!response.sent);
 }
 
+/// Failure: without a free descriptor of its own a VM took an upstream that listened for one that nobody listens for, and its runs for ended.
+BOOST_AUTO_TEST_CASE(aLackOfDescriptorsIsNoRefusedConnection)
+{
+    const ListenSocket listening = openListenSocket("127.0.0.1", 0);
+    ClientRequest request = this->request("/echo", "body");
+    request.host = "127.0.0.1:" + std::to_string(listening.port);
+    constexpr rlim_t Limit = 128;
+    rlimit before{};
+    BOOST_REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+    const rlimit lowered{Limit, before.rlim_max};
+    BOOST_REQUIRE(::setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    std::vector<int> taken;
+    for (int descriptor = ::dup(listening.descriptor); descriptor >= 0; descriptor = ::dup(listening.descriptor)) {
+        taken.push_back(descriptor);
+    }
+    const ClientResponse response = this->client.callAndWait(std::move(request));
+    for (const int descriptor : taken) {
+        ::close(descriptor);
+    }
+    ::setrlimit(RLIMIT_NOFILE, &before);
+    ::close(listening.descriptor);
+    BOOST_TEST((response.outcome == CallOutcome::Unreachable));
+    BOOST_TEST(!response.sent);
+    BOOST_TEST(!response.refused);
+}
+
 BOOST_AUTO_TEST_CASE(reportsSentAfterATimeout)
 {
     ClientRequest request = this->request("/park", "body");
--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -209,6 +209,8 @@
     lost.sent = false;
     BOOST_TEST((platform::decodeCallResponse(lost).status == UpstreamCallStatus::NotSent));
     lost.outcome = http::CallOutcome::Unreachable;
+    BOOST_TEST((platform::decodeCallResponse(lost).status == UpstreamCallStatus::NotSent));
+    lost.refused = true;
     BOOST_TEST((platform::decodeCallResponse(lost).status == UpstreamCallStatus::Absent));
 }
 
