An end that is listed while the loss of its run is committed counts

It missed the time between the proposal that gives a run up and its commit: the end was dropped, since the run already had a proposed one, but its number was acknowledged with the others. The task ran again although its end had been taken note of. The time is long where commits are slow, after a cut for example.

Such an end is now proposed as a late one. Ends of other kinds change nothing, as before.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -404,10 +404,15 @@
         }
         highest = std::max(highest, report.number);
         TrackedRun *run = key ? this->context.runs.find(*key) : nullptr;
-        if (run != nullptr && run->upstream == number) {
+        const bool isTracked = run != nullptr && run->upstream == number;
+        if (isTracked) {
             this->recordEnd(number, tracker, *run, report.kind);
+        }
+        // The run may have been given up, and the commit of that is still under way.
+        const bool givenUp = run == nullptr || (isTracked && run->endProposed);
+        if (isTracked && !givenUp) {
             this->runs.proposeEnd(*run, toEndKind(report.kind), report.checkpoint);
-        } else if (key && run == nullptr && report.kind == RunEndKind::Done) {
+        } else if (key && givenUp && report.kind == RunEndKind::Done) {
             this->runs.proposeLateDone(*key, number, report.checkpoint);
         }
     }
--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -422,4 +422,23 @@
     BOOST_TEST(rig.upstreams.startCounts[First] == 1);
 }
 
+/// As above, but the upstream lists the end while the loss of the run waits for its commit.
+BOOST_AUTO_TEST_CASE(anEndThatIsListedWhileTheLossOfItsRunIsCommittedCounts)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf(First) == "u1"; }));
+    rig.upstreams.upstreams["u1"].reachable = false;
+    rig.upstreams.finish("u1", First, RunEndKind::Done);
+    rig.group.stalls = true;
+    const std::uint64_t before = rig.group.proposals;
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.group.proposals > before; }));
+    rig.upstreams.upstreams["u1"].reachable = true;
+    rig.run(milliseconds(600));
+    rig.group.resume();
+    BOOST_TEST(rig.runUntil([&] { return rig.jobState("j") == JobState::Completed; }, std::chrono::seconds(3)));
+    BOOST_TEST(rig.upstreams.startCounts[First] == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
