--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -162,11 +162,12 @@
     }
 }
 
-bool UpstreamManager::isDraining(std::uint64_t number) const
+/// Whether the known incarnation announced its end. The record may still be that of an earlier one.
+bool UpstreamManager::isDraining(std::uint64_t number, const UpstreamTracker &tracker) const
 {
-    return this->context.store.read([number](const CellState &state) {
+    return this->context.store.read([number, &tracker](const CellState &state) {
         const auto upstream = state.upstreams().find(number);
-        return upstream != state.upstreams().end() && upstream->second.draining;
+        return upstream != state.upstreams().end() && upstream->second.draining && tracker.bornOr(upstream->second.born_ms) == upstream->second.born_ms;
     });
 }
 
@@ -198,7 +199,7 @@
                             number,
                             tracker.silentCalls,
                             this->context.runs.countOnUpstream(number),
-                            this->isDraining(number),
+                            this->isDraining(number, tracker),
                             millisecondsBetween(tracker.answeredAt, now),
                             millisecondsBetween(tracker.grantedAt, now));
                 tracker.readBack = false;
@@ -268,7 +269,7 @@
     }
     tracker.earlierBorn.reset();
     // An upstream drains before it leaves, so an earlier incarnation of this one sent the message.
-    tracker.leaving = tracker.leaving && this->isDraining(number);
+    tracker.leaving = tracker.leaving && this->isDraining(number, tracker);
     if (tracker.silentCalls > 0) {
         Logger.info("event=upstream_responsive number={} after_silent_calls={}", number, tracker.silentCalls);
     }
@@ -369,12 +370,13 @@
             unexpected.upstream = number;
             unexpected.phase = RunPhase::Stopping;
             if (run == nullptr) {
-                this->context.runs.add(std::move(unexpected));
+                this->runs.recordBegun(this->context.runs.add(std::move(unexpected)));
             }
             listed.insert(*key);
             continue;
         }
         listed.insert(*key);
+        this->runs.recordBegun(*run);
         if (run->phase == RunPhase::Adopted || run->phase == RunPhase::StartRequested) {
             run->phase = RunPhase::Confirmed;
             run->startedAt = now;
@@ -404,10 +406,16 @@
         }
         highest = std::max(highest, report.number);
         TrackedRun *run = key ? this->context.runs.find(*key) : nullptr;
-        if (run != nullptr && run->upstream == number) {
+        const bool isTracked = run != nullptr && run->upstream == number;
+        if (isTracked) {
+            this->runs.recordBegun(*run);
             this->recordEnd(number, tracker, *run, report.kind);
+        }
+        // The run may have been given up, and the commit of that is still under way.
+        const bool givenUp = run == nullptr || (isTracked && run->endProposed);
+        if (isTracked && !givenUp) {
             this->runs.proposeEnd(*run, toEndKind(report.kind), report.checkpoint);
-        } else if (key && run == nullptr && report.kind == RunEndKind::Done) {
+        } else if (key && givenUp && report.kind == RunEndKind::Done) {
             this->runs.proposeLateDone(*key, number, report.checkpoint);
         }
     }
