Tests: the platform cell's settings take the longest lease, and its configuration a queue for tasks that last

The settings stated lease_max_ms = 6000, so that no test of daemons saw what they do where the platform allows longer leases. The second queue has a service of its own, so that the first one's jobs go on waiting for upstreams as before.

--- a/tests/support/PlatformCell.cpp
+++ b/tests/support/PlatformCell.cpp
@@ -158,8 +158,11 @@
 {
     constexpr const char *AfterVersion =
         R"(,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","Kind":"non_idempotent","TimeoutMs":3000,)"
-        R"("TargetLatencyMs":250,"Priority":0,"Service":"s","MaxAttempts":2,"SlackFactor":1.5}],)"
-        R"("Services":[{"Name":"s","HealthPath":"/health","MaxConns":64,"Protocol":"h1","Tls":false,"AdmissionCheck":false,"Standby":false}],)"
+        R"("TargetLatencyMs":250,"Priority":0,"Service":"s","MaxAttempts":2,"SlackFactor":1.5},)"
+        R"({"Name":"l","Host":"h","PathPrefix":"/l/","Kind":"non_idempotent","TimeoutMs":3000,)"
+        R"("TargetLatencyMs":250,"Priority":0,"Service":"l","MaxAttempts":2,"SlackFactor":1.5}],)"
+        R"("Services":[{"Name":"s","HealthPath":"/health","MaxConns":64,"Protocol":"h1","Tls":false,"AdmissionCheck":false,"Standby":false},)"
+        R"({"Name":"l","HealthPath":"/health","MaxConns":64,"Protocol":"h1","Tls":false,"AdmissionCheck":false,"Standby":false}],)"
         R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
     return R"({"Version":)" + std::to_string(version) + AfterVersion;
 }
@@ -189,6 +192,13 @@
     return this->call("POST", this->callers(entryVm), "/p/" + job, R"({"Spec":"x","Steps":[{"Count":1,"Cpu":100,"MemRequestMb":16,"EstimateMs":100}]})").status;
 }
 
+long PlatformCell::submitLasting(const std::string &entryVm, const std::string &job, int tasks)
+{
+    const std::string body =
+        fmt::format(R"({{"Spec":"x","Steps":[{{"Count":{},"Cpu":1000,"MemRequestMb":16,"EstimateMs":1000,"AntiAffinity":2,"LongRunning":true}}]}})", tasks);
+    return this->call("POST", this->callers(entryVm), "/l/" + job, body).status;
+}
+
 long PlatformCell::stateOf(const std::string &entryVm, const std::string &job)
 {
     return this->get(this->callers(entryVm), "/p/" + job);
@@ -230,7 +240,7 @@
         "[link]\nlisten = {0}:{5}\nkey = 5f0c2f6a9e1b47d3a8c4410be72d9635\n\n"
         "[cell]\nseeds = {6}\ntolerate = {7}\nfirst_start = {8}\ndata_folder = {9}\n\n"
         "[advice]\nservice = 127.0.0.1:1\n\n"
-        "[times]\nlease_max_ms = 6000\nstop_limit_ms = 200\ngang_wait_ms = 3000\nrestore_ms = 600\nfar_rack_factor = 1.5\n",
+        "[times]\nlease_max_ms = {10}\nstop_limit_ms = 200\ngang_wait_ms = 3000\nrestore_ms = 600\nfar_rack_factor = 1.5\n",
         name,
         vm.hasDisk ? "" : this->callers(name),
         vm.hasDisk ? "" : this->readiness(name),
@@ -240,7 +250,8 @@
         this->seeds(),
         this->options.tolerate,
         vm.formsCell,
-        vm.hasDisk ? this->diskOf(name) : "");
+        vm.hasDisk ? this->diskOf(name) : "",
+        this->options.leaseMax.count());
 }
 
 std::string PlatformCell::seeds() const
@@ -270,7 +281,7 @@
     request.target = target;
     request.body = body;
     request.limit = CallLimit;
-    if (target.rfind("/p/", 0) == 0 && target.size() > 3) {
+    if ((target.rfind("/p/", 0) == 0 || target.rfind("/l/", 0) == 0) && target.size() > 3) {
         request.headers.emplace_back("Host", "h");
     }
     return this->client.callAndWait(std::move(request));
--- a/tests/support/PlatformCell.h
+++ b/tests/support/PlatformCell.h
@@ -62,7 +62,7 @@
     std::string control(const std::string &vm) const;
     std::string metrics(const std::string &vm) const;
 
-    /// A configuration with one queue.
+    /// A configuration with two queues; the second one, with path prefix /l/ and service "l", is for tasks that last.
     static std::string configuration(int version);
 
     /// These calls use connections that stay open, and return the status of the response, 0 if there was none.
@@ -70,6 +70,8 @@
     long put(const std::string &vm, const std::string &body);
     long putConfig(const std::string &vm, int version);
     long submit(const std::string &entryVm, const std::string &job);
+    /// Submits a job whose tasks run until it is cancelled, at most two of them on one upstream.
+    long submitLasting(const std::string &entryVm, const std::string &job, int tasks);
     /// Sends an upstream's announcement.
     long announce(const std::string &vm, const std::string &upstream, const std::string &body);
     long stateOf(const std::string &entryVm, const std::string &job);
