Soak: tasks that last run again within 9 s of their upstream's end, whatever lease the platform allows

The soak had no upstreams and no tasks that last, and its settings stated leases of 6 s; it could not show the incident of late recovery (docs/incidents/late-recovery-of-lasting-tasks.md). Now lease_max_ms is 10,000, four stand-ins for upstreams (every second one's clock 2% slow) run two jobs of four lasting tasks, and before the first round and after each one an upstream is lost while no other fault is at work: by turns one vanishes (connections break, further ones are refused), or announces that it drains and vanishes 20 ms to 2 s later, without a leave message. The losses draw from a generator of their own, so that the other faults of a seed are as before.

Check: each task runs again within 9 s of the end of its last run, counted from the start of the calm time at the earliest. A stall of the machine's disk is no calm: the soak writes to the disk itself and counts from the end of a write that took over 500 ms.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -31,6 +31,7 @@
     , plan(randomSeed)
     , cell(this->plan.layout())
     , traffic(this->cell, this->report, randomSeed)
+    , upstreams(this->cell)
 {
     for (const auto *group : {&this->cell.diskVms(), &this->cell.entryVms()}) {
         for (const std::string &vm : *group) {
@@ -46,13 +47,17 @@
     const SteadyTime end = now() + time;
     this->traffic.start();
     this->checkServes();
+    this->upstreams.start();
+    this->runLoss(this->plan.nextLoss());
     while (now() < end && !this->report.failed()) {
         this->runRound(this->plan.nextRound());
+        this->runLoss(this->plan.nextLoss());
     }
     if (!this->report.failed()) {
         this->traffic.checkJobs();
         this->stopAll();
     }
+    this->upstreams.stop();
     this->traffic.stop();
     const ServedCounts counts = this->traffic.counts();
     this->report.note(fmt::format("seed={} result={} configurations={} reads={} jobs={}{}",
@@ -81,6 +86,40 @@
     this->wait(now() + CatchUpTime);
 }
 
+/// Ends an upstream while nothing else disturbs the cell.
+void Soak::runLoss(const std::vector<SoakStep> &steps)
+{
+    this->awaitLastingTasks(now());
+    const SteadyTime start = now();
+    for (const SoakStep &step : steps) {
+        this->wait(start + step.time);
+        if (this->report.failed()) {
+            return;
+        }
+        this->apply(step);
+    }
+    this->awaitLastingTasks(start);
+    this->upstreams.addUpstream();
+}
+
+void Soak::awaitLastingTasks(SteadyTime calmSince)
+{
+    const SteadyTime start = now();
+    while (!this->report.failed() && !this->upstreams.lastingRuns().allRun()) {
+        this->wait(now() + WatchInterval);
+        calmSince = std::max(calmSince, this->diskProbe.lastStall());
+        for (const std::string &task : this->upstreams.lastingRuns().overdue(calmSince)) {
+            this->report.addViolation(fmt::format("the lasting task {} does not run again within {} s", task, RestartLimit.count()));
+        }
+    }
+    if (this->diskProbe.lastStall() >= start) {
+        this->report.note("the machine's disk stalled meanwhile");
+    }
+    if (!this->report.failed()) {
+        this->report.note(fmt::format("lasting tasks run after {} ms", std::chrono::duration_cast<std::chrono::milliseconds>(now() - start).count()));
+    }
+}
+
 void Soak::apply(const SoakStep &step)
 {
     struct Handler {
@@ -100,7 +139,9 @@
                                        {"remove", &Soak::remove},
                                        {"succeed", &Soak::succeed},
                                        {"power_loss", &Soak::cutPower},
-                                       {"power_back", &Soak::restorePower}};
+                                       {"power_back", &Soak::restorePower},
+                                       {"drain", &Soak::drain},
+                                       {"vanish", &Soak::vanish}};
     const Handler &handler = handlers[static_cast<std::size_t>(step.action)];
     const std::string vm = this->vmAt(step);
     this->report.note(fmt::format("{} {}", handler.name, vm));
@@ -299,14 +340,28 @@
     const std::string successor = this->cell.replace(vm);
     this->vms[successor] = {};
     this->traffic.setControlVms(this->cell.diskVms());
+    this->upstreams.setControlVms(this->cell.diskVms());
     this->report.note("successor " + successor);
 }
 
+void Soak::drain(const std::string &upstream)
+{
+    this->upstreams.drain(upstream);
+}
+
+void Soak::vanish(const std::string &upstream)
+{
+    this->upstreams.vanish(upstream);
+}
+
 std::string Soak::vmAt(const SoakStep &step) const
 {
     if (step.action == Action::PowerLoss || step.action == Action::PowerBack) {
         return "all disks";
     }
+    if (step.action == Action::Drain || step.action == Action::Vanish) {
+        return this->upstreams.nextToEnd();
+    }
     return step.onEntry ? this->cell.entryVms()[step.place] : this->cell.diskVms()[step.place];
 }
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "soak/DiskProbe.h"
 #include "soak/SoakPlan.h"
 #include "soak/SoakReport.h"
 #include "soak/SoakTraffic.h"
+#include "soak/SoakUpstreams.h"
 #include "support/PlatformCell.h"
 
 #include <chrono>
@@ -36,6 +38,8 @@
     };
 
     void runRound(const SoakRound &round);
+    void runLoss(const std::vector<SoakStep> &steps);
+    void awaitLastingTasks(SteadyTime calmSince);
     void apply(const SoakStep &step);
     void close(const SoakRound &round);
     void checkServes();
@@ -56,6 +60,8 @@
     void succeed(const std::string &vm);
     void cutPower(const std::string &vm); ///< Of all VMs with a disk.
     void restorePower(const std::string &vm); ///< Of the VMs that the last loss of power took down.
+    void drain(const std::string &upstream);
+    void vanish(const std::string &upstream);
     std::string vmAt(const SoakStep &step) const;
 
     const std::uint64_t seed;
@@ -63,6 +69,8 @@
     SoakPlan plan;
     support::PlatformCell cell;
     SoakTraffic traffic;
+    SoakUpstreams upstreams;
+    DiskProbe diskProbe;
     std::map<std::string, Expected> vms;
     std::vector<std::string> withoutPower;
 };
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -21,11 +21,14 @@
 
 SoakPlan::SoakPlan(std::uint64_t seed)
     : random(seed)
+    , lossRandom(seed)
+    , nextLossKind(seed)
 {
     this->options.tolerate = this->below(3) == 0 ? 2 : 1;
     const int voters = 2 * this->options.tolerate + 1;
     this->options.diskVms = voters + static_cast<int>(this->below(3));
     this->options.entryVms = 2;
+    this->options.leaseMax = PlatformLeaseMax;
 }
 
 const support::PlatformCellOptions &SoakPlan::layout() const
@@ -46,6 +49,19 @@
     return round;
 }
 
+std::vector<SoakStep> SoakPlan::nextLoss()
+{
+    static const FaultKind kinds[] = {{Action::Vanish, Action::Vanish, 0ms, 0ms}, {Action::Drain, Action::Vanish, 20ms, 2000ms}};
+    const auto &[begin, end, shortest, longest] = kinds[this->nextLossKind++ % std::size(kinds)];
+    std::vector<SoakStep> steps;
+    if (begin != end) {
+        steps.push_back({0ms, begin, false, 0});
+    }
+    const auto range = static_cast<std::uint64_t>((longest - shortest).count()) + 1;
+    steps.push_back({shortest + milliseconds(this->lossRandom() % range), end, false, 0});
+    return steps;
+}
+
 void SoakPlan::addFaults(SoakRound &round, milliseconds length)
 {
     static const FaultKind kinds[] = {
--- a/tests/soak/SoakPlan.h
+++ b/tests/soak/SoakPlan.h
@@ -20,6 +20,11 @@
 /// The cell serves again within this time after all VMs are back.
 constexpr std::chrono::seconds RecoveryTime{12};
 
+/// A task that lasts runs again within this time of the end of its last run while nothing else disturbs the cell, whatever lease the platform allows.
+constexpr std::chrono::seconds RestartLimit{9};
+/// Longest lease that the platform allows.
+constexpr std::chrono::seconds PlatformLeaseMax{10};
+
 /// Faults that overlap, and the end of a round.
 struct SoakRound {
     std::vector<SoakStep> steps; ///< By time.
@@ -38,6 +43,9 @@
     const support::PlatformCellOptions &layout() const;
     SoakRound nextRound();
 
+    /// The end of one upstream, by time, while nothing else disturbs the cell.
+    std::vector<SoakStep> nextLoss();
+
 private:
     std::size_t below(std::size_t bound);
     std::chrono::milliseconds between(std::chrono::milliseconds shortest, std::chrono::milliseconds longest);
@@ -52,6 +60,8 @@
     void addClosing(SoakRound &round);
 
     std::mt19937_64 random;
+    std::mt19937_64 lossRandom; ///< Apart from the other one, so that a seed keeps its rounds.
+    std::uint64_t nextLossKind; ///< The kinds take turns, so that a short soak has both.
     support::PlatformCellOptions options;
     std::vector<std::chrono::milliseconds> lostUntil; ///< By place, in the round that is being drawn.
 };
--- a/tests/soak/SoakStep.h
+++ b/tests/soak/SoakStep.h
@@ -21,6 +21,8 @@
     Succeed, ///< Starts the successor of a removed VM.
     PowerLoss, ///< Kills all VMs with a disk.
     PowerBack, ///< Starts the VMs that the last loss of power took down.
+    Drain, ///< The upstream with the most runs announces its end.
+    Vanish, ///< The draining upstream, or else the one with the most runs, is gone for good without a leave message.
 };
 
 /// One step of a soak's schedule.
