A gang asks about all other upstreams only where one call can name them

Suspected cause, from reading: a call names 100 upstreams, so that a gang that waits for capacity on such a service asked three or four times about 100 each, a second and more a call, and held VMs that other steps' questions wait for.

--- a/src/cell/AdviceQueryPlanner.cpp
+++ b/src/cell/AdviceQueryPlanner.cpp
@@ -1,6 +1,7 @@
 #include "cell/AdviceQueryPlanner.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace cranberryreel::cell
@@ -41,13 +42,6 @@
     return static_cast<std::size_t>(std::clamp(worth, 1.0, MaxSpareUpstreams));
 }
 
-/// A gang whose first answer did not suffice asks about all other upstreams at once. Asked about a few at a time, those that it learns to be allowed fill up
-/// before it knows enough that are free together.
-bool asksForAll(const ReadyStep &ready, const StepAdvice &advice)
-{
-    return ready.step->gang && !advice.queried.empty();
-}
-
 /// Work on accelerators fills partly used upstreams, which keeps others empty for work that needs whole upstreams. Other work goes to the emptiest upstreams.
 auto preferenceRank(const ReadyStep &ready, const UpstreamCapacity &capacity)
 {
@@ -239,18 +233,27 @@
     if (expectedTasks < tasks && !tooFewAllowed) {
         return chosen;
     }
-    const bool all = asksForAll(ready, advice);
+    const bool all = this->asksForAll(ready, pool);
+    const std::uint32_t wanted = all ? std::numeric_limits<std::uint32_t>::max() : tasks;
     // A query takes a limited number of names, so those with free capacity come first.
     if (expectedTasks >= tasks || all) {
-        this->addNotQueried(ready, tasks, groups, reclaimable, chosen);
+        this->addNotQueried(ready, wanted, groups, reclaimable, chosen);
     }
     if (expectedTasks < tasks || all) {
         const AvailableCapacity totalCapacity = [](const UpstreamCapacity &capacity) { return Capacity::totalOf(*capacity.upstream); };
-        this->addNotQueried(ready, tasks, this->groupUpstreams(ready, tasks, pool, totalCapacity), totalCapacity, chosen);
+        this->addNotQueried(ready, wanted, this->groupUpstreams(ready, tasks, pool, totalCapacity), totalCapacity, chosen);
     }
     return chosen;
 }
 
+/// A gang whose first answer did not suffice asks about all other upstreams at once, where one call can name them. Asked about a few at a time, those that it
+/// learns to be allowed fill up before it knows enough that are free together.
+bool AdviceQueryPlanner::asksForAll(const ReadyStep &ready, const ServicePool &pool) const
+{
+    const std::size_t queried = this->input.advice.adviceFor(ready.key).queried.size();
+    return ready.step->gang && queried > 0 && pool.capacities.size() <= queried + MaxUpstreamsPerGangQuery;
+}
+
 void AdviceQueryPlanner::addNotQueried(const ReadyStep &ready,
                                        std::uint32_t tasks,
                                        const UpstreamGroups &groups,
@@ -259,7 +262,6 @@
 {
     const double allowRate = this->input.advice.allowRates.rateFor(ready.queue->name);
     const double needed = (ready.step->gang ? GangTicketMargin : 1.0) * tasks;
-    const bool all = asksForAll(ready, this->input.advice.adviceFor(ready.key));
     double expectedTasks = 0;
     std::size_t spareLeft = spareUpstreams(*ready.queue->advice);
     const std::size_t limit = ready.step->gang ? MaxUpstreamsPerGangQuery : MaxUpstreamsPerQuery;
@@ -267,10 +269,10 @@
         if (std::find(chosen.begin(), chosen.end(), capacity) != chosen.end()) {
             continue;
         }
-        if (chosen.size() >= limit || (!all && expectedTasks >= needed && spareLeft == 0)) {
+        if (chosen.size() >= limit || (expectedTasks >= needed && spareLeft == 0)) {
             return;
         }
-        spareLeft -= !all && expectedTasks >= needed ? 1 : 0;
+        spareLeft -= expectedTasks >= needed ? 1 : 0;
         expectedTasks += allowRate * availableOn(*capacity).countFitting(*ready.step, std::min(tasks, this->rules.remainingTaskLimit(ready, *capacity)));
         chosen.push_back(capacity);
     }
--- a/src/cell/AdviceQueryPlanner.h
+++ b/src/cell/AdviceQueryPlanner.h
@@ -70,6 +70,7 @@
     bool mayQuery(const ReadyStep &ready) const;
     std::vector<UpstreamCapacity *> chooseForLargeWork(const ReadyStep &ready, const ServicePool &pool, const std::vector<UpstreamCapacity *> &reserved) const;
     UpstreamGroups groupUpstreams(const ReadyStep &ready, std::uint32_t tasks, const ServicePool &pool, const AvailableCapacity &availableOn) const;
+    bool asksForAll(const ReadyStep &ready, const ServicePool &pool) const;
     void addFull(const ReadyStep &ready, const UpstreamGroups &groups, std::vector<UpstreamCapacity *> &chosen) const;
     void addNotQueried(const ReadyStep &ready,
                        std::uint32_t tasks,
