--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -73,7 +73,7 @@
 void CellState::apply(const wire::CommandT &command)
 {
     if (command.rules && (!this->currentRules || command.rules->version > this->currentRules->version)) {
-        this->currentRules = std::make_unique<wire::RulesT>(*command.rules);
+        this->setRules(std::make_unique<wire::RulesT>(*command.rules));
     }
     for (const auto &upstream : command.upstreams) {
         this->applyUpstream(*upstream);
@@ -110,6 +110,34 @@
     }
 }
 
+void CellState::setRules(std::unique_ptr<wire::RulesT> rules)
+{
+    this->currentRules = std::move(rules);
+    this->teamsByKey.clear();
+    this->teamsByName.clear();
+    if (!this->currentRules) {
+        return;
+    }
+    for (const auto &team : this->currentRules->teams) {
+        this->teamsByName[team->name] = team.get();
+        for (const std::string &key : team->keys) {
+            this->teamsByKey[key] = team.get();
+        }
+    }
+}
+
+const wire::TeamT *CellState::teamOfKey(std::string_view key) const
+{
+    const auto found = this->teamsByKey.find(absl::string_view(key.data(), key.size()));
+    return found == this->teamsByKey.end() ? nullptr : found->second;
+}
+
+const wire::TeamT *CellState::teamNamed(std::string_view name) const
+{
+    const auto found = this->teamsByName.find(absl::string_view(name.data(), name.size()));
+    return found == this->teamsByName.end() ? nullptr : found->second;
+}
+
 void CellState::applyUpstream(const wire::UpstreamT &change)
 {
     const auto known = this->upstreamNumbers.find(change.id);
@@ -393,7 +421,7 @@
     CellState decoded;
     decoded.nextJob = state.next_job;
     decoded.nextUpstream = state.next_upstream;
-    decoded.currentRules = std::move(state.rules);
+    decoded.setRules(std::move(state.rules));
     for (auto &job : state.jobs) {
         decoded.jobNumbers[job->spec->id] = job->number;
         decoded.updateOpenJobs(*job);
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -47,6 +47,12 @@
     /// The queue of this host with the longest path prefix that matches the path; null when none matches.
     const wire::QueueT *queueAt(std::string_view host, std::string_view path) const;
 
+    /// The team that the key belongs to; null when it belongs to none. The result is valid until the next command.
+    const wire::TeamT *teamOfKey(std::string_view key) const;
+
+    /// Null when the rules have no team of this name.
+    const wire::TeamT *teamNamed(std::string_view name) const;
+
     /// Null when there is no such job.
     const wire::JobT *job(std::uint64_t number) const;
     const wire::JobT *jobNamed(const std::string &id) const;
@@ -90,6 +96,7 @@
     bool hasRun(const wire::TaskRefT &ref, std::uint32_t attempt, std::uint64_t upstream) const;
 
 private:
+    void setRules(std::unique_ptr<wire::RulesT> rules);
     void applyUpstream(const wire::UpstreamT &change);
     void applyEnd(const wire::EndT &end, std::int64_t nowMs);
     void applyJob(const wire::JobSpecT &spec, std::int64_t nowMs);
@@ -106,6 +113,8 @@
     std::uint64_t nextJob = 1;
     std::uint64_t nextUpstream = 1;
     std::unique_ptr<wire::RulesT> currentRules;
+    absl::flat_hash_map<std::string, const wire::TeamT *> teamsByKey; ///< Teams of the current rules.
+    absl::flat_hash_map<std::string, const wire::TeamT *> teamsByName;
     std::map<std::uint64_t, std::unique_ptr<wire::JobT>> jobTable;
     absl::flat_hash_map<std::string, std::uint64_t> jobNumbers;
     std::set<std::uint64_t> openJobNumbers;
