Cell: planning and upstream health in folders and namespaces of their own

src/cell was one folder of 83 files, with pure decisions beside code that sends and stores. The decisions of a plan move to src/cell/planning (namespace cell::planning), what is learned of upstreams to src/cell/health (cell::health); tests mirror them.

--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -1,5 +1,5 @@
 // Measures the time of one plan of the cell's scheduler: CellBench [UPSTREAMS [RUNS [WAITING]]]. Prints microseconds per plan as JSON.
-#include "cell/Planner.h"
+#include "cell/planning/Planner.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -107,11 +107,11 @@
             }
         }
     }
-    const cell::PlanInput input{state, trackers, advice, failedUpstreams, acceptedAt, now};
+    const cell::planning::PlanInput input{state, trackers, advice, failedUpstreams, acceptedAt, now};
     std::size_t starts = 0;
     const base::SteadyTime before = base::steadyNow();
     for (int i = 0; i < Rounds; ++i) {
-        starts += cell::Planner(input).makePlan().starts.size();
+        starts += cell::planning::Planner(input).makePlan().starts.size();
     }
     const double each = std::chrono::duration<double, std::micro>(base::steadyNow() - before).count() / Rounds;
     std::printf(
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -1,7 +1,7 @@
 #include "cell/CellTerm.h"
 
-#include "cell/AdviceQueryOrder.h"
 #include "cell/Codec.h"
+#include "cell/planning/AdviceQueryOrder.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 
@@ -16,6 +16,15 @@
 namespace
 {
 
+using planning::AdviceQuery;
+using planning::Plan;
+using planning::PlannedStart;
+using planning::QueryTiming;
+using planning::RunView;
+using planning::ServiceLoad;
+using planning::WaitingStep;
+using planning::WaitReason;
+
 const observe::Log Logger("cell");
 
 constexpr std::chrono::seconds CleanUpInterval{5};
@@ -124,8 +133,9 @@
 {
     const Plan plan = this->context.store.read([this, now](const CellState &state) {
         const auto viewRun = [this](const RunKey &key) { return this->runView(key); };
-        const PlanInput input{state, this->context.trackers, this->adviceCache, this->runs.failedUpstreams(), this->jobLog.acceptanceTimes(), now, viewRun};
-        return Planner(input).makePlan();
+        const planning::PlanInput input{
+            state, this->context.trackers, this->adviceCache, this->runs.failedUpstreams(), this->jobLog.acceptanceTimes(), now, viewRun};
+        return planning::Planner(input).makePlan();
     });
     if (now >= this->nextLoadLog) {
         this->nextLoadLog = now + LoadLogInterval;
@@ -200,7 +210,7 @@
                         each.step.job,
                         each.step.step,
                         spec.queue,
-                        waitReasonName(each.reason),
+                        planning::waitReasonName(each.reason),
                         each.tasks,
                         place,
                         allowed.size(),
@@ -208,7 +218,7 @@
         }
     });
     for (const auto &[key, count] : counts) {
-        Logger.info("event=waiting queue={} reason={} steps={} tasks={}", key.first, waitReasonName(key.second), count.steps, count.tasks);
+        Logger.info("event=waiting queue={} reason={} steps={} tasks={}", key.first, planning::waitReasonName(key.second), count.steps, count.tasks);
     }
 }
 
@@ -241,7 +251,7 @@
 /// Once no VM is free for a slow query, the later slow queries are skipped. Returns whether any query was sent.
 bool CellTerm::sendAdviceQueries(std::vector<AdviceQuery> queries)
 {
-    interleaveByQueue(queries, this->pendingQueries);
+    planning::interleaveByQueue(queries, this->pendingQueries);
     bool asked = false;
     bool slowAccepted = true;
     for (const AdviceQuery &query : queries) {
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -3,10 +3,10 @@
 #include "cell/AdviceCache.h"
 #include "cell/JobLifecycleLog.h"
 #include "cell/PeerCallHandler.h"
-#include "cell/Planner.h"
 #include "cell/RunManager.h"
 #include "cell/TermContext.h"
 #include "cell/UpstreamManager.h"
+#include "cell/planning/Planner.h"
 #include "replication/Group.h"
 
 #include "cranberryreel/base/Clock.h"
@@ -47,14 +47,14 @@
 private:
     void planAndPropose();
     void planStarts(base::SteadyTime now);
-    RunView runView(const RunKey &key);
+    planning::RunView runView(const RunKey &key);
     void preempt(const std::vector<RunKey> &stops);
-    void logLoad(const std::vector<ServiceLoad> &loads);
-    void logWaiting(const std::vector<WaitingStep> &waiting, base::SteadyTime now);
-    bool sendAdviceQueries(std::vector<AdviceQuery> queries);
-    bool sendAdviceQuery(const AdviceQuery &query);
-    void recordAdviceUse(const std::vector<PlannedStart> &starts);
-    void handleAdvice(const AdviceQuery &query, const std::map<std::string, std::uint64_t> &asked, const AdviceResult &result);
+    void logLoad(const std::vector<planning::ServiceLoad> &loads);
+    void logWaiting(const std::vector<planning::WaitingStep> &waiting, base::SteadyTime now);
+    bool sendAdviceQueries(std::vector<planning::AdviceQuery> queries);
+    bool sendAdviceQuery(const planning::AdviceQuery &query);
+    void recordAdviceUse(const std::vector<planning::PlannedStart> &starts);
+    void handleAdvice(const planning::AdviceQuery &query, const std::map<std::string, std::uint64_t> &asked, const AdviceResult &result);
     void proposeBatch();
     void handleProposeResult(const wire::CommandT &command, base::ResultCode code);
     void recordJobProgress(const wire::CommandT &command);
--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -56,7 +56,7 @@
 void RunManager::adopt(base::SteadyTime now)
 {
     this->context.store.read([this, now](const CellState &state) {
-        forEachRun(state, [this, now](const wire::RunT &recorded, const wire::StepT &, const wire::JobT &job, const TaskKey &task) {
+        planning::forEachRun(state, [this, now](const wire::RunT &recorded, const wire::StepT &, const wire::JobT &job, const TaskKey &task) {
             TrackedRun run;
             run.key = {task, recorded.attempt};
             run.task = taskName(job.spec->id, task);
@@ -69,12 +69,12 @@
     });
 }
 
-void RunManager::startPlaced(const std::vector<PlannedStart> &starts)
+void RunManager::startPlaced(const std::vector<planning::PlannedStart> &starts)
 {
     const base::SteadyTime now = base::steadyNow();
     std::vector<TrackedRun> placedRuns;
     this->context.store.read([&](const CellState &state) {
-        for (const PlannedStart &start : starts) {
+        for (const planning::PlannedStart &start : starts) {
             // A cancel or an end in the same batch is applied before the placement and may have voided it.
             if (const wire::JobT *job = state.job(start.task.step.job); job != nullptr && state.hasRun(toRef(start.task), start.attempt, start.upstream)) {
                 TrackedRun run;
--- a/src/cell/RunManager.h
+++ b/src/cell/RunManager.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cell/AdviceCache.h"
-#include "cell/Planner.h"
 #include "cell/TermContext.h"
+#include "cell/planning/Planner.h"
 
 #include "cranberryreel/base/Clock.h"
 
@@ -25,7 +25,7 @@
     void adopt(base::SteadyTime now);
 
     /// Sends start requests for tasks whose placements have been committed.
-    void startPlaced(const std::vector<PlannedStart> &starts);
+    void startPlaced(const std::vector<planning::PlannedStart> &starts);
 
     /// Marks the run for stopping, whatever its phase; tick() sends the request.
     void requestStop(TrackedRun &run);
--- a/src/cell/TermContext.h
+++ b/src/cell/TermContext.h
@@ -6,9 +6,9 @@
 #include "cell/CellStore.h"
 #include "cell/CommandBatch.h"
 #include "cell/RunTable.h"
-#include "cell/SlowUpstreamDetector.h"
 #include "cell/UpstreamCalls.h"
 #include "cell/UpstreamTracker.h"
+#include "cell/health/SlowUpstreamDetector.h"
 
 #include <cstdint>
 #include <functional>
@@ -29,7 +29,7 @@
     CommandBatch batch;
     RunTable runs;
     BegunJobs begunJobs;
-    SlowUpstreamDetector slowUpstreamDetector;
+    health::SlowUpstreamDetector slowUpstreamDetector;
     std::map<std::uint64_t, UpstreamTracker> trackers; ///< By upstream number.
 
     /// The committed record of the upstream; nothing if it was removed.
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -468,9 +468,9 @@
 
 void UpstreamManager::excludeSlow(base::SteadyTime now)
 {
-    const std::vector<SlowUpstream> found =
+    const std::vector<health::SlowUpstream> found =
         this->context.store.read([this, now](const CellState &state) { return this->context.slowUpstreamDetector.detect(state, this->context.runs, now); });
-    for (const SlowUpstream &slow : found) {
+    for (const health::SlowUpstream &slow : found) {
         const auto tracker = this->context.trackers.find(slow.upstream);
         if (tracker == this->context.trackers.end() || tracker->second.silentCalls > 0) {
             continue;
--- a/src/cell/SlowUpstreamDetector.cpp
+++ b/src/cell/health/SlowUpstreamDetector.cpp
@@ -1,10 +1,10 @@
-#include "cell/SlowUpstreamDetector.h"
+#include "cell/health/SlowUpstreamDetector.h"
 
 #include <algorithm>
 #include <iterator>
 #include <set>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::health
 {
 
 namespace
@@ -105,4 +105,4 @@
     }
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::health
--- a/src/cell/SlowUpstreamDetector.h
+++ b/src/cell/health/SlowUpstreamDetector.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <vector>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::health
 {
 
 /// An upstream that runs its work far too slowly, and its runs that would end earlier if started again elsewhere.
@@ -46,4 +46,4 @@
     std::map<StepKey, Durations> durations;
 };
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::health
--- a/src/cell/AdviceQueryOrder.cpp
+++ b/src/cell/planning/AdviceQueryOrder.cpp
@@ -1,9 +1,9 @@
-#include "cell/AdviceQueryOrder.h"
+#include "cell/planning/AdviceQueryOrder.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 void interleaveByQueue(std::vector<AdviceQuery> &queries, const std::map<std::string, std::size_t> &pendingQueries)
@@ -22,4 +22,4 @@
     }
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/AdviceQueryOrder.h
+++ b/src/cell/planning/AdviceQueryOrder.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "cell/AdviceQueryPlanner.h"
+#include "cell/planning/AdviceQueryPlanner.h"
 
 #include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// Sorts queries into the order in which they are dispatched: queues alternate, those with the fewest pending queries first, and prefetch queries come last.
@@ -16,4 +16,4 @@
 /// `pendingQueries` holds the number of unanswered queries by queue.
 void interleaveByQueue(std::vector<AdviceQuery> &queries, const std::map<std::string, std::size_t> &pendingQueries);
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/AdviceQueryPlanner.cpp
+++ b/src/cell/planning/AdviceQueryPlanner.cpp
@@ -1,10 +1,10 @@
-#include "cell/AdviceQueryPlanner.h"
+#include "cell/planning/AdviceQueryPlanner.h"
 
 #include <algorithm>
 #include <limits>
 #include <tuple>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 namespace
@@ -278,4 +278,4 @@
     }
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/AdviceQueryPlanner.h
+++ b/src/cell/planning/AdviceQueryPlanner.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "cell/PlacementRules.h"
-#include "cell/PlanInput.h"
-#include "cell/Preemptor.h"
-#include "cell/ServicePool.h"
+#include "cell/planning/PlacementRules.h"
+#include "cell/planning/PlanInput.h"
+#include "cell/planning/Preemptor.h"
+#include "cell/planning/ServicePool.h"
 
 #include <chrono>
 #include <cstdint>
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// When the answer to a query is needed.
@@ -84,4 +84,4 @@
     Preemptor &preemptor;
 };
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/Capacity.cpp
+++ b/src/cell/planning/Capacity.cpp
@@ -1,8 +1,8 @@
-#include "cell/Capacity.h"
+#include "cell/planning/Capacity.h"
 
 #include <algorithm>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 Capacity Capacity::totalOf(const wire::UpstreamT &upstream)
@@ -54,4 +54,4 @@
     this->accelerators -= part(step.accelerators);
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/Capacity.h
+++ b/src/cell/planning/Capacity.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// An amount of the resources that tasks use on upstreams. A plain value; amounts turn negative where more is allocated than there is.
@@ -31,4 +31,4 @@
     void allocatePart(const wire::StepT &step, std::uint32_t tasks, std::size_t parts);
 };
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/DeadlineEstimator.cpp
+++ b/src/cell/planning/DeadlineEstimator.cpp
@@ -1,9 +1,9 @@
-#include "cell/DeadlineEstimator.h"
+#include "cell/planning/DeadlineEstimator.h"
 
 #include <algorithm>
 #include <vector>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 namespace
@@ -73,4 +73,4 @@
     return Estimate{Timeliness::Missed, milliseconds::max()};
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/DeadlineEstimator.h
+++ b/src/cell/planning/DeadlineEstimator.h
@@ -9,7 +9,7 @@
 #include <map>
 #include <optional>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// Whether an occurrence of a job can still end within the latency objective of its queue.
@@ -44,4 +44,4 @@
 /// True when all tasks of the step are done.
 bool isDone(const wire::StepStateT &step);
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/PlacementRules.cpp
+++ b/src/cell/planning/PlacementRules.cpp
@@ -1,8 +1,8 @@
-#include "cell/PlacementRules.h"
+#include "cell/planning/PlacementRules.h"
 
 #include <limits>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 namespace
@@ -78,4 +78,4 @@
     --this->plannedRuns[{step, upstream}];
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/PlacementRules.h
+++ b/src/cell/planning/PlacementRules.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "cell/PlanInput.h"
-#include "cell/ReadySteps.h"
-#include "cell/UpstreamCapacity.h"
+#include "cell/planning/PlanInput.h"
+#include "cell/planning/ReadySteps.h"
+#include "cell/planning/UpstreamCapacity.h"
 
 #include <cstdint>
 #include <map>
 #include <utility>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// Decides on which upstreams the tasks of a step may run, free capacity aside. Not thread-safe; made anew for each plan, whose starts are recorded here.
@@ -45,4 +45,4 @@
 /// Whether the upstream is outside the submitter's zone. Jobs prefer that zone, so that a zone that is cut off delays hardly any jobs but its own.
 bool isInOtherZone(const ReadyStep &ready, const UpstreamCapacity &capacity);
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/PlanInput.h
+++ b/src/cell/planning/PlanInput.h
@@ -12,7 +12,7 @@
 #include <map>
 #include <set>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// The state of a run as known to the leading scheduler, as far as a plan needs it.
@@ -34,4 +34,4 @@
     std::function<RunView(const RunKey &)> viewRun = nullptr; ///< Returns the state of a run; when empty, nothing is preempted.
 };
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/Planner.cpp
+++ b/src/cell/planning/Planner.cpp
@@ -1,13 +1,13 @@
-#include "cell/Planner.h"
+#include "cell/planning/Planner.h"
 
-#include "cell/WaitingOrder.h"
+#include "cell/planning/WaitingOrder.h"
 
 #include <algorithm>
 #include <limits>
 #include <tuple>
 #include <utility>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 namespace
@@ -326,4 +326,4 @@
                           other.capacity->upstream->number);
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/Planner.h
+++ b/src/cell/planning/Planner.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "cell/AdviceQueryPlanner.h"
-#include "cell/PlacementRules.h"
-#include "cell/PlanInput.h"
-#include "cell/Preemptor.h"
-#include "cell/ReadySteps.h"
-#include "cell/ServicePool.h"
-#include "cell/UpstreamCapacity.h"
-#include "cell/WaitReason.h"
+#include "cell/planning/AdviceQueryPlanner.h"
+#include "cell/planning/PlacementRules.h"
+#include "cell/planning/PlanInput.h"
+#include "cell/planning/Preemptor.h"
+#include "cell/planning/ReadySteps.h"
+#include "cell/planning/ServicePool.h"
+#include "cell/planning/UpstreamCapacity.h"
+#include "cell/planning/WaitReason.h"
 
 #include <cstdint>
 #include <map>
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// The planned start of one attempt of a task.
@@ -97,4 +97,4 @@
     Plan plan;
 };
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/Preemptor.cpp
+++ b/src/cell/planning/Preemptor.cpp
@@ -1,10 +1,10 @@
-#include "cell/Preemptor.h"
+#include "cell/planning/Preemptor.h"
 
 #include <algorithm>
 #include <tuple>
 #include <utility>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 namespace
@@ -123,4 +123,4 @@
     return std::move(this->preemptions);
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/Preemptor.h
+++ b/src/cell/planning/Preemptor.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "cell/DeadlineEstimator.h"
-#include "cell/PlanInput.h"
-#include "cell/ReadySteps.h"
-#include "cell/ServicePool.h"
-#include "cell/UpstreamCapacity.h"
+#include "cell/planning/DeadlineEstimator.h"
+#include "cell/planning/PlanInput.h"
+#include "cell/planning/ReadySteps.h"
+#include "cell/planning/ServicePool.h"
+#include "cell/planning/UpstreamCapacity.h"
 
 #include <chrono>
 #include <cstdint>
@@ -12,7 +12,7 @@
 #include <optional>
 #include <vector>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// Frees capacity for work of a higher priority by stopping work that saves its progress when stopped, so that next to no progress is lost.
@@ -61,4 +61,4 @@
     std::vector<RunKey> preemptions;
 };
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/ReadySteps.cpp
+++ b/src/cell/planning/ReadySteps.cpp
@@ -1,10 +1,10 @@
-#include "cell/ReadySteps.h"
+#include "cell/planning/ReadySteps.h"
 
-#include "cell/DeadlineEstimator.h"
+#include "cell/planning/DeadlineEstimator.h"
 
 #include <algorithm>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 namespace
@@ -60,4 +60,4 @@
     return ready;
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/ReadySteps.h
+++ b/src/cell/planning/ReadySteps.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// A step whose predecessors are done and that has tasks to place. Refers to the CellState that it was made from.
@@ -26,4 +26,4 @@
 /// start together.
 std::vector<ReadyStep> readySteps(const CellState &state);
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/ServicePool.cpp
+++ b/src/cell/planning/ServicePool.cpp
@@ -1,8 +1,8 @@
-#include "cell/ServicePool.h"
+#include "cell/planning/ServicePool.h"
 
 #include <algorithm>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 namespace
@@ -61,4 +61,4 @@
     return pools;
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/ServicePool.h
+++ b/src/cell/planning/ServicePool.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "cell/Capacity.h"
-#include "cell/ReadySteps.h"
-#include "cell/UpstreamCapacity.h"
+#include "cell/planning/Capacity.h"
+#include "cell/planning/ReadySteps.h"
+#include "cell/planning/UpstreamCapacity.h"
 
 #include <cstdint>
 #include <map>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// The load of one service once the plan is carried out.
@@ -47,4 +47,4 @@
 /// The pools, by service, of all services named by the rules or by upstreams.
 std::map<std::string, ServicePool> servicePools(const CellState &state, CapacityTable &capacities);
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/UpstreamCapacity.cpp
+++ b/src/cell/planning/UpstreamCapacity.cpp
@@ -1,8 +1,8 @@
-#include "cell/UpstreamCapacity.h"
+#include "cell/planning/UpstreamCapacity.h"
 
 #include <algorithm>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 void UpstreamCapacity::allocate(const wire::StepT &step)
@@ -76,4 +76,4 @@
     return step.lasting && step.tail_target_ms > 0;
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/UpstreamCapacity.h
+++ b/src/cell/planning/UpstreamCapacity.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "cell/Capacity.h"
 #include "cell/CellState.h"
 #include "cell/TaskKey.h"
 #include "cell/UpstreamTracker.h"
+#include "cell/planning/Capacity.h"
 
 #include "cranberryreel/base/Clock.h"
 
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// Which work may still start on an upstream that is set aside for a waiting gang.
@@ -89,4 +89,4 @@
     }
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/WaitReason.cpp
+++ b/src/cell/planning/WaitReason.cpp
@@ -1,6 +1,6 @@
-#include "cell/WaitReason.h"
+#include "cell/planning/WaitReason.h"
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 const char *waitReasonName(WaitReason reason)
@@ -9,4 +9,4 @@
     return Names[static_cast<std::size_t>(reason)];
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/WaitReason.h
+++ b/src/cell/planning/WaitReason.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// Why a plan starts nothing of a step, or not all of it.
@@ -29,4 +29,4 @@
 /// The name of the reason in logs.
 const char *waitReasonName(WaitReason reason);
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/WaitingOrder.cpp
+++ b/src/cell/planning/WaitingOrder.cpp
@@ -1,10 +1,10 @@
-#include "cell/WaitingOrder.h"
+#include "cell/planning/WaitingOrder.h"
 
 #include <algorithm>
 #include <limits>
 #include <tuple>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 namespace
@@ -66,4 +66,4 @@
     ready = std::move(sorted);
 }
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/src/cell/WaitingOrder.h
+++ b/src/cell/planning/WaitingOrder.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cell/DeadlineEstimator.h"
-#include "cell/ReadySteps.h"
+#include "cell/planning/DeadlineEstimator.h"
+#include "cell/planning/ReadySteps.h"
 
 #include "cranberryreel/base/Clock.h"
 
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace cranberryreel::cell
+namespace cranberryreel::cell::planning
 {
 
 /// Sorts waiting steps into the order in which they are served.
@@ -42,4 +42,4 @@
     const DeadlineEstimator deadlines;
 };
 
-} // namespace cranberryreel::cell
+} // namespace cranberryreel::cell::planning
--- a/tests/cell/PlannedCell.h
+++ b/tests/cell/PlannedCell.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cell/CellSamples.h"
-#include "cell/Planner.h"
+#include "cell/planning/Planner.h"
 
 #include <chrono>
 #include <map>
@@ -19,7 +19,7 @@
     cell::AdviceCache advice;
     std::map<cell::TaskKey, std::set<std::uint64_t>> failedUpstreams;
     std::map<std::uint64_t, base::SteadyTime> acceptedAt;
-    std::map<cell::RunKey, cell::RunView> runViews;
+    std::map<cell::RunKey, cell::planning::RunView> runViews;
     const base::SteadyTime now = base::SteadyTime() + std::chrono::hours(1);
 
     PlannedCell()
@@ -68,16 +68,16 @@
         }
     }
 
-    cell::Plan plan()
+    cell::planning::Plan plan()
     {
         return this->plan(this->now);
     }
 
-    cell::Plan plan(base::SteadyTime time)
+    cell::planning::Plan plan(base::SteadyTime time)
     {
         const auto view = [this](const cell::RunKey &key) { return this->runViews[key]; };
-        const cell::PlanInput input{this->state, this->trackers, this->advice, this->failedUpstreams, this->acceptedAt, time, view};
-        return cell::Planner(input).makePlan();
+        const cell::planning::PlanInput input{this->state, this->trackers, this->advice, this->failedUpstreams, this->acceptedAt, time, view};
+        return cell::planning::Planner(input).makePlan();
     }
 };
 
--- a/tests/cell/SlowUpstreamDetectorTest.cpp
+++ b/tests/cell/health/SlowUpstreamDetectorTest.cpp
@@ -1,4 +1,4 @@
-#include "cell/SlowUpstreamDetector.h"
+#include "cell/health/SlowUpstreamDetector.h"
 
 #include "cell/CellSamples.h"
 
@@ -16,7 +16,7 @@
 struct RunningJobs {
     cell::CellState state;
     cell::RunTable runs;
-    cell::SlowUpstreamDetector detector;
+    cell::health::SlowUpstreamDetector detector;
 
     RunningJobs()
     {
--- a/tests/cell/AdviceQueryPlannerTest.cpp
+++ b/tests/cell/planning/AdviceQueryPlannerTest.cpp
@@ -1,13 +1,13 @@
-#include "cell/AdviceQueryOrder.h"
 #include "cell/PlannedCell.h"
+#include "cell/planning/AdviceQueryOrder.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 
 using namespace cranberryreel;
-using cell::AdviceQuery;
-using cell::Plan;
+using cell::planning::AdviceQuery;
+using cell::planning::Plan;
 using support::PlannedCell;
 
 namespace
@@ -37,7 +37,7 @@
 {
     std::size_t tasks = 0;
     for (const AdviceQuery &query : plan.adviceQueries) {
-        tasks += query.timing == cell::QueryTiming::Immediate ? query.tasks : 0;
+        tasks += query.timing == cell::planning::QueryTiming::Immediate ? query.tasks : 0;
     }
     return tasks;
 }
@@ -220,13 +220,13 @@
     }
     queries.push_back(makeQuery("wide", 31));
     queries.push_back(makeQuery("wide", 32));
-    cell::interleaveByQueue(queries, {});
+    cell::planning::interleaveByQueue(queries, {});
     BOOST_TEST(queries[0].step.job == 1U);
     BOOST_TEST(queries[1].step.job == 31U);
     BOOST_TEST(queries[2].step.job == 2U);
     BOOST_TEST(queries[3].step.job == 32U);
     BOOST_TEST(queries.size() == 32U);
-    cell::interleaveByQueue(queries, {{"gangs", 3}});
+    cell::planning::interleaveByQueue(queries, {{"gangs", 3}});
     BOOST_TEST(queries[0].queue == "wide");
     BOOST_TEST(queries[1].queue == "wide");
 }
@@ -234,8 +234,8 @@
 BOOST_AUTO_TEST_CASE(prefetchQueriesComeLast)
 {
     std::vector<AdviceQuery> queries = {makeQuery("wide", 1), makeQuery("wide", 2), makeQuery("gangs", 3)};
-    queries.front().timing = cell::QueryTiming::Prefetch;
-    cell::interleaveByQueue(queries, {});
+    queries.front().timing = cell::planning::QueryTiming::Prefetch;
+    cell::planning::interleaveByQueue(queries, {});
     BOOST_TEST(queries.back().step.job == 1U);
 }
 
--- a/tests/cell/GangQueueTest.cpp
+++ b/tests/cell/planning/GangQueueTest.cpp
@@ -85,12 +85,12 @@
 
     std::size_t waitingGangs() const
     {
-        return cell::readySteps(this->cell.state).size();
+        return cell::planning::readySteps(this->cell.state).size();
     }
 
 private:
     struct PendingQuery {
-        cell::AdviceQuery query;
+        cell::planning::AdviceQuery query;
         base::SteadyTime answeredAt;
     };
 
@@ -122,7 +122,7 @@
                 ++at;
                 continue;
             }
-            for (const cell::PlannedStart &start : std::exchange(this->members[at->first], {})) {
+            for (const cell::planning::PlannedStart &start : std::exchange(this->members[at->first], {})) {
                 this->cell.state.apply(support::end(start.task, start.attempt, start.upstream, cell::wire::EndKind::Done));
                 --this->membersRunning;
                 this->used.erase(start.upstream);
@@ -155,19 +155,19 @@
         }
     }
 
-    void applyPlan(const cell::Plan &plan)
+    void applyPlan(const cell::planning::Plan &plan)
     {
-        for (const cell::AdviceQuery &query : plan.adviceQueries) {
+        for (const cell::planning::AdviceQuery &query : plan.adviceQueries) {
             if (this->pending.size() >= MaxQueriesAtOnce) {
                 break;
             }
             cell::StepAdvice &advice = this->cell.advice.adviceFor(query.step);
             advice.queryPending = true;
             advice.pendingUpstreams = query.upstreams;
-            advice.pendingTasks = query.timing == cell::QueryTiming::Immediate ? query.tasks : 0;
+            advice.pendingTasks = query.timing == cell::planning::QueryTiming::Immediate ? query.tasks : 0;
             this->pending.push_back({query, this->now + query.expectedDuration});
         }
-        for (const cell::PlannedStart &start : plan.starts) {
+        for (const cell::planning::PlannedStart &start : plan.starts) {
             this->cell.state.apply(support::place(start.task, start.attempt, start.upstream));
             this->cell.runViews[{start.task, start.attempt}] = {false, true, 0};
             this->members[start.task.step.job].push_back(start);
@@ -183,7 +183,7 @@
         const bool halfUnused = 2 * this->membersRunning * MemberMemoryMib < Upstreams * static_cast<std::size_t>(UpstreamMemoryMib);
         std::vector<std::uint64_t> found;
         std::map<std::uint64_t, base::SteadyTime> able;
-        for (const cell::ReadyStep &ready : cell::readySteps(this->cell.state)) {
+        for (const cell::planning::ReadyStep &ready : cell::planning::readySteps(this->cell.state)) {
             const auto &allowedHere = this->allowed[ready.key.job];
             const auto free = std::count_if(allowedHere.begin(), allowedHere.end(), [this](std::uint64_t upstream) { return this->used.count(upstream) == 0; });
             if (!halfUnused || static_cast<std::size_t>(free) < 2 * ready.waiting.size()) {
@@ -203,7 +203,7 @@
     std::mt19937_64 random;
     base::SteadyTime now{};
     std::map<std::uint64_t, std::set<std::uint64_t>> allowed; ///< Upstreams by job number.
-    std::map<std::uint64_t, std::vector<cell::PlannedStart>> members; ///< By job number.
+    std::map<std::uint64_t, std::vector<cell::planning::PlannedStart>> members; ///< By job number.
     std::map<std::uint64_t, base::SteadyTime> endOfWork; ///< By job number.
     std::map<std::uint64_t, base::SteadyTime> ableSince; ///< By job number.
     std::set<std::uint64_t> used; ///< Upstreams that run a member.
--- a/tests/cell/PlannerTest.cpp
+++ b/tests/cell/planning/PlannerTest.cpp
@@ -1,4 +1,4 @@
-#include "cell/Planner.h"
+#include "cell/planning/Planner.h"
 
 #include "cell/PlannedCell.h"
 #include "support/Seed.h"
@@ -8,7 +8,7 @@
 #include <random>
 
 using namespace cranberryreel;
-using cell::Plan;
+using cell::planning::Plan;
 using cell::wire::EndKind;
 using support::PlannedCell;
 
@@ -219,7 +219,7 @@
         std::map<std::uint64_t, std::uint64_t> used;
         std::map<std::pair<std::uint64_t, std::uint64_t>, std::uint32_t> tasksOnUpstream;
         std::map<std::uint64_t, std::uint32_t> started;
-        for (const cell::PlannedStart &start : cell.plan().starts) {
+        for (const cell::planning::PlannedStart &start : cell.plan().starts) {
             const cell::wire::StepT &step = *cell.state.job(start.task.step.job)->spec->steps[0];
             used[start.upstream] += step.cpu_millis;
             const std::uint32_t sameUpstream = ++tasksOnUpstream[{start.task.step.job, start.upstream}];
--- a/tests/cell/PreemptorTest.cpp
+++ b/tests/cell/planning/PreemptorTest.cpp
@@ -5,7 +5,7 @@
 #include <functional>
 
 using namespace cranberryreel;
-using cell::Plan;
+using cell::planning::Plan;
 using support::PlannedCell;
 
 namespace
@@ -138,7 +138,7 @@
         reserved.insert(1 + stop.task.task);
     }
     BOOST_TEST(!plan.starts.empty());
-    for (const cell::PlannedStart &start : plan.starts) {
+    for (const cell::planning::PlannedStart &start : plan.starts) {
         BOOST_TEST(reserved.count(start.upstream) == 0U);
     }
 }
--- a/tests/cell/WaitingOrderTest.cpp
+++ b/tests/cell/planning/WaitingOrderTest.cpp
@@ -1,4 +1,4 @@
-#include "cell/WaitingOrder.h"
+#include "cell/planning/WaitingOrder.h"
 
 #include "cell/CellSamples.h"
 
@@ -12,7 +12,7 @@
 
 using namespace cranberryreel;
 using cell::CellState;
-using cell::ReadyStep;
+using cell::planning::ReadyStep;
 using std::chrono::milliseconds;
 using namespace std::chrono_literals;
 
@@ -57,9 +57,9 @@
 
     std::vector<ReadyStep> ready(base::SteadyTime now, bool inArrivalOrder = false) const
     {
-        std::vector<ReadyStep> steps = cell::readySteps(this->state);
+        std::vector<ReadyStep> steps = cell::planning::readySteps(this->state);
         if (!inArrivalOrder) {
-            cell::WaitingOrder(this->acceptedAt, now).sort(steps);
+            cell::planning::WaitingOrder(this->acceptedAt, now).sort(steps);
         }
         return steps;
     }
