--- a/src/cell/planning/PlanInput.h
+++ b/src/cell/planning/PlanInput.h
@@ -4,6 +4,7 @@
 #include "cell/CellState.h"
 #include "cell/TaskKey.h"
 #include "cell/UpstreamTracker.h"
+#include "cell/health/UpstreamSpeeds.h"
 
 #include "cranberryreel/base/Clock.h"
 
@@ -32,6 +33,7 @@
     const std::map<std::uint64_t, base::SteadyTime> &acceptedAt;
     base::SteadyTime now;
     std::function<RunView(const RunKey &)> viewRun = nullptr; ///< Returns the state of a run; when empty, nothing is preempted.
+    const health::UpstreamSpeeds *speeds = nullptr; ///< Null when the cell's settings do not allow placement by speed.
 };
 
 } // namespace cranberryreel::cell::planning
--- a/src/cell/planning/UpstreamCapacity.h
+++ b/src/cell/planning/UpstreamCapacity.h
@@ -35,6 +35,7 @@
     int servingTasks = 0; ///< Running tasks that serve users; see servesUsers().
     int failuresInRow = 0; ///< Tasks of different jobs that failed there since the last success.
     Reservation reservation = Reservation::None; ///< For a waiting gang.
+    double speed = 1.0; ///< Relative to the mean; 1 unless placement considers speed.
 
     /// Counts one more task of the step as running.
     void allocate(const wire::StepT &step);
