Placement by speed and slack: ranks, observed urgent demand, alike gangs, waits

Cause: every upstream counted as equally fast, so urgent tasks ran on upstreams of speed 0.7 and missed their objective. Change: SpeedPlacement ranks upstreams by speed class for starts and advice queries; other work leaves free on fast upstreams what urgent work used of late; gangs get upstreams of one class; an urgent step may wait for fast capacity that is expected soon.

--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -1,4 +1,5 @@
-// Measures the time of one plan of the cell's scheduler: CellBench [UPSTREAMS [RUNS [WAITING]]]. Prints microseconds per plan as JSON.
+// Measures the time of one plan of the cell's scheduler: CellBench [UPSTREAMS [RUNS [WAITING [uneven]]]]. With "uneven", a third of the
+// upstreams is faster, and placement considers speed. Prints microseconds per plan as JSON.
 #include "cell/planning/Planner.h"
 
 #include <algorithm>
@@ -53,6 +54,18 @@
     return command;
 }
 
+struct UnevenSpeeds : cell::health::SpeedSource {
+    double speedOf(std::uint64_t upstream) const override
+    {
+        return upstream % 3 == 0 ? 1.65 : 0.68;
+    }
+
+    bool isUneven() const override
+    {
+        return true;
+    }
+};
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -107,7 +120,13 @@
             }
         }
     }
-    const cell::planning::PlanInput input{state, trackers, advice, failedUpstreams, acceptedAt, now};
+    cell::planning::PlanInput input{state, trackers, advice, failedUpstreams, acceptedAt, now};
+    const UnevenSpeeds speeds;
+    cell::planning::UrgentDemand urgentDemand;
+    if (argc > 4 && std::string(argv[4]) == "uneven") {
+        input.speeds = &speeds;
+        input.urgentDemand = &urgentDemand;
+    }
     std::size_t starts = 0;
     const base::SteadyTime before = base::steadyNow();
     for (int i = 0; i < Rounds; ++i) {
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -132,9 +132,10 @@
 void CellTerm::planStarts(base::SteadyTime now)
 {
     const Plan plan = this->context.store.read([this, now](const CellState &state) {
-        const auto viewRun = [this](const RunKey &key) { return this->runView(key); };
-        const planning::PlanInput input{
-            state, this->context.trackers, this->adviceCache, this->runs.failedUpstreams(), this->jobLog.acceptanceTimes(), now, viewRun};
+        const auto viewRun = [this, now](const RunKey &key) { return this->runView(key, now); };
+        planning::PlanInput input{state, this->context.trackers, this->adviceCache, this->runs.failedUpstreams(), this->jobLog.acceptanceTimes(), now, viewRun};
+        input.urgentDemand = &this->urgentDemand;
+        input.farRackFactor = this->context.options.farRackFactor;
         return planning::Planner(input).makePlan();
     });
     if (now >= this->nextLoadLog) {
@@ -222,13 +223,14 @@
     }
 }
 
-RunView CellTerm::runView(const RunKey &key)
+RunView CellTerm::runView(const RunKey &key, base::SteadyTime now)
 {
     RunView view;
     if (const TrackedRun *run = this->context.runs.find(key)) {
         view.stopping = run->phase == RunPhase::Stopping || run->endProposed;
         view.confirmed = run->phase == RunPhase::Confirmed && !run->endProposed;
         view.percent = std::max(run->percent, 0);
+        view.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - run->startedAt);
     }
     return view;
 }
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -47,7 +47,7 @@
 private:
     void planAndPropose();
     void planStarts(base::SteadyTime now);
-    planning::RunView runView(const RunKey &key);
+    planning::RunView runView(const RunKey &key, base::SteadyTime now);
     void preempt(const std::vector<RunKey> &stops);
     void logLoad(const std::vector<planning::ServiceLoad> &loads);
     void logWaiting(const std::vector<planning::WaitingStep> &waiting, base::SteadyTime now);
@@ -65,6 +65,7 @@
     TermContext context;
     replication::Group &group;
     AdviceCache adviceCache;
+    planning::UrgentDemand urgentDemand;
     std::map<std::string, std::size_t> pendingQueries; ///< Advice queries without an answer, by queue.
     RunManager runs;
     UpstreamManager upstreams;
--- a/src/cell/health/UpstreamSpeeds.h
+++ b/src/cell/health/UpstreamSpeeds.h
@@ -2,6 +2,7 @@
 
 #include "cell/CellState.h"
 #include "cell/TaskKey.h"
+#include "cell/health/SpeedSource.h"
 
 #include "cranberryreel/base/Clock.h"
 
@@ -14,7 +15,7 @@
 /// Estimates how fast each upstream runs its tasks, relative to the mean of all. Load pattern: upstreams of one service differ in speed by a factor of two or
 /// more, some only for seconds, and submitters' estimates are too rough to show it. Not thread-safe; used on the scheduler's thread only. Lives for one leader
 /// term.
-class UpstreamSpeeds
+class UpstreamSpeeds : public SpeedSource
 {
 public:
     /// Records that a task of the step ran on the upstream for `duration` until it was done.
@@ -29,11 +30,8 @@
     /// Erases what is kept for jobs that are no longer open.
     void eraseClosedJobs(const CellState &state);
 
-    /// The speed of the upstream, where the mean of all is 1; 1 if nothing is known.
-    double speedOf(std::uint64_t upstream) const;
-
-    /// Whether speeds differ by so much more than the estimates' error that placement should consider them.
-    bool isUneven() const;
+    double speedOf(std::uint64_t upstream) const override;
+    bool isUneven() const override;
 };
 
 } // namespace cranberryreel::cell::health
--- a/src/cell/planning/AdviceQueryPlanner.cpp
+++ b/src/cell/planning/AdviceQueryPlanner.cpp
@@ -50,12 +50,21 @@
     return std::make_tuple(isInOtherZone(ready, capacity), accelerators, packs ? capacity.unreserved.cpuMillis : -capacity.unreserved.cpuMillis);
 }
 
+bool isOffDataRack(const ReadyStep &ready, const UpstreamCapacity &capacity)
+{
+    return !ready.step->data_rack.empty() && !capacity.hasLabel(ready.step->data_rack);
+}
+
 } // namespace
 
-AdviceQueryPlanner::AdviceQueryPlanner(const PlanInput &planInput, const PlacementRules &placementRules, Preemptor &workPreemptor)
+AdviceQueryPlanner::AdviceQueryPlanner(const PlanInput &planInput,
+                                       const PlacementRules &placementRules,
+                                       Preemptor &workPreemptor,
+                                       const SpeedPlacement &placementBySpeed)
     : input(planInput)
     , rules(placementRules)
     , preemptor(workPreemptor)
+    , speedPlacement(placementBySpeed)
 {
 }
 
@@ -145,7 +154,9 @@
         }
         const bool allowed = advice.allowed.count(capacity->upstream->number) > 0;
         groups.allowedCount += allowed && Capacity::totalOf(*capacity->upstream).countFitting(*ready.step, 1) > 0 ? 1 : 0;
-        const std::uint32_t fitting = availableOn(*capacity).countFitting(*ready.step, std::min(tasks, taskLimit));
+        const FastCapacity *kept = keptForUrgent(ready, pool, *capacity);
+        const bool leavesEnough = kept == nullptr || kept->countFitting(ready, 1) > 0;
+        const std::uint32_t fitting = leavesEnough ? availableOn(*capacity).countFitting(*ready.step, std::min(tasks, taskLimit)) : 0;
         if (fitting == 0) {
             const bool mayBeAllowed =
                 advice.queried.count(capacity->upstream->number) == 0 && Capacity::totalOf(*capacity->upstream).countFitting(*ready.step, 1) > 0;
@@ -162,15 +173,31 @@
             groups.notQueried.push_back(capacity);
         }
     }
+    this->sortByPreference(ready, pool, groups);
+    // Allowed upstreams come first.
+    std::stable_partition(
+        groups.full.begin(), groups.full.end(), [&advice](const UpstreamCapacity *capacity) { return advice.allowed.count(capacity->upstream->number) > 0; });
+    return groups;
+}
+
+void AdviceQueryPlanner::sortByPreference(const ReadyStep &ready, const ServicePool &pool, UpstreamGroups &groups) const
+{
     const auto preferred = [&ready](const UpstreamCapacity *left, const UpstreamCapacity *right) {
         return preferenceRank(ready, *left) < preferenceRank(ready, *right);
     };
     std::sort(groups.withoutTicket.begin(), groups.withoutTicket.end(), preferred);
     std::sort(groups.notQueried.begin(), groups.notQueried.end(), preferred);
-    // Allowed upstreams come first.
-    std::stable_partition(
-        groups.full.begin(), groups.full.end(), [&advice](const UpstreamCapacity *capacity) { return advice.allowed.count(capacity->upstream->number) > 0; });
-    return groups;
+    const SpeedPreference preference = this->speedPlacement.preferenceFor(ready, pool);
+    if (!preference.isSet()) {
+        return;
+    }
+    const auto faster = [&](const UpstreamCapacity *left, const UpstreamCapacity *right) {
+        return this->speedPlacement.rankOf(preference, *left, isOffDataRack(ready, *left))
+            < this->speedPlacement.rankOf(preference, *right, isOffDataRack(ready, *right));
+    };
+    for (std::vector<UpstreamCapacity *> *group : {&groups.withoutTicket, &groups.notQueried, &groups.full}) {
+        std::stable_sort(group->begin(), group->end(), faster);
+    }
 }
 
 std::vector<UpstreamCapacity *>
--- a/src/cell/planning/AdviceQueryPlanner.h
+++ b/src/cell/planning/AdviceQueryPlanner.h
@@ -4,6 +4,7 @@
 #include "cell/planning/PlanInput.h"
 #include "cell/planning/Preemptor.h"
 #include "cell/planning/ServicePool.h"
+#include "cell/planning/SpeedPlacement.h"
 
 #include <chrono>
 #include <cstdint>
@@ -40,7 +41,7 @@
 class AdviceQueryPlanner
 {
 public:
-    AdviceQueryPlanner(const PlanInput &planInput, const PlacementRules &placementRules, Preemptor &workPreemptor);
+    AdviceQueryPlanner(const PlanInput &planInput, const PlacementRules &placementRules, Preemptor &workPreemptor, const SpeedPlacement &placementBySpeed);
 
     /// Reserves the capacity that the pending query of the step is about; does nothing when no query is pending.
     void reserveForPendingQuery(const ReadyStep &ready, ServicePool &pool, CapacityTable &capacities) const;
@@ -70,6 +71,7 @@
     bool mayQuery(const ReadyStep &ready) const;
     std::vector<UpstreamCapacity *> chooseForLargeWork(const ReadyStep &ready, const ServicePool &pool, const std::vector<UpstreamCapacity *> &reserved) const;
     UpstreamGroups groupUpstreams(const ReadyStep &ready, std::uint32_t tasks, const ServicePool &pool, const AvailableCapacity &availableOn) const;
+    void sortByPreference(const ReadyStep &ready, const ServicePool &pool, UpstreamGroups &groups) const;
     bool asksForAll(const ReadyStep &ready, const ServicePool &pool) const;
     void addFull(const ReadyStep &ready, const UpstreamGroups &groups, std::vector<UpstreamCapacity *> &chosen) const;
     void addNotQueried(const ReadyStep &ready,
@@ -82,6 +84,7 @@
     const PlanInput &input;
     const PlacementRules &rules;
     Preemptor &preemptor;
+    const SpeedPlacement &speedPlacement;
 };
 
 } // namespace cranberryreel::cell::planning
--- a/src/cell/planning/DeadlineEstimator.cpp
+++ b/src/cell/planning/DeadlineEstimator.cpp
@@ -1,6 +1,7 @@
 #include "cell/planning/DeadlineEstimator.h"
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 namespace cranberryreel::cell::planning
@@ -16,26 +17,27 @@
 /// By the platform's credit rules, the objective includes one advice query about this many upstreams for each step.
 constexpr std::uint64_t UpstreamsPerObjectiveQuery = 30;
 constexpr std::uint64_t MicrosecondsPerMillisecond = 1000;
+/// A speed below this is an error of the estimate; it bounds run times.
+constexpr double MinSpeed = 0.01;
 
-/// The time that one step takes when it never waits for capacity: its advice query and its estimated run time.
-milliseconds unqueuedStepTime(const wire::StepT &step, const wire::QueueT &queue)
+/// The time of one advice query; part of a step's time.
+milliseconds queryTime(const wire::QueueT &queue)
 {
-    const std::uint64_t queryTime =
-        queue.advice ? (queue.advice->decision_us + UpstreamsPerObjectiveQuery * queue.advice->per_upstream_us) / MicrosecondsPerMillisecond : 0;
-    return milliseconds(step.estimate_ms + queryTime);
+    return milliseconds(queue.advice ? (queue.advice->decision_us + UpstreamsPerObjectiveQuery * queue.advice->per_upstream_us) / MicrosecondsPerMillisecond
+                                     : 0);
 }
 
-/// The time of the longest chain of dependent steps; `remainingOnly` counts only steps that are not done.
-milliseconds criticalPathTime(const wire::JobT &job, std::uint32_t occurrence, const wire::QueueT &queue, bool remainingOnly)
+/// The time of the longest chain of dependent steps, where stepTime(s) is that of one step.
+template<typename StepTime>
+milliseconds criticalPathTime(const wire::JobT &job, StepTime stepTime)
 {
     const auto &steps = job.spec->steps;
-    const auto &states = job.occurrences[occurrence]->steps;
     std::vector<milliseconds> finishTimes(steps.size(), milliseconds(0));
     for (std::size_t s = 0; s < steps.size(); ++s) {
         for (const std::uint32_t earlier : steps[s]->after) {
             finishTimes[s] = std::max(finishTimes[s], finishTimes[earlier]);
         }
-        finishTimes[s] += remainingOnly && isDone(*states[s]) ? milliseconds(0) : unqueuedStepTime(*steps[s], queue);
+        finishTimes[s] += stepTime(s);
     }
     return *std::max_element(finishTimes.begin(), finishTimes.end());
 }
@@ -47,10 +49,38 @@
     return std::all_of(step.tasks.begin(), step.tasks.end(), [](const std::unique_ptr<wire::TaskT> &task) { return task->done; });
 }
 
-DeadlineEstimator::DeadlineEstimator(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt, base::SteadyTime currentTime)
+DeadlineEstimator::DeadlineEstimator(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt,
+                                     base::SteadyTime currentTime,
+                                     const ExpectedSpeeds *expectedSpeeds)
     : acceptanceTimes(acceptedAt)
     , now(currentTime)
+    , speeds(expectedSpeeds)
+{
+}
+
+/// The run time of the step's tasks that are not done, each at its own speed; the estimated run time where speeds are not considered.
+milliseconds DeadlineEstimator::remainingRunTime(const wire::StepT &step, const wire::StepStateT &state, const wire::QueueT &queue) const
 {
+    const milliseconds estimate(step.estimate_ms);
+    if (this->speeds == nullptr || this->speeds->source == nullptr) {
+        return estimate;
+    }
+    double slowest = std::numeric_limits<double>::max();
+    for (const auto &task : state.tasks) {
+        if (!task->done) {
+            slowest = std::min(slowest, task->runs.empty() ? this->speeds->ofWaiting(queue) : this->speeds->ofRunOn(task->runs.front()->upstream));
+        }
+    }
+    return std::chrono::duration_cast<milliseconds>(estimate / std::max(slowest, MinSpeed));
+}
+
+/// The time of the longest chain of the steps that are not done.
+milliseconds DeadlineEstimator::remainingTime(const wire::JobT &job, std::uint32_t occurrence, const wire::QueueT &queue) const
+{
+    const auto &states = job.occurrences[occurrence]->steps;
+    return criticalPathTime(job, [&](std::size_t s) {
+        return isDone(*states[s]) ? milliseconds(0) : this->remainingRunTime(*job.spec->steps[s], *states[s], queue) + queryTime(queue);
+    });
 }
 
 std::optional<DeadlineEstimator::Estimate> DeadlineEstimator::estimate(const wire::JobT &job, std::uint32_t occurrence, const wire::QueueT *queue) const
@@ -61,9 +91,9 @@
     if (queue == nullptr || acceptance == this->acceptanceTimes.end() || job.spec->times > 0 || std::any_of(steps.begin(), steps.end(), isLasting)) {
         return std::nullopt;
     }
-    const auto objective =
-        std::chrono::duration_cast<milliseconds>(queue->slack * criticalPathTime(job, occurrence, *queue, false)) + milliseconds(queue->target_latency_ms);
-    const auto end = std::chrono::duration_cast<milliseconds>(this->now - acceptance->second) + criticalPathTime(job, occurrence, *queue, true);
+    const milliseconds nominal = criticalPathTime(job, [&](std::size_t s) { return milliseconds(steps[s]->estimate_ms) + queryTime(*queue); });
+    const auto objective = std::chrono::duration_cast<milliseconds>(queue->slack * nominal) + milliseconds(queue->target_latency_ms);
+    const auto end = std::chrono::duration_cast<milliseconds>(this->now - acceptance->second) + this->remainingTime(job, occurrence, *queue);
     if (end <= objective) {
         return Estimate{Timeliness::OnTime, objective - end};
     }
--- a/src/cell/planning/DeadlineEstimator.h
+++ b/src/cell/planning/DeadlineEstimator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/CellState.h"
+#include "cell/planning/ExpectedSpeeds.h"
 
 #include "cranberryreel/base/Clock.h"
 
@@ -24,8 +25,12 @@
 class DeadlineEstimator
 {
 public:
-    /// `acceptedAt` holds the acceptance times by job number and must outlive the estimator; a job that is missing there has no estimate.
-    DeadlineEstimator(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt, base::SteadyTime currentTime);
+    /// `acceptedAt` holds the acceptance times by job number and must outlive the estimator; a job that is missing there has no estimate. `expectedSpeeds` is
+    /// null, or outlives the estimator: the remaining time of a step is then that of its tasks at the speeds at which they run or will likely run. The
+    /// objective stays that of nominal speed.
+    DeadlineEstimator(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt,
+                      base::SteadyTime currentTime,
+                      const ExpectedSpeeds *expectedSpeeds = nullptr);
 
     struct Estimate {
         Timeliness timeliness = Timeliness::OnTime;
@@ -37,8 +42,12 @@
     std::optional<Estimate> estimate(const wire::JobT &job, std::uint32_t occurrence, const wire::QueueT *queue) const;
 
 private:
+    std::chrono::milliseconds remainingRunTime(const wire::StepT &step, const wire::StepStateT &state, const wire::QueueT &queue) const;
+    std::chrono::milliseconds remainingTime(const wire::JobT &job, std::uint32_t occurrence, const wire::QueueT &queue) const;
+
     const std::map<std::uint64_t, base::SteadyTime> &acceptanceTimes;
     const base::SteadyTime now;
+    const ExpectedSpeeds *speeds;
 };
 
 /// True when all tasks of the step are done.
--- a/src/cell/planning/PlanInput.h
+++ b/src/cell/planning/PlanInput.h
@@ -4,10 +4,12 @@
 #include "cell/CellState.h"
 #include "cell/TaskKey.h"
 #include "cell/UpstreamTracker.h"
-#include "cell/health/UpstreamSpeeds.h"
+#include "cell/health/SpeedSource.h"
+#include "cell/planning/UrgentDemand.h"
 
 #include "cranberryreel/base/Clock.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,6 +23,7 @@
     bool stopping = false; ///< A stop was requested, or the end is on its way into the log.
     bool confirmed = false; ///< The upstream confirmed the run, and neither a stop nor an end is pending.
     int percent = 0; ///< Progress, 0 to 100.
+    std::chrono::milliseconds elapsed{0}; ///< Since the upstream confirmed the start.
 };
 
 /// The input of one plan. Refers to data of the caller, which must outlive the plan.
@@ -33,7 +36,9 @@
     const std::map<std::uint64_t, base::SteadyTime> &acceptedAt;
     base::SteadyTime now;
     std::function<RunView(const RunKey &)> viewRun = nullptr; ///< Returns the state of a run; when empty, nothing is preempted.
-    const health::UpstreamSpeeds *speeds = nullptr; ///< Null when the cell's settings do not allow placement by speed.
+    const health::SpeedSource *speeds = nullptr; ///< Null when the cell's settings do not allow placement by speed.
+    UrgentDemand *urgentDemand = nullptr; ///< What urgent work used of late; each plan records what it finds. Null: nothing is observed.
+    double farRackFactor = 1.5; ///< How many times longer a task takes when it does not run on its preferred rack.
 };
 
 } // namespace cranberryreel::cell::planning
--- a/src/cell/planning/Planner.cpp
+++ b/src/cell/planning/Planner.cpp
@@ -26,18 +26,19 @@
 
 Planner::Planner(const PlanInput &planInput)
     : input(planInput)
-    , capacities(planInput.state, planInput.trackers, planInput.now)
+    , capacities(planInput.state, planInput.trackers, planInput.now, planInput.speeds)
     , pools(servicePools(planInput.state, capacities))
+    , speedPlacement(planInput, capacities, pools)
     , rules(planInput)
     , preemptor(planInput, capacities)
-    , queryPlanner(planInput, rules, preemptor)
+    , queryPlanner(planInput, rules, preemptor, speedPlacement)
 {
 }
 
 Plan Planner::makePlan()
 {
     std::vector<ReadyStep> waiting = readySteps(this->input.state);
-    WaitingOrder(this->input.acceptedAt, this->input.now).sort(waiting);
+    WaitingOrder(this->input.acceptedAt, this->input.now, &this->speedPlacement.expectedSpeeds()).sort(waiting);
     for (const ReadyStep &ready : waiting) {
         this->queryPlanner.reserveForPendingQuery(ready, this->pools[serviceOf(ready)], this->capacities);
     }
@@ -114,29 +115,37 @@
         for (UpstreamCapacity *capacity : pool.capacities) {
             consider(*capacity);
         }
-        return candidates;
+        return this->speedPlacement.select(ready, pool, this->rules, std::move(candidates));
     }
     for (const auto &[upstream, ticket] : advice.allowed) {
         if (UpstreamCapacity *capacity = this->capacities.find(upstream); capacity != nullptr && capacity->upstream->service == pool.load.service) {
             consider(*capacity);
         }
     }
-    return candidates;
+    return this->speedPlacement.select(ready, pool, this->rules, std::move(candidates));
 }
 
 UpstreamCapacity *Planner::bestUpstream(const ReadyStep &ready, std::uint32_t task, const std::vector<Candidate> &candidates) const
 {
     UpstreamCapacity *best = nullptr;
-    auto bestRank = std::make_tuple(true, true, true, 0, std::int64_t{0}, std::int64_t{0});
+    auto bestRank = std::make_tuple(true, 0, true, true, 0, std::int64_t{0}, std::int64_t{0});
     const auto failed = this->input.failedUpstreams.find({ready.key, task});
     for (const Candidate &candidate : candidates) {
         UpstreamCapacity &capacity = *candidate.capacity;
         if (capacity.free.countFitting(*ready.step, 1) == 0 || this->rules.remainingTaskLimit(ready, capacity) == 0) {
             continue;
         }
+        if (candidate.keptForUrgent != nullptr && candidate.keptForUrgent->countFitting(ready, 1) == 0) {
+            continue;
+        }
         const bool failedHere = failed != this->input.failedUpstreams.end() && failed->second.count(capacity.upstream->number) > 0;
-        const auto rank =
-            std::make_tuple(failedHere, candidate.offRack, candidate.otherZone, capacity.failuresInRow, capacity.free.accelerators, capacity.free.cpuMillis);
+        const auto rank = std::make_tuple(failedHere,
+                                          candidate.speedRank,
+                                          candidate.offRack,
+                                          candidate.otherZone,
+                                          capacity.failuresInRow,
+                                          capacity.free.accelerators,
+                                          capacity.free.cpuMillis);
         if (best == nullptr || rank < bestRank) {
             best = &capacity;
             bestRank = rank;
@@ -150,6 +159,9 @@
     capacity.allocate(*ready.step);
     pool.load.free.allocate(*ready.step);
     pool.unreserved.allocate(*ready.step);
+    if (pool.fast) {
+        pool.fast->recordStart(ready, capacity);
+    }
     this->rules.recordPlanned(ready.key, capacity.upstream->number);
     this->plan.starts.push_back({{ready.key, task}, attempt, capacity.upstream->number});
 }
@@ -158,7 +170,11 @@
 {
     for (std::size_t i = firstUndone; i < this->plan.starts.size(); ++i) {
         const std::uint64_t upstream = this->plan.starts[i].upstream;
-        this->capacities.find(upstream)->release(*ready.step);
+        UpstreamCapacity &capacity = *this->capacities.find(upstream);
+        capacity.release(*ready.step);
+        if (pool.fast) {
+            pool.fast->undoStart(ready, capacity);
+        }
         pool.load.free.release(*ready.step);
         pool.unreserved.release(*ready.step);
         this->rules.undoPlanned(ready.key, upstream);
--- a/src/cell/planning/Planner.h
+++ b/src/cell/planning/Planner.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "cell/planning/AdviceQueryPlanner.h"
+#include "cell/planning/PlacementCandidate.h"
 #include "cell/planning/PlacementRules.h"
 #include "cell/planning/PlanInput.h"
 #include "cell/planning/Preemptor.h"
 #include "cell/planning/ReadySteps.h"
 #include "cell/planning/ServicePool.h"
+#include "cell/planning/SpeedPlacement.h"
 #include "cell/planning/UpstreamCapacity.h"
 #include "cell/planning/WaitReason.h"
 
@@ -49,12 +51,7 @@
     Plan makePlan();
 
 private:
-    /// An upstream on which tasks of one step may start.
-    struct Candidate {
-        UpstreamCapacity *capacity = nullptr;
-        bool offRack = false; ///< Not on the rack that the step prefers.
-        bool otherZone = false; ///< Not in the submitter's zone.
-    };
+    using Candidate = PlacementCandidate;
 
     /// An upstream that could be reserved for waiting large work.
     struct ReservationOption {
@@ -91,6 +88,7 @@
     const PlanInput &input;
     CapacityTable capacities;
     std::map<std::string, ServicePool> pools;
+    SpeedPlacement speedPlacement;
     PlacementRules rules;
     Preemptor preemptor;
     AdviceQueryPlanner queryPlanner;
--- a/src/cell/planning/ServicePool.cpp
+++ b/src/cell/planning/ServicePool.cpp
@@ -28,6 +28,9 @@
 
 std::int64_t ServicePool::headroomCpuMillis() const
 {
+    if (this->fast && this->fast->urgentNeedCpuMillis()) {
+        return std::min(*this->fast->urgentNeedCpuMillis(), this->load.usable.cpuMillis / 2);
+    }
     return this->servesUrgent ? static_cast<std::int64_t>(UrgentHeadroomShare * static_cast<double>(this->load.usable.cpuMillis)) : 0;
 }
 
--- a/src/cell/planning/ServicePool.h
+++ b/src/cell/planning/ServicePool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/planning/Capacity.h"
+#include "cell/planning/FastCapacity.h"
 #include "cell/planning/ReadySteps.h"
 #include "cell/planning/UpstreamCapacity.h"
 
@@ -32,12 +33,14 @@
     /// Free or reclaimable capacity, less the needs of the waiting large work admitted in this plan; empty until the first of it.
     std::optional<Capacity> largeWorkBudget;
     bool servesUrgent = false; ///< Some queue of priority 0 sends work to this service.
+    std::optional<FastCapacity> fast; ///< Set where placement considers speed.
     ServiceLoad load;
 
     /// Whether a task of the step takes more than half of an average upstream, so that small tasks on every upstream could keep it waiting for ever.
     bool isLargeTask(const wire::StepT &step) const;
 
-    /// Processor time that work of other priorities leaves free for urgent work, in thousandths of a core.
+    /// Processor time that work of other priorities leaves free for urgent work, in thousandths of a core. Where placement considers speed, it follows from
+    /// observed use.
     std::int64_t headroomCpuMillis() const;
 };
 
--- /dev/null
+++ b/src/cell/planning/SpeedClass.cpp
@@ -0,0 +1,51 @@
+#include "cell/planning/SpeedClass.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace cranberryreel::cell::planning
+{
+
+namespace
+{
+
+/// Lower bounds of the classes, as shares of the reference. Speeds of 0.7 and 1.7 have a ratio of 0.41, and lie well inside their classes with estimates off by
+/// a quarter.
+constexpr double FastBound = 0.75;
+constexpr double MediumBound = 0.55;
+constexpr double SlowBound = 0.2;
+/// A service is uneven when its quartiles differ by this factor. Lower than the factor of two at which placement by speed is enabled, so that a service at that
+/// limit does not alternate.
+constexpr double UnevenRatio = 1.5;
+
+} // namespace
+
+SpeedClass speedClassOf(double speed, double reference)
+{
+    const double share = speed / reference;
+    if (share >= FastBound) {
+        return SpeedClass::Fast;
+    }
+    if (share >= MediumBound) {
+        return SpeedClass::Medium;
+    }
+    return share >= SlowBound ? SpeedClass::Slow : SpeedClass::Stalled;
+}
+
+std::optional<double> referenceSpeed(std::vector<double> speeds)
+{
+    if (speeds.size() < 2) {
+        return std::nullopt;
+    }
+    const auto nth = [&speeds](std::size_t index) {
+        const auto at = speeds.begin() + static_cast<std::ptrdiff_t>(index);
+        std::nth_element(speeds.begin(), at, speeds.end());
+        return *at;
+    };
+    const std::size_t quarter = (speeds.size() - 1) / 4;
+    const double lower = nth(quarter);
+    const double upper = nth(speeds.size() - 1 - quarter);
+    return upper >= UnevenRatio * lower ? std::optional<double>(upper) : std::nullopt;
+}
+
+} // namespace cranberryreel::cell::planning
--- a/src/cell/planning/UpstreamCapacity.cpp
+++ b/src/cell/planning/UpstreamCapacity.cpp
@@ -31,8 +31,12 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-CapacityTable::CapacityTable(const CellState &state, const std::map<std::uint64_t, UpstreamTracker> &trackers, base::SteadyTime now)
+CapacityTable::CapacityTable(const CellState &state,
+                             const std::map<std::uint64_t, UpstreamTracker> &trackers,
+                             base::SteadyTime now,
+                             const health::SpeedSource *speeds)
 {
+    const bool uneven = speeds != nullptr && speeds->isUneven();
     this->capacities.reserve(state.upstreams().size());
     auto tracker = trackers.begin();
     for (const auto &[number, upstream] : state.upstreams()) {
@@ -41,6 +45,7 @@
         capacity.free = Capacity::totalOf(upstream);
         capacity.unreserved = capacity.free;
         capacity.freeAfterStops = capacity.free;
+        capacity.speed = uneven ? speeds->speedOf(number) : 1.0;
         while (tracker != trackers.end() && tracker->first < number) {
             ++tracker;
         }
--- a/src/cell/planning/UpstreamCapacity.h
+++ b/src/cell/planning/UpstreamCapacity.h
@@ -3,6 +3,7 @@
 #include "cell/CellState.h"
 #include "cell/TaskKey.h"
 #include "cell/UpstreamTracker.h"
+#include "cell/health/SpeedSource.h"
 #include "cell/planning/Capacity.h"
 
 #include "cranberryreel/base/Clock.h"
@@ -50,7 +51,11 @@
 class CapacityTable
 {
 public:
-    CapacityTable(const CellState &state, const std::map<std::uint64_t, UpstreamTracker> &trackers, base::SteadyTime now);
+    /// `speeds` is null when placement does not consider speed.
+    CapacityTable(const CellState &state,
+                  const std::map<std::uint64_t, UpstreamTracker> &trackers,
+                  base::SteadyTime now,
+                  const health::SpeedSource *speeds = nullptr);
 
     /// Ordered by upstream number.
     std::vector<UpstreamCapacity> &all()
@@ -71,22 +76,29 @@
 /// True when tasks of the step can be stopped for other work and resume elsewhere from their saved progress.
 bool isPreemptible(const wire::StepT &step);
 
+/// Calls visit(run, step, taskKey) for each recorded run of the job.
+template<typename Visit>
+void forEachRunOf(const wire::JobT &job, Visit visit)
+{
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        const auto &steps = job.occurrences[k]->steps;
+        for (std::uint32_t s = 0; s < steps.size(); ++s) {
+            for (std::uint32_t t = 0; t < steps[s]->tasks.size(); ++t) {
+                for (const auto &run : steps[s]->tasks[t]->runs) {
+                    visit(*run, *job.spec->steps[s], TaskKey{{job.number, k, s}, t});
+                }
+            }
+        }
+    }
+}
+
 /// Calls visit(run, step, job, taskKey) for each recorded run.
 template<typename Visit>
 void forEachRun(const CellState &state, Visit visit)
 {
     for (const std::uint64_t number : state.openJobs()) {
         const wire::JobT &job = *state.job(number);
-        for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-            const auto &steps = job.occurrences[k]->steps;
-            for (std::uint32_t s = 0; s < steps.size(); ++s) {
-                for (std::uint32_t t = 0; t < steps[s]->tasks.size(); ++t) {
-                    for (const auto &run : steps[s]->tasks[t]->runs) {
-                        visit(*run, *job.spec->steps[s], job, TaskKey{{number, k, s}, t});
-                    }
-                }
-            }
-        }
+        forEachRunOf(job, [&visit, &job](const wire::RunT &run, const wire::StepT &step, const TaskKey &task) { visit(run, step, job, task); });
     }
 }
 
--- a/src/cell/planning/WaitingOrder.cpp
+++ b/src/cell/planning/WaitingOrder.cpp
@@ -31,8 +31,8 @@
         < std::tie(other.priority, other.timeliness, other.remainingWork, other.key);
 }
 
-WaitingOrder::WaitingOrder(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt, base::SteadyTime now)
-    : deadlines(acceptedAt, now)
+WaitingOrder::WaitingOrder(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt, base::SteadyTime now, const ExpectedSpeeds *speeds)
+    : deadlines(acceptedAt, now, speeds)
 {
 }
 
--- a/src/cell/planning/WaitingOrder.h
+++ b/src/cell/planning/WaitingOrder.h
@@ -23,7 +23,7 @@
 {
 public:
     /// `acceptedAt` holds the acceptance times by job number and must outlive this object; a job that is missing there counts as on time.
-    WaitingOrder(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt, base::SteadyTime now);
+    WaitingOrder(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt, base::SteadyTime now, const ExpectedSpeeds *speeds = nullptr);
 
     void sort(std::vector<ReadyStep> &ready);
 
--- a/tests/cell/PlannedCell.h
+++ b/tests/cell/PlannedCell.h
@@ -12,6 +12,23 @@
 namespace cranberryreel::support
 {
 
+/// Speeds that a test sets.
+struct FixedSpeeds : cell::health::SpeedSource {
+    std::map<std::uint64_t, double> byUpstream;
+    bool uneven = true;
+
+    double speedOf(std::uint64_t upstream) const override
+    {
+        const auto found = this->byUpstream.find(upstream);
+        return found == this->byUpstream.end() ? 1.0 : found->second;
+    }
+
+    bool isUneven() const override
+    {
+        return this->uneven;
+    }
+};
+
 /// A cell whose upstreams have all been read back, for plans at one fixed time.
 struct PlannedCell {
     cell::CellState state;
@@ -20,6 +37,9 @@
     std::map<cell::TaskKey, std::set<std::uint64_t>> failedUpstreams;
     std::map<std::uint64_t, base::SteadyTime> acceptedAt;
     std::map<cell::RunKey, cell::planning::RunView> runViews;
+    FixedSpeeds speeds;
+    bool considersSpeed = false;
+    cell::planning::UrgentDemand urgentDemand;
     const base::SteadyTime now = base::SteadyTime() + std::chrono::hours(1);
 
     PlannedCell()
@@ -76,7 +96,9 @@
     cell::planning::Plan plan(base::SteadyTime time)
     {
         const auto view = [this](const cell::RunKey &key) { return this->runViews[key]; };
-        const cell::planning::PlanInput input{this->state, this->trackers, this->advice, this->failedUpstreams, this->acceptedAt, time, view};
+        cell::planning::PlanInput input{this->state, this->trackers, this->advice, this->failedUpstreams, this->acceptedAt, time, view};
+        input.speeds = this->considersSpeed ? &this->speeds : nullptr;
+        input.urgentDemand = &this->urgentDemand;
         return cell::planning::Planner(input).makePlan();
     }
 };
