Cell: estimate the speeds of upstreams from completions and progress

Cause: submitters' estimates are off by up to nine tenths, so placement cannot tell fast upstreams from slow ones. Change: UpstreamSpeeds fits works of steps and speeds of upstreams in turn, in logarithms and with clipped residuals; SpeedMonitor feeds it where [cell] upstream_speeds is set, and the plan input refers to it. SlowUpstreamDetector allows for the usual speed where speeds are uneven.

--- a/src/cell/CellOptions.h
+++ b/src/cell/CellOptions.h
@@ -18,6 +18,7 @@
     std::chrono::milliseconds jobRetention{150000}; ///< How long the state of an ended job can be queried.
     std::chrono::milliseconds restoreTime{600}; ///< Time that a task needs to resume from a checkpoint.
     double farRackFactor = 1.5; ///< How many times longer a task takes when it does not run on its preferred rack.
+    bool upstreamSpeeds = false; ///< Placement may consider the speeds of upstreams, which are then estimated.
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/CellSettings.cpp
+++ b/src/cell/CellSettings.cpp
@@ -109,6 +109,12 @@
     return absl::SimpleAtod(value, &target.cell.farRackFactor) && target.cell.farRackFactor >= 1.0;
 }
 
+bool parseUpstreamSpeeds(CellSettings &target, const std::string &value)
+{
+    target.cell.upstreamSpeeds = value == "true";
+    return value == "true" || value == "false";
+}
+
 bool parseLogLevel(CellSettings &target, const std::string &value)
 {
     target.logLevel = value;
@@ -147,6 +153,7 @@
         {"cell", "tolerate", false, "a whole number from 0 to 3", &parseToleratedVms},
         {"cell", "catch_up_s", false, "seconds from 1 to 600", &parseCatchUp},
         {"cell", "first_start", false, "true or false", &parseFirstStart},
+        {"cell", "upstream_speeds", false, "true or false", &parseUpstreamSpeeds},
         {"cell", "data_folder", false, "a path", textValue(&CellSettings::dataFolder)},
         {"advice", "service", false, "IP:port", addressValue(&CellSettings::adviceService)},
         {"times", "lease_max_ms", true, "milliseconds from 500", millisecondsValue(&CellOptions::leaseMax, 500, MaxTimeMs)},
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -110,6 +110,7 @@
         this->context.store.read([this](const CellState &state) {
             this->adviceCache.eraseClosedJobs([&state](std::uint64_t job) { return state.openJobs().count(job) > 0; });
             this->context.slowUpstreamDetector.eraseClosedJobs(state);
+            this->context.speedMonitor.eraseClosedJobs(state);
         });
     }
     this->planAndPropose();
@@ -133,8 +134,14 @@
 {
     const Plan plan = this->context.store.read([this, now](const CellState &state) {
         const auto viewRun = [this](const RunKey &key) { return this->runView(key); };
-        const planning::PlanInput input{
-            state, this->context.trackers, this->adviceCache, this->runs.failedUpstreams(), this->jobLog.acceptanceTimes(), now, viewRun};
+        const planning::PlanInput input{state,
+                                        this->context.trackers,
+                                        this->adviceCache,
+                                        this->runs.failedUpstreams(),
+                                        this->jobLog.acceptanceTimes(),
+                                        now,
+                                        viewRun,
+                                        this->context.speedMonitor.speeds()};
         return planning::Planner(input).makePlan();
     });
     if (now >= this->nextLoadLog) {
--- a/src/cell/TermContext.h
+++ b/src/cell/TermContext.h
@@ -6,6 +6,7 @@
 #include "cell/CellStore.h"
 #include "cell/CommandBatch.h"
 #include "cell/RunTable.h"
+#include "cell/SpeedMonitor.h"
 #include "cell/UpstreamCalls.h"
 #include "cell/UpstreamTracker.h"
 #include "cell/health/SlowUpstreamDetector.h"
@@ -49,6 +50,8 @@
 
     /// Whether this term's leadership lease holds, so that no later leader can be sending requests yet.
     std::function<bool()> holdsLease;
+
+    SpeedMonitor speedMonitor{this->options, this->store};
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -103,6 +103,7 @@
     if (announced.born_ms > born) {
         Logger.info("event=upstream_restarted upstream={} number={} born={} earlier={}", announced.id, known->number, announced.born_ms, born);
         tracker.beginIncarnation(announced.born_ms, now);
+        this->context.speedMonitor.forget(known->number);
     }
     tracker.announcementSequence = announcement.sequence;
     tracker.announcedAt = now;
@@ -147,6 +148,7 @@
     this->endAllRuns(number);
     std::optional<wire::UpstreamT> change = this->context.upstreamRecord(number);
     this->context.trackers.erase(number);
+    this->context.speedMonitor.forget(number);
     if (change) {
         Logger.info("event=upstream_removed upstream={} number={}", change->id, number);
         change->gone = true;
@@ -183,6 +185,7 @@
     if (now >= this->nextSpeedCheck) {
         this->nextSpeedCheck = now + SpeedCheckInterval;
         this->excludeSlow(now);
+        this->context.speedMonitor.update(now);
     }
     std::vector<std::pair<std::uint64_t, UpstreamTarget>> known;
     this->context.store.read([&known](const CellState &state) {
@@ -291,6 +294,7 @@
     Logger.info("event=upstream_restarted number={} born={}", number, bornMs);
     const std::optional<wire::UpstreamT> announced = std::exchange(tracker.earlierBorn, std::nullopt);
     tracker.beginIncarnation(bornMs, base::steadyNow());
+    this->context.speedMonitor.forget(number);
     if (announced && announced->born_ms == bornMs) {
         this->proposeUpstream(*announced, [](base::ResultCode) {});
     } else if (const std::optional<wire::UpstreamT> known = this->context.upstreamRecord(number)) {
@@ -388,6 +392,7 @@
         run->lastListedAt = now;
         run->checkpoint = report.checkpoint;
         run->measurement = report.measurement;
+        this->context.speedMonitor.recordProgress(*run, now);
     }
     return listed;
 }
@@ -447,7 +452,9 @@
             tracker.exclusionTime = {};
         }
         if (run.phase == RunPhase::Confirmed) {
-            this->context.slowUpstreamDetector.recordCompletion(run.key.task.step, std::chrono::duration_cast<std::chrono::milliseconds>(now - run.startedAt));
+            this->context.slowUpstreamDetector.recordCompletion(
+                run.key.task.step, std::chrono::duration_cast<std::chrono::milliseconds>(now - run.startedAt), this->context.speedMonitor.usualSpeedOf(number));
+            this->context.speedMonitor.recordCompletion(run, now);
         }
         return;
     }
@@ -468,8 +475,9 @@
 
 void UpstreamManager::excludeSlow(base::SteadyTime now)
 {
-    const std::vector<health::SlowUpstream> found =
-        this->context.store.read([this, now](const CellState &state) { return this->context.slowUpstreamDetector.detect(state, this->context.runs, now); });
+    const std::vector<health::SlowUpstream> found = this->context.store.read([this, now](const CellState &state) {
+        return this->context.slowUpstreamDetector.detect(state, this->context.runs, now, this->context.speedMonitor.speeds());
+    });
     for (const health::SlowUpstream &slow : found) {
         const auto tracker = this->context.trackers.find(slow.upstream);
         if (tracker == this->context.trackers.end() || tracker->second.silentCalls > 0) {
--- a/src/cell/health/SlowUpstreamDetector.cpp
+++ b/src/cell/health/SlowUpstreamDetector.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds StallTime{1300};
 /// Reports older than this are ignored, since this VM itself may have been frozen.
 constexpr milliseconds MaxReportAge{2300};
+/// An upstream whose usual speed is lower still counts as slow, since work does better elsewhere.
+constexpr double LeastUsualSpeed = 0.5;
 /// A run with this attempt number or a higher one is not moved.
 constexpr std::uint32_t MoveAttemptLimit = 4;
 
@@ -50,21 +52,28 @@
 
 } // namespace
 
-void SlowUpstreamDetector::recordCompletion(const StepKey &step, milliseconds time)
+void SlowUpstreamDetector::recordCompletion(const StepKey &step, milliseconds time, double usualSpeed)
 {
     Durations &measured = this->durations[step];
     measured.total += time;
+    measured.totalAtNominalSpeed += usualSpeed * time;
     ++measured.count;
 }
 
-milliseconds SlowUpstreamDetector::typicalDuration(const StepKey &key, const wire::StepT &step) const
+milliseconds SlowUpstreamDetector::typicalDuration(const StepKey &key, const wire::StepT &step, std::optional<double> speed) const
 {
     const auto found = this->durations.find(key);
-    return found == this->durations.end() ? milliseconds(step.estimate_ms) : found->second.total / found->second.count;
+    if (!speed) {
+        return found == this->durations.end() ? milliseconds(step.estimate_ms) : found->second.total / found->second.count;
+    }
+    const std::chrono::duration<double, std::milli> nominal =
+        found == this->durations.end() ? milliseconds(step.estimate_ms) : found->second.totalAtNominalSpeed / found->second.count;
+    return std::chrono::duration_cast<milliseconds>(nominal / std::max(*speed, LeastUsualSpeed));
 }
 
-std::vector<SlowUpstream> SlowUpstreamDetector::detect(const CellState &state, RunTable &runs, base::SteadyTime now) const
+std::vector<SlowUpstream> SlowUpstreamDetector::detect(const CellState &state, RunTable &runs, base::SteadyTime now, const UpstreamSpeeds *speeds) const
 {
+    const bool uneven = speeds != nullptr && speeds->isUneven();
     struct Suspect {
         std::set<StepKey> steps;
         bool stalled = false;
@@ -78,14 +87,15 @@
         }
         const wire::StepT &step = *job->spec->steps[key.task.step.step];
         const bool measured = this->durations.count(key.task.step) > 0;
-        const milliseconds typical = this->typicalDuration(key.task.step, step);
+        const std::optional<double> speed = uneven ? std::optional<double>(speeds->usualSpeedOf(track.upstream)) : std::nullopt;
+        const milliseconds typical = this->typicalDuration(key.task.step, step, speed);
         if (step.lasting || step.gang || step.filler || !isLate(track, typical, measured ? LateFactor : LateFactorOfEstimate, now)) {
             continue;
         }
         Suspect &suspect = suspects[track.upstream];
         suspect.steps.insert(key.task.step);
         suspect.stalled = suspect.stalled || isStalled(track);
-        if (shouldMove(track, typical, now)) {
+        if (shouldMove(track, this->typicalDuration(key.task.step, step, uneven ? std::optional<double>(1.0) : std::nullopt), now)) {
             suspect.runsToMove.push_back(key);
         }
     }
--- /dev/null
+++ b/src/cell/health/StepSamples.cpp
@@ -0,0 +1,78 @@
+#include "cell/health/StepSamples.h"
+
+#include "cell/health/RobustMean.h"
+
+#include <algorithm>
+
+namespace cranberryreel::cell::health
+{
+
+namespace
+{
+
+/// More samples than this make the typical work no more exact, and bound the cost of wide steps.
+constexpr std::size_t MaxSamples = 64;
+
+} // namespace
+
+void RunSample::measure(double newLogDuration, base::SteadyTime now)
+{
+    this->logDuration = newLogDuration;
+    this->at = now;
+    this->measured = true;
+}
+
+RunSample &StepSamples::sampleOf(const RunKey &run, std::uint64_t upstream)
+{
+    const auto isOfRun = [&run](const RunSample &each) { return each.task == run.task.task && each.attempt == run.attempt; };
+    if (const auto found = std::find_if(this->samples.begin(), this->samples.end(), isOfRun); found != this->samples.end()) {
+        return *found;
+    }
+    RunSample sample;
+    sample.task = run.task.task;
+    sample.attempt = run.attempt;
+    sample.upstream = upstream;
+    if (this->samples.size() < MaxSamples) {
+        return this->samples.emplace_back(sample);
+    }
+    const auto isOlder = [](const RunSample &left, const RunSample &right) { return left.at < right.at; };
+    RunSample &replaced = *std::min_element(this->samples.begin(), this->samples.end(), isOlder);
+    replaced = sample;
+    return replaced;
+}
+
+void StepSamples::forget(std::uint64_t upstream)
+{
+    const auto isOfUpstream = [upstream](const RunSample &each) { return each.upstream == upstream; };
+    this->samples.erase(std::remove_if(this->samples.begin(), this->samples.end(), isOfUpstream), this->samples.end());
+}
+
+double StepSamples::typicalLogWork() const
+{
+    std::vector<WeightedValue> values;
+    values.reserve(this->samples.size());
+    for (const RunSample &sample : this->samples) {
+        if (sample.measured) {
+            values.push_back({sample.logDuration + sample.logSpeed, 1});
+        }
+    }
+    return robustMean(values);
+}
+
+bool StepSamples::isRecent(base::SteadyTime now) const
+{
+    return std::any_of(this->samples.begin(), this->samples.end(), [now](const RunSample &each) { return each.measured && now - each.at < MaxSampleAge; });
+}
+
+double StepSamples::shareOfOthers(std::uint64_t upstream) const
+{
+    int all = 0;
+    int others = 0;
+    for (const RunSample &sample : this->samples) {
+        all += sample.measured ? 1 : 0;
+        others += sample.measured && sample.upstream != upstream ? 1 : 0;
+    }
+    return all == 0 ? 0.0 : static_cast<double>(others) / all;
+}
+
+} // namespace cranberryreel::cell::health
--- /dev/null
+++ b/src/cell/health/StepSamples.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "cell/TaskKey.h"
+#include "cell/health/RunPace.h"
+
+#include "cranberryreel/base/Clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace cranberryreel::cell::health
+{
+
+/// Samples older than this say nothing of an upstream's present speed; slowdowns last for seconds.
+constexpr std::chrono::milliseconds MaxSampleAge{4000};
+
+/// What one run of a task shows: the duration of the whole run, measured or projected, and where it ran.
+struct RunSample {
+    std::uint32_t task = 0;
+    std::uint32_t attempt = 0;
+    std::uint64_t upstream = 0;
+    RunPace pace;
+    bool done = false;
+    bool measured = false; ///< `logDuration` and `at` are set.
+    double logDuration = 0; ///< Logarithm of milliseconds.
+    base::SteadyTime at{}; ///< When the duration was measured.
+    double logSpeed = 0; ///< Of the upstream, as estimated when the sample was last current.
+
+    /// Takes over a measured duration.
+    void measure(double newLogDuration, base::SteadyTime now);
+};
+
+/// The samples of the runs of one step. Its tasks are equal work but for a spread, so the samples show which upstreams are faster than others. Owned by the
+/// UpstreamSpeeds.
+class StepSamples
+{
+public:
+    /// The sample of the run; a new one, in place of the oldest of many, if there is none.
+    RunSample &sampleOf(const RunKey &run, std::uint64_t upstream);
+
+    void forget(std::uint64_t upstream);
+
+    /// The logarithm of the time that a typical task of the step takes at speed 1.
+    double typicalLogWork() const;
+
+    /// Whether a sample is recent enough to show an upstream's present speed.
+    bool isRecent(base::SteadyTime now) const;
+
+    /// The share of samples of other upstreams; where it is 0 the step compares nothing.
+    double shareOfOthers(std::uint64_t upstream) const;
+
+    std::vector<RunSample> &all()
+    {
+        return this->samples;
+    }
+
+private:
+    std::vector<RunSample> samples;
+};
+
+} // namespace cranberryreel::cell::health
--- a/src/cell/health/UpstreamSpeeds.cpp
+++ b/src/cell/health/UpstreamSpeeds.cpp
@@ -1,33 +1,214 @@
 #include "cell/health/UpstreamSpeeds.h"
 
+#include "cell/health/SampleDecay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <numeric>
+#include <utility>
+#include <vector>
+
 namespace cranberryreel::cell::health
 {
 
-void UpstreamSpeeds::recordCompletion(const StepKey & /*step*/, std::uint64_t /*upstream*/, std::chrono::milliseconds /*duration*/, base::SteadyTime /*now*/)
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A fit takes some tenths of a millisecond, so that it costs a few microseconds for each of about a hundred completions in between.
+constexpr milliseconds FitInterval{200};
+/// Works and speeds are fitted in turn so many times. Each fit starts from the last one and the steps connect all upstreams, so that two suffice.
+constexpr int SweepsPerFit = 2;
+/// Progress projects a duration from a part of the run, so it counts less than a completion.
+constexpr double ProgressWeight = 0.7;
+/// Speeds are kept between this and its reciprocal; beyond it, an upstream has stalled rather than become slow.
+constexpr double LeastSpeed = 0.1;
+
+double boundedSpeed(double logSpeed)
+{
+    return std::clamp(std::exp(logSpeed), LeastSpeed, 1 / LeastSpeed);
+}
+
+} // namespace
+
+void UpstreamSpeeds::setType(std::uint64_t upstream, const std::string &type)
+{
+    this->upstreams[upstream].type = type;
+}
+
+void UpstreamSpeeds::recordCompletion(const RunKey &run, std::uint64_t upstream, milliseconds duration, base::SteadyTime now)
+{
+    RunSample &sample = this->steps[run.task.step].sampleOf(run, upstream);
+    sample.measure(sample.pace.recordCompletion(duration), now);
+    sample.done = true;
+    this->upstreams.try_emplace(upstream);
+    this->fitIfDue(now);
+}
+
+void UpstreamSpeeds::recordProgress(const RunKey &run, std::uint64_t upstream, int percent, milliseconds elapsed, base::SteadyTime now)
+{
+    RunSample &sample = this->steps[run.task.step].sampleOf(run, upstream);
+    if (const std::optional<double> logDuration = sample.pace.recordProgress(percent, elapsed)) {
+        sample.measure(*logDuration, now);
+        this->upstreams.try_emplace(upstream);
+    }
+    this->fitIfDue(now);
+}
+
+void UpstreamSpeeds::forget(std::uint64_t upstream)
+{
+    this->upstreams.erase(upstream);
+    for (auto &[key, step] : this->steps) {
+        step.forget(upstream);
+    }
+}
+
+void UpstreamSpeeds::eraseClosedJobs(const CellState &state)
+{
+    for (auto at = this->steps.begin(); at != this->steps.end();) {
+        at = state.openJobs().count(at->first.job) > 0 ? std::next(at) : this->steps.erase(at);
+    }
+    for (auto at = this->upstreams.begin(); at != this->upstreams.end();) {
+        at = state.upstreams().count(at->first) > 0 ? std::next(at) : this->upstreams.erase(at);
+    }
+}
+
+double UpstreamSpeeds::speedOf(std::uint64_t upstream) const
+{
+    const auto found = this->upstreams.find(upstream);
+    return found == this->upstreams.end() ? 1.0 : found->second.speed;
+}
+
+double UpstreamSpeeds::usualSpeedOf(std::uint64_t upstream) const
+{
+    const auto found = this->upstreams.find(upstream);
+    return found == this->upstreams.end() ? 1.0 : found->second.usualSpeed;
+}
+
+double UpstreamSpeeds::lowerQuartile() const
+{
+    return std::exp(this->spread.lowerQuartile() - this->logMeanSpeed);
+}
+
+double UpstreamSpeeds::upperQuartile() const
+{
+    return std::exp(this->spread.upperQuartile() - this->logMeanSpeed);
+}
+
+const SpeedEstimate *UpstreamSpeeds::estimateOf(std::uint64_t upstream) const
+{
+    const auto found = this->upstreams.find(upstream);
+    return found == this->upstreams.end() || found->second.estimate.sampleCount() <= 0 ? nullptr : &found->second.estimate;
+}
+
+double UpstreamSpeeds::priorOf(const Upstream &upstream) const
+{
+    return this->priors.differ() ? this->priors.of(upstream.type) : this->logMeanSpeed;
+}
+
+void UpstreamSpeeds::fitIfDue(base::SteadyTime now)
 {
+    if (this->lastFit && now - *this->lastFit < FitInterval) {
+        return;
+    }
+    const milliseconds interval = this->lastFit ? std::chrono::duration_cast<milliseconds>(now - *this->lastFit) : FitInterval;
+    this->lastFit = now;
+    for (int sweep = 0; sweep < SweepsPerFit; ++sweep) {
+        this->estimateSpeeds(now);
+    }
+    for (auto &[number, upstream] : this->upstreams) {
+        upstream.estimate.settle(now, interval);
+    }
+    this->normalize();
+    this->updatePriors();
+    this->publish();
 }
 
-void UpstreamSpeeds::recordProgress(
-    const RunKey & /*run*/, std::uint64_t /*upstream*/, int /*percent*/, std::chrono::milliseconds /*elapsed*/, base::SteadyTime /*now*/)
+void UpstreamSpeeds::estimateSpeeds(base::SteadyTime now)
 {
+    for (auto &[number, upstream] : this->upstreams) {
+        upstream.samples.clear();
+    }
+    for (auto &[key, step] : this->steps) {
+        if (step.isRecent(now)) {
+            this->collectSamples(step, now);
+        }
+    }
+    for (auto &[number, upstream] : this->upstreams) {
+        upstream.estimate.update(upstream.samples, this->priorOf(upstream));
+    }
 }
 
-void UpstreamSpeeds::forget(std::uint64_t /*upstream*/)
+/// The work of older samples is kept as it was, since their upstreams may have changed their speed afterwards.
+void UpstreamSpeeds::collectSamples(StepSamples &step, base::SteadyTime now)
 {
+    const auto isCurrent = [this, now](const RunSample &sample) {
+        return sample.measured && now - sample.at<MaxSampleAge &&this->upstreams.count(sample.upstream)> 0;
+    };
+    for (RunSample &sample : step.all()) {
+        if (isCurrent(sample)) {
+            sample.logSpeed = this->upstreams.at(sample.upstream).estimate.present();
+        }
+    }
+    const double work = step.typicalLogWork();
+    for (const RunSample &sample : step.all()) {
+        const double weight = step.shareOfOthers(sample.upstream) * sampleWeight(now - sample.at) * (sample.done ? 1.0 : ProgressWeight);
+        if (isCurrent(sample) && weight > 0) {
+            this->upstreams.at(sample.upstream).samples.push_back({work - sample.logDuration, weight});
+        }
+    }
 }
 
-void UpstreamSpeeds::eraseClosedJobs(const CellState & /*state*/)
+void UpstreamSpeeds::updatePriors()
 {
+    this->priors = TypePriors();
+    for (const auto &[number, upstream] : this->upstreams) {
+        if (const std::optional<double> usual = upstream.estimate.usual(); usual && !upstream.type.empty()) {
+            this->priors.add(upstream.type, *usual);
+        }
+    }
+    this->priors.compare();
 }
 
-double UpstreamSpeeds::speedOf(std::uint64_t /*upstream*/) const
+/// Sets the mean of the logarithms of the usual speeds to 0, since the fit determines speeds only up to a factor. Slowdowns of seconds do not enter the mean,
+/// so that they change no other upstream's speed.
+void UpstreamSpeeds::normalize()
 {
-    return 1.0;
+    std::vector<double> usuals;
+    for (const auto &[number, upstream] : this->upstreams) {
+        if (const std::optional<double> usual = upstream.estimate.usual()) {
+            usuals.push_back(*usual);
+        }
+    }
+    if (usuals.empty()) {
+        return;
+    }
+    const auto count = static_cast<double>(usuals.size());
+    const double center = std::accumulate(usuals.begin(), usuals.end(), 0.0) / count;
+    for (auto &[number, upstream] : this->upstreams) {
+        upstream.estimate.shift(center);
+    }
+    double sumOfSpeeds = 0;
+    for (double &usual : usuals) {
+        usual -= center;
+        sumOfSpeeds += std::exp(usual);
+    }
+    this->logMeanSpeed = std::log(sumOfSpeeds / count);
+    const auto hasSamples = [](const auto &each) { return each.second.estimate.sampleCount() > 0; };
+    const auto known = std::count_if(this->upstreams.begin(), this->upstreams.end(), hasSamples);
+    this->spread.update(std::move(usuals), static_cast<std::size_t>(known), *this->lastFit);
 }
 
-bool UpstreamSpeeds::isUneven() const
+void UpstreamSpeeds::publish()
 {
-    return false;
+    for (auto &[number, upstream] : this->upstreams) {
+        const SpeedEstimate &estimate = upstream.estimate;
+        const double present = estimate.sampleCount() > 0 ? estimate.present() : this->priorOf(upstream);
+        upstream.speed = boundedSpeed(present - this->logMeanSpeed);
+        upstream.usualSpeed = boundedSpeed(estimate.usual().value_or(present) - this->logMeanSpeed);
+    }
 }
 
 } // namespace cranberryreel::cell::health
