--- /dev/null
+++ b/src/cell/teams/RateWindow.cpp
@@ -0,0 +1,38 @@
+#include "cell/teams/RateWindow.h"
+
+namespace cranberryreel::cell::teams
+{
+
+bool RateWindow::isWithinRate(const std::string &team, double weight, const std::string &job, base::SteadyTime now)
+{
+    if (weight <= 0) {
+        return true;
+    }
+    this->expire(now);
+    const auto [result, isNew] = this->results.try_emplace(TeamAndJob(team, job), false);
+    if (!isNew) {
+        return result->second;
+    }
+    std::size_t &count = this->used[team];
+    result->second = static_cast<double>(count) < weight;
+    count += result->second ? 1 : 0;
+    this->submissions.push_back({now, result->first});
+    return result->second;
+}
+
+void RateWindow::expire(base::SteadyTime now)
+{
+    while (!this->submissions.empty() && now - this->submissions.front().at >= Length) {
+        const TeamAndJob &key = this->submissions.front().key;
+        const auto result = this->results.find(key);
+        const auto count = this->used.find(key.first);
+        count->second -= result->second ? 1 : 0;
+        if (count->second == 0) {
+            this->used.erase(count);
+        }
+        this->results.erase(result);
+        this->submissions.pop_front();
+    }
+}
+
+} // namespace cranberryreel::cell::teams
--- /dev/null
+++ b/tests/cell/teams/RateWindowTest.cpp
@@ -0,0 +1,78 @@
+#include "cell/teams/RateWindow.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cranberryreel;
+using cell::teams::RateWindow;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const base::SteadyTime Start = base::SteadyTime() + std::chrono::hours(1);
+
+/// Submits jobs at even intervals for this time; returns how many of them were within the rate.
+int withinRate(double weight, milliseconds interval, milliseconds duration)
+{
+    RateWindow window;
+    int within = 0;
+    for (milliseconds at{0}; at < duration; at += interval) {
+        within += window.isWithinRate("a", weight, std::to_string(at.count()), Start + at) ? 1 : 0;
+    }
+    return within;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RateWindowTest)
+
+/// Failure: jobs beyond the rate used up the window, so that a team at 7 times its rate had none of its jobs served as usual.
+BOOST_AUTO_TEST_CASE(aTeamBeyondItsRateKeepsItsRate)
+{
+    BOOST_TEST(withinRate(20, milliseconds(50), std::chrono::seconds(6)) == 120);
+    BOOST_TEST(withinRate(20, milliseconds(7), std::chrono::seconds(6)) == 120);
+}
+
+BOOST_AUTO_TEST_CASE(theWindowSlides)
+{
+    RateWindow window;
+    BOOST_TEST(window.isWithinRate("a", 2, "1", Start));
+    BOOST_TEST(window.isWithinRate("a", 2, "2", Start + milliseconds(600)));
+    BOOST_TEST(!window.isWithinRate("a", 2, "3", Start + milliseconds(999)));
+    BOOST_TEST(window.isWithinRate("a", 2, "4", Start + milliseconds(1000)));
+    BOOST_TEST(!window.isWithinRate("a", 2, "5", Start + milliseconds(1599)));
+    BOOST_TEST(window.isWithinRate("a", 2, "6", Start + milliseconds(1600)));
+}
+
+/// Failure: a submission that was sent again while the first was being committed used up the rate twice.
+BOOST_AUTO_TEST_CASE(aRepeatedSubmissionCountsOnce)
+{
+    RateWindow window;
+    for (int i = 0; i < 5; ++i) {
+        BOOST_TEST(window.isWithinRate("a", 2, "1", Start + milliseconds(i)));
+    }
+    BOOST_TEST(window.isWithinRate("a", 2, "2", Start + milliseconds(10)));
+    BOOST_TEST(!window.isWithinRate("a", 2, "3", Start + milliseconds(10)));
+    BOOST_TEST(!window.isWithinRate("a", 2, "3", Start + milliseconds(11)));
+}
+
+BOOST_AUTO_TEST_CASE(teamsDoNotShareTheWindow)
+{
+    RateWindow window;
+    BOOST_TEST(window.isWithinRate("a", 1, "1", Start));
+    BOOST_TEST(window.isWithinRate("b", 1, "1", Start));
+    BOOST_TEST(!window.isWithinRate("a", 1, "2", Start));
+}
+
+/// Failure: a team with a weight below one job a second was never within its rate, and a team without a weight neither.
+BOOST_AUTO_TEST_CASE(smallAndAbsentWeights)
+{
+    RateWindow window;
+    BOOST_TEST(window.isWithinRate("a", 0.5, "1", Start));
+    BOOST_TEST(!window.isWithinRate("a", 0.5, "2", Start));
+    for (int i = 0; i < 100; ++i) {
+        BOOST_TEST(window.isWithinRate("b", 0, std::to_string(i), Start));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
