Cell: the leader authorizes calls by the keys of teams

Cause: any caller could submit, read, cancel and count jobs of any queue. A cancel that comes before its job, or while the job is being committed, is restricted to jobs of the caller's team (Command.team_cancels). Of two teams that submit one id at the same time the second is told so. Rejections are logged with the key's fingerprint and counted by team.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -88,6 +88,9 @@
     for (const std::string &id : command.cancels) {
         this->applyCancel(id, command.now_ms);
     }
+    for (const auto &cancel : command.team_cancels) {
+        this->applyTeamCancel(*cancel, command.now_ms);
+    }
     for (const auto &ref : command.due) {
         this->applyDueOccurrence(*ref);
     }
@@ -236,7 +239,7 @@
 
 void CellState::applyJob(const wire::JobSpecT &spec, std::int64_t nowMs)
 {
-    if (this->jobNumbers.contains(spec.id) || this->isCancelledId(spec.id)) {
+    if (this->jobNumbers.contains(spec.id) || this->isCancelledId(spec.id, spec.team)) {
         return;
     }
     auto job = std::make_unique<wire::JobT>();
@@ -258,12 +261,33 @@
 {
     const auto found = this->jobNumbers.find(id);
     if (found == this->jobNumbers.end()) {
-        this->cancelledIdTable.try_emplace(id, nowMs);
+        this->cancelledIdTable.try_emplace(id, CancelledId{nowMs, {}}).first->second.teams.clear();
     } else if (wire::JobT *job = this->mutableJob(found->second); isActive(*job)) {
         this->endJob(*job, wire::JobState::Cancelled, nowMs);
     }
 }
 
+void CellState::applyTeamCancel(const wire::TeamCancelT &cancel, std::int64_t nowMs)
+{
+    if (const wire::JobT *job = this->jobNamed(cancel.id)) {
+        if (job->spec->team == cancel.team) {
+            this->applyCancel(cancel.id, nowMs);
+        }
+        return;
+    }
+    const auto [cancelled, isNew] = this->cancelledIdTable.try_emplace(cancel.id);
+    cancelled->second.cancelledMs = nowMs;
+    if (isNew || !cancelled->second.teams.empty()) {
+        cancelled->second.teams.insert(cancel.team);
+    }
+}
+
+bool CellState::isCancelledId(const std::string &id, const std::string &team) const
+{
+    const auto found = this->cancelledIdTable.find(id);
+    return found != this->cancelledIdTable.end() && (found->second.teams.empty() || found->second.teams.count(team) > 0);
+}
+
 void CellState::applyDueOccurrence(const wire::TaskRefT &ref)
 {
     wire::JobT *job = this->mutableJob(ref.job);
@@ -385,6 +409,15 @@
            });
 }
 
+std::vector<std::string> cancelledJobs(const wire::CommandT &command)
+{
+    std::vector<std::string> ids = command.cancels;
+    for (const auto &cancel : command.team_cancels) {
+        ids.push_back(cancel->id);
+    }
+    return ids;
+}
+
 std::string CellState::encode() const
 {
     wire::StateT state;
@@ -399,10 +432,11 @@
     for (const auto &[number, upstream] : this->upstreamTable) {
         state.upstreams.push_back(std::make_unique<wire::UpstreamT>(upstream));
     }
-    for (const auto &[id, cancelledMs] : this->cancelledIdTable) {
+    for (const auto &[id, entry] : this->cancelledIdTable) {
         auto cancelled = std::make_unique<wire::CancelledIdT>();
         cancelled->id = id;
-        cancelled->cancelled_ms = cancelledMs;
+        cancelled->cancelled_ms = entry.cancelledMs;
+        cancelled->by_teams.assign(entry.teams.begin(), entry.teams.end());
         state.cancelled_ids.push_back(std::move(cancelled));
     }
     flatbuffers::FlatBufferBuilder builder;
@@ -432,7 +466,7 @@
         decoded.upstreamTable[upstream->number] = *upstream;
     }
     for (const auto &cancelled : state.cancelled_ids) {
-        decoded.cancelledIdTable[cancelled->id] = cancelled->cancelled_ms;
+        decoded.cancelledIdTable[cancelled->id] = {cancelled->cancelled_ms, {cancelled->by_teams.begin(), cancelled->by_teams.end()}};
     }
     return decoded;
 }
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/CancelledId.h"
 #include "cell/generated/cell_generated.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -11,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cranberryreel::cell
 {
@@ -57,14 +59,11 @@
     const wire::JobT *job(std::uint64_t number) const;
     const wire::JobT *jobNamed(const std::string &id) const;
 
-    /// Whether a job of this id was cancelled before it was accepted; it is not accepted any more.
-    bool isCancelledId(const std::string &id) const
-    {
-        return this->cancelledIdTable.count(id) > 0;
-    }
+    /// Whether a job of this id and team (empty: none) was cancelled before it was accepted; it is not accepted any more.
+    bool isCancelledId(const std::string &id, const std::string &team = {}) const;
 
-    /// The ids for which isCancelledId() holds, each with the Unix time of its cancellation in milliseconds.
-    const std::map<std::string, std::int64_t> &cancelledIds() const
+    /// The ids that were cancelled before their jobs were accepted.
+    const std::map<std::string, CancelledId> &cancelledIds() const
     {
         return this->cancelledIdTable;
     }
@@ -101,6 +100,7 @@
     void applyEnd(const wire::EndT &end, std::int64_t nowMs);
     void applyJob(const wire::JobSpecT &spec, std::int64_t nowMs);
     void applyCancel(const std::string &id, std::int64_t nowMs);
+    void applyTeamCancel(const wire::TeamCancelT &cancel, std::int64_t nowMs);
     void applyPlacement(const wire::PlacementT &placement);
     void applyDueOccurrence(const wire::TaskRefT &ref);
     void checkFailureLimit(wire::JobT &job, const wire::TaskRefT &ref, std::int64_t nowMs);
@@ -118,11 +118,14 @@
     std::map<std::uint64_t, std::unique_ptr<wire::JobT>> jobTable;
     absl::flat_hash_map<std::string, std::uint64_t> jobNumbers;
     std::set<std::uint64_t> openJobNumbers;
-    std::map<std::string, std::int64_t> cancelledIdTable;
+    std::map<std::string, CancelledId> cancelledIdTable;
     std::map<std::uint64_t, wire::UpstreamT> upstreamTable;
     absl::flat_hash_map<std::string, std::uint64_t> upstreamNumbers;
 };
 
+/// The ids of the jobs that the command cancels.
+std::vector<std::string> cancelledJobs(const wire::CommandT &command);
+
 /// True for a job that has neither ended nor been cancelled.
 inline bool isActive(const wire::JobT &job)
 {
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -393,7 +393,7 @@
         for (const auto &placement : command.placements) {
             this->jobLog.recordStarted(placement->task->job, now);
         }
-        if (!command.ends.empty() || !command.cancels.empty()) {
+        if (!command.ends.empty() || !cancelledJobs(command).empty()) {
             this->jobLog.logEnded(state, now);
         }
     });
@@ -412,9 +412,9 @@
     for (const auto &end : command.ends) {
         changed.insert(end->task->job);
     }
-    if (!command.cancels.empty()) {
+    if (const std::vector<std::string> cancelled = cancelledJobs(command); !cancelled.empty()) {
         this->context.store.read([&](const CellState &state) {
-            for (const std::string &id : command.cancels) {
+            for (const std::string &id : cancelled) {
                 if (const wire::JobT *job = state.jobNamed(id)) {
                     changed.insert(job->number);
                 }
@@ -484,8 +484,8 @@
                 this->context.batch.command().forget.push_back(number);
             }
         }
-        for (const auto &[id, cancelledMs] : state.cancelledIds()) {
-            if (cancelledMs < endedBefore) {
+        for (const auto &[id, cancelled] : state.cancelledIds()) {
+            if (cancelled.cancelledMs < endedBefore) {
                 this->context.batch.command().forget_cancelled.push_back(id);
             }
         }
--- a/src/cell/CommandBatch.h
+++ b/src/cell/CommandBatch.h
@@ -38,7 +38,7 @@
     {
         const wire::CommandT &next = *this->pending;
         return !next.rules && next.upstreams.empty() && next.ends.empty() && next.jobs.empty() && next.cancels.empty() && next.placements.empty()
-            && next.due.empty() && next.forget.empty() && next.forget_cancelled.empty() && next.begun.empty();
+            && next.due.empty() && next.forget.empty() && next.forget_cancelled.empty() && next.begun.empty() && next.team_cancels.empty();
     }
 
     /// Returns the batch with its callbacks and starts an empty one.
--- a/src/cell/PeerCallHandler.cpp
+++ b/src/cell/PeerCallHandler.cpp
@@ -1,5 +1,9 @@
 #include "cell/PeerCallHandler.h"
 
+#include "cell/TeamMetrics.h"
+#include "cell/teams/Authorization.h"
+#include "cell/teams/KeyFingerprint.h"
+#include "cell/teams/SubmissionLimit.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -24,6 +28,13 @@
     const wire::QueueT *queue = nullptr; ///< Null when no queue matches, or the rest of the path is no valid job id.
     std::string jobId; ///< What follows the queue's path prefix; empty if the path names the queue itself.
     const wire::JobT *job = nullptr; ///< The job of this id, if it belongs to the queue.
+    teams::Authorization access; ///< Of the call's key, if a queue matched.
+
+    /// Of the call's key; empty for open queues, and where no keys are required.
+    std::string team() const
+    {
+        return this->access.team == nullptr ? std::string() : this->access.team->name;
+    }
 };
 
 QueueMatch matchQueue(const CellState &state, const wire::CallT &call)
@@ -42,10 +53,11 @@
     if (const wire::JobT *job = state.jobNamed(match.jobId); job != nullptr && state.queueOf(*job->spec) == queue) {
         match.job = job;
     }
+    match.access = teams::authorize(state, *queue, call.key, match.job);
     return match;
 }
 
-/// The error reply for a path without a queue; nothing if a queue matched.
+/// The error reply for a path without a queue or a key that does not permit the call; nothing if the call is permitted.
 std::optional<wire::ReplyT> refusalFor(const QueueMatch &match)
 {
     if (!match.configured) {
@@ -54,6 +66,9 @@
     if (match.queue == nullptr) {
         return makeReply(ResultCode::NotFound, "No queue has this host and path.");
     }
+    if (match.access.code != ResultCode::Ok) {
+        return makeReply(match.access.code, match.access.reason);
+    }
     return std::nullopt;
 }
 
@@ -62,6 +77,28 @@
     return makeReply(ResultCode::CancelledBeforeStart, "The job was cancelled before it arrived, and never runs.");
 }
 
+/// The reply to a submission that was committed. The log may have left the job out: a cancel that was being committed when the job arrived comes first, and so
+/// does a job of the same id that another team submitted at the same time.
+wire::ReplyT committedReply(const CellState &state, const std::string &id, const std::string &team)
+{
+    if (state.isCancelledId(id, team)) {
+        return cancelledReply();
+    }
+    const wire::JobT *job = state.jobNamed(id);
+    return job == nullptr || teams::mayAccess(state, team, *job->spec) ? makeReply(ResultCode::Ok)
+                                                                       : makeReply(ResultCode::Forbidden, "The job belongs to another team.");
+}
+
+/// The reply to a cancel that was committed; `team` restricted it to jobs of that team.
+wire::ReplyT committedCancelReply(const CellState &state, const std::string &id, const std::optional<std::string> &team)
+{
+    const wire::JobT *job = state.jobNamed(id);
+    if (job == nullptr) {
+        return makeReply(ResultCode::UpstreamUnknown, "No such job.");
+    }
+    return team && job->spec->team != *team ? makeReply(ResultCode::Forbidden, "The job belongs to another team.") : makeReply(ResultCode::Ok);
+}
+
 /// Whether the job has steps and every step depends on earlier steps only.
 bool isComplete(const wire::JobSpecT &job)
 {
@@ -147,41 +184,87 @@
     }
 }
 
-void PeerCallHandler::submit(wire::CallT &call, const ReplyCallback &reply)
+/// Completes the job from the queue and the team that the call selects. Returns the reply if there is nothing to accept.
+std::optional<wire::ReplyT> PeerCallHandler::prepareSubmission(const CellState &state, wire::CallT &call)
 {
-    const std::optional<wire::ReplyT> known = this->context.store.read([&call](const CellState &state) -> std::optional<wire::ReplyT> {
-        const QueueMatch match = matchQueue(state, call);
-        if (auto refusal = refusalFor(match)) {
-            return refusal;
-        }
-        if (match.job != nullptr) {
-            return makeReply(ResultCode::Ok);
-        }
-        if (state.isCancelledId(match.jobId)) {
-            return cancelledReply();
+    const QueueMatch match = matchQueue(state, call);
+    if (auto refusal = refusalFor(match)) {
+        return refusal;
+    }
+    if (match.job != nullptr) {
+        return makeReply(ResultCode::Ok);
+    }
+    const std::string team = match.team();
+    if (state.isCancelledId(match.jobId, team)) {
+        return cancelledReply();
+    }
+    wire::JobSpecT &job = *call.job;
+    job.team = team;
+    job.beyond_rate = false;
+    if (const wire::TeamT *limits = match.access.team) {
+        if (const std::optional<std::string> excess = teams::limitExcess(*limits, job)) {
+            return makeReply(ResultCode::QuotaExceeded, *excess);
         }
-        call.job->id = match.jobId;
-        call.job->queue = match.queue->name;
-        call.job->service = match.queue->service;
-        call.job->max_failures = match.queue->max_failures;
-        call.job->route = std::make_unique<wire::QueueT>(*match.queue);
-        return std::nullopt;
-    });
+        job.beyond_rate = !this->rateWindow.isWithinRate(team, limits->weight, match.jobId, base::steadyNow());
+    }
+    job.id = match.jobId;
+    job.queue = match.queue->name;
+    job.service = match.queue->service;
+    job.max_failures = match.queue->max_failures;
+    job.route = std::make_unique<wire::QueueT>(*match.queue);
+    job.zone = call.zone;
+    return std::nullopt;
+}
+
+void PeerCallHandler::submit(wire::CallT &call, const ReplyCallback &reply)
+{
+    const std::optional<wire::ReplyT> known = this->context.store.read([&](const CellState &state) { return this->prepareSubmission(state, call); });
     if (known) {
-        reply(*known);
+        this->sendAnswer(call, *known, reply);
         return;
     }
-    call.job->zone = call.zone;
-    this->context.batch.onOutcome([this, reply, id = call.job->id, queue = call.job->queue](ResultCode code) {
-        // A cancel that was being committed when the job arrived comes first in the log, and the job is then left out.
-        const bool cancelled = code == ResultCode::Ok && this->context.store.read([&id](const CellState &state) { return state.isCancelledId(id); });
-        Logger.info("event=job_submitted job={} queue={} outcome={} cancelled={}", id, queue, static_cast<int>(code), cancelled);
-        reply(cancelled ? cancelledReply() : makeReply(code));
+    const wire::JobSpecT &job = *call.job;
+    this->context.batch.onOutcome([this, reply, id = job.id, queue = job.queue, team = job.team, beyondRate = job.beyond_rate](ResultCode code) {
+        const wire::ReplyT committed =
+            code == ResultCode::Ok ? this->context.store.read([&](const CellState &state) { return committedReply(state, id, team); }) : makeReply(code);
+        const bool cancelled = committed.code == static_cast<int>(ResultCode::CancelledBeforeStart);
+        Logger.info("event=job_submitted job={} queue={} team={} beyond_rate={} outcome={} cancelled={}",
+                    id,
+                    queue,
+                    team,
+                    beyondRate,
+                    cancelled ? static_cast<int>(ResultCode::Ok) : committed.code,
+                    cancelled);
+        if (code == ResultCode::Ok && !team.empty()) {
+            TeamMetrics::recordSubmitted(team, beyondRate);
+        }
+        reply(committed);
     });
     this->context.batch.command().jobs.push_back(std::move(call.job));
     this->context.wake();
 }
 
+/// Sends a reply that needs no change, and logs it if the call was rejected because of its key or its team's limit.
+void PeerCallHandler::sendAnswer(const wire::CallT &call, const wire::ReplyT &answer, const ReplyCallback &reply) const
+{
+    const auto code = static_cast<ResultCode>(answer.code);
+    if (code == ResultCode::Unauthorized || code == ResultCode::Forbidden || code == ResultCode::QuotaExceeded) {
+        const std::string team = this->context.store.read([&call](const CellState &state) {
+            const wire::TeamT *found = state.teamOfKey(call.key);
+            return found == nullptr ? std::string() : found->name;
+        });
+        Logger.info("event=call_rejected kind={} path={} code={} team={} key={} reason=\"{}\"",
+                    wire::EnumNameCallKind(call.kind),
+                    call.path,
+                    answer.code,
+                    team,
+                    teams::keyFingerprint(call.key),
+                    answer.reason);
+        TeamMetrics::recordRejected(team, code);
+    }
+    reply(answer);
+}
+
 void PeerCallHandler::readJob(const wire::CallT &call, const ReplyCallback &reply) const
 {
     const wire::ReplyT answer = this->context.store.read([&call](const CellState &state) {
@@ -196,13 +279,14 @@
         found.state = match.job->state;
         return found;
     });
-    reply(answer);
+    this->sendAnswer(call, answer, reply);
 }
 
 void PeerCallHandler::cancelJob(const wire::CallT &call, const ReplyCallback &reply)
 {
     bool ended = false;
     std::string id;
+    std::optional<std::string> team; // Restricts the cancel to jobs of this team.
     const std::optional<wire::ReplyT> refusal = this->context.store.read([&](const CellState &state) -> std::optional<wire::ReplyT> {
         const QueueMatch match = matchQueue(state, call);
         id = match.jobId;
@@ -211,28 +295,41 @@
             return refused;
         }
         const bool otherQueues = match.job == nullptr && state.jobNamed(id) != nullptr;
-        if (otherQueues || state.isCancelledId(id)) {
+        if (otherQueues || state.isCancelledId(id, match.team())) {
             return makeReply(ResultCode::UpstreamUnknown, "No such job.");
         }
         if (match.job == nullptr && state.cancelledIds().size() >= MaxCancelledIds) {
             return makeReply(ResultCode::QueueFull, "Too many jobs were cancelled before they were accepted.");
         }
+        if (match.job == nullptr && state.rules()->requires_keys) {
+            team = match.team();
+        }
         return std::nullopt;
     });
     if (refusal) {
-        reply(*refusal);
+        this->sendAnswer(call, *refusal, reply);
         return;
     }
     if (ended) {
         reply(makeReply(ResultCode::Ok));
         return;
     }
-    // Also proposed if no such job is known: its submission may be in a batch that is being committed, or wait at a VM that is slow or frozen.
-    this->context.batch.command().cancels.push_back(id);
-    this->context.batch.onOutcome([this, reply, id](ResultCode code) {
-        const bool known = this->context.store.read([&id](const CellState &state) { return state.jobNamed(id) != nullptr; });
-        Logger.info("event=job_cancelled job={} outcome={} known={}", id, static_cast<int>(code), known);
-        reply(code == ResultCode::Ok && !known ? makeReply(ResultCode::UpstreamUnknown, "No such job.") : makeReply(code));
+    // Also proposed if no such job is known: its submission may be in a batch that is being committed, or wait at a VM that is slow or frozen. Such a cancel
+    // must not affect a job of another team.
+    if (team) {
+        auto cancel = std::make_unique<wire::TeamCancelT>();
+        cancel->id = id;
+        cancel->team = *team;
+        this->context.batch.command().team_cancels.push_back(std::move(cancel));
+    } else {
+        this->context.batch.command().cancels.push_back(id);
+    }
+    this->context.batch.onOutcome([this, reply, id, team](ResultCode code) {
+        const wire::ReplyT committed = this->context.store.read([&](const CellState &state) { return committedCancelReply(state, id, team); });
+        const bool known = committed.code != static_cast<int>(ResultCode::UpstreamUnknown);
+        const wire::ReplyT answer = code == ResultCode::Ok ? committed : makeReply(code);
+        Logger.info("event=job_cancelled job={} outcome={} known={}", id, known ? answer.code : static_cast<int>(code), known);
+        reply(answer);
     });
     this->context.wake();
 }
@@ -251,7 +348,7 @@
         }
         return found;
     });
-    reply(answer);
+    this->sendAnswer(call, answer, reply);
 }
 
 void PeerCallHandler::putRules(wire::CallT &call, const ReplyCallback &reply)
--- a/src/cell/PeerCallHandler.h
+++ b/src/cell/PeerCallHandler.h
@@ -2,6 +2,7 @@
 
 #include "cell/TermContext.h"
 #include "cell/UpstreamManager.h"
+#include "cell/teams/RateWindow.h"
 
 #include <functional>
 #include <string>
@@ -31,9 +32,12 @@
     void readRules(const ReplyCallback &reply) const;
     void announce(const wire::CallT &call, const ReplyCallback &reply);
     void leave(const wire::CallT &call, const ReplyCallback &reply);
+    std::optional<wire::ReplyT> prepareSubmission(const CellState &state, wire::CallT &call);
+    void sendAnswer(const wire::CallT &call, const wire::ReplyT &answer, const ReplyCallback &reply) const;
 
     TermContext &context;
     UpstreamManager &upstreams;
+    teams::RateWindow rateWindow;
 };
 
 /// A reply with this result code; `reason` explains an error to the caller.
