--- a/tests/platform/JobHandlerTest.cpp
+++ b/tests/platform/JobHandlerTest.cpp
@@ -48,7 +48,7 @@
         request->method = method;
         request->path = path;
         request->body = body;
-        request->headers = {{"Host", "host"}, {platform::JobHandler::deadlineHeader(), "500"}};
+        request->headers = {{"Host", "host"}, {platform::JobHandler::deadlineHeader(), "500"}, {"X-Api-Key", "secret"}};
         auto promise = std::make_shared<std::promise<http::Response>>();
         this->handler.handle(request, [promise](http::Response response) { promise->set_value(std::move(response)); });
         return promise->get_future().get();
@@ -90,6 +90,31 @@
     BOOST_TEST((refused.headers == std::vector<std::pair<std::string, std::string>>{{"Retry-After", "1"}}));
 }
 
+BOOST_AUTO_TEST_CASE(everyCallCarriesTheKey)
+{
+    HandlerFixture fixture(replyAlways(ResultCode::Ok));
+    for (const char *method : {"POST", "GET", "DELETE"}) {
+        fixture.send(method, JobPath, OneTask);
+        BOOST_TEST(fixture.lastCall().key == "secret", method);
+    }
+    fixture.send("GET", "/queue/");
+    BOOST_TEST(fixture.lastCall().key == "secret");
+}
+
+BOOST_AUTO_TEST_CASE(mapsRejectionsOfTeamsToHttpStatuses)
+{
+    for (const char *method : {"POST", "GET", "DELETE"}) {
+        BOOST_TEST(HandlerFixture(replyAlways(ResultCode::Unauthorized)).send(method, JobPath, OneTask).status == 401U, method);
+        const http::Response forbidden = HandlerFixture(replyAlways(ResultCode::Forbidden)).send(method, JobPath, OneTask);
+        BOOST_TEST(forbidden.status == 403U, method);
+        BOOST_TEST((forbidden.body.find("\"Code\":2010") != std::string::npos), method);
+    }
+    BOOST_TEST(HandlerFixture(replyAlways(ResultCode::Unauthorized)).send("GET", "/queue/").status == 401U);
+    const http::Response tooLarge = HandlerFixture(replyAlways(ResultCode::QuotaExceeded)).send("POST", JobPath, OneTask);
+    BOOST_TEST(tooLarge.status == 429U);
+    BOOST_TEST(tooLarge.headers.empty()); // A repetition is rejected as well.
+}
+
 /// A job that was cancelled before it arrived is never accepted, whatever became of an earlier attempt.
 BOOST_AUTO_TEST_CASE(aSubmissionAfterItsCancelIsAnsweredGone)
 {
