Cell: quotas of teams, and work beyond the rate reserves nothing

Plans ignored MaxCount, so a team could have any amount running. TeamLedger is made for each plan from the recorded runs; the planner asks it before it places, asks for advice, reserves or preempts. A gang that waits for its quota holds back later steps of its team, unless it could not start after all work that ends by itself; while its upstreams are reserved its quota is set aside, since otherwise it would wait for quota and upstreams by turns. Work marked beyond its team's rate leaves the headroom, reserves nothing and preempts nothing.

--- a/src/cell/planning/AdviceQueryPlanner.cpp
+++ b/src/cell/planning/AdviceQueryPlanner.cpp
@@ -100,7 +100,7 @@
         return std::nullopt;
     }
     Capacity unreserved = pool.unreserved;
-    unreserved.cpuMillis -= isUrgent(ready) ? 0 : pool.headroomCpuMillis();
+    unreserved.cpuMillis -= mayUseHeadroom(ready) ? 0 : pool.headroomCpuMillis();
     std::uint32_t tasks = unreserved.countFitting(*ready.step, unplaced);
     std::vector<UpstreamCapacity *> chosen;
     if (tasks > 0) {
--- a/src/cell/planning/Planner.cpp
+++ b/src/cell/planning/Planner.cpp
@@ -29,6 +29,7 @@
     , capacities(planInput.state, planInput.trackers, planInput.now)
     , pools(servicePools(planInput.state, capacities))
     , rules(planInput)
+    , ledger(planInput.state)
     , preemptor(planInput, capacities)
     , queryPlanner(planInput, rules, preemptor)
 {
@@ -38,31 +39,86 @@
 {
     std::vector<ReadyStep> waiting = readySteps(this->input.state);
     WaitingOrder(this->input.acceptedAt, this->input.now).sort(waiting);
+    this->reserveForPendingQueries(waiting);
     for (const ReadyStep &ready : waiting) {
-        this->queryPlanner.reserveForPendingQuery(ready, this->pools[serviceOf(ready)], this->capacities);
+        this->planStep(ready, this->pools[serviceOf(ready)]);
+    }
+    this->plan.preemptions = this->preemptor.takePreemptions();
+    for (auto &[service, pool] : this->pools) {
+        this->plan.loads.push_back(pool.load);
     }
+    this->plan.teams = this->ledger.uses();
+    this->plan.cellTotal = this->ledger.total();
+    return std::move(this->plan);
+}
+
+/// A pending query counts only as far as the team's quota leaves starts for its tickets.
+void Planner::reserveForPendingQueries(const std::vector<ReadyStep> &waiting)
+{
     for (const ReadyStep &ready : waiting) {
-        ServicePool &pool = this->pools[serviceOf(ready)];
-        const std::vector<std::uint32_t> unplaced = ready.step->gang ? this->placeGang(ready, pool) : this->placeTasks(ready, pool);
-        (isUrgent(ready) ? pool.load.urgentWaiting : pool.load.otherWaiting) += unplaced.size();
-        if (unplaced.empty() || ready.queue == nullptr) {
+        const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
+        if (!advice.queryPending || ready.portion > 0 || this->ledger.requestable(ready, 1) == 0) {
             continue;
         }
-        auto query = ready.step->gang ? std::nullopt : this->queryPlanner.planQuery(ready, static_cast<std::uint32_t>(unplaced.size()), pool);
-        WaitReason reason = this->waitReason(ready, pool, query);
-        if (ready.step->gang || (pool.isLargeTask(*ready.step) && reason != WaitReason::Advice)) {
-            query = this->reserveForLargeWork(ready, static_cast<std::uint32_t>(unplaced.size()), pool, reason);
-        }
-        this->plan.waiting.push_back({ready.key, reason, unplaced.size()});
-        if (query) {
-            this->plan.adviceQueries.push_back(std::move(*query));
+        this->queryPlanner.reserveForPendingQuery(ready, this->pools[serviceOf(ready)], this->capacities);
+        this->ledger.recordRequest(ready, advice.pendingTasks);
+    }
+}
+
+/// Starts what can start, and returns the tasks of the step that cannot; those of later portions as well, unless all of this one start.
+std::vector<std::uint32_t> Planner::place(const ReadyStep &ready, ServicePool &pool)
+{
+    if (ready.portion > 0 && this->blockedSteps.count(ready.key) > 0) {
+        return {};
+    }
+    std::vector<std::uint32_t> unplaced = ready.step->gang ? this->placeGang(ready, pool) : this->placeTasks(ready, pool);
+    if (!unplaced.empty() && !ready.laterTasks.empty()) {
+        unplaced.insert(unplaced.end(), ready.laterTasks.begin(), ready.laterTasks.end());
+        this->blockedSteps.insert(ready.key);
+    }
+    return unplaced;
+}
+
+void Planner::planStep(const ReadyStep &ready, ServicePool &pool)
+{
+    const std::vector<std::uint32_t> unplaced = this->place(ready, pool);
+    (isUrgent(ready) ? pool.load.urgentWaiting : pool.load.otherWaiting) += unplaced.size();
+    if (unplaced.empty() || ready.queue == nullptr) {
+        return;
+    }
+    const std::uint32_t startable = this->ledger.fitting(ready, static_cast<std::uint32_t>(unplaced.size()));
+    if (startable == 0) {
+        this->ledger.recordWaitForQuota(ready);
+        this->plan.waiting.push_back({ready.key, WaitReason::Quota, unplaced.size()});
+        return;
+    }
+    auto query = this->planAdviceQuery(ready, startable, pool);
+    WaitReason reason = this->waitReason(ready, pool, query);
+    if (!isBeyondRate(ready) && (ready.step->gang || (pool.isLargeTask(*ready.step) && reason != WaitReason::Advice))) {
+        query = this->reserveForLargeWork(ready, startable, pool, reason);
+        if (ready.step->gang && (reason == WaitReason::Stops || reason == WaitReason::Advice)) {
+            this->ledger.setAside(ready);
         }
     }
-    this->plan.preemptions = this->preemptor.takePreemptions();
-    for (auto &[service, pool] : this->pools) {
-        this->plan.loads.push_back(pool.load);
+    this->plan.waiting.push_back({ready.key, reason, unplaced.size()});
+    if (query) {
+        this->plan.adviceQueries.push_back(std::move(*query));
     }
-    return std::move(this->plan);
+}
+
+/// The query of a step that reserves no upstreams. A gang asks for the upstreams that it has reserved, unless it may reserve none; then it asks once all of it
+/// fits.
+std::optional<AdviceQuery> Planner::planAdviceQuery(const ReadyStep &ready, std::uint32_t startable, ServicePool &pool)
+{
+    if (ready.step->gang && (!isBeyondRate(ready) || pool.unreserved.countFitting(*ready.step, startable) < startable)) {
+        return std::nullopt;
+    }
+    const std::uint32_t tasks = this->ledger.requestable(ready, startable);
+    auto query = tasks == 0 ? std::nullopt : this->queryPlanner.planQuery(ready, tasks, pool);
+    if (query && query->timing == QueryTiming::Immediate) {
+        this->ledger.recordRequest(ready, query->tasks);
+    }
+    return query;
 }
 
 /// Why a step without reservations waits; `query` is what it asks the advice service in this plan.
@@ -151,6 +207,7 @@
     pool.load.free.allocate(*ready.step);
     pool.unreserved.allocate(*ready.step);
     this->rules.recordPlanned(ready.key, capacity.upstream->number);
+    this->ledger.recordStart(ready);
     this->plan.starts.push_back({{ready.key, task}, attempt, capacity.upstream->number});
 }
 
@@ -162,19 +219,21 @@
         pool.load.free.release(*ready.step);
         pool.unreserved.release(*ready.step);
         this->rules.undoPlanned(ready.key, upstream);
+        this->ledger.undoStart(ready);
     }
     this->plan.starts.resize(firstUndone);
 }
 
 std::vector<std::uint32_t> Planner::placeTasks(const ReadyStep &ready, ServicePool &pool)
 {
-    if (!leavesHeadroom(ready, pool)) {
+    const std::uint32_t startable = this->ledger.fitting(ready, static_cast<std::uint32_t>(ready.waiting.size()));
+    if (startable == 0 || !leavesHeadroom(ready, pool)) {
         return ready.waiting;
     }
     const std::vector<Candidate> candidates = this->candidatesFor(ready, pool);
     for (std::size_t i = 0; i < ready.waiting.size(); ++i) {
         const std::uint32_t task = ready.waiting[i];
-        UpstreamCapacity *capacity = leavesHeadroom(ready, pool) ? this->bestUpstream(ready, task, candidates) : nullptr;
+        UpstreamCapacity *capacity = i < startable && leavesHeadroom(ready, pool) ? this->bestUpstream(ready, task, candidates) : nullptr;
         if (capacity == nullptr) {
             return {ready.waiting.begin() + static_cast<std::ptrdiff_t>(i), ready.waiting.end()};
         }
@@ -185,6 +244,9 @@
 
 std::vector<std::uint32_t> Planner::placeGang(const ReadyStep &ready, ServicePool &pool)
 {
+    if (this->ledger.fitting(ready, 1) == 0) {
+        return ready.waiting;
+    }
     const std::vector<Candidate> candidates = this->candidatesFor(ready, pool);
     std::uint32_t attempt = 0;
     for (const auto &task : ready.state->tasks) {
--- a/src/cell/planning/Planner.h
+++ b/src/cell/planning/Planner.h
@@ -8,10 +8,13 @@
 #include "cell/planning/ServicePool.h"
 #include "cell/planning/UpstreamCapacity.h"
 #include "cell/planning/WaitReason.h"
+#include "cell/teams/TeamLedger.h"
+#include "cell/teams/TeamUse.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +35,8 @@
     std::vector<AdviceQuery> adviceQueries; ///< In the order in which the steps are served.
     std::vector<ServiceLoad> loads; ///< One entry for each service.
     std::vector<WaitingStep> waiting; ///< Steps with tasks that start nowhere, in the order in which the steps are served.
+    std::vector<teams::TeamUse> teams; ///< Once the plan is carried out; empty where the rules have no teams.
+    Capacity cellTotal; ///< Capacity of all upstreams, where the rules have teams.
 };
 
 /// Decides which waiting tasks start on which upstreams. Reads the replicated state and does no I/O. Used on the scheduler's thread; made anew for each plan.
@@ -74,6 +79,10 @@
         WaitReason reason = WaitReason::Capacity;
     };
 
+    void reserveForPendingQueries(const std::vector<ReadyStep> &waiting);
+    void planStep(const ReadyStep &ready, ServicePool &pool);
+    std::optional<AdviceQuery> planAdviceQuery(const ReadyStep &ready, std::uint32_t startable, ServicePool &pool);
+    std::vector<std::uint32_t> place(const ReadyStep &ready, ServicePool &pool);
     std::string preferredRack(const ReadyStep &ready, const ServicePool &pool);
     std::vector<Candidate> candidatesFor(const ReadyStep &ready, ServicePool &pool);
     UpstreamCapacity *bestUpstream(const ReadyStep &ready, std::uint32_t task, const std::vector<Candidate> &candidates) const;
@@ -92,8 +101,10 @@
     CapacityTable capacities;
     std::map<std::string, ServicePool> pools;
     PlacementRules rules;
+    teams::TeamLedger ledger;
     Preemptor preemptor;
     AdviceQueryPlanner queryPlanner;
+    std::set<StepKey> blockedSteps; ///< Steps of which some portion was not placed; their later portions are skipped.
     Plan plan;
 };
 
--- a/src/cell/planning/Preemptor.cpp
+++ b/src/cell/planning/Preemptor.cpp
@@ -28,7 +28,7 @@
 
 bool Preemptor::canPreempt(const Victim &victim, const ReadyStep &ready)
 {
-    return victim.priority > ready.queue->priority && victim.slackTime >= PreemptionOverhead;
+    return !isBeyondRate(ready) && victim.priority > ready.queue->priority && victim.slackTime >= PreemptionOverhead;
 }
 
 void Preemptor::collectVictims()
--- a/src/cell/planning/ReadySteps.cpp
+++ b/src/cell/planning/ReadySteps.cpp
@@ -35,6 +35,16 @@
     return ready.queue != nullptr && ready.queue->priority == 0;
 }
 
+bool isBeyondRate(const ReadyStep &ready)
+{
+    return ready.job->spec->beyond_rate;
+}
+
+bool mayUseHeadroom(const ReadyStep &ready)
+{
+    return isUrgent(ready) && !isBeyondRate(ready);
+}
+
 std::vector<ReadyStep> readySteps(const CellState &state)
 {
     std::vector<ReadyStep> ready;
--- a/src/cell/planning/ReadySteps.h
+++ b/src/cell/planning/ReadySteps.h
@@ -16,12 +16,22 @@
     const wire::StepT *step = nullptr;
     const wire::StepStateT *state = nullptr;
     const wire::QueueT *queue = nullptr; ///< CellState::queueOf().
-    std::vector<std::uint32_t> waiting; ///< Indices of the tasks that are not done and have no run.
+    std::vector<std::uint32_t> waiting; ///< Indices of the tasks that are not done and have no run; of a portion of a wide step, those of the portion.
+    bool overdue = false; ///< DeadlineEstimator::Estimate::overdue, where the rules have teams; set by WaitingOrder.
+    /// Where teams compete, a wide step takes several turns, so that its team does not get all free capacity at once; see teams::TeamTurns.
+    std::uint32_t portion = 0; ///< Number of earlier portions of the step.
+    std::vector<std::uint32_t> laterTasks{}; ///< Tasks of the later portions.
 };
 
 /// True for a step of a queue of priority 0.
 bool isUrgent(const ReadyStep &ready);
 
+/// True for a step of a job that was submitted beyond its team's rate. It uses no headroom, reserves nothing and preempts nothing.
+bool isBeyondRate(const ReadyStep &ready);
+
+/// Whether the step may use the headroom for urgent work.
+bool mayUseHeadroom(const ReadyStep &ready);
+
 /// All steps with tasks to place, in the order in which their jobs were accepted. A gang is ready only when none of its tasks runs any more, since its tasks
 /// start together.
 std::vector<ReadyStep> readySteps(const CellState &state);
--- a/src/cell/planning/ServicePool.cpp
+++ b/src/cell/planning/ServicePool.cpp
@@ -33,7 +33,7 @@
 
 bool leavesHeadroom(const ReadyStep &ready, const ServicePool &pool)
 {
-    return isUrgent(ready) || pool.load.free.cpuMillis - static_cast<std::int64_t>(ready.step->cpu_millis) >= pool.headroomCpuMillis();
+    return mayUseHeadroom(ready) || pool.load.free.cpuMillis - static_cast<std::int64_t>(ready.step->cpu_millis) >= pool.headroomCpuMillis();
 }
 
 std::map<std::string, ServicePool> servicePools(const CellState &state, CapacityTable &capacities)
--- a/src/cell/planning/WaitReason.cpp
+++ b/src/cell/planning/WaitReason.cpp
@@ -5,7 +5,7 @@
 
 const char *waitReasonName(WaitReason reason)
 {
-    static constexpr const char *Names[] = {"capacity", "headroom", "advice", "allowed", "stops", "budget", "reservation_limit"};
+    static constexpr const char *Names[] = {"capacity", "headroom", "advice", "allowed", "stops", "budget", "reservation_limit", "quota"};
     return Names[static_cast<std::size_t>(reason)];
 }
 
--- a/src/cell/planning/WaitReason.h
+++ b/src/cell/planning/WaitReason.h
@@ -16,7 +16,8 @@
     Allowed, ///< Too few upstreams are known to be allowed.
     Stops, ///< Everything is reserved; runs that are being stopped still use it.
     Budget, ///< Large work earlier in the order takes all that the service could hold.
-    ReservationLimit ///< Large work earlier in the order has as many upstreams reserved as may be.
+    ReservationLimit, ///< Large work earlier in the order has as many upstreams reserved as may be.
+    Quota ///< The team's quota leaves nothing for it, or is kept for an earlier step of the team.
 };
 
 /// A step that waits, as one plan left it.
