Cell: order of waiting steps by rate mark and by shares of teams

A team that sends more than its share took the capacity of the others, since only size and age ordered equal work. Steps of equal rate mark, priority and timeliness are now interleaved by weighted dominant share (policy::FairShares). Missed work is overdue after six times its objective; it is then ranked with work that is on time, at a tenth of its team's weight.

--- a/src/cell/planning/DeadlineEstimator.cpp
+++ b/src/cell/planning/DeadlineEstimator.cpp
@@ -13,6 +13,9 @@
 
 /// A job that ends later than this many times its objective is worth nothing to its submitter, by the platform's credit rules.
 constexpr int LateLimitFactor = 3;
+/// Missed work is worth nothing, so it yields to all other work, but its submitter still waits for it to end. LateLimitFactor times the objective is the
+/// longest delay that submitters accept for a result of any worth; after as long again the job counts as overdue, and yields no more.
+constexpr int OverdueFactor = 2 * LateLimitFactor;
 /// By the platform's credit rules, the objective includes one advice query about this many upstreams for each step.
 constexpr std::uint64_t UpstreamsPerObjectiveQuery = 30;
 constexpr std::uint64_t MicrosecondsPerMillisecond = 1000;
@@ -65,12 +68,12 @@
         std::chrono::duration_cast<milliseconds>(queue->slack * criticalPathTime(job, occurrence, *queue, false)) + milliseconds(queue->target_latency_ms);
     const auto end = std::chrono::duration_cast<milliseconds>(this->now - acceptance->second) + criticalPathTime(job, occurrence, *queue, true);
     if (end <= objective) {
-        return Estimate{Timeliness::OnTime, objective - end};
+        return Estimate{Timeliness::OnTime, false, objective - end};
     }
     if (end <= LateLimitFactor * objective) {
-        return Estimate{Timeliness::Late, LateLimitFactor * objective - end};
+        return Estimate{Timeliness::Late, false, LateLimitFactor * objective - end};
     }
-    return Estimate{Timeliness::Missed, milliseconds::max()};
+    return Estimate{Timeliness::Missed, end > OverdueFactor * objective, milliseconds::max()};
 }
 
 } // namespace cranberryreel::cell::planning
--- a/src/cell/planning/DeadlineEstimator.h
+++ b/src/cell/planning/DeadlineEstimator.h
@@ -29,6 +29,7 @@
 
     struct Estimate {
         Timeliness timeliness = Timeliness::OnTime;
+        bool overdue = false; ///< Missed for as long again as its submitter had to wait for a result of any worth.
         std::chrono::milliseconds slackTime{0}; ///< How long the job can wait without becoming less timely.
     };
 
--- a/src/cell/planning/Planner.cpp
+++ b/src/cell/planning/Planner.cpp
@@ -38,7 +38,7 @@
 Plan Planner::makePlan()
 {
     std::vector<ReadyStep> waiting = readySteps(this->input.state);
-    WaitingOrder(this->input.acceptedAt, this->input.now).sort(waiting);
+    WaitingOrder(this->input.acceptedAt, this->input.now, &this->ledger).sort(waiting);
     this->reserveForPendingQueries(waiting);
     for (const ReadyStep &ready : waiting) {
         this->planStep(ready, this->pools[serviceOf(ready)]);
