--- a/src/cell/health/RunPace.cpp
+++ b/src/cell/health/RunPace.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 /// Reports are taken over at least this long, since renewals deliver them up to tens of milliseconds late.
-constexpr milliseconds MinInterval{400};
+constexpr milliseconds MinInterval{300};
 /// Percentages are whole numbers, so less progress than this is too coarse to show a pace...
 constexpr int MinPercent = 4;
 /// ... unless there was no more within this time.
--- a/src/cell/health/SampleDecay.cpp
+++ b/src/cell/health/SampleDecay.cpp
@@ -7,7 +7,7 @@
 
 double sampleWeight(std::chrono::nanoseconds age)
 {
-    constexpr std::chrono::duration<double> DecayTime(1.5);
+    constexpr std::chrono::duration<double> DecayTime(1.2);
     return std::exp(-std::chrono::duration<double>(age) / DecayTime);
 }
 
--- a/src/cell/health/SpeedEstimate.cpp
+++ b/src/cell/health/SpeedEstimate.cpp
@@ -16,7 +16,7 @@
 /// The most that the usual speed weighs against the recent samples.
 constexpr double MaxUsualWeight = 4;
 /// Samples after which the usual speed is known well enough to tell a change from chance.
-constexpr double SettledWeight = 3;
+constexpr double SettledWeight = 2;
 /// The usual speed follows about this many samples, which bounds its error to a tenth.
 constexpr double UsualMemory = 16;
 /// A factor of 1.8, the error of the mean of three tasks three times over.
--- a/src/cell/health/StepSamples.cpp
+++ b/src/cell/health/StepSamples.cpp
@@ -1,8 +1,10 @@
 #include "cell/health/StepSamples.h"
 
 #include "cell/health/RobustMean.h"
+#include "cell/health/SampleDecay.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cranberryreel::cell::health
 {
@@ -12,16 +14,39 @@
 
 /// More samples than this make the typical work no more exact, and bound the cost of wide steps.
 constexpr std::size_t MaxSamples = 64;
+/// Progress projects a duration from a part of the run, so it counts less than a completion.
+constexpr double ProgressWeight = 0.7;
+/// A factor of 1.6 between two paces of one run, beyond the error that whole percentages cause; slowdowns are by a factor of 4 to 6.
+constexpr double PaceChange = 0.5;
+/// What a run that goes on at the same pace counts against a new sample: more where it changed its pace, which does not depend on the task's work, and less
+/// where it may be just a long task.
+constexpr double ChangedPaceWeight = 2;
+constexpr double SteadyPaceWeight = 0.25;
 
 } // namespace
 
 void RunSample::measure(double newLogDuration, base::SteadyTime now)
 {
+    const bool samePace = this->measured && std::abs(newLogDuration - this->logDuration) < PaceChange;
+    this->paceSince = samePace ? this->paceSince : now;
+    this->changedPace = this->changedPace || (this->measured && !samePace);
     this->logDuration = newLogDuration;
     this->at = now;
     this->measured = true;
 }
 
+double RunSample::weight(base::SteadyTime now) const
+{
+    if (!this->measured || now - this->at >= MaxSampleAge) {
+        return 0;
+    }
+    if (this->done) {
+        return sampleWeight(now - this->at);
+    }
+    const double steady = (this->changedPace ? ChangedPaceWeight : SteadyPaceWeight) * sampleWeight(now - this->at);
+    return ProgressWeight * std::max(sampleWeight(now - this->paceSince), steady);
+}
+
 RunSample &StepSamples::sampleOf(const RunKey &run, std::uint64_t upstream)
 {
     const auto isOfRun = [&run](const RunSample &each) { return each.task == run.task.task && each.attempt == run.attempt; };
@@ -61,7 +86,7 @@
 
 bool StepSamples::isRecent(base::SteadyTime now) const
 {
-    return std::any_of(this->samples.begin(), this->samples.end(), [now](const RunSample &each) { return each.measured && now - each.at < MaxSampleAge; });
+    return std::any_of(this->samples.begin(), this->samples.end(), [now](const RunSample &each) { return each.weight(now) > 0; });
 }
 
 double StepSamples::shareOfOthers(std::uint64_t upstream) const
--- a/src/cell/health/StepSamples.h
+++ b/src/cell/health/StepSamples.h
@@ -23,12 +23,18 @@
     RunPace pace;
     bool done = false;
     bool measured = false; ///< `logDuration` and `at` are set.
+    bool changedPace = false; ///< The pace has changed by far since it was first measured.
     double logDuration = 0; ///< Logarithm of milliseconds.
-    base::SteadyTime at{}; ///< When the duration was measured.
+    base::SteadyTime paceSince{}; ///< When a duration like the present one was first measured.
+    base::SteadyTime at{}; ///< When the duration was measured last.
     double logSpeed = 0; ///< Of the upstream, as estimated when the sample was last current.
 
     /// Takes over a measured duration.
     void measure(double newLogDuration, base::SteadyTime now);
+
+    /// How much the sample says about the present speed of its upstream. A run that goes on at its first pace soon says little more, since long tasks would
+    /// otherwise count as often as they report.
+    double weight(base::SteadyTime now) const;
 };
 
 /// The samples of the runs of one step. Its tasks are equal work but for a spread, so the samples show which upstreams are faster than others. Owned by the
--- a/src/cell/health/UpstreamSpeeds.cpp
+++ b/src/cell/health/UpstreamSpeeds.cpp
@@ -1,7 +1,5 @@
 #include "cell/health/UpstreamSpeeds.h"
 
-#include "cell/health/SampleDecay.h"
-
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -21,8 +19,6 @@
 constexpr milliseconds FitInterval{200};
 /// Works and speeds are fitted in turn so many times. Each fit starts from the last one and the steps connect all upstreams, so that two suffice.
 constexpr int SweepsPerFit = 2;
-/// Progress projects a duration from a part of the run, so it counts less than a completion.
-constexpr double ProgressWeight = 0.7;
 /// Speeds are kept between this and its reciprocal; beyond it, an upstream has stalled rather than become slow.
 constexpr double LeastSpeed = 0.1;
 
@@ -144,32 +140,18 @@
 /// The work of older samples is kept as it was, since their upstreams may have changed their speed afterwards.
 void UpstreamSpeeds::collectSamples(StepSamples &step, base::SteadyTime now)
 {
-    const auto isCurrent = [this, now](const RunSample &sample) {
-        return sample.measured && now - sample.at<MaxSampleAge &&this->upstreams.count(sample.upstream)> 0;
-    };
     for (RunSample &sample : step.all()) {
-        if (isCurrent(sample)) {
-            sample.logSpeed = this->upstreams.at(sample.upstream).estimate.present();
+        if (const auto found = this->upstreams.find(sample.upstream); found != this->upstreams.end() && sample.weight(now) > 0) {
+            sample.logSpeed = found->second.estimate.present();
         }
     }
     const double work = step.typicalLogWork();
     for (const RunSample &sample : step.all()) {
-        const double weight = step.shareOfOthers(sample.upstream) * sampleWeight(now - sample.at) * (sample.done ? 1.0 : ProgressWeight);
-        if (isCurrent(sample) && weight > 0) {
-            this->upstreams.at(sample.upstream).samples.push_back({work - sample.logDuration, weight});
-        }
-    }
-}
-
-void UpstreamSpeeds::updatePriors()
-{
-    this->priors = TypePriors();
-    for (const auto &[number, upstream] : this->upstreams) {
-        if (const std::optional<double> usual = upstream.estimate.usual(); usual && !upstream.type.empty()) {
-            this->priors.add(upstream.type, *usual);
+        const double weight = step.shareOfOthers(sample.upstream) * sample.weight(now);
+        if (const auto found = this->upstreams.find(sample.upstream); found != this->upstreams.end() && weight > 0) {
+            found->second.samples.push_back({work - sample.logDuration, weight});
         }
     }
-    this->priors.compare();
 }
 
 /// Sets the mean of the logarithms of the usual speeds to 0, since the fit determines speeds only up to a factor. Slowdowns of seconds do not enter the mean,
@@ -201,6 +183,17 @@
     this->spread.update(std::move(usuals), static_cast<std::size_t>(known), *this->lastFit);
 }
 
+void UpstreamSpeeds::updatePriors()
+{
+    this->priors = TypePriors();
+    for (const auto &[number, upstream] : this->upstreams) {
+        if (const std::optional<double> usual = upstream.estimate.usual(); usual && !upstream.type.empty()) {
+            this->priors.add(upstream.type, *usual);
+        }
+    }
+    this->priors.compare();
+}
+
 void UpstreamSpeeds::publish()
 {
     for (auto &[number, upstream] : this->upstreams) {
