--- a/src/cell/planning/WaitingOrder.cpp
+++ b/src/cell/planning/WaitingOrder.cpp
@@ -40,7 +40,10 @@
     return std::tie(this->beyondRate, this->priority, this->timeliness) == std::tie(other.beyondRate, other.priority, other.timeliness);
 }
 
-WaitingOrder::WaitingOrder(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt, base::SteadyTime now, const teams::TeamLedger *teamLedger, const ExpectedSpeeds *speeds)
+WaitingOrder::WaitingOrder(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt,
+                           base::SteadyTime now,
+                           const teams::TeamLedger *teamLedger,
+                           const ExpectedSpeeds *speeds)
     : ledger(teamLedger)
     , deadlines(acceptedAt, now, speeds)
 {
--- a/src/cell/planning/WaitingOrder.h
+++ b/src/cell/planning/WaitingOrder.h
@@ -28,7 +28,10 @@
 public:
     /// `acceptedAt` holds the acceptance times by job number and must outlive this object; a job that is missing there counts as on time.
     /// `teamLedger` and `speeds` may be null; they must outlive this object as well.
-    WaitingOrder(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt, base::SteadyTime now, const teams::TeamLedger *teamLedger = nullptr, const ExpectedSpeeds *speeds = nullptr);
+    WaitingOrder(const std::map<std::uint64_t, base::SteadyTime> &acceptedAt,
+                 base::SteadyTime now,
+                 const teams::TeamLedger *teamLedger = nullptr,
+                 const ExpectedSpeeds *speeds = nullptr);
 
     /// Where teams compete, a wide step may become several portions.
     void sort(std::vector<ReadyStep> &ready);
