Rate window: a team without jobs within its rate has no count

The leader ended with SIGILL (a hardened assert of absl::flat_hash_map) when jobs beyond a team's rate left the window after the last job within it: the count had been erased. Only a job within the rate changes the count now. The new case of RateWindowTest dereferenced the missing entry before.

--- a/src/cell/teams/RateWindow.cpp
+++ b/src/cell/teams/RateWindow.cpp
@@ -13,9 +13,12 @@
     if (!isNew) {
         return result->second;
     }
-    std::size_t &count = this->used[team];
+    const auto found = this->used.find(team);
+    const std::size_t count = found == this->used.end() ? 0 : found->second;
     result->second = static_cast<double>(count) < weight;
-    count += result->second ? 1 : 0;
+    if (result->second) {
+        this->used[team] = count + 1;
+    }
     this->submissions.push_back({now, result->first});
     return result->second;
 }
@@ -25,9 +28,8 @@
     while (!this->submissions.empty() && now - this->submissions.front().at >= Length) {
         const TeamAndJob &key = this->submissions.front().key;
         const auto result = this->results.find(key);
-        const auto count = this->used.find(key.first);
-        count->second -= result->second ? 1 : 0;
-        if (count->second == 0) {
+        // A team without jobs within its rate has no count, while its other jobs may still be listed.
+        if (const auto count = this->used.find(key.first); result->second && --count->second == 0) {
             this->used.erase(count);
         }
         this->results.erase(result);
--- a/tests/cell/teams/RateWindowTest.cpp
+++ b/tests/cell/teams/RateWindowTest.cpp
@@ -56,6 +56,16 @@
     BOOST_TEST(!window.isWithinRate("a", 2, "3", Start + milliseconds(11)));
 }
 
+/// Failure: the count of a team was erased with its last job within the rate, and the leader ended when the team's other jobs left the window.
+BOOST_AUTO_TEST_CASE(jobsBeyondTheRateOutliveThoseWithinIt)
+{
+    RateWindow window;
+    BOOST_TEST(window.isWithinRate("a", 1, "1", Start));
+    BOOST_TEST(!window.isWithinRate("a", 1, "2", Start + milliseconds(500)));
+    BOOST_TEST(window.isWithinRate("b", 1, "3", Start + milliseconds(1200)));
+    BOOST_TEST(window.isWithinRate("a", 1, "4", Start + milliseconds(1600)));
+}
+
 BOOST_AUTO_TEST_CASE(teamsDoNotShareTheWindow)
 {
     RateWindow window;
