Tests of state without teams; when teams may be configured first

Cause: no test read a state of a version without teams; a member of an older version ignores teams, which operators have to know.

--- a/tests/cell/teams/AuthorizationTest.cpp
+++ b/tests/cell/teams/AuthorizationTest.cpp
@@ -95,6 +95,18 @@
     }
 }
 
+/// Failure: a snapshot or log of a version without teams could not be read, or its jobs were out of reach once teams were configured.
+BOOST_AUTO_TEST_CASE(stateWithoutTeamsRemainsReadable)
+{
+    CellState old = stateWith(support::rules(1));
+    addJob(old, "j", "");
+    CellState state = CellState::decode(old.encode());
+    BOOST_TEST((decide(state, "quick", "", "j") == ResultCode::Ok));
+    state.apply(support::put(support::rulesWithTeams(2)));
+    BOOST_TEST((decide(state, "quick", "key-b", "j") == ResultCode::Ok));
+    BOOST_TEST((decide(state, "quick", "", "j") == ResultCode::Unauthorized));
+}
+
 /// Failure: after its team was removed from the configuration, nobody could read or cancel a job.
 BOOST_AUTO_TEST_CASE(jobsOfRemovedTeamsAndJobsWithoutATeamAreOpenToEveryTeam)
 {
--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -27,7 +27,8 @@
 constexpr const char *RulesBody =
     R"({"Version":4,"Routes":[{"Name":"a","Host":"h","PathPrefix":"/a/","Kind":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":300,
     "Priority":1,"Service":"s","MaxAttempts":3,"SlackFactor":1.5,"Recommendation":{"DecisionMs":20.5,"PerWorkerMs":0.25,"ValidMs":1500}},
-    {"Name":"b","Host":"h","PathPrefix":"/b/","TimeoutMs":1,"Service":"s"}],"Services":[{"Name":"s","AdmissionCheck":true}]})";
+    {"Name":"b","Host":"h","PathPrefix":"/b/","TimeoutMs":1,"Service":"s"}],"Services":[{"Name":"s","AdmissionCheck":true}],
+    "Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Weight":2.5,"MaxCount":{"Cpu":100,"Gpu":0}}]})";
 
 constexpr const char *AnnouncementBody = R"({"Service":"s","Address":"10.9.8.7:800","Zone":"z","Version":"v2","Slots":4,"State":"draining","ColdRemainingMs":0,
     "Capacity":{"Cpu":32000,"MemRequestMb":64000,"Gpu":1},"Labels":["b","r1-1"],"ClockMs":5500,"Sequence":9,"born":1700000000123})";
