--- a/src/cell/planning/DeadlineEstimator.cpp
+++ b/src/cell/planning/DeadlineEstimator.cpp
@@ -11,8 +11,6 @@
 
 using std::chrono::milliseconds;
 
-/// A job that ends later than this many times its objective is worth nothing to its submitter, by the platform's credit rules.
-constexpr int LateLimitFactor = 3;
 /// By the platform's credit rules, the objective includes one advice query about this many upstreams for each step.
 constexpr std::uint64_t UpstreamsPerObjectiveQuery = 30;
 constexpr std::uint64_t MicrosecondsPerMillisecond = 1000;
@@ -25,23 +23,33 @@
     return milliseconds(step.estimate_ms + queryTime);
 }
 
-/// The time of the longest chain of dependent steps; `remainingOnly` counts only steps that are not done.
-milliseconds criticalPathTime(const wire::JobT &job, std::uint32_t occurrence, const wire::QueueT &queue, bool remainingOnly)
+/// The time of the longest chain of dependent steps, without the steps for which `isSkipped(index)` holds.
+template<typename IsSkipped>
+milliseconds criticalPathTime(const wire::JobSpecT &spec, const wire::QueueT &queue, IsSkipped isSkipped)
 {
-    const auto &steps = job.spec->steps;
-    const auto &states = job.occurrences[occurrence]->steps;
+    const auto &steps = spec.steps;
     std::vector<milliseconds> finishTimes(steps.size(), milliseconds(0));
     for (std::size_t s = 0; s < steps.size(); ++s) {
         for (const std::uint32_t earlier : steps[s]->after) {
             finishTimes[s] = std::max(finishTimes[s], finishTimes[earlier]);
         }
-        finishTimes[s] += remainingOnly && isDone(*states[s]) ? milliseconds(0) : unqueuedStepTime(*steps[s], queue);
+        finishTimes[s] += isSkipped(s) ? milliseconds(0) : unqueuedStepTime(*steps[s], queue);
     }
     return *std::max_element(finishTimes.begin(), finishTimes.end());
 }
 
 } // namespace
 
+milliseconds unqueuedTime(const wire::JobSpecT &spec, const wire::QueueT &queue)
+{
+    return criticalPathTime(spec, queue, [](std::size_t) { return false; });
+}
+
+milliseconds latencyObjective(const wire::JobSpecT &spec, const wire::QueueT &queue)
+{
+    return std::chrono::duration_cast<milliseconds>(queue.slack * unqueuedTime(spec, queue)) + milliseconds(queue.target_latency_ms);
+}
+
 bool isDone(const wire::StepStateT &step)
 {
     return std::all_of(step.tasks.begin(), step.tasks.end(), [](const std::unique_ptr<wire::TaskT> &task) { return task->done; });
@@ -61,9 +69,10 @@
     if (queue == nullptr || acceptance == this->acceptanceTimes.end() || job.spec->times > 0 || std::any_of(steps.begin(), steps.end(), isLasting)) {
         return std::nullopt;
     }
-    const auto objective =
-        std::chrono::duration_cast<milliseconds>(queue->slack * criticalPathTime(job, occurrence, *queue, false)) + milliseconds(queue->target_latency_ms);
-    const auto end = std::chrono::duration_cast<milliseconds>(this->now - acceptance->second) + criticalPathTime(job, occurrence, *queue, true);
+    const auto objective = latencyObjective(*job.spec, *queue);
+    const auto &states = job.occurrences[occurrence]->steps;
+    const auto remaining = criticalPathTime(*job.spec, *queue, [&states](std::size_t s) { return isDone(*states[s]); });
+    const auto end = std::chrono::duration_cast<milliseconds>(this->now - acceptance->second) + remaining;
     if (end <= objective) {
         return Estimate{Timeliness::OnTime, objective - end};
     }
--- a/src/cell/planning/DeadlineEstimator.h
+++ b/src/cell/planning/DeadlineEstimator.h
@@ -41,6 +41,15 @@
     const base::SteadyTime now;
 };
 
+/// A job that ends later than this many times its objective is worth nothing to its submitter, by the platform's credit rules.
+constexpr int LateLimitFactor = 3;
+
+/// The time from the start of the job's first step to its end if no step waits for capacity: its longest chain of dependent steps.
+std::chrono::milliseconds unqueuedTime(const wire::JobSpecT &spec, const wire::QueueT &queue);
+
+/// The latency objective of a job without lasting steps that runs once, from its acceptance.
+std::chrono::milliseconds latencyObjective(const wire::JobSpecT &spec, const wire::QueueT &queue);
+
 /// True when all tasks of the step are done.
 bool isDone(const wire::StepStateT &step);
 
