--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -61,7 +61,7 @@
     , group(cellGroup)
     , runs(context, adviceCache)
     , upstreams(context, runs)
-    , peerCalls(context, upstreams)
+    , peerCalls(context, upstreams, jobLog)
 {
     this->context.holdsLease = [this] { return this->group.holdsLease(base::steadyNow()); };
     this->context.wake = [this] {
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -68,8 +68,8 @@
     std::map<std::string, std::size_t> pendingQueries; ///< Advice queries without an answer, by queue.
     RunManager runs;
     UpstreamManager upstreams;
-    PeerCallHandler peerCalls;
     JobLifecycleLog jobLog;
+    PeerCallHandler peerCalls;
     std::vector<CommitCallback> proposedCallbacks; ///< Waiting for the outcome of the proposed batch.
     bool proposing = false;
     bool planQueued = false;
--- a/src/cell/PeerCallHandler.cpp
+++ b/src/cell/PeerCallHandler.cpp
@@ -99,9 +99,10 @@
     return reply;
 }
 
-PeerCallHandler::PeerCallHandler(TermContext &termContext, UpstreamManager &upstreamManager)
+PeerCallHandler::PeerCallHandler(TermContext &termContext, UpstreamManager &upstreamManager, const JobLifecycleLog &jobLog)
     : context(termContext)
     , upstreams(upstreamManager)
+    , admission(termContext, jobLog.acceptanceTimes())
 {
 }
 
@@ -172,6 +173,10 @@
         return;
     }
     call.job->zone = call.zone;
+    if (const auto rejection = this->admission.rejectionOf(*call.job)) {
+        reply(*rejection);
+        return;
+    }
     this->context.batch.onOutcome([this, reply, id = call.job->id, queue = call.job->queue](ResultCode code) {
         // A cancel that was being committed when the job arrived comes first in the log, and the job is then left out.
         const bool cancelled = code == ResultCode::Ok && this->context.store.read([&id](const CellState &state) { return state.isCancelledId(id); });
--- a/src/cell/PeerCallHandler.h
+++ b/src/cell/PeerCallHandler.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "cell/AdmissionControl.h"
+#include "cell/JobLifecycleLog.h"
 #include "cell/TermContext.h"
 #include "cell/UpstreamManager.h"
 
@@ -17,7 +19,7 @@
 class PeerCallHandler
 {
 public:
-    PeerCallHandler(TermContext &termContext, UpstreamManager &upstreamManager);
+    PeerCallHandler(TermContext &termContext, UpstreamManager &upstreamManager, const JobLifecycleLog &jobLog);
 
     /// Calls `reply` exactly once: at once for reads and errors, otherwise when the change is committed or has failed.
     void handle(wire::CallT call, const ReplyCallback &reply);
@@ -34,6 +36,7 @@
 
     TermContext &context;
     UpstreamManager &upstreams;
+    AdmissionControl admission;
 };
 
 /// A reply with this result code; `reason` explains an error to the caller.
--- a/src/cell/TermContext.h
+++ b/src/cell/TermContext.h
@@ -9,6 +9,7 @@
 #include "cell/UpstreamCalls.h"
 #include "cell/UpstreamTracker.h"
 #include "cell/health/SlowUpstreamDetector.h"
+#include "cell/teams/ServiceRates.h"
 
 #include <cstdint>
 #include <functional>
@@ -41,6 +42,20 @@
         });
     }
 
+    /// Records the duration of a run that was done; see teams::ServiceRates.
+    void recordServiceRate(const TrackedRun &run, base::SteadyTime now)
+    {
+        this->store.read([&](const CellState &state) {
+            const wire::JobT *job = state.job(run.key.task.step.job);
+            const auto upstream = state.upstreams().find(run.upstream);
+            if (job != nullptr && upstream != state.upstreams().end()) {
+                const std::chrono::milliseconds estimate(job->spec->steps[run.key.task.step.step]->estimate_ms);
+                this->serviceRates.recordCompletion(
+                    upstream->second.service, estimate, std::chrono::duration_cast<std::chrono::milliseconds>(now - run.startedAt));
+            }
+        });
+    }
+
     /// Runs a function on the scheduler's thread, unless this term has ended by then. Any thread.
     std::function<void(std::function<void()>)> post;
 
@@ -49,6 +64,8 @@
 
     /// Whether this term's leadership lease holds, so that no later leader can be sending requests yet.
     std::function<bool()> holdsLease;
+
+    teams::ServiceRates serviceRates{};
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -448,6 +448,7 @@
         }
         if (run.phase == RunPhase::Confirmed) {
             this->context.slowUpstreamDetector.recordCompletion(run.key.task.step, std::chrono::duration_cast<std::chrono::milliseconds>(now - run.startedAt));
+            this->context.recordServiceRate(run, now);
         }
         return;
     }
