--- a/tests/platform/JobHandlerTest.cpp
+++ b/tests/platform/JobHandlerTest.cpp
@@ -90,6 +90,23 @@
     BOOST_TEST((refused.headers == std::vector<std::pair<std::string, std::string>>{{"Retry-After", "1"}}));
 }
 
+/// Load: jobs that would end too late. Failures: the caller was not told when to return, or was told that a job never runs which an earlier attempt may have
+/// submitted.
+BOOST_AUTO_TEST_CASE(aRejectedJobIsAnsweredWithItsRetryTime)
+{
+    cell::wire::ReplyT reply = cell::makeReply(ResultCode::DeadlineUnreachable);
+    reply.retry_after_ms = 2001;
+    const FakeHub::Script reject = [&reply](const FakeHub::Seen &, std::size_t) { return answered(reply); };
+    const http::Response rejected = HandlerFixture(reject).send("POST", JobPath, OneTask);
+    BOOST_TEST(rejected.status == 429U);
+    BOOST_TEST((rejected.headers == std::vector<std::pair<std::string, std::string>>{{"Retry-After", "3"}}));
+    BOOST_TEST(rejected.body.find("3002") != std::string::npos);
+    const FakeHub::Script lostThenRejected = [&reply](const FakeHub::Seen &, std::size_t number) {
+        return number == 1 ? link::CallResult{ResultCode::LinkDown, true, {}} : answered(reply);
+    };
+    BOOST_TEST(HandlerFixture(lostThenRejected).send("POST", JobPath, OneTask).status == 504U);
+}
+
 /// A job that was cancelled before it arrived is never accepted, whatever became of an earlier attempt.
 BOOST_AUTO_TEST_CASE(aSubmissionAfterItsCancelIsAnsweredGone)
 {
