Admission: upstreams that are silent or not read back count as capacity until they are lost

A new leader compared the backlog of the whole cell with the few upstreams that it had read back, and would have rejected everything for a moment. A job whose commit has an unknown outcome is still never rejected when it is sent again, but no longer counts as work.

--- a/src/cell/AdmissionControl.cpp
+++ b/src/cell/AdmissionControl.cpp
@@ -67,7 +67,7 @@
     this->snapshot = teams::LoadCollector(input).collect();
     // Jobs of the current batch, and of the batch that is being committed, are not in the state yet.
     for (const auto &[id, demand] : this->uncommitted) {
-        if (state.jobNamed(id) == nullptr) {
+        if (demand.tasks > 0 && state.jobNamed(id) == nullptr) {
             this->snapshot.waiting.push_back(demand);
         }
     }
@@ -83,7 +83,9 @@
     this->snapshot.waiting.push_back(job.demand);
     this->uncommitted.emplace(job.id, job.demand);
     this->context.batch.onOutcome([this, id = job.id](base::ResultCode code) {
-        if (code != base::ResultCode::GroupUnavailable) {
+        if (code == base::ResultCode::GroupUnavailable) {
+            this->uncommitted[id] = {}; // It may be committed later; until then it is not counted as work.
+        } else {
             this->uncommitted.erase(id);
         }
     });
--- a/src/cell/teams/LoadCollector.cpp
+++ b/src/cell/teams/LoadCollector.cpp
@@ -1,8 +1,5 @@
 #include "cell/teams/LoadCollector.h"
 
-#include "cell/planning/ServicePool.h"
-#include "cell/planning/UpstreamCapacity.h"
-
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -15,11 +12,12 @@
 
 constexpr double PercentScale = 100;
 
+/// An upstream that a new leader has not read back yet, or that is silent, counts until it is lost: it may answer at once, and a backlog of the whole cell
+/// compared with the few upstreams that have answered would make a new leader reject everything.
 bool isUsable(const wire::UpstreamT &upstream, const std::map<std::uint64_t, UpstreamTracker> &trackers, base::SteadyTime now)
 {
     const auto tracker = trackers.find(upstream.number);
-    return tracker != trackers.end() && tracker->second.readBack && !upstream.draining && tracker->second.silentCalls == 0
-        && now >= tracker->second.excludedUntil;
+    return !upstream.draining && (tracker == trackers.end() || now >= tracker->second.excludedUntil);
 }
 
 } // namespace
--- a/tests/cell/teams/LoadMeasuresTest.cpp
+++ b/tests/cell/teams/LoadMeasuresTest.cpp
@@ -13,6 +13,19 @@
 using cell::teams::FreedCapacity;
 using std::chrono::milliseconds;
 
+namespace
+{
+
+cell::teams::LoadSnapshot collect(const support::PlannedCell &cell)
+{
+    cell::RunTable runs;
+    const cell::teams::ServiceRates rates;
+    const ArrivalRates arrivals;
+    return cell::teams::LoadCollector({cell.state, cell.trackers, runs, rates, arrivals, cell.acceptedAt, cell.now}).collect();
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(LoadMeasuresTest)
 
 /// Failure: work was predicted to start before the capacity that it needs is free, or later than list scheduling starts it.
@@ -85,11 +98,7 @@
     lasting->lasting = true;
     const std::uint64_t other = cell.accept(support::job("l", std::move(lasting)));
     cell.addRun(support::key(other, 0, 0), cell.state.upstreamNamed("u1")->number);
-    cell::RunTable runs;
-    const cell::teams::ServiceRates rates;
-    const ArrivalRates arrivals;
-    const cell::teams::LoadInput input{cell.state, cell.trackers, runs, rates, arrivals, cell.acceptedAt, cell.now};
-    const cell::teams::LoadSnapshot load = cell::teams::LoadCollector(input).collect();
+    const cell::teams::LoadSnapshot load = collect(cell);
     const FreedCapacity &capacity = load.services.at("workers").capacity;
     BOOST_TEST((capacity.total(0) == 4000 && capacity.free(0) == 2000));
     BOOST_TEST((capacity.earliestStart(0, {3200e3, milliseconds(800), 0, milliseconds(0)}) >= milliseconds(800)));
@@ -98,4 +107,17 @@
     BOOST_TEST((load.waiting[0].team == "a" && load.waiting[0].tasks == 2 && load.waiting[0].work[0] == 1600e3));
 }
 
+/// Load: a new leader with a backlog, which has read back few upstreams. Failure: it compared the backlog with those few and rejected everything.
+BOOST_AUTO_TEST_CASE(upstreamsThatANewLeaderHasNotReadBackCount)
+{
+    support::PlannedCell cell;
+    cell.addUpstream("u1", 4000);
+    cell.addUpstream("u2", 4000);
+    cell.trackers.at(cell.state.upstreamNamed("u1")->number).readBack = false;
+    cell.trackers.at(cell.state.upstreamNamed("u2")->number).silentCalls = 1;
+    BOOST_TEST(collect(cell).services.at("workers").capacity.total(0) == 8000);
+    cell.trackers.at(cell.state.upstreamNamed("u2")->number).excludedUntil = cell.now + milliseconds(1);
+    BOOST_TEST(collect(cell).services.at("workers").capacity.total(0) == 4000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
