Admission replay: shorter

Teams' shares are divided by the rates rather than the weights, so that rounding breaks some ties differently.

--- a/tests/cell/teams/AdmissionReplayTest.cpp
+++ b/tests/cell/teams/AdmissionReplayTest.cpp
@@ -37,32 +37,19 @@
     std::int64_t endMs = 0;
     bool rejected = false;
 
-    /// If it ends `left` after `now`.
-    Timeliness timeliness(std::int64_t now, milliseconds left) const
+    Timeliness timeliness(std::int64_t end) const
     {
-        const milliseconds end = milliseconds(now - this->arrivalMs) + left;
-        const Timeliness unlessOnTime = end <= 3 * this->submission.objective ? Timeliness::Late : Timeliness::Missed;
-        return end <= this->submission.objective ? Timeliness::OnTime : unlessOnTime;
-    }
-
-    Timeliness result() const
-    {
-        return this->timeliness(this->endMs, milliseconds(0));
+        const double objectives = static_cast<double>(end - this->arrivalMs) / static_cast<double>(this->submission.objective.count());
+        return static_cast<Timeliness>((objectives > 1 ? 1 : 0) + (objectives > 3 ? 1 : 0));
     }
 };
 
-/// Three teams have a fifth of the load each.
-double usualJobsPerMs(std::size_t team)
+/// Jobs a millisecond usually. Three teams have a fifth of the load each. Work beyond one and a half times this is beyond the team's rate.
+double rateOf(std::size_t team)
 {
     return JobsPerMs * (team < 3 ? 0.2 : 0.4 / (Teams - 3));
 }
 
-/// Jobs a second within the team's rate.
-double weightOf(std::size_t team)
-{
-    return std::max(1500 * usualJobsPerMs(team), 1.0);
-}
-
 /// Replays arrivals of 20 teams at one service in steps of 10 ms. Jobs have one step and are served in the order of docs/TEAMS-AND-SPEEDS.md, without quotas.
 struct Replay {
     struct Run {
@@ -91,7 +78,7 @@
         cell::wire::JobSpecT spec;
         spec.id = std::to_string(this->jobs.size());
         spec.team = std::to_string(team);
-        spec.beyond_rate = weightOf(team) <= static_cast<double>(std::count_if(this->jobs.begin(), this->jobs.end(), [&](const Job &job) {
+        spec.beyond_rate = 1500 * rateOf(team) <= static_cast<double>(std::count_if(this->jobs.begin(), this->jobs.end(), [&](const Job &job) {
                                return job.team == team && job.arrivalMs > arrivalMs - 1000 && !job.submission.demand.beyondRate;
                            }));
         spec.steps.push_back(std::make_unique<cell::wire::StepT>());
@@ -136,36 +123,23 @@
         for (const std::size_t index : this->waiting) {
             cell::teams::JobDemand demand = this->jobs[index].submission.demand;
             demand.work.values[0] *= static_cast<double>(this->jobs[index].taskTimes.size()) / demand.tasks;
-            demand.timeliness = this->jobs[index].timeliness(now, this->jobs[index].submission.chain);
+            demand.timeliness = this->jobs[index].timeliness(now + this->jobs[index].submission.chain.count());
             this->snapshot.waiting.push_back(std::move(demand));
         }
     }
 
-    void arrive(std::size_t index, std::int64_t now, bool usesPolicy)
-    {
-        Job &job = this->jobs[index];
-        job.rejected = usesPolicy && !cell::teams::AdmissionPolicy(this->snapshot).decide(job.submission).admitted;
-        if (!job.rejected) {
-            this->waiting.insert(index);
-            this->snapshot.waiting.push_back(job.submission.demand);
-            if (!job.submission.demand.beyondRate) {
-                this->arrivals.record("", 0, job.submission.demand.work, base::SteadyTime(milliseconds(now)));
-            }
-        }
-    }
-
     /// Each start changes the share of its team, and so the order.
     void startTasks(std::int64_t now)
     {
         while (this->runs.size() < Cores && !this->waiting.empty()) {
-            const auto rank = [&](std::size_t index) {
+            std::tuple<bool, Timeliness, double, double, std::size_t> best(true, Timeliness::Missed, 1e12, 0, 0);
+            for (const std::size_t index : this->waiting) {
                 const Job &job = this->jobs[index];
                 const auto &demand = job.submission.demand;
-                return std::make_tuple(
-                    demand.beyondRate, job.timeliness(now, job.submission.chain), this->usedCores[job.team] / weightOf(job.team), demand.size, index);
-            };
-            const std::size_t first =
-                *std::min_element(this->waiting.begin(), this->waiting.end(), [&](std::size_t a, std::size_t b) { return rank(a) < rank(b); });
+                const Timeliness timeliness = job.timeliness(now + job.submission.chain.count());
+                best = std::min(best, {demand.beyondRate, timeliness, this->usedCores[job.team] / rateOf(job.team), demand.size, index});
+            }
+            const std::size_t first = std::get<std::size_t>(best);
             Job &job = this->jobs[first];
             this->runs.push_back({first, now, now + job.taskTimes.back()});
             job.taskTimes.pop_back();
@@ -183,13 +157,13 @@
         for (std::int64_t t = 0; t < 25000; t += 10) {
             for (std::size_t team = 0; team < Teams; ++team) {
                 const double factor = (t >= 5000 && t < 9000 ? burst : 1) * (team == 0 && t >= 5000 && t < 11000 ? flood : 1);
-                for (int n = std::poisson_distribution<int>(10 * usualJobsPerMs(team) * factor)(this->random); n > 0; --n) {
+                for (int n = std::poisson_distribution<int>(10 * rateOf(team) * factor)(this->random); n > 0; --n) {
                     this->addJob(t, team);
                 }
             }
         }
         for (std::size_t team = 0; team < Teams; ++team) {
-            this->snapshot.teams[std::to_string(team)].weight = weightOf(team);
+            this->snapshot.teams[std::to_string(team)].weight = 1500 * rateOf(team);
         }
         std::size_t next = 0;
         for (std::int64_t now = 0; next < this->jobs.size() || !this->waiting.empty() || !this->runs.empty(); now += 10) {
@@ -198,7 +172,14 @@
                 this->makeSnapshot(now);
             }
             for (; next < this->jobs.size() && this->jobs[next].arrivalMs <= now; ++next) {
-                this->arrive(next, now, usesPolicy);
+                Job &job = this->jobs[next];
+                const auto &demand = job.submission.demand;
+                job.rejected = usesPolicy && !cell::teams::AdmissionPolicy(this->snapshot).decide(job.submission).admitted;
+                if (!job.rejected) {
+                    this->waiting.insert(next);
+                    this->snapshot.waiting.push_back(demand);
+                    this->arrivals.record("", 0, demand.beyondRate ? cell::teams::Amounts() : demand.work, base::SteadyTime(milliseconds(now)));
+                }
             }
             this->startTasks(now);
         }
@@ -228,10 +209,10 @@
             const std::vector<Job> with = Replay().run(seed, burst, flood, true);
             for (std::size_t i = 0; i < with.size(); ++i) {
                 const Timeliness worst = with[i].submission.demand.beyondRate ? Timeliness::OnTime : Timeliness::Late;
-                ++all[static_cast<std::size_t>(without[i].result())];
+                ++all[static_cast<std::size_t>(without[i].timeliness(without[i].endMs))];
                 rejected += with[i].rejected ? 1 : 0;
-                wronglyRejected += with[i].rejected && without[i].result() <= worst ? 1 : 0;
-                admitted[static_cast<std::size_t>(with[i].result())] += with[i].rejected ? 0 : 1;
+                wronglyRejected += with[i].rejected && without[i].timeliness(without[i].endMs) <= worst ? 1 : 0;
+                admitted[static_cast<std::size_t>(with[i].timeliness(with[i].endMs))] += with[i].rejected ? 0 : 1;
             }
         }
         const int jobs = all[0] + all[1] + all[2];
