--- a/src/cell/teams/AdmissionPolicy.h
+++ b/src/cell/teams/AdmissionPolicy.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 
 namespace cranberryreel::cell::teams
