--- a/src/cell/PeerCallHandler.cpp
+++ b/src/cell/PeerCallHandler.cpp
@@ -136,9 +136,10 @@
     return reply;
 }
 
-PeerCallHandler::PeerCallHandler(TermContext &termContext, UpstreamManager &upstreamManager)
+PeerCallHandler::PeerCallHandler(TermContext &termContext, UpstreamManager &upstreamManager, const JobLifecycleLog &jobLog)
     : context(termContext)
     , upstreams(upstreamManager)
+    , admission(termContext, jobLog.acceptanceTimes())
 {
 }
 
@@ -223,6 +224,10 @@
         this->sendAnswer(call, *known, reply);
         return;
     }
+    if (const auto rejection = this->admission.rejectionOf(*call.job)) {
+        reply(*rejection);
+        return;
+    }
     const wire::JobSpecT &job = *call.job;
     this->context.batch.onOutcome([this, reply, id = job.id, queue = job.queue, team = job.team, beyondRate = job.beyond_rate](ResultCode code) {
         const wire::ReplyT committed =
@@ -260,7 +265,7 @@
                     team,
                     teams::keyFingerprint(call.key),
                     answer.reason);
-        TeamMetrics::recordRejected(team, code);
+        TeamMetrics::recordRejected(team, base::resultName(code));
     }
     reply(answer);
 }
--- a/src/cell/TeamMetrics.cpp
+++ b/src/cell/TeamMetrics.cpp
@@ -23,9 +23,9 @@
     observe::counter("cranberryreel_cell_team_submitted_total", "Accepted submissions by team and by whether they were beyond its rate.", labels).add();
 }
 
-void TeamMetrics::recordRejected(const std::string &team, base::ResultCode code)
+void TeamMetrics::recordRejected(const std::string &team, std::string_view reason)
 {
-    const std::string labels = fmt::format("{},reason=\"{}\"", labelFor(team), base::resultName(code));
+    const std::string labels = fmt::format("{},reason=\"{}\"", labelFor(team), reason);
     observe::counter("cranberryreel_cell_team_rejected_total", "Rejected calls by team and reason.", labels).add();
 }
 
--- a/src/cell/TeamMetrics.h
+++ b/src/cell/TeamMetrics.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "cranberryreel/base/ResultCode.h"
-
 #include <string>
+#include <string_view>
 
 namespace cranberryreel::cell
 {
@@ -15,8 +14,9 @@
     /// Counts a submission that was committed.
     static void recordSubmitted(const std::string &team, bool beyondRate);
 
-    /// Counts a call that was rejected; `team` is that of the call's key, empty if it has none.
-    static void recordRejected(const std::string &team, base::ResultCode code);
+    /// Counts a call that was rejected; `team` is that of the call's key, empty if it has none. `reason` is the name of a result code, or why admission control
+    /// rejected a job.
+    static void recordRejected(const std::string &team, std::string_view reason);
 
     /// The metric label of the team. Further metrics by team use it, so that all share the bound on names.
     static std::string labelFor(const std::string &team);
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -455,6 +455,7 @@
             this->context.slowUpstreamDetector.recordCompletion(
                 run.key.task.step, std::chrono::duration_cast<std::chrono::milliseconds>(now - run.startedAt), this->context.speedMonitor.usualSpeedOf(number));
             this->context.speedMonitor.recordCompletion(run, now);
+            this->context.recordServiceRate(run, now);
         }
         return;
     }
--- a/src/cell/planning/DeadlineEstimator.cpp
+++ b/src/cell/planning/DeadlineEstimator.cpp
@@ -12,8 +12,6 @@
 
 using std::chrono::milliseconds;
 
-/// A job that ends later than this many times its objective is worth nothing to its submitter, by the platform's credit rules.
-constexpr int LateLimitFactor = 3;
 /// Missed work is worth nothing, so it yields to all other work, but its submitter still waits for it to end. LateLimitFactor times the objective is the
 /// longest delay that submitters accept for a result of any worth; after as long again the job counts as overdue, and yields no more.
 constexpr int OverdueFactor = 2 * LateLimitFactor;
@@ -32,9 +30,9 @@
 
 /// The time of the longest chain of dependent steps, where stepTime(s) is that of one step.
 template<typename StepTime>
-milliseconds criticalPathTime(const wire::JobT &job, StepTime stepTime)
+milliseconds criticalPathTime(const wire::JobSpecT &spec, StepTime stepTime)
 {
-    const auto &steps = job.spec->steps;
+    const auto &steps = spec.steps;
     std::vector<milliseconds> finishTimes(steps.size(), milliseconds(0));
     for (std::size_t s = 0; s < steps.size(); ++s) {
         for (const std::uint32_t earlier : steps[s]->after) {
@@ -47,6 +45,16 @@
 
 } // namespace
 
+milliseconds unqueuedTime(const wire::JobSpecT &spec, const wire::QueueT &queue)
+{
+    return criticalPathTime(spec, [&](std::size_t s) { return milliseconds(spec.steps[s]->estimate_ms) + queryTime(queue); });
+}
+
+milliseconds latencyObjective(const wire::JobSpecT &spec, const wire::QueueT &queue)
+{
+    return std::chrono::duration_cast<milliseconds>(queue.slack * unqueuedTime(spec, queue)) + milliseconds(queue.target_latency_ms);
+}
+
 bool isDone(const wire::StepStateT &step)
 {
     return std::all_of(step.tasks.begin(), step.tasks.end(), [](const std::unique_ptr<wire::TaskT> &task) { return task->done; });
@@ -81,7 +89,7 @@
 milliseconds DeadlineEstimator::remainingTime(const wire::JobT &job, std::uint32_t occurrence, const wire::QueueT &queue) const
 {
     const auto &states = job.occurrences[occurrence]->steps;
-    return criticalPathTime(job, [&](std::size_t s) {
+    return criticalPathTime(*job.spec, [&](std::size_t s) {
         return isDone(*states[s]) ? milliseconds(0) : this->remainingRunTime(*job.spec->steps[s], *states[s], queue) + queryTime(queue);
     });
 }
@@ -94,8 +102,7 @@
     if (queue == nullptr || acceptance == this->acceptanceTimes.end() || job.spec->times > 0 || std::any_of(steps.begin(), steps.end(), isLasting)) {
         return std::nullopt;
     }
-    const milliseconds nominal = criticalPathTime(job, [&](std::size_t s) { return milliseconds(steps[s]->estimate_ms) + queryTime(*queue); });
-    const auto objective = std::chrono::duration_cast<milliseconds>(queue->slack * nominal) + milliseconds(queue->target_latency_ms);
+    const milliseconds objective = latencyObjective(*job.spec, *queue);
     const auto end = std::chrono::duration_cast<milliseconds>(this->now - acceptance->second) + this->remainingTime(job, occurrence, *queue);
     if (end <= objective) {
         return Estimate{Timeliness::OnTime, false, objective - end};
