Cell: a submission that lost its id to another team counts as rejected

Cause: such a submission was counted as submitted in the metrics by team, as was one whose cancel came first.

--- a/src/cell/PeerCallHandler.cpp
+++ b/src/cell/PeerCallHandler.cpp
@@ -235,7 +235,9 @@
                     beyondRate,
                     cancelled ? static_cast<int>(ResultCode::Ok) : committed.code,
                     cancelled);
-        if (code == ResultCode::Ok && !team.empty()) {
+        if (committed.code == static_cast<int>(ResultCode::Forbidden)) {
+            TeamMetrics::recordRejected(team, ResultCode::Forbidden);
+        } else if (committed.code == static_cast<int>(ResultCode::Ok) && !team.empty()) {
             TeamMetrics::recordSubmitted(team, beyondRate);
         }
         reply(committed);
