--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -141,6 +141,7 @@
         this->nextLoadLog = now + LoadLogInterval;
         this->logLoad(plan.loads);
         this->logWaiting(plan.waiting, now);
+        this->context.store.read([&](const CellState &state) { this->teamReport.record(plan, state); });
     }
     this->preempt(plan.preemptions);
     const bool asked = this->sendAdviceQueries(plan.adviceQueries);
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -4,6 +4,7 @@
 #include "cell/JobLifecycleLog.h"
 #include "cell/PeerCallHandler.h"
 #include "cell/RunManager.h"
+#include "cell/TeamReport.h"
 #include "cell/TermContext.h"
 #include "cell/UpstreamManager.h"
 #include "cell/planning/Planner.h"
@@ -70,6 +71,7 @@
     UpstreamManager upstreams;
     PeerCallHandler peerCalls;
     JobLifecycleLog jobLog;
+    TeamReport teamReport;
     std::vector<CommitCallback> proposedCallbacks; ///< Waiting for the outcome of the proposed batch.
     bool proposing = false;
     bool planQueued = false;
