--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -1,4 +1,4 @@
-// Measures the time of one plan of the cell's scheduler: CellBench [UPSTREAMS [RUNS [WAITING]]]. Prints microseconds per plan as JSON.
+// Measures the time of one plan of the cell's scheduler: CellBench [UPSTREAMS [RUNS [WAITING [TEAMS [TASKS_PER_JOB]]]]]. Prints microseconds per plan as JSON.
 #include "cell/planning/Planner.h"
 
 #include <algorithm>
@@ -13,9 +13,10 @@
 {
 
 constexpr int Rounds = 200;
-constexpr std::uint32_t TasksPerJob = 10;
+constexpr std::uint32_t UpstreamCpuMillis = 32000;
 
-cell::wire::CommandT rulesCommand()
+/// Half of the teams have a quota of their part of the cell, so that some of their steps wait for it.
+cell::wire::CommandT rulesCommand(int teams, std::uint64_t cellCpuMillis)
 {
     cell::wire::CommandT command;
     command.rules = std::make_unique<cell::wire::RulesT>();
@@ -32,10 +33,17 @@
         queue->advice->valid_ms = 2500;
         command.rules->queues.push_back(std::move(queue));
     }
+    for (int i = 0; i < teams; ++i) {
+        auto team = std::make_unique<cell::wire::TeamT>();
+        team->name = "team-" + std::to_string(i);
+        team->weight = 1 + i % 5;
+        team->cpu_millis = i % 2 == 0 ? cellCpuMillis / static_cast<std::uint64_t>(teams) : 0;
+        command.rules->teams.push_back(std::move(team));
+    }
     return command;
 }
 
-cell::wire::CommandT jobCommand(int number, const std::string &queue, std::uint32_t cpuMillis)
+cell::wire::CommandT jobCommand(int number, const std::string &queue, std::uint32_t cpuMillis, std::uint32_t tasks, int teams)
 {
     cell::wire::CommandT command;
     auto spec = std::make_unique<cell::wire::JobSpecT>();
@@ -43,8 +51,9 @@
     spec->queue = queue;
     spec->service = "service";
     spec->zone = "a";
+    spec->team = teams > 0 ? "team-" + std::to_string(number % teams) : "";
     auto step = std::make_unique<cell::wire::StepT>();
-    step->tasks = TasksPerJob;
+    step->tasks = tasks;
     step->cpu_millis = cpuMillis;
     step->memory_mib = 2048;
     step->estimate_ms = 1000;
@@ -60,20 +69,22 @@
     const int upstreams = argc > 1 ? std::atoi(argv[1]) : 350;
     const int runs = argc > 2 ? std::atoi(argv[2]) : 1600;
     const int waiting = argc > 3 ? std::atoi(argv[3]) : 800;
+    const int teams = argc > 4 ? std::atoi(argv[4]) : 0;
+    const auto tasksPerJob = static_cast<std::uint32_t>(argc > 5 ? std::atoi(argv[5]) : 10);
     const base::SteadyTime now = base::steadyNow();
     cell::CellState state;
     std::map<std::uint64_t, cell::UpstreamTracker> trackers;
     cell::AdviceCache advice;
     const std::map<cell::TaskKey, std::set<std::uint64_t>> failedUpstreams;
     std::map<std::uint64_t, base::SteadyTime> acceptedAt;
-    state.apply(rulesCommand());
+    state.apply(rulesCommand(teams, static_cast<std::uint64_t>(upstreams) * UpstreamCpuMillis));
     for (int i = 0; i < upstreams; ++i) {
         cell::wire::CommandT command;
         auto upstream = std::make_unique<cell::wire::UpstreamT>();
         upstream->id = "upstream-" + std::to_string(i);
         upstream->service = "service";
         upstream->zone = i % 4 == 0 ? "a" : "b";
-        upstream->cpu_millis = 32000;
+        upstream->cpu_millis = UpstreamCpuMillis;
         upstream->memory_mib = 131072;
         upstream->labels = {"kind", "rack-" + std::to_string(i / 20)};
         command.upstreams.push_back(std::move(upstream));
@@ -83,9 +94,9 @@
         trackers.emplace(state.upstreamNamed("upstream-" + std::to_string(i))->number, tracker);
     }
     int job = 0;
-    for (int placed = 0; placed < runs; placed += static_cast<int>(TasksPerJob)) {
-        state.apply(jobCommand(++job, "wide", 4500));
-        for (std::uint32_t task = 0; task < TasksPerJob; ++task) {
+    for (int placed = 0; placed < runs; placed += static_cast<int>(tasksPerJob)) {
+        state.apply(jobCommand(++job, "wide", 4500, tasksPerJob, teams));
+        for (std::uint32_t task = 0; task < tasksPerJob; ++task) {
             cell::wire::CommandT command;
             auto placement = std::make_unique<cell::wire::PlacementT>();
             placement->task = std::make_unique<cell::wire::TaskRefT>(cell::toRef({{static_cast<std::uint64_t>(job), 0, 0}, task}));
@@ -95,8 +106,8 @@
             state.apply(command);
         }
     }
-    for (int added = 0; added < waiting; added += static_cast<int>(TasksPerJob)) {
-        state.apply(jobCommand(++job, added % 200 == 0 ? "quick" : "wide", 9000));
+    for (int added = 0; added < waiting; added += static_cast<int>(tasksPerJob)) {
+        state.apply(jobCommand(++job, added % 200 == 0 ? "quick" : "wide", 9000, tasksPerJob, teams));
         acceptedAt[static_cast<std::uint64_t>(job)] = now - std::chrono::milliseconds(10 * added);
         // The step has advice on all upstreams: a third of them are allowed, with fresh tickets.
         cell::StepAdvice &stepAdvice = advice.adviceFor({static_cast<std::uint64_t>(job), 0, 0});
@@ -114,7 +125,12 @@
         starts += cell::planning::Planner(input).makePlan().starts.size();
     }
     const double each = std::chrono::duration<double, std::micro>(base::steadyNow() - before).count() / Rounds;
-    std::printf(
-        "{\"upstreams\":%d,\"runs\":%d,\"waiting\":%d,\"microseconds_a_plan\":%.0f,\"starts_a_plan\":%zu}\n", upstreams, runs, waiting, each, starts / Rounds);
+    std::printf("{\"upstreams\":%d,\"runs\":%d,\"waiting\":%d,\"teams\":%d,\"microseconds_a_plan\":%.0f,\"starts_a_plan\":%zu}\n",
+                upstreams,
+                runs,
+                waiting,
+                teams,
+                each,
+                starts / Rounds);
     return 0;
 }
