--- a/src/cell/PeerCallHandler.cpp
+++ b/src/cell/PeerCallHandler.cpp
@@ -241,7 +241,7 @@
                     cancelled ? static_cast<int>(ResultCode::Ok) : committed.code,
                     cancelled);
         if (committed.code == static_cast<int>(ResultCode::Forbidden)) {
-            TeamMetrics::recordRejected(team, ResultCode::Forbidden);
+            TeamMetrics::recordRejected(team, base::resultName(ResultCode::Forbidden));
         } else if (committed.code == static_cast<int>(ResultCode::Ok) && !team.empty()) {
             TeamMetrics::recordSubmitted(team, beyondRate);
         }
