Placement by speed: plans cost no more than before

Change: class bounds inline, one rank per upstream and sort, one look-up per step, one check of the fast capacity per task.

--- a/src/cell/planning/AdviceQueryPlanner.cpp
+++ b/src/cell/planning/AdviceQueryPlanner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace cranberryreel::cell::planning
 {
@@ -146,6 +147,7 @@
 AdviceQueryPlanner::groupUpstreams(const ReadyStep &ready, std::uint32_t tasks, const ServicePool &pool, const AvailableCapacity &availableOn) const
 {
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
+    const bool keepsFast = pool.fast && !isUrgent(ready) && pool.fast->countFitting(ready, 1) == 0;
     UpstreamGroups groups;
     for (UpstreamCapacity *capacity : pool.capacities) {
         const std::uint32_t taskLimit = this->rules.mayRunOn(ready, *capacity) ? this->rules.remainingTaskLimit(ready, *capacity) : 0;
@@ -154,9 +156,8 @@
         }
         const bool allowed = advice.allowed.count(capacity->upstream->number) > 0;
         groups.allowedCount += allowed && Capacity::totalOf(*capacity->upstream).countFitting(*ready.step, 1) > 0 ? 1 : 0;
-        const FastCapacity *kept = keptForUrgent(ready, pool, *capacity);
-        const bool leavesEnough = kept == nullptr || kept->countFitting(ready, 1) > 0;
-        const std::uint32_t fitting = leavesEnough ? availableOn(*capacity).countFitting(*ready.step, std::min(tasks, taskLimit)) : 0;
+        const bool kept = keepsFast && pool.fast->contains(*capacity);
+        const std::uint32_t fitting = !kept ? availableOn(*capacity).countFitting(*ready.step, std::min(tasks, taskLimit)) : 0;
         if (fitting == 0) {
             const bool mayBeAllowed =
                 advice.queried.count(capacity->upstream->number) == 0 && Capacity::totalOf(*capacity->upstream).countFitting(*ready.step, 1) > 0;
@@ -191,12 +192,14 @@
     if (!preference.isSet()) {
         return;
     }
-    const auto faster = [&](const UpstreamCapacity *left, const UpstreamCapacity *right) {
-        return this->speedPlacement.rankOf(preference, *left, isOffDataRack(ready, *left))
-            < this->speedPlacement.rankOf(preference, *right, isOffDataRack(ready, *right));
-    };
+    std::vector<std::pair<int, UpstreamCapacity *>> ranked;
     for (std::vector<UpstreamCapacity *> *group : {&groups.withoutTicket, &groups.notQueried, &groups.full}) {
-        std::stable_sort(group->begin(), group->end(), faster);
+        ranked.clear();
+        for (UpstreamCapacity *capacity : *group) {
+            ranked.emplace_back(this->speedPlacement.rankOf(preference, *capacity, isOffDataRack(ready, *capacity)), capacity);
+        }
+        std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+        std::transform(ranked.begin(), ranked.end(), group->begin(), [](const auto &each) { return each.second; });
     }
 }
 
--- a/src/cell/planning/DeadlineEstimator.cpp
+++ b/src/cell/planning/DeadlineEstimator.cpp
@@ -66,11 +66,14 @@
         return estimate;
     }
     double slowest = std::numeric_limits<double>::max();
+    bool waiting = false;
     for (const auto &task : state.tasks) {
-        if (!task->done) {
-            slowest = std::min(slowest, task->runs.empty() ? this->speeds->ofWaiting(queue) : this->speeds->ofRunOn(task->runs.front()->upstream));
+        waiting = waiting || (!task->done && task->runs.empty());
+        if (!task->done && !task->runs.empty()) {
+            slowest = std::min(slowest, this->speeds->ofRunOn(task->runs.front()->upstream));
         }
     }
+    slowest = waiting ? std::min(slowest, this->speeds->ofWaiting(queue)) : slowest;
     return std::chrono::duration_cast<milliseconds>(estimate / std::max(slowest, MinSpeed));
 }
 
--- a/src/cell/planning/Planner.cpp
+++ b/src/cell/planning/Planner.cpp
@@ -17,6 +17,9 @@
 /// idle until enough capacity is free.
 constexpr std::size_t ReservableUpstreamsDivisor = 4;
 
+/// Upstreams where the task failed rank behind those of all speeds.
+constexpr int FailedHereRank = 64;
+
 bool isQueryPendingFor(const StepAdvice &advice, std::uint64_t upstream)
 {
     return advice.queryPending && std::find(advice.pendingUpstreams.begin(), advice.pendingUpstreams.end(), upstream) != advice.pendingUpstreams.end();
@@ -128,19 +131,22 @@
 UpstreamCapacity *Planner::bestUpstream(const ReadyStep &ready, std::uint32_t task, const std::vector<Candidate> &candidates) const
 {
     UpstreamCapacity *best = nullptr;
-    auto bestRank = std::make_tuple(true, 0, true, true, 0, std::int64_t{0}, std::int64_t{0});
+    auto bestRank = std::make_tuple(0, true, true, 0, std::int64_t{0}, std::int64_t{0});
     const auto failed = this->input.failedUpstreams.find({ready.key, task});
+    std::optional<bool> leavesEnough; // The same for all fast upstreams.
     for (const Candidate &candidate : candidates) {
         UpstreamCapacity &capacity = *candidate.capacity;
         if (capacity.free.countFitting(*ready.step, 1) == 0 || this->rules.remainingTaskLimit(ready, capacity) == 0) {
             continue;
         }
-        if (candidate.keptForUrgent != nullptr && candidate.keptForUrgent->countFitting(ready, 1) == 0) {
-            continue;
+        if (candidate.keptForUrgent != nullptr) {
+            leavesEnough = leavesEnough ? leavesEnough : candidate.keptForUrgent->countFitting(ready, 1) > 0;
+            if (!*leavesEnough) {
+                continue;
+            }
         }
         const bool failedHere = failed != this->input.failedUpstreams.end() && failed->second.count(capacity.upstream->number) > 0;
-        const auto rank = std::make_tuple(failedHere,
-                                          candidate.speedRank,
+        const auto rank = std::make_tuple(candidate.speedRank + (failedHere ? FailedHereRank : 0),
                                           candidate.offRack,
                                           candidate.otherZone,
                                           capacity.failuresInRow,
--- a/src/cell/planning/SpeedClass.cpp
+++ b/src/cell/planning/SpeedClass.cpp
@@ -9,29 +9,12 @@
 namespace
 {
 
-/// Lower bounds of the classes, as shares of the reference. Speeds of 0.7 and 1.7 have a ratio of 0.41, and lie well inside their classes with estimates off by
-/// a quarter.
-constexpr double FastBound = 0.75;
-constexpr double MediumBound = 0.55;
-constexpr double SlowBound = 0.2;
 /// A service is uneven when its quartiles differ by this factor. Lower than the factor of two at which placement by speed is enabled, so that a service at that
 /// limit does not alternate.
 constexpr double UnevenRatio = 1.5;
 
 } // namespace
 
-SpeedClass speedClassOf(double speed, double reference)
-{
-    const double share = speed / reference;
-    if (share >= FastBound) {
-        return SpeedClass::Fast;
-    }
-    if (share >= MediumBound) {
-        return SpeedClass::Medium;
-    }
-    return share >= SlowBound ? SpeedClass::Slow : SpeedClass::Stalled;
-}
-
 std::optional<double> referenceSpeed(std::vector<double> speeds)
 {
     if (speeds.size() < 2) {
--- a/src/cell/planning/SpeedPreference.cpp
+++ b/src/cell/planning/SpeedPreference.cpp
@@ -39,6 +39,8 @@
     , isOnTime(estimate && estimate->timeliness == Timeliness::OnTime)
 {
     this->expectedRunTime = this->runTime(expectedSpeed);
+    const std::chrono::duration<double, std::milli> limit = this->expectedRunTime + SpendableSlackShare * this->slackTime;
+    this->slowestInTime = limit.count() > 0 ? SlowestTaskFactor * this->nominalRunTime / limit : 0.0;
 }
 
 SpeedPreference::Goal SpeedPreference::goalOf(const ReadyStep &ready, const std::optional<DeadlineEstimator::Estimate> &estimate)
@@ -61,7 +63,7 @@
     if (this->goal == Goal::EarliestEnd) {
         return fastFirst(speedClass);
     }
-    if (this->goal == Goal::Slowest || (speedClass != SpeedClass::Stalled && this->endsInTime(speed))) {
+    if (this->goal == Goal::Slowest || (speedClass != SpeedClass::Stalled && speed >= this->slowestInTime)) {
         return slowFirst(speedClass);
     }
     return LateRank + fastFirst(speedClass);
@@ -82,9 +84,4 @@
     return outlook;
 }
 
-bool SpeedPreference::endsInTime(double speed) const
-{
-    return SlowestTaskFactor * this->runTime(speed) - this->expectedRunTime <= SpendableSlackShare * this->slackTime;
-}
-
 } // namespace cranberryreel::cell::planning
--- a/src/cell/planning/SpeedPreference.h
+++ b/src/cell/planning/SpeedPreference.h
@@ -55,13 +55,13 @@
     };
 
     static Goal goalOf(const ReadyStep &ready, const std::optional<DeadlineEstimator::Estimate> &estimate);
-    bool endsInTime(double speed) const;
 
     Goal goal = Goal::None;
     double referenceSpeed = 1.0;
     std::chrono::milliseconds nominalRunTime{0};
     std::chrono::milliseconds expectedRunTime{0};
     std::chrono::milliseconds slackTime{0}; ///< What the job can still lose, with the step at its expected run time.
+    double slowestInTime = 0; ///< The lowest speed at which the step ends early enough.
     bool isOnTime = false;
 };
 
