--- a/tests/cell/PlannedCell.h
+++ b/tests/cell/PlannedCell.h
@@ -39,6 +39,7 @@
     std::map<cell::RunKey, cell::planning::RunView> runViews;
     FixedSpeeds speeds;
     bool considersSpeed = false;
+    double farRackFactor = 1.5;
     cell::planning::UrgentDemand urgentDemand;
     const base::SteadyTime now = base::SteadyTime() + std::chrono::hours(1);
 
@@ -99,6 +100,7 @@
         cell::planning::PlanInput input{this->state, this->trackers, this->advice, this->failedUpstreams, this->acceptedAt, time, view};
         input.speeds = this->considersSpeed ? &this->speeds : nullptr;
         input.urgentDemand = &this->urgentDemand;
+        input.farRackFactor = this->farRackFactor;
         return cell::planning::Planner(input).makePlan();
     }
 };
--- a/tests/cell/planning/PlacementBySpeedTest.cpp
+++ b/tests/cell/planning/PlacementBySpeedTest.cpp
@@ -152,6 +152,23 @@
     BOOST_TEST(cell.startsOnFast(cell.plan(cell.now + 20s)) == 7U); // The observed peak halves in 20 s.
 }
 
+/// Guards against a fast upstream off the rack of the data, where a task takes up to three times as long, counting as fast.
+BOOST_AUTO_TEST_CASE(speedCountsLessOffTheRack)
+{
+    UnevenCell cell(2);
+    auto offRack = support::upstream("u3", 10000);
+    offRack->labels = {"a", "rack-2"};
+    cell.addUpstream(std::move(offRack));
+    cell.speeds.byUpstream[3] = Fast;
+    auto step = support::step(4, 1000);
+    step->data_rack = "rack-1";
+    step->estimate_ms = 540;
+    cell.accept(support::job("j", std::move(step)));
+    BOOST_TEST(cell.startsOnFast(cell.plan()) == 4U); // 1.13 against 0.7.
+    cell.farRackFactor = 3;
+    BOOST_TEST(cell.startsOnFast(cell.plan()) == 0U); // 0.57 against 0.7.
+}
+
 /// Guards against a gang that holds fast upstreams and ends with its member on a slow one.
 BOOST_AUTO_TEST_CASE(aGangGetsUpstreamsOfSimilarSpeed)
 {
