--- a/bench/CellBench.cpp
+++ b/bench/CellBench.cpp
@@ -134,7 +134,7 @@
     cell::planning::PlanInput input{state, trackers, advice, failedUpstreams, acceptedAt, now};
     const UnevenSpeeds speeds;
     cell::planning::UrgentDemand urgentDemand;
-    if (argc > 4 && std::string(argv[4]) == "uneven") {
+    if (argc > 6 && std::string(argv[6]) == "uneven") {
         input.speeds = &speeds;
         input.urgentDemand = &urgentDemand;
     }
