Cell: test that reports of upstreams reach the speed estimates

Cause: the connection of the estimator to the renewals had no test. Change: a case with a leader and scripted upstreams, with and without the setting.

--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -35,7 +35,7 @@
     done(std::move(result));
 }
 
-CellRig::CellRig(std::chrono::milliseconds leaseMax)
+CellRig::CellRig(std::chrono::milliseconds leaseMax, bool upstreamSpeeds)
     : hub([](const testsupport::FakeHub::Seen &, std::size_t) {
         return link::CallResult{base::ResultCode::LinkDown, false, {}};
     })
@@ -43,6 +43,7 @@
 {
     this->options.ownVm = "vm";
     this->options.leaseMax = leaseMax;
+    this->options.upstreamSpeeds = upstreamSpeeds;
     this->takeOver();
     this->putRules(rules(1));
 }
--- a/tests/cell/CellRig.h
+++ b/tests/cell/CellRig.h
@@ -30,8 +30,8 @@
 class CellRig
 {
 public:
-    /// `leaseMax` is the longest lease that the upstreams' platform allows.
-    explicit CellRig(std::chrono::milliseconds leaseMax = std::chrono::milliseconds(400));
+    /// `leaseMax` is the longest lease that the upstreams' platform allows; `upstreamSpeeds` is the setting of that name.
+    explicit CellRig(std::chrono::milliseconds leaseMax = std::chrono::milliseconds(400), bool upstreamSpeeds = false);
     ~CellRig();
 
     void addUpstream(const std::string &id, std::uint32_t cpuMillis);
--- a/tests/cell/SpeedMonitorTest.cpp
+++ b/tests/cell/SpeedMonitorTest.cpp
@@ -1,7 +1,9 @@
 #include "cell/SpeedMonitor.h"
 
+#include "cell/CellRig.h"
 #include "cell/CellSamples.h"
 #include "cell/Codec.h"
+#include "observe/Metrics.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -135,4 +137,27 @@
     BOOST_TEST(monitored.monitor->speeds()->speedOf(1) == monitored.monitor->speeds()->speedOf(2), boost::test_tools::tolerance(0.01));
 }
 
+/// Guards against reports of upstreams that do not reach the estimates, and against estimates without the setting.
+BOOST_AUTO_TEST_CASE(aLeaderLearnsSpeedsFromTheEndsThatUpstreamsReport)
+{
+    const auto slowUpstreams = [] { return observe::prometheusText().find("cranberryreel_cell_upstreams_by_speed{class=\"slow\"} 4") != std::string::npos; };
+    for (const bool allowed : {false, true}) {
+        support::CellRig rig(milliseconds(400), allowed);
+        for (int i = 1; i <= 8; ++i) {
+            rig.addUpstream("u" + std::to_string(i), 8000);
+        }
+        auto step = support::step(8, 1000);
+        step->per_upstream = 1;
+        rig.submit(support::job("j", std::move(step)));
+        rig.submit(support::job("k", support::step(1, 1000)));
+        BOOST_REQUIRE(rig.runUntil([&rig] { return rig.upstreams.runningTasks().size() == 9; }));
+        for (int i = 0; i < 8; ++i) {
+            rig.run(milliseconds(i == 0 ? 200 : i == 4 ? 500 : 0));
+            const std::string task = "j.0.0." + std::to_string(i);
+            rig.upstreams.finish(rig.upstreams.upstreamOf(task), task, cell::RunEndKind::Done);
+        }
+        BOOST_TEST(rig.runUntil(slowUpstreams, std::chrono::seconds(2)) == allowed);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
