--- a/tests/cell/teams/TeamQuotaTest.cpp
+++ b/tests/cell/teams/TeamQuotaTest.cpp
@@ -11,6 +11,7 @@
 using cell::planning::WaitReason;
 using cell::wire::EndKind;
 using support::TeamCell;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -164,6 +165,44 @@
     BOOST_TEST(busy.plan().starts.size() == 3U);
 }
 
+// Guards against a gang that waits for its upstreams and for its quota by turns: its later steps use up the quota while runs are stopped for it.
+BOOST_AUTO_TEST_CASE(theQuotaOfAGangWithReservedUpstreamsIsSetAside)
+{
+    TeamCell cell({{"a", {1, 5000}}, {"b", {1, 0}}});
+    cell.addUpstreams(2, 2000);
+    auto saving = support::step(4, 1000);
+    saving->saves_progress = true;
+    saving->estimate_ms = 100000;
+    cell.submit("b", std::move(saving), cell.now);
+    cell.commit(cell.plan());
+    auto elsewhere = support::upstream("elsewhere", 8000);
+    elsewhere->labels = {"b", "rack-2"};
+    cell.addUpstream(std::move(elsewhere));
+    auto labelled = gang(4, 1000);
+    labelled->label = "a";
+    cell.submit("a", std::move(labelled), cell.now, "quick");
+    const std::uint64_t later = cell.submit("a", 3, 1000, "quick");
+    const Plan plan = cell.plan();
+    BOOST_TEST(plan.preemptions.size() == 3U);
+    BOOST_TEST(TeamCell::startsByJob(plan)[later] == 1U);
+}
+
+// Guards against overdue work with large tasks that small tasks of its team keep waiting for the quota.
+BOOST_AUTO_TEST_CASE(anOverdueStepThatWaitsForTheQuotaHoldsBackLaterSteps)
+{
+    for (const bool overdue : {false, true}) {
+        TeamCell cell({{"a", {1, 3000}}, {"b", {1, 0}}});
+        cell.addUpstreams(4, 8000);
+        cell.submit("a", 2, 1000);
+        cell.commit(cell.plan());
+        auto large = support::step(1, 2500);
+        large->estimate_ms = 1000;
+        cell.submit("a", std::move(large), overdue ? cell.now - 30s : cell.now - 10s);
+        const std::uint64_t small = cell.submit("a", 1, 1000);
+        BOOST_TEST(TeamCell::startsByJob(cell.plan())[small] == (overdue ? 0U : 1U));
+    }
+}
+
 // Guards against stops for a gang that its quota would keep waiting anyway; without the quota the gang preempts.
 BOOST_AUTO_TEST_CASE(nothingIsPreemptedOrReservedForStartsThatTheQuotaForbids)
 {
