Rate of teams: the window's length comes from the deployment's terms

The deployment states its own window for quotas (QuotaWindowS, 5 s); the template passes it as [cell] team_rate_window_s, default 1.

--- a/src/cell/CellSettings.cpp
+++ b/src/cell/CellSettings.cpp
@@ -115,6 +115,15 @@
     return value == "true" || value == "false";
 }
 
+bool parseTeamRateWindow(CellSettings &target, const std::string &value)
+{
+    constexpr std::int64_t MaxSeconds = 3600;
+    std::int64_t seconds = 0;
+    const bool valid = absl::SimpleAtoi(value, &seconds) && seconds >= 1 && seconds <= MaxSeconds;
+    target.cell.teamRateWindow = valid ? std::chrono::seconds(seconds) : target.cell.teamRateWindow;
+    return valid;
+}
+
 bool parseLogLevel(CellSettings &target, const std::string &value)
 {
     target.logLevel = value;
@@ -155,6 +164,7 @@
         {"cell", "first_start", false, "true or false", &parseFirstStart},
         {"cell", "upstream_speeds", false, "true or false", &parseUpstreamSpeeds},
         {"cell", "data_folder", false, "a path", textValue(&CellSettings::dataFolder)},
+        {"cell", "team_rate_window_s", false, "whole seconds from 1 to 3600", &parseTeamRateWindow},
         {"advice", "service", false, "IP:port", addressValue(&CellSettings::adviceService)},
         {"times", "lease_max_ms", true, "milliseconds from 500", millisecondsValue(&CellOptions::leaseMax, 500, MaxTimeMs)},
         {"times", "stop_limit_ms", true, "milliseconds", millisecondsValue(&CellOptions::stopLimit, 1, MaxTimeMs)},
--- a/src/cell/PeerCallHandler.cpp
+++ b/src/cell/PeerCallHandler.cpp
@@ -139,6 +139,7 @@
 PeerCallHandler::PeerCallHandler(TermContext &termContext, UpstreamManager &upstreamManager, const JobLifecycleLog &jobLog)
     : context(termContext)
     , upstreams(upstreamManager)
+    , rateWindow(termContext.options.teamRateWindow)
     , admission(termContext, jobLog.acceptanceTimes())
 {
 }
--- a/src/cell/teams/RateWindow.cpp
+++ b/src/cell/teams/RateWindow.cpp
@@ -3,6 +3,11 @@
 namespace cranberryreel::cell::teams
 {
 
+RateWindow::RateWindow(std::chrono::seconds windowLength)
+    : length(windowLength)
+{
+}
+
 bool RateWindow::isWithinRate(const std::string &team, double weight, const std::string &job, base::SteadyTime now)
 {
     if (weight <= 0) {
@@ -15,7 +20,7 @@
     }
     const auto found = this->used.find(team);
     const std::size_t count = found == this->used.end() ? 0 : found->second;
-    result->second = static_cast<double>(count) < weight;
+    result->second = static_cast<double>(count) < weight * static_cast<double>(this->length.count());
     if (result->second) {
         this->used[team] = count + 1;
     }
@@ -25,7 +30,7 @@
 
 void RateWindow::expire(base::SteadyTime now)
 {
-    while (!this->submissions.empty() && now - this->submissions.front().at >= Length) {
+    while (!this->submissions.empty() && now - this->submissions.front().at >= this->length) {
         const TeamAndJob &key = this->submissions.front().key;
         const auto result = this->results.find(key);
         // A team without jobs within its rate has no count, while its other jobs may still be listed.
