Admission: a start before the arrivals outgrow the capacity is found

It now tries the releases and then doubles the time. Found by a review; the new case gave an hour before.

--- a/src/cell/teams/FreedCapacity.cpp
+++ b/src/cell/teams/FreedCapacity.cpp
@@ -1,6 +1,7 @@
 #include "cell/teams/FreedCapacity.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 namespace cranberryreel::cell::teams
@@ -26,10 +27,27 @@
     return started >= backlog.work + backlog.arrivals * static_cast<double>(std::max(by - backlog.arrivalsFrom, std::chrono::milliseconds(0)).count());
 }
 
+/// Where more work arrives than the capacity can take, a start is possible only until the arrivals have outgrown what was freed, so that a bisection over the
+/// whole horizon would miss it. What is freed grows in steps at the releases and evenly after them.
 std::chrono::milliseconds FreedCapacity::earliestStart(std::size_t dimension, const Backlog &backlog) const
 {
     std::int64_t early = 0;
-    std::int64_t late = Horizon.count();
+    std::int64_t late = 0;
+    const auto tryNext = [&](std::int64_t next) {
+        early = late;
+        late = next;
+        return this->canHaveStarted(dimension, backlog, std::chrono::milliseconds(late));
+    };
+    bool found = tryNext(0);
+    for (const Release &release : this->releases[dimension]) {
+        if (found) {
+            break;
+        }
+        found = tryNext(static_cast<std::int64_t>(std::ceil(release.time)));
+    }
+    while (!found && late < Horizon.count()) {
+        found = tryNext(std::min(std::max<std::int64_t>(2 * late, 1), Horizon.count()));
+    }
     while (early < late) {
         const std::int64_t middle = early + (late - early) / 2;
         if (this->canHaveStarted(dimension, backlog, std::chrono::milliseconds(middle))) {
--- a/tests/cell/teams/LoadMeasuresTest.cpp
+++ b/tests/cell/teams/LoadMeasuresTest.cpp
@@ -44,6 +44,17 @@
     BOOST_TEST((capacity.earliestStart(0, {2000e3, milliseconds(1000), 3000, milliseconds(0)}) == FreedCapacity::Horizon));
 }
 
+/// Load: a burst in which more work arrives than the service can take. Failure: a job that could start at once was predicted to start after an hour.
+BOOST_AUTO_TEST_CASE(aStartBeforeTheArrivalsOutgrowTheCapacityIsFound)
+{
+    FreedCapacity::Builder builder;
+    builder.setCapacity(Amounts(cell::planning::Capacity{1000, 0, 0}));
+    builder.addRun(Amounts(*support::step(1, 900)), milliseconds(4000));
+    const FreedCapacity capacity = builder.build();
+    BOOST_TEST((capacity.earliestStart(0, {10e3, milliseconds(1000), 1001, milliseconds(0)}) == milliseconds(0)));
+    BOOST_TEST((capacity.earliestStart(0, {200e3, milliseconds(1000), 300, milliseconds(3900)}) == milliseconds(1500)));
+}
+
 /// Load: estimates that are twice too long. Failure: capacity was taken to come free at half its real rate, and work was rejected.
 BOOST_AUTO_TEST_CASE(theRateFollowsTheDurationsOfDoneTasks)
 {
