--- a/src/cell/teams/JobDemand.cpp
+++ b/src/cell/teams/JobDemand.cpp
@@ -16,8 +16,9 @@
 
 std::optional<Submission> Submission::of(const wire::JobSpecT &spec, const wire::QueueT &queue)
 {
-    const auto isLasting = [](const std::unique_ptr<wire::StepT> &step) { return step->lasting; };
-    if (spec.times > 0 || spec.steps.empty() || std::any_of(spec.steps.begin(), spec.steps.end(), isLasting)) {
+    // The estimates of such steps do not say how long they use capacity.
+    const auto hasNoDuration = [](const std::unique_ptr<wire::StepT> &step) { return step->lasting || step->filler; };
+    if (spec.times > 0 || spec.steps.empty() || std::any_of(spec.steps.begin(), spec.steps.end(), hasNoDuration)) {
         return std::nullopt;
     }
     Submission made;
--- a/tests/cell/teams/LoadMeasuresTest.cpp
+++ b/tests/cell/teams/LoadMeasuresTest.cpp
@@ -55,6 +55,15 @@
     BOOST_TEST((capacity.earliestStart(0, {200e3, milliseconds(1000), 300, milliseconds(3900)}) == milliseconds(1500)));
 }
 
+/// Failure: a job of a filler step was rejected by an estimate that does not say how long the step uses capacity.
+BOOST_AUTO_TEST_CASE(fillerStepsHaveNoPredictedEnd)
+{
+    auto spec = support::job("j", support::step(4, 1000));
+    BOOST_TEST(cell::teams::Submission::of(*spec, *support::queue("quick", 0, 3)).has_value());
+    spec->steps[0]->filler = true;
+    BOOST_TEST(!cell::teams::Submission::of(*spec, *support::queue("quick", 0, 3)).has_value());
+}
+
 /// Load: estimates that are twice too long. Failure: capacity was taken to come free at half its real rate, and work was rejected.
 BOOST_AUTO_TEST_CASE(theRateFollowsTheDurationsOfDoneTasks)
 {
