Quotas: a gang that no upstream can take holds nothing back

A gang within its team's limit, but with a label that no upstream has or larger than the service, made its team drain for it in turns without end, since only the quota was asked. Steps are held back only for work that the usable upstreams could hold if they were empty. Found by a review; the new case of TeamQuotaTest planned no start before.

--- a/src/cell/planning/Planner.cpp
+++ b/src/cell/planning/Planner.cpp
@@ -92,7 +92,9 @@
     }
     const std::uint32_t startable = this->ledger.fitting(ready, static_cast<std::uint32_t>(unplaced.size()));
     if (startable == 0) {
-        this->ledger.recordWaitForQuota(ready);
+        if (this->fitsWhenEmpty(ready, pool)) {
+            this->ledger.recordWaitForQuota(ready);
+        }
         this->plan.waiting.push_back({ready.key, WaitReason::Quota, unplaced.size()});
         return;
     }
@@ -286,6 +288,21 @@
     return {};
 }
 
+/// Whether the usable upstreams could hold the step if they were empty. Work for which this fails must not hold back other work of its team.
+bool Planner::fitsWhenEmpty(const ReadyStep &ready, const ServicePool &pool) const
+{
+    const auto needed = ready.step->gang ? static_cast<std::uint32_t>(ready.waiting.size()) : 1U;
+    std::uint32_t fitting = 0;
+    for (const UpstreamCapacity *capacity : pool.capacities) {
+        const std::uint32_t most = this->rules.mayRunOn(ready, *capacity) ? std::min(needed, this->rules.remainingTaskLimit(ready, *capacity)) : 0;
+        fitting += Capacity::totalOf(*capacity->upstream).countFitting(*ready.step, most);
+        if (fitting >= needed) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// The upstreams that could run the step if their capacity were free.
 std::vector<UpstreamCapacity *> Planner::reservableUpstreams(const ReadyStep &ready, const ServicePool &pool) const
 {
--- a/src/cell/planning/Planner.h
+++ b/src/cell/planning/Planner.h
@@ -85,6 +85,7 @@
     UpstreamCapacity *bestUpstream(const ReadyStep &ready, std::uint32_t task, const std::vector<Candidate> &candidates) const;
     std::vector<std::uint32_t> placeTasks(const ReadyStep &ready, ServicePool &pool);
     std::vector<std::uint32_t> placeGang(const ReadyStep &ready, ServicePool &pool);
+    bool fitsWhenEmpty(const ReadyStep &ready, const ServicePool &pool) const;
     std::vector<UpstreamCapacity *> reservableUpstreams(const ReadyStep &ready, const ServicePool &pool) const;
     WaitReason waitReason(const ReadyStep &ready, const ServicePool &pool, const std::optional<AdviceQuery> &query) const;
     std::optional<AdviceQuery> reserveForLargeWork(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool, WaitReason &reason);
--- a/tests/cell/teams/TeamQuotaTest.cpp
+++ b/tests/cell/teams/TeamQuotaTest.cpp
@@ -165,6 +165,20 @@
     BOOST_TEST(busy.plan().starts.size() == 3U);
 }
 
+// Guards against a team that drains again and again for a gang that no upstream can take, because only its quota was asked.
+BOOST_AUTO_TEST_CASE(aGangThatNoUpstreamCanTakeHoldsNothingBack)
+{
+    TeamCell cell({{"a", {1, 6000}}});
+    cell.addUpstreams(4, 8000);
+    cell.submit("a", 3, 1000);
+    cell.commit(cell.plan());
+    auto infeasible = gang(4, 1000);
+    infeasible->label = "no-such-label";
+    cell.submit("a", std::move(infeasible), cell.now);
+    cell.submit("a", 9, 1000);
+    BOOST_TEST(cell.plan().starts.size() == 3U);
+}
+
 // Guards against a gang that waits for its upstreams and for its quota by turns: its later steps use up the quota while runs are stopped for it.
 BOOST_AUTO_TEST_CASE(theQuotaOfAGangWithReservedUpstreamsIsSetAside)
 {
