Placement by speed: no reservation of fast upstreams that placement refuses

A gang that is not urgent reserved the free fast upstreams that must stay free for urgent work, and waited there while nothing was stopped for it on slow ones. Found by a review, from the code; no test shows it. cell_tests pass.

--- a/src/cell/planning/Planner.cpp
+++ b/src/cell/planning/Planner.cpp
@@ -303,14 +303,17 @@
     return false;
 }
 
-/// The upstreams that could run the step if their capacity were free.
+/// The upstreams that could run the step if their capacity were free. Fast ones that must stay free for urgent work are left out: placement refuses them.
 std::vector<UpstreamCapacity *> Planner::reservableUpstreams(const ReadyStep &ready, const ServicePool &pool) const
 {
     const bool advised = ready.queue->advice != nullptr;
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
+    const auto needed = ready.step->gang ? static_cast<std::uint32_t>(ready.waiting.size()) : 1U;
     std::vector<UpstreamCapacity *> reservable;
     for (UpstreamCapacity *capacity : pool.capacities) {
-        const bool allowed = !advised || advice.allowed.count(capacity->upstream->number) > 0;
+        const FastCapacity *kept = keptForUrgent(ready, pool, *capacity);
+        const bool allowed =
+            (!advised || advice.allowed.count(capacity->upstream->number) > 0) && (kept == nullptr || kept->countFitting(ready, needed) == needed);
         const bool largeEnough = Capacity::totalOf(*capacity->upstream).countFitting(*ready.step, 1) > 0;
         if (allowed && largeEnough && this->rules.mayRunOn(ready, *capacity) && this->rules.remainingTaskLimit(ready, *capacity) > 0) {
             reservable.push_back(capacity);
