Placement by speed: work beyond its team's rate leaves fast capacity to urgent work

Such work uses no headroom even in an urgent queue, but it took the fast capacity kept for urgent work, and its use raised what was kept. Found by a review, from the code; no test shows it. cell_tests pass.

--- a/src/cell/planning/AdviceQueryPlanner.cpp
+++ b/src/cell/planning/AdviceQueryPlanner.cpp
@@ -147,7 +147,7 @@
 AdviceQueryPlanner::groupUpstreams(const ReadyStep &ready, std::uint32_t tasks, const ServicePool &pool, const AvailableCapacity &availableOn) const
 {
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
-    const bool keepsFast = pool.fast && !isUrgent(ready) && pool.fast->countFitting(ready, 1) == 0;
+    const bool keepsFast = pool.fast && !mayUseHeadroom(ready) && pool.fast->countFitting(ready, 1) == 0;
     UpstreamGroups groups;
     for (UpstreamCapacity *capacity : pool.capacities) {
         const std::uint32_t taskLimit = this->rules.mayRunOn(ready, *capacity) ? this->rules.remainingTaskLimit(ready, *capacity) : 0;
--- a/src/cell/planning/SpeedPlacement.cpp
+++ b/src/cell/planning/SpeedPlacement.cpp
@@ -28,7 +28,7 @@
 
 const FastCapacity *keptForUrgent(const ReadyStep &ready, const ServicePool &pool, const UpstreamCapacity &capacity)
 {
-    return pool.fast && !isUrgent(ready) && pool.fast->contains(capacity) ? &*pool.fast : nullptr;
+    return pool.fast && !mayUseHeadroom(ready) && pool.fast->contains(capacity) ? &*pool.fast : nullptr;
 }
 
 SpeedPlacement::SpeedPlacement(const PlanInput &planInput, CapacityTable &capacities, std::map<std::string, ServicePool> &pools)
@@ -65,7 +65,7 @@
     for (const std::uint64_t number : this->input.state.openJobs()) {
         const wire::JobT &job = *this->input.state.job(number);
         const wire::QueueT *queue = this->input.state.queueOf(*job.spec);
-        if (queue == nullptr || queue->priority != 0) {
+        if (queue == nullptr || queue->priority != 0 || job.spec->beyond_rate) {
             continue;
         }
         const auto pool = pools.find(queue->service);
