Speed estimates: runs of a wide step keep their samples while they report

Once 64 runs of a step had been sampled, each new run took the place of the one reported before it, so that no pace was measured and a slow upstream showed only when its tasks ended.

--- a/src/cell/health/StepSamples.cpp
+++ b/src/cell/health/StepSamples.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cranberryreel::cell::health
 {
@@ -47,23 +48,31 @@
     return ProgressWeight * std::max(sampleWeight(now - this->paceSince), steady);
 }
 
-RunSample &StepSamples::sampleOf(const RunKey &run, std::uint64_t upstream)
+RunSample *StepSamples::sampleOf(const RunKey &run, std::uint64_t upstream, base::SteadyTime now)
 {
     const auto isOfRun = [&run](const RunSample &each) { return each.task == run.task.task && each.attempt == run.attempt; };
     if (const auto found = std::find_if(this->samples.begin(), this->samples.end(), isOfRun); found != this->samples.end()) {
-        return *found;
+        return &*found;
     }
     RunSample sample;
     sample.task = run.task.task;
     sample.attempt = run.attempt;
     sample.upstream = upstream;
+    sample.at = now;
     if (this->samples.size() < MaxSamples) {
-        return this->samples.emplace_back(sample);
+        return &this->samples.emplace_back(sample);
     }
-    const auto isOlder = [](const RunSample &left, const RunSample &right) { return left.at < right.at; };
-    RunSample &replaced = *std::min_element(this->samples.begin(), this->samples.end(), isOlder);
-    replaced = sample;
-    return replaced;
+    // A run that still reports keeps its sample: a pace needs two reports of one run.
+    const auto isReplaceable = [now](const RunSample &each) { return each.done || now - each.at >= MaxSampleAge; };
+    const auto replacedFirst = [&](const RunSample &left, const RunSample &right) {
+        return std::make_pair(!isReplaceable(left), left.at) < std::make_pair(!isReplaceable(right), right.at);
+    };
+    const auto replaced = std::min_element(this->samples.begin(), this->samples.end(), replacedFirst);
+    if (!isReplaceable(*replaced)) {
+        return nullptr;
+    }
+    *replaced = sample;
+    return &*replaced;
 }
 
 void StepSamples::forget(std::uint64_t upstream)
--- a/src/cell/health/StepSamples.h
+++ b/src/cell/health/StepSamples.h
@@ -26,7 +26,7 @@
     bool changedPace = false; ///< The pace has changed by far since it was first measured.
     double logDuration = 0; ///< Logarithm of milliseconds.
     base::SteadyTime paceSince{}; ///< When a duration like the present one was first measured.
-    base::SteadyTime at{}; ///< When the duration was measured last.
+    base::SteadyTime at{}; ///< When the duration was measured last; before that, when the run was first reported.
     double logSpeed = 0; ///< Of the upstream, as estimated when the sample was last current.
 
     /// Takes over a measured duration.
@@ -42,8 +42,9 @@
 class StepSamples
 {
 public:
-    /// The sample of the run; a new one, in place of the oldest of many, if there is none.
-    RunSample &sampleOf(const RunKey &run, std::uint64_t upstream);
+    /// The sample of the run. If there is none, a new one: in place of the oldest of a run that is done or reports no more, where there are many. Null if all
+    /// belong to runs that still report.
+    RunSample *sampleOf(const RunKey &run, std::uint64_t upstream, base::SteadyTime now);
 
     void forget(std::uint64_t upstream);
 
--- a/src/cell/health/UpstreamSpeeds.cpp
+++ b/src/cell/health/UpstreamSpeeds.cpp
@@ -36,18 +36,19 @@
 
 void UpstreamSpeeds::recordCompletion(const RunKey &run, std::uint64_t upstream, milliseconds duration, base::SteadyTime now)
 {
-    RunSample &sample = this->steps[run.task.step].sampleOf(run, upstream);
-    sample.measure(sample.pace.recordCompletion(duration), now);
-    sample.done = true;
-    this->upstreams.try_emplace(upstream);
+    if (RunSample *sample = this->steps[run.task.step].sampleOf(run, upstream, now)) {
+        sample->measure(sample->pace.recordCompletion(duration), now);
+        sample->done = true;
+        this->upstreams.try_emplace(upstream);
+    }
     this->fitIfDue(now);
 }
 
 void UpstreamSpeeds::recordProgress(const RunKey &run, std::uint64_t upstream, int percent, milliseconds elapsed, base::SteadyTime now)
 {
-    RunSample &sample = this->steps[run.task.step].sampleOf(run, upstream);
-    if (const std::optional<double> logDuration = sample.pace.recordProgress(percent, elapsed)) {
-        sample.measure(*logDuration, now);
+    RunSample *sample = this->steps[run.task.step].sampleOf(run, upstream, now);
+    if (const std::optional<double> logDuration = sample == nullptr ? std::nullopt : sample->pace.recordProgress(percent, elapsed)) {
+        sample->measure(*logDuration, now);
         this->upstreams.try_emplace(upstream);
     }
     this->fitIfDue(now);
