--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -398,7 +398,7 @@
         for (const auto &placement : command.placements) {
             this->jobLog.recordStarted(placement->task->job, now);
         }
-        if (!command.ends.empty() || !cancelledJobs(command).empty()) {
+        if (!command.ends.empty() || !command.cancels.empty() || !command.team_cancels.empty()) {
             this->jobLog.logEnded(state, now);
         }
     });
