Logs tell calls across a restart of an upstream, and how long its next incarnation may work

Change: upstream_restarted tells the runs recorded there, those with an unanswered start, the age of the last grant and the time that the next incarnation may work; it has the same keys from both places that see a restart. answer_of_next_incarnation is new: the clock in a start's answer lies before the least that the known incarnation could show. run_missing, unexpected_run and upstream_lost name the incarnation; run_missing tells whether a start had no answer. start_sent, at level debug, tells epoch and deadline of each start. No decision changes.

--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -137,17 +137,25 @@
     }
     const bool freshConnection = run.startRequests > 0;
     ++run.startRequests;
+    Logger.debug("event=start_sent task={} attempt={} number={} incarnation={} epoch={} deadline_ms={} tries={}",
+                 run.task,
+                 run.key.attempt,
+                 run.upstream,
+                 tracker->second.incarnation,
+                 request.epoch,
+                 request.deadline.count(),
+                 run.startRequests);
     run.callPending = true;
     this->context.calls.start(target,
                               request,
                               freshConnection ? CallLimit : FirstStartLimit,
                               freshConnection,
-                              [this, post = this->context.post, key = run.key, incarnation = tracker->second.incarnation](UpstreamCallResult result) {
-                                  post([this, key, incarnation, result = std::move(result)] { this->handleStartResult(key, incarnation, result); });
+                              [this, post = this->context.post, key = run.key, incarnation = tracker->second.incarnation, now](UpstreamCallResult result) {
+                                  post([this, key, incarnation, now, result = std::move(result)] { this->handleStartResult(key, incarnation, now, result); });
                               });
 }
 
-void RunManager::handleStartResult(const RunKey &key, std::uint64_t incarnation, const UpstreamCallResult &result)
+void RunManager::handleStartResult(const RunKey &key, std::uint64_t incarnation, base::SteadyTime sentAt, const UpstreamCallResult &result)
 {
     const base::SteadyTime now = base::steadyNow();
     TrackedRun *run = this->context.runs.find(key);
@@ -158,6 +166,15 @@
     const auto found = this->context.trackers.find(run->upstream);
     const bool sameIncarnation = found != this->context.trackers.end() && found->second.incarnation == incarnation;
     if (sameIncarnation && result.clock) {
+        if (const auto least = found->second.minimumClock(sentAt); least && *result.clock < *least) {
+            Logger.warn("event=answer_of_next_incarnation task={} attempt={} number={} answer={} clock_ms={} least_clock_ms={}",
+                        run->task,
+                        run->key.attempt,
+                        run->upstream,
+                        statusName(result.status),
+                        result.clock->count(),
+                        least->count());
+        }
         found->second.recordClock(*result.clock, now);
     }
     if (sameIncarnation && result.status == UpstreamCallStatus::OtherUpstream) {
--- a/src/cell/RunManager.h
+++ b/src/cell/RunManager.h
@@ -65,7 +65,7 @@
 private:
     bool isNeeded(const CellState &state, const RunKey &key) const;
     void sendStart(TrackedRun &run, base::SteadyTime now);
-    void handleStartResult(const RunKey &key, std::uint64_t incarnation, const UpstreamCallResult &result);
+    void handleStartResult(const RunKey &key, std::uint64_t incarnation, base::SteadyTime sentAt, const UpstreamCallResult &result);
     void handleStartFailure(TrackedRun &run, const UpstreamCallResult &result, base::SteadyTime now);
     void recordStartFailure(const TrackedRun &run, UpstreamCallStatus status, base::SteadyTime now);
     void sendStop(TrackedRun &run, base::SteadyTime now);
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -101,9 +101,7 @@
         return;
     }
     if (announced.born_ms > born) {
-        Logger.info("event=upstream_restarted upstream={} number={} born={} earlier={}", announced.id, known->number, announced.born_ms, born);
-        tracker.beginIncarnation(announced.born_ms, now);
-        this->context.speedMonitor.forget(known->number);
+        this->beginIncarnation(known->number, tracker, announced.born_ms, born, now);
     }
     tracker.announcementSequence = announcement.sequence;
     tracker.announcedAt = now;
@@ -197,12 +195,14 @@
         UpstreamTracker &tracker = this->trackerOf(number, now);
         if (tracker.silentCalls > 0 && tracker.leasesExpired(now)) {
             if (!std::exchange(tracker.isLost, true)) {
-                Logger.warn("event=upstream_lost upstream={} number={} silent_calls={} runs={} draining={} since_answer_ms={} since_grant_ms={}",
+                Logger.warn("event=upstream_lost upstream={} number={} silent_calls={} runs={} draining={} incarnation={} since_answer_ms={} "
+                            "since_grant_ms={}",
                             target.id,
                             number,
                             tracker.silentCalls,
                             this->context.runs.countOnUpstream(number),
                             this->isDraining(number, tracker),
+                            tracker.incarnation,
                             millisecondsBetween(tracker.answeredAt, now),
                             millisecondsBetween(tracker.grantedAt, now));
                 tracker.readBack = false;
@@ -267,7 +267,7 @@
     });
     // The record of an incarnation that announced itself just now may not be committed yet. A later incarnation may have been born earlier by its clock.
     if (result.bornMs != 0 && result.bornMs != tracker.bornOr(born)) {
-        this->handleRestart(number, tracker, result.bornMs);
+        this->handleRestart(number, tracker, result.bornMs, tracker.bornOr(born));
         return;
     }
     tracker.earlierBorn.reset();
@@ -289,12 +289,34 @@
     this->context.wake();
 }
 
-void UpstreamManager::handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs)
+void UpstreamManager::beginIncarnation(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs, base::SteadyTime now)
 {
-    Logger.info("event=upstream_restarted number={} born={}", number, bornMs);
-    const std::optional<wire::UpstreamT> announced = std::exchange(tracker.earlierBorn, std::nullopt);
-    tracker.beginIncarnation(bornMs, base::steadyNow());
+    const std::vector<RunKey> keys = this->context.runs.runsOnUpstream(number);
+    const auto unanswered = std::count_if(keys.begin(), keys.end(), [this](const RunKey &key) {
+        const TrackedRun &run = *this->context.runs.find(key);
+        return run.startUnanswered || (run.callPending && run.phase == RunPhase::StartRequested);
+    });
+    const std::int64_t sinceGrant = millisecondsBetween(tracker.grantedAt, now);
+    tracker.beginIncarnation(bornMs, now);
     this->context.speedMonitor.forget(number);
+    const std::optional<wire::UpstreamT> record = this->context.upstreamRecord(number);
+    Logger.info("event=upstream_restarted upstream={} number={} born={} earlier={} incarnation={} runs={} unanswered_starts={} "
+                "since_grant_ms={} leases_ms={}",
+                record ? record->id : std::string(),
+                number,
+                bornMs,
+                earlierBornMs,
+                tracker.incarnation,
+                keys.size(),
+                unanswered,
+                sinceGrant,
+                tracker.inheritedLeaseTime(now).count());
+}
+
+void UpstreamManager::handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs)
+{
+    const std::optional<wire::UpstreamT> announced = std::exchange(tracker.earlierBorn, std::nullopt);
+    this->beginIncarnation(number, tracker, bornMs, earlierBornMs, base::steadyNow());
     if (announced && announced->born_ms == bornMs) {
         this->proposeUpstream(*announced, [](base::ResultCode) {});
     } else if (const std::optional<wire::UpstreamT> known = this->context.upstreamRecord(number)) {
@@ -367,7 +389,11 @@
         }
         TrackedRun *run = this->context.runs.find(*key);
         if (run == nullptr || run->upstream != number) {
-            Logger.warn("event=unexpected_run task={} attempt={} number={}", report.run.task, report.run.attempt, number);
+            Logger.warn("event=unexpected_run task={} attempt={} number={} incarnation={}",
+                        report.run.task,
+                        report.run.attempt,
+                        number,
+                        this->context.trackers.at(number).incarnation);
             TrackedRun unexpected;
             unexpected.key = *key;
             unexpected.task = report.run.task;
@@ -509,7 +535,14 @@
         const bool stopped = deadlinePassed || stopConfirmed;
         const bool confirmed = run.phase == RunPhase::Confirmed && run.startedAt < sentAt;
         if (stopped || confirmed || run.phase == RunPhase::Adopted) {
-            Logger.info("event=run_missing task={} attempt={} number={} phase={}", run.task, run.key.attempt, number, static_cast<int>(run.phase));
+            Logger.info("event=run_missing task={} attempt={} number={} incarnation={} phase={} starts_sent={} unanswered={}",
+                        run.task,
+                        run.key.attempt,
+                        number,
+                        this->context.trackers.at(number).incarnation,
+                        static_cast<int>(run.phase),
+                        run.startRequests,
+                        run.startUnanswered);
             this->runs.proposeEnd(run, stopped ? wire::EndKind::Stopped : wire::EndKind::UpstreamGone, run.checkpoint);
         }
     }
--- a/src/cell/UpstreamManager.h
+++ b/src/cell/UpstreamManager.h
@@ -52,7 +52,8 @@
     /// Ends runs that the lists lack although they must contain them: the lists answer a renewal sent at `sentAt`.
     void endMissingRuns(std::uint64_t number, base::SteadyTime sentAt, const std::set<RunKey> &listed);
     std::optional<RunKey> runKeyOf(const RunName &run) const;
-    void handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs);
+    void beginIncarnation(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs, base::SteadyTime now);
+    void handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs);
     void endAllRuns(std::uint64_t number);
     void proposeUpstream(const wire::UpstreamT &upstream, const CompletionCallback &done);
 
--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -149,6 +149,11 @@
     this->answeredAt = now;
 }
 
+std::chrono::milliseconds UpstreamTracker::inheritedLeaseTime(base::SteadyTime now) const
+{
+    return std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(this->inheritedLeasesUntil - now));
+}
+
 bool UpstreamTracker::leasesExpired(base::SteadyTime now) const
 {
     if (now < this->inheritedLeasesUntil) {
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -57,6 +57,9 @@
         return this->bornMs == 0 ? recorded : this->bornMs;
     }
 
+    /// How long leases granted in earlier terms or to earlier incarnations may last from `now` on; 0 when they have expired.
+    std::chrono::milliseconds inheritedLeaseTime(base::SteadyTime now) const;
+
     /// Whether all leases that any request may have granted have certainly expired.
     bool leasesExpired(base::SteadyTime now) const;
 
