Known red: requests to an earlier incarnation of an upstream are carried out by the next one

What callers see: an upstream starts again under its id, the leader reads that it runs nothing and starts the task elsewhere; then a start request that was sent to the earlier incarnation arrives, and the task runs twice. A late renewal lets the next incarnation work for longer than the leader granted.

The scripted upstreams keep unanswered renewals as they keep unanswered starts, and can restart before the delayed requests arrive; restart() itself drops them as before.

--- /dev/null
+++ b/tests/cell/RestartedUpstreamsTest.cpp
@@ -0,0 +1,164 @@
+#include "cell/CellRig.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cranberryreel;
+using std::chrono::milliseconds;
+using support::CellRig;
+
+namespace
+{
+
+const std::string Task = "j.0.0.0";
+
+/// Adds "u1", which has been up for a minute, so that the deadlines of its requests lie far ahead on the clock of its next incarnation.
+void addOldUpstream(CellRig &rig)
+{
+    rig.upstreams.upstreams["u1"].startedAt -= std::chrono::minutes(1);
+    rig.addUpstream("u1", 8000);
+}
+
+/// Runs the task on "u1", while the first of its start requests is still on its way; "u2" is free.
+void runWithDelayedStart(CellRig &rig)
+{
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    upstream.dropsStarts = true;
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return !upstream.delayedStarts.empty(); }));
+    upstream.dropsStarts = false;
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf(Task) == "u1"; }));
+    rig.addUpstream("u2", 8000);
+    rig.run(milliseconds(50));
+}
+
+/// The upstream restarts before its delayed requests arrive, and announces itself at once, too small for the task.
+void restartTooSmall(CellRig &rig)
+{
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    const auto smaller = support::upstream("u1", 500);
+    smaller->born_ms = rig.upstreams.upstreams["u1"].bornMs;
+    rig.announce(*smaller, 1);
+}
+
+/// Checks that the delayed start has no effect on "u1" once the task runs on "u2".
+void checkThatTheDelayedStartHasNoEffect(CellRig &rig)
+{
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf(Task) == "u2"; }));
+    const milliseconds deadline = upstream.deadline;
+    BOOST_REQUIRE(!upstream.delayedStarts.empty());
+    rig.upstreams.deliverDelayedStarts("u1");
+    BOOST_TEST(rig.upstreams.ranTwice.empty());
+    BOOST_TEST((upstream.deadline == deadline));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RestartedUpstreamsTest)
+
+/// Failure: a start was repeated and carried out; the upstream restarted, the leader read that it ran nothing and started the task elsewhere. The first start
+/// request then reached the next incarnation, and the task ran twice.
+BOOST_AUTO_TEST_CASE(aDelayedStartIsNotCarriedOutByTheNextIncarnation)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    runWithDelayedStart(rig);
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    checkThatTheDelayedStartHasNoEffect(rig);
+}
+
+/// The same failure after two restarts, of which the leader saw the second one only.
+BOOST_AUTO_TEST_CASE(aDelayedStartIsNotCarriedOutAfterTwoRestartsAtOnce)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    runWithDelayedStart(rig);
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    checkThatTheDelayedStartHasNoEffect(rig);
+}
+
+/// The same failure with a start that was meant for the second of three incarnations.
+BOOST_AUTO_TEST_CASE(aDelayedStartOfALaterIncarnationIsNotCarriedOutByTheOneAfterIt)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    rig.upstreams.restart("u1");
+    rig.announce("u1", 1);
+    rig.run(milliseconds(50));
+    rig.upstreams.upstreams["u1"].startedAt -= std::chrono::minutes(1);
+    runWithDelayedStart(rig);
+    restartTooSmall(rig);
+    checkThatTheDelayedStartHasNoEffect(rig);
+}
+
+/// The same failure with a start of a leader that took over.
+BOOST_AUTO_TEST_CASE(aDelayedStartOfANewLeaderIsNotCarriedOutByTheNextIncarnation)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    rig.takeOver();
+    rig.run(milliseconds(50));
+    runWithDelayedStart(rig);
+    restartTooSmall(rig);
+    checkThatTheDelayedStartHasNoEffect(rig);
+}
+
+/// The same failure where the upstream had ended and was removed before its next incarnation announced itself.
+BOOST_AUTO_TEST_CASE(aDelayedStartIsNotCarriedOutByAnUpstreamThatWasRemovedAndAddedAgain)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    runWithDelayedStart(rig);
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    upstream.reachable = false;
+    upstream.unreachableStatus = cell::UpstreamCallStatus::Absent;
+    upstream.running.clear();
+    rig.leave("u1");
+    const auto isRemoved = [&rig] { return rig.store.read([](const cell::CellState &state) { return state.upstreamNamed("u1") == nullptr; }); };
+    BOOST_REQUIRE(rig.runUntil(isRemoved));
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    rig.announce("u1", 1);
+    rig.run(milliseconds(50));
+    checkThatTheDelayedStartHasNoEffect(rig);
+}
+
+/// Failure: as the first one, for a run whose start requests had no answer and which the earlier incarnation had confirmed as stopped.
+BOOST_AUTO_TEST_CASE(aDelayedStartOfAStoppedRunIsNotCarriedOutByTheNextIncarnation)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    upstream.dropsStarts = true;
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return !upstream.delayedStarts.empty(); }));
+    rig.addUpstream("u2", 8000);
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf(Task) == "u2"; }));
+    BOOST_TEST(upstream.highestEnded.count(Task) == 1U);
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    rig.announce("u1", 1);
+    rig.run(milliseconds(50));
+    checkThatTheDelayedStartHasNoEffect(rig);
+}
+
+/// Failure: a renewal meant for the earlier incarnation reached the next one after the leader had read it, and let it work far longer than the leader knew.
+BOOST_AUTO_TEST_CASE(aDelayedRenewalDoesNotExtendTheLeasesOfTheNextIncarnation)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf(Task) == "u1"; }));
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    rig.run(milliseconds(50));
+    upstream.renewalsToDrop = 1;
+    BOOST_REQUIRE(rig.runUntil([&] { return !upstream.delayedRenewals.empty(); }));
+    BOOST_REQUIRE(upstream.delayedRenewals.front().deadline.has_value());
+    rig.addUpstream("u2", 8000);
+    restartTooSmall(rig);
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf(Task) == "u2"; }));
+    const milliseconds deadline = upstream.deadline;
+    rig.upstreams.deliverDelayedRenewals("u1");
+    BOOST_TEST((upstream.deadline == deadline));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -108,6 +108,29 @@
     done({UpstreamCallStatus::Done, clockOf(upstream), {}});
 }
 
+cell::RenewResult ScriptedUpstreams::executeRenewal(Upstream &upstream, const cell::RenewRequest &request)
+{
+    cell::RenewResult renewed;
+    this->expireLeases(upstream);
+    renewed.callResult.clock = clockOf(upstream);
+    renewed.bornMs = upstream.bornMs;
+    if (request.epoch < upstream.epoch) {
+        renewed.callResult.status = UpstreamCallStatus::Fenced;
+        return renewed;
+    }
+    upstream.epoch = request.epoch;
+    this->extendLease(upstream, request.deadline.value_or(std::chrono::milliseconds(0)));
+    while (!upstream.ended.empty() && upstream.ended.front().number <= request.acknowledged) {
+        upstream.ended.pop_front();
+    }
+    renewed.callResult.status = UpstreamCallStatus::Done;
+    for (const auto &[task, runningTask] : upstream.running) {
+        renewed.running.push_back({{task, runningTask.attempt}, runningTask.checkpoint, 50, 0});
+    }
+    renewed.ended.assign(upstream.ended.begin(), upstream.ended.end());
+    return renewed;
+}
+
 void ScriptedUpstreams::renew(const cell::UpstreamTarget &target,
                               const cell::RenewRequest &request,
                               std::chrono::milliseconds /*limit*/,
@@ -122,6 +145,7 @@
     }
     if (upstream.renewalsToDrop > 0) {
         --upstream.renewalsToDrop;
+        upstream.delayedRenewals.push_back(request);
         done(renewed);
         return;
     }
@@ -130,25 +154,7 @@
         done(renewed);
         return;
     }
-    this->expireLeases(upstream);
-    renewed.callResult.clock = clockOf(upstream);
-    renewed.bornMs = upstream.bornMs;
-    if (request.epoch < upstream.epoch) {
-        renewed.callResult.status = UpstreamCallStatus::Fenced;
-        done(renewed);
-        return;
-    }
-    upstream.epoch = request.epoch;
-    this->extendLease(upstream, request.deadline.value_or(std::chrono::milliseconds(0)));
-    while (!upstream.ended.empty() && upstream.ended.front().number <= request.acknowledged) {
-        upstream.ended.pop_front();
-    }
-    renewed.callResult.status = UpstreamCallStatus::Done;
-    for (const auto &[task, runningTask] : upstream.running) {
-        renewed.running.push_back({{task, runningTask.attempt}, runningTask.checkpoint, 50, 0});
-    }
-    renewed.ended.assign(upstream.ended.begin(), upstream.ended.end());
-    done(renewed);
+    done(this->executeRenewal(upstream, request));
 }
 
 void ScriptedUpstreams::pace(const cell::UpstreamTarget & /*target*/,
@@ -178,6 +184,14 @@
     }
 }
 
+void ScriptedUpstreams::deliverDelayedRenewals(const std::string &id)
+{
+    Upstream &upstream = this->upstreams[id];
+    for (const cell::RenewRequest &request : std::exchange(upstream.delayedRenewals, {})) {
+        this->executeRenewal(upstream, request);
+    }
+}
+
 void ScriptedUpstreams::answerStarts(cell::UpstreamCallStatus status)
 {
     for (const cell::UpstreamCallback &done : std::exchange(this->heldStarts, {})) {
@@ -199,6 +213,16 @@
     this->upstreams[id].bornMs = born + 1;
 }
 
+void ScriptedUpstreams::restartBeforeDelayedRequests(const std::string &id)
+{
+    Upstream &upstream = this->upstreams[id];
+    std::vector<cell::StartRequest> starts = std::move(upstream.delayedStarts);
+    std::vector<cell::RenewRequest> renewals = std::move(upstream.delayedRenewals);
+    this->restart(id);
+    upstream.delayedStarts = std::move(starts);
+    upstream.delayedRenewals = std::move(renewals);
+}
+
 std::vector<std::string> ScriptedUpstreams::runningTasks() const
 {
     std::vector<std::string> tasks;
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -34,7 +34,7 @@
         bool dropsStops = false;
         bool refusesAsFull = false;
         bool holdsRenewals = false; ///< Renewals wait until breakRenewals().
-        int renewalsToDrop = 0; ///< So many renewals from now on get no answer.
+        int renewalsToDrop = 0; ///< So many renewals from now on get no answer; they stay in `delayedRenewals`.
         std::vector<std::chrono::milliseconds> startLimits; ///< Time limits of all start requests.
         int startRequests = 0;
         std::int64_t bornMs = 1;
@@ -46,6 +46,7 @@
         std::map<std::string, std::uint32_t> highestEnded;
         std::deque<cell::EndReport> ended;
         std::vector<cell::StartRequest> delayedStarts; ///< Start requests that had no answer and may still be carried out.
+        std::vector<cell::RenewRequest> delayedRenewals; ///< Renewals that had no answer and may still be carried out.
     };
 
     void start(const cell::UpstreamTarget &target,
@@ -72,6 +73,9 @@
     /// Carries out the start requests that had no answer.
     void deliverDelayedStarts(const std::string &id);
 
+    /// Carries out the renewals that had no answer.
+    void deliverDelayedRenewals(const std::string &id);
+
     /// Answers the start requests that wait.
     void answerStarts(cell::UpstreamCallStatus status);
 
@@ -81,6 +85,9 @@
     /// Starts a new incarnation under the same id and address.
     void restart(const std::string &id);
 
+    /// As restart(), but the requests that had no answer may still be carried out by the new incarnation.
+    void restartBeforeDelayedRequests(const std::string &id);
+
     /// The running tasks; a task that runs several times is listed as often.
     std::vector<std::string> runningTasks() const;
 
@@ -98,6 +105,7 @@
 private:
     static std::chrono::milliseconds clockOf(const Upstream &upstream);
     cell::UpstreamCallStatus executeStart(Upstream &upstream, const cell::StartRequest &request);
+    cell::RenewResult executeRenewal(Upstream &upstream, const cell::RenewRequest &request);
     void extendLease(Upstream &upstream, std::chrono::milliseconds deadline) const;
     void expireLeases(Upstream &upstream);
 };
