Cell: an upstream's next incarnation refuses requests that were sent to the earlier one

What callers saw: a task ran twice. Its start had no answer, was repeated and confirmed; the upstream started again under its id, the leader read that it ran nothing and started the task elsewhere; then the first start request arrived and was carried out. A late renewal gave the next incarnation a lease that the leader did not know of.

Cause: a request names the upstream's id, which both incarnations share, and the leader's term, which both accept; its deadline lies on the clock of the earlier incarnation and so far ahead on that of the next one.

Fix: the epoch of each request is the term times 1024 plus the number of the incarnation in this term. Terms rise by one or more, so epochs of a later term are higher, as before. The first call to the next incarnation carries a higher epoch than any request to the earlier one; the upstream refuses lower epochs from then on, and has no lease or run from them. Nothing that ran on an upstream that restarted counts as over before the answer to such a call. The numbers of one id rise within a term, also when its record is removed and it announces itself again (IncarnationNumbers; bounded to 4,096 ids, the others share the highest number that was forgotten). From the 1,024th incarnation of one id in one term on its incarnations share the last number, and only that id has the old behaviour. Terms start from the Unix time in milliseconds: epochs stay below 2^53, as far as JSON numbers are exact, for over two hundred years.

The tracker that takes the place of one that was removed no longer starts from number 1, so an answer to the removed one does not count for it.

Not closed: a request that reaches the next incarnation before the leader's first call does. The protocol has no field that only one incarnation accepts. A start that is carried out so is in the lists of that first call, and the leader keeps the run or stops it; if it had started the task elsewhere before the upstream restarted, both run until then.

--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -124,7 +124,7 @@
     request.run = {run.task, run.key.attempt};
     request.deadline = *deadline;
     run.latestDeadline = std::max(run.latestDeadline, *deadline);
-    request.epoch = this->context.epoch;
+    request.epoch = this->context.epochOf(tracker->second);
     if (const auto &allowed = this->adviceCache.adviceFor(task.step).allowed; allowed.count(run.upstream) > 0) {
         const StepAdvice::Ticket &ticket = allowed.at(run.upstream);
         if (run.startRequests == 0 && (ticket.sendUntil <= now || ticket.incarnation != tracker->second.incarnation)) {
@@ -266,7 +266,7 @@
     run.nextCall = now + StopRetryInterval;
     this->context.calls.stop(target,
                              {run.task, run.key.attempt},
-                             this->context.epoch,
+                             this->context.epochOf(tracker->second),
                              CallLimit,
                              [this, post = this->context.post, key = run.key, incarnation = tracker->second.incarnation](UpstreamCallResult result) {
                                  post([this, key, incarnation, result = std::move(result)] { this->handleStopResult(key, incarnation, result); });
--- a/src/cell/TermContext.h
+++ b/src/cell/TermContext.h
@@ -5,6 +5,7 @@
 #include "cell/CellOptions.h"
 #include "cell/CellStore.h"
 #include "cell/CommandBatch.h"
+#include "cell/IncarnationNumbers.h"
 #include "cell/RunTable.h"
 #include "cell/SpeedMonitor.h"
 #include "cell/UpstreamCalls.h"
@@ -12,6 +13,7 @@
 #include "cell/health/SlowUpstreamDetector.h"
 #include "cell/teams/ServiceRates.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -20,11 +22,15 @@
 namespace cranberryreel::cell
 {
 
+/// Numbers that a term has for the incarnations of one upstream. The platform carries epochs as numbers that are exact up to 2^53, and terms start from the
+/// Unix time in milliseconds; an upstream that restarts more often in one term shares the last number among its further incarnations.
+constexpr std::uint64_t IncarnationsPerTerm = 1024;
+
 /// The objects that the parts of one term of leadership share. Used by the scheduler's thread only, except for `store`, `calls`, `adviceDispatcher` and `post`.
 /// Owned by the CellTerm.
 struct TermContext {
     const CellOptions &options;
-    std::uint64_t epoch = 0; ///< The term number. Upstreams refuse requests with a lower epoch than one they have seen.
+    std::uint64_t term = 0;
     CellStore &store;
     UpstreamCalls &calls;
     AdviceDispatcher &adviceDispatcher;
@@ -34,6 +40,13 @@
     health::SlowUpstreamDetector slowUpstreamDetector;
     std::map<std::uint64_t, UpstreamTracker> trackers; ///< By upstream number.
 
+    /// The epoch of requests to the known incarnation of the upstream. It is higher than those of all earlier terms, and than those for earlier incarnations in
+    /// this term. Upstreams refuse requests with a lower epoch than one they have seen.
+    std::uint64_t epochOf(const UpstreamTracker &tracker) const
+    {
+        return this->term * IncarnationsPerTerm + std::min(tracker.incarnation, IncarnationsPerTerm - 1);
+    }
+
     /// The committed record of the upstream; nothing if it was removed.
     std::optional<wire::UpstreamT> upstreamRecord(std::uint64_t upstream) const
     {
@@ -68,6 +81,7 @@
 
     SpeedMonitor speedMonitor{this->options, this->store};
     teams::ServiceRates serviceRates{};
+    IncarnationNumbers incarnationNumbers{};
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -66,9 +66,13 @@
     this->runs.onUpstreamReplaced = [this](std::uint64_t number) { this->removeUpstream(number); };
 }
 
-UpstreamTracker &UpstreamManager::trackerOf(std::uint64_t number, base::SteadyTime now)
+UpstreamTracker &UpstreamManager::trackerOf(const std::string &id, std::uint64_t number, base::SteadyTime now)
 {
-    return this->context.trackers.try_emplace(number, this->context.options.leaseMax, now).first->second;
+    const auto [found, isNew] = this->context.trackers.try_emplace(number, this->context.options.leaseMax, now);
+    if (isNew) {
+        found->second.incarnation = this->context.incarnationNumbers.next(id);
+    }
+    return found->second;
 }
 
 void UpstreamManager::handleAnnouncement(const wire::AnnouncementT &announcement, const CompletionCallback &done)
@@ -86,7 +90,7 @@
         this->proposeUpstream(announced, done);
         return;
     }
-    UpstreamTracker &tracker = this->trackerOf(known->number, now);
+    UpstreamTracker &tracker = this->trackerOf(known->id, known->number, now);
     const std::int64_t born = tracker.bornOr(known->born_ms);
     if (announced.born_ms < born) {
         // A delayed announcement, or the upstream's clock was set back before it started again. A renewal shows which incarnation runs.
@@ -132,7 +136,7 @@
     });
     if (number != 0) {
         Logger.info("event=upstream_leaving upstream={} number={}", id, number);
-        UpstreamTracker &tracker = this->trackerOf(number, now);
+        UpstreamTracker &tracker = this->trackerOf(id, number, now);
         // The message may be a delayed one of an earlier incarnation. Renewals go on and show whether the present one has ended.
         tracker.leaving = true;
         tracker.nextRenewal = now;
@@ -192,7 +196,7 @@
         }
     });
     for (const auto &[number, target] : known) {
-        UpstreamTracker &tracker = this->trackerOf(number, now);
+        UpstreamTracker &tracker = this->trackerOf(target.id, number, now);
         if (tracker.silentCalls > 0 && tracker.leasesExpired(now)) {
             if (!std::exchange(tracker.isLost, true)) {
                 Logger.warn("event=upstream_lost upstream={} number={} silent_calls={} runs={} draining={} incarnation={} since_answer_ms={} "
@@ -222,7 +226,7 @@
 void UpstreamManager::sendRenewal(std::uint64_t number, UpstreamTracker &tracker, const UpstreamTarget &target, base::SteadyTime now)
 {
     RenewRequest request;
-    request.epoch = this->context.epoch;
+    request.epoch = this->context.epochOf(tracker);
     request.acknowledged = tracker.endToAcknowledge(now);
     if (tracker.readBack && tracker.silentCalls == 0 && !tracker.retryingRenewal) {
         request.deadline = tracker.grantLease(now);
@@ -297,9 +301,12 @@
         return run.startUnanswered || (run.callPending && run.phase == RunPhase::StartRequested);
     });
     const std::int64_t sinceGrant = millisecondsBetween(tracker.grantedAt, now);
+    const std::optional<wire::UpstreamT> record = this->context.upstreamRecord(number);
     tracker.beginIncarnation(bornMs, now);
+    if (record) {
+        tracker.incarnation = this->context.incarnationNumbers.next(record->id);
+    }
     this->context.speedMonitor.forget(number);
-    const std::optional<wire::UpstreamT> record = this->context.upstreamRecord(number);
     Logger.info("event=upstream_restarted upstream={} number={} born={} earlier={} incarnation={} runs={} unanswered_starts={} "
                 "since_grant_ms={} leases_ms={}",
                 record ? record->id : std::string(),
@@ -339,7 +346,7 @@
         return;
     }
     if (status == UpstreamCallStatus::Fenced) {
-        Logger.warn("event=fenced number={} epoch={}", number, this->context.epoch);
+        Logger.warn("event=fenced number={} epoch={}", number, this->context.epochOf(tracker));
     }
     // One answer may be lost on its way while the upstream works on, so the renewal is repeated first.
     if (status == UpstreamCallStatus::Unknown && !std::exchange(tracker.retryingRenewal, true)) {
--- a/src/cell/UpstreamManager.h
+++ b/src/cell/UpstreamManager.h
@@ -38,7 +38,7 @@
     void tick(base::SteadyTime now);
 
 private:
-    UpstreamTracker &trackerOf(std::uint64_t number, base::SteadyTime now);
+    UpstreamTracker &trackerOf(const std::string &id, std::uint64_t number, base::SteadyTime now);
     bool isDraining(std::uint64_t number, const UpstreamTracker &tracker) const;
     bool needsRenewal(std::uint64_t number, const UpstreamTracker &tracker, base::SteadyTime now) const;
     void sendRenewal(std::uint64_t number, UpstreamTracker &tracker, const UpstreamTarget &target, base::SteadyTime now);
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -43,9 +43,9 @@
     /// Records that a renewal answered at `now` reported new ends.
     void recordEnds(base::SteadyTime now);
 
-    /// The number up to which a renewal sent at `now` may acknowledge ends; 0 for none. A request cannot name the incarnation that it is meant for, and the
-    /// next incarnation numbers its ends anew. So ends are acknowledged only right after an answer of this incarnation, and not again once it has confirmed
-    /// them.
+    /// The number up to which a renewal sent at `now` may acknowledge ends; 0 for none. Until the upstream's next incarnation is called with an epoch of its
+    /// own it accepts requests to this one, and it numbers its ends anew. So ends are acknowledged only right after an answer of this incarnation, and not
+    /// again once it has confirmed them.
     std::uint64_t endToAcknowledge(base::SteadyTime now) const;
 
     /// Records that this incarnation answered a renewal that acknowledged ends up to `acknowledged`.
@@ -79,7 +79,7 @@
     int silentCalls = 0; ///< Renewals in a row that failed; above 0 the upstream is silent.
     bool readBack = false; ///< The runs and ends of this incarnation were read in this term.
     bool isLost = false; ///< All leases expired while the upstream was silent, and its runs were ended.
-    std::uint64_t incarnation = 0; ///< Counts the incarnations seen in this term, so that late answers of an earlier one can be discarded.
+    std::uint64_t incarnation = 0; ///< Number of the incarnation; see IncarnationNumbers. Answers to requests for an earlier one do not count.
     std::int64_t bornMs = 0; ///< Start time of the incarnation, Unix time in milliseconds; 0 while it is the recorded one.
 
     // Ends.
--- a/src/cell/ZoneRelays.h
+++ b/src/cell/ZoneRelays.h
@@ -17,8 +17,9 @@
 {
 
 /// Sends requests to upstreams through a VM in the upstream's zone. That VM does the HTTP and JSON work, and little traffic crosses zones. Load pattern:
-/// hundreds of starts and ends a second on hundreds of upstreams, more HTTP than one VM with half a core can handle. A delayed relayed request is harmless,
-/// since it carries an epoch and a deadline. Without a reachable VM in the zone the upstream is called directly. Any thread. Owned by the CellDaemon.
+/// hundreds of starts and ends a second on hundreds of upstreams, more HTTP than one VM with half a core can handle. A delayed relayed request is refused for
+/// its epoch once a later leader, or this one in a request to the upstream's next incarnation, has reached the upstream. Without a reachable VM in the zone the
+/// upstream is called directly. Any thread. Owned by the CellDaemon.
 class ZoneRelays : public UpstreamCalls
 {
 public:
--- a/tests/cell/RestartedUpstreamsTest.cpp
+++ b/tests/cell/RestartedUpstreamsTest.cpp
@@ -104,6 +104,26 @@
     checkThatTheDelayedStartHasNoEffect(rig);
 }
 
+/// Guards the above across a change of leader: the next leader counts the incarnations anew, and its requests must pass for later ones all the same.
+BOOST_AUTO_TEST_CASE(aNewLeaderReachesAnUpstreamThatRestartedOftenAndADelayedStartHasNoEffect)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    for (int i = 0; i < 3; ++i) {
+        rig.upstreams.restart("u1");
+        rig.announce("u1", 1);
+        rig.run(milliseconds(50));
+    }
+    rig.upstreams.upstreams["u1"].startedAt -= std::chrono::minutes(1);
+    runWithDelayedStart(rig);
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    rig.takeOver();
+    checkThatTheDelayedStartHasNoEffect(rig);
+    rig.announce("u1", 1);
+    rig.submit(support::job("k", support::step(12, 1000))); // Needs both upstreams.
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreams["u1"].running.size() >= 5U; }));
+}
+
 /// The same failure where the upstream had ended and was removed before its next incarnation announced itself.
 BOOST_AUTO_TEST_CASE(aDelayedStartIsNotCarriedOutByAnUpstreamThatWasRemovedAndAddedAgain)
 {
