Upstreams: a lease after a restart is waited out from the first answer of the next incarnation

A task could start elsewhere while the upstream that had restarted still worked on it.

Cause: the wait for the platform's longest lease counted from when the leader saw the restart. Until the next incarnation has answered a call of the leader, requests meant for the earlier one, which may be carried out seconds late, go on extending its lease.

Change: the first answered renewal of an incarnation that restarted sets the wait anew. Why that is enough: no lease that such a request gave before the answer lasts longer than the platform's limit after it.

--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -40,6 +40,7 @@
     , leaseMax(std::min(maxLease, LongestLease))
 {
     this->beginIncarnation(0, now);
+    this->restarted = false;
     this->inheritedLeasesUntil = now + longestDuration(this->leaseMax);
 }
 
@@ -69,6 +70,7 @@
     this->hasGrantedLease = false;
     // The clock starts anew, so the deadline of a request meant for the earlier incarnation lies so far ahead that the upstream shortens it to the platform's
     // limit.
+    this->restarted = true;
     this->inheritedLeasesUntil = now + longestDuration(this->platformLeaseMax);
 }
 
@@ -146,6 +148,10 @@
     this->retryingRenewal = false;
     this->isLost = false;
     this->lastAcknowledgedEnd = std::max(this->lastAcknowledgedEnd, acknowledged);
+    if (this->restarted && this->answeredAt == base::SteadyTime()) {
+        // Until this answer, requests meant for the earlier incarnation may have extended the lease.
+        this->inheritedLeasesUntil = now + longestDuration(this->platformLeaseMax);
+    }
     this->answeredAt = now;
 }
 
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -111,6 +111,7 @@
     std::chrono::milliseconds latestLeaseEnd{0};
     base::SteadyTime inheritedLeasesUntil{}; ///< Leases granted in earlier terms or to earlier incarnations have expired by then.
     bool hasGrantedLease = false;
+    bool restarted = false; ///< Requests meant for an earlier incarnation may have reached this one before its first answer.
 };
 
 } // namespace cranberryreel::cell
--- a/tests/cell/UpstreamTrackerTest.cpp
+++ b/tests/cell/UpstreamTrackerTest.cpp
@@ -74,6 +74,17 @@
     BOOST_TEST(!tracker.leasesExpired(Start + milliseconds(16000)));
 }
 
+/// Failure: requests of the earlier incarnation extended the lease of the next one until it had been read, and the wait counted from when the restart was seen.
+BOOST_AUTO_TEST_CASE(aLeaseAfterARestartCountsFromTheFirstAnswer)
+{
+    UpstreamTracker tracker(milliseconds(10000), Start);
+    tracker.beginIncarnation(1, Start);
+    tracker.recordAnswer(0, Start + milliseconds(3000));
+    BOOST_TEST(!tracker.leasesExpired(Start + milliseconds(13200)));
+    tracker.recordAnswer(0, Start + milliseconds(3100)); // Later answers change nothing.
+    BOOST_TEST(tracker.leasesExpired(Start + milliseconds(13400)));
+}
+
 /// Load pattern: a share of all renewals gets no answer; where a task ends ten times a second, one and a half seconds without reports delay fifteen tasks.
 BOOST_AUTO_TEST_CASE(renewalsWaitShorterWhereTasksEndOften)
 {
