Zone: an announcement sent before a restart no longer ends the tasks of the next boot

The scheduler recorded the earlier boot, took the difference for a restart, ended all tasks of the present boot as lost, and started repeatable ones on another upstream while they still ran. Work that isn't repeatable was answered as unknown.

Cause: UpstreamFleet::handleAnnouncement recorded any other boot id. Boot ids are compared for equality only and have no order, so an announcement alone cannot tell an earlier boot from a later one.

Change: an announcement with another boot than the recorded one is checked by a renewal without a lease to the announced address; only if that boot answers, and the record is still the one that the check began with, is it recorded. The check is repeated up to four times where nobody answers. A restart that a renewal shows is recorded as before.

--- a/src/zone/UpstreamFleet.cpp
+++ b/src/zone/UpstreamFleet.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::chrono::milliseconds RenewRetryDelay{250};
 constexpr std::chrono::milliseconds LostProbeInterval{2000};
+/// Calls to an announced address that does not answer; the upstream announces itself again within seconds.
+constexpr int BootTries = 4;
 
 UpstreamRecord recordOf(const model::UpstreamReport &report)
 {
@@ -49,6 +51,12 @@
 void UpstreamFleet::handleAnnouncement(const model::UpstreamReport &report, base::SteadyTime now)
 {
     const auto found = this->entries.find(report.id);
+    if (found != this->entries.end() && found->second.record.boot != report.boot) {
+        if (!report.address.empty() && this->bootsInVerification.insert(report.id).second) {
+            this->verifyBoot({report, found->second.record.boot, BootTries});
+        }
+        return;
+    }
     if (found == this->entries.end() || found->second.record != recordOf(report)) {
         this->proposeRecord(report, now);
         return;
@@ -64,6 +72,43 @@
     this->listener.upstreamReported(report, false, now);
 }
 
+/// Asks at the announced address which boot runs. Boot ids have no order, and the announcement may have been sent before the known boot began.
+void UpstreamFleet::verifyBoot(const AnnouncedBoot &announced)
+{
+    if (!this->context.holdsLeaderLease()) {
+        this->bootsInVerification.erase(announced.report.id);
+        return;
+    }
+    upstream::RenewRequest request;
+    request.epoch = this->context.epoch;
+    this->context.adapter.renew(announced.report.address,
+                                request,
+                                this->context.options.callTimeout,
+                                [this, announced, postInTerm = this->context.postInTerm](const upstream::RenewAnswer &answer) {
+                                    postInTerm([this, announced, answer] { this->handleBootAnswer(announced, answer); });
+                                });
+}
+
+void UpstreamFleet::handleBootAnswer(const AnnouncedBoot &announced, const upstream::RenewAnswer &answer)
+{
+    const std::string &id = announced.report.id;
+    const UpstreamEntry *entry = this->find(id);
+    const bool superseded = entry == nullptr || entry->record.boot != announced.knownBoot;
+    const bool answered = answer.code == base::ResultCode::Ok && answer.report.id == id;
+    const bool fencedOut = answer.code == base::ResultCode::UpstreamStaleEpoch;
+    if (!superseded && !answered && !fencedOut && announced.triesLeft > 1) {
+        const AnnouncedBoot again{announced.report, announced.knownBoot, announced.triesLeft - 1};
+        this->context.postInTermAfter(RenewRetryDelay, [this, again] { this->verifyBoot(again); });
+        return;
+    }
+    this->bootsInVerification.erase(id);
+    if (fencedOut) {
+        this->listener.fencedOut(id);
+    } else if (!superseded && answered && answer.report.boot == announced.report.boot) {
+        this->proposeRecord(announced.report, base::steadyNow());
+    }
+}
+
 void UpstreamFleet::proposeRecord(const model::UpstreamReport &report, base::SteadyTime now)
 {
     if (report.id.empty() || report.address.empty() || !this->recordsInProgress.insert(report.id).second) {
--- a/src/zone/UpstreamFleet.h
+++ b/src/zone/UpstreamFleet.h
@@ -60,6 +60,15 @@
         base::SteadyTime at;
     };
 
+    /// An announcement that names another boot than the recorded one.
+    struct AnnouncedBoot {
+        model::UpstreamReport report;
+        std::string knownBoot;
+        int triesLeft;
+    };
+
+    void verifyBoot(const AnnouncedBoot &announced);
+    void handleBootAnswer(const AnnouncedBoot &announced, const upstream::RenewAnswer &answer);
     void proposeRecord(const model::UpstreamReport &report, base::SteadyTime now);
     void handleRecordCommitted(const UpstreamRecord &record, bool leaving, base::SteadyTime now);
     void sendRenewal(UpstreamEntry &entry, base::SteadyTime now);
@@ -72,6 +81,7 @@
     SchedulerContext &context;
     FleetListener &listener;
     std::map<std::string, UpstreamEntry> entries;
+    absl::flat_hash_set<std::string> bootsInVerification; ///< Ids of upstreams whose announced boot is being verified.
     absl::flat_hash_set<std::string> recordsInProgress; ///< Ids of upstreams whose record is being committed.
     base::SteadyTime placementBlockedUntil; ///< No task is placed before this time.
     std::size_t unresolvedCount = 0; ///< Number of upstreams known at the take-over that are neither fenced nor lost yet.
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -61,6 +61,16 @@
     this->instances[id].self.leaving = true;
 }
 
+void FakeFleet::move(const std::string &id, const std::string &address)
+{
+    absl::MutexLock lock(&this->mutex);
+    auto moved = this->instances.extract(id);
+    moved.key() = address;
+    moved.mapped().self.address = address;
+    this->instances.insert(std::move(moved));
+    this->instances[id].trouble = Trouble::Unreachable;
+}
+
 void FakeFleet::finish(const std::string &taskId, model::JobState state, const std::string &answer)
 {
     absl::MutexLock lock(&this->mutex);
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -34,6 +34,9 @@
     void restart(const std::string &id);
     void setLeaving(const std::string &id);
 
+    /// Gives the upstream another address; nobody answers at the earlier one.
+    void move(const std::string &id, const std::string &address);
+
     /// Ends a running task.
     void finish(const std::string &taskId, model::JobState state, const std::string &answer);
 
@@ -79,7 +82,7 @@
     upstream::RenewAnswer renewOn(Instance &instance, const upstream::RenewRequest &order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     mutable absl::Mutex mutex;
-    std::map<std::string, Instance> instances ABSL_GUARDED_BY(mutex); ///< By id, which is also the address.
+    std::map<std::string, Instance> instances ABSL_GUARDED_BY(mutex); ///< By address, which is the id until move().
     std::map<std::string, std::size_t> starts ABSL_GUARDED_BY(mutex);
     std::size_t overlapCount ABSL_GUARDED_BY(mutex) = 0;
     bool instantRequests ABSL_GUARDED_BY(mutex) = true;
--- a/tests/zone/ZoneSchedulerTest.cpp
+++ b/tests/zone/ZoneSchedulerTest.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 using cranberryreel::base::ResultCode;
 using cranberryreel::model::JobSpec;
 using cranberryreel::model::JobState;
@@ -147,6 +149,36 @@
     BOOST_TEST(this->reachesState("z-b", JobState::Done));
 }
 
+/// Failure: an announcement that an upstream sent before its restart and that arrived late ended the tasks of the next boot, which ran on and started again.
+BOOST_FIXTURE_TEST_CASE(aLateAnnouncementOfAnEarlierBootEndsNoTask, SchedulerFixture)
+{
+    this->addUpstream("up-1");
+    const cranberryreel::model::UpstreamReport earlier = this->fleet.report("up-1");
+    this->fleet.restart("up-1");
+    this->announce("up-1");
+    this->submit(this->batch("z-b", 3));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.running().size() == 3U; }));
+    this->addUpstream("up-2");
+    this->call(cranberryreel::zone::AnnounceCall{earlier});
+    std::this_thread::sleep_for(3 * this->options.fullReportInterval);
+    BOOST_TEST(this->fleet.running().size() == 3U);
+    BOOST_TEST(this->fleet.allStarts() == 3U);
+    BOOST_TEST(this->fleet.overlaps() == 0U);
+}
+
+/// Failure guarded against: an upstream that starts again at another address was not found there.
+BOOST_FIXTURE_TEST_CASE(anUpstreamThatRestartsAtAnotherAddressGetsWorkThere, SchedulerFixture)
+{
+    this->addUpstream("up-1");
+    this->submit(this->batch("z-b", 3));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.running().size() == 3U; }));
+    this->fleet.restart("up-1");
+    this->fleet.move("up-1", "up-1-moved");
+    this->call(cranberryreel::zone::AnnounceCall{this->fleet.report("up-1-moved")});
+    BOOST_REQUIRE(eventually([this] { return this->fleet.allStarts() == 6U && this->fleet.running().size() == 3U; }));
+    BOOST_TEST(this->fleet.overlaps() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(nextLeaderAdoptsRunningTasks, SchedulerFixture)
 {
     this->addUpstream("up-1");
