HTTP client: the limit of a call counts from its submission, and nothing is sent after it

What callers would see: an order to an upstream (start, stop, renewal) that waited in the client of a frozen process, or behind a slow callback on the client's thread, was sent when the thread went on, with its full limit anew, although its sender's limit had passed. A request that is so late can meet the next incarnation of the upstream.

Cause: the deadline of a call was taken when the client's thread began with it, not when it was submitted.

Change: the deadline is taken at submission. A call that is past it ends as timed out and not sent; one that still has time gets the rest of its limit; the hook that libcurl calls before it sends refuses past the deadline, also where a connection became ready only after the thread stood still.

No test reaches the hook's refusal past the deadline.

--- a/src/http/ClientWorker.cpp
+++ b/src/http/ClientWorker.cpp
@@ -49,6 +49,16 @@
     return action;
 }
 
+/// Ends a call that waited beyond its limit: behind other calls, or in a process that did not run.
+void endExpired(const ClientDone &done)
+{
+    ClientResponse response;
+    response.outcome = CallOutcome::TimedOut;
+    response.sent = false;
+    response.error = "The limit passed before the call began";
+    done(std::move(response));
+}
+
 } // namespace
 
 ClientWorker::ClientWorker(const ClientOptions &clientOptions)
@@ -84,17 +94,18 @@
 
 void ClientWorker::submit(ClientRequest request, ClientDone done)
 {
+    const base::SteadyTime deadline = base::steadyNow() + request.limit;
     {
         absl::MutexLock lock(&this->mutex);
         if (!this->stopping) {
-            this->queuedCalls.push_back({std::move(request), std::move(done)});
+            this->queuedCalls.push_back({std::move(request), std::move(done), deadline});
             if (this->queuedCalls.size() == 1) {
                 this->wake();
             }
             return;
         }
     }
-    ClientWorker::endStopped({{std::move(request), std::move(done)}});
+    ClientWorker::endStopped({{std::move(request), std::move(done), deadline}});
 }
 
 void ClientWorker::stop()
@@ -194,7 +205,11 @@
         taken.swap(this->queuedCalls);
     }
     for (Call &call : taken) {
-        this->startTransfer(std::move(call));
+        if (base::steadyNow() >= call.deadline) {
+            endExpired(call.done);
+        } else {
+            this->startTransfer(std::move(call));
+        }
     }
 }
 
@@ -208,7 +223,7 @@
         this->idleTransfers.pop_back();
     }
     const bool fresh = call.request.freshConnection || this->isSuspect(call.request.host);
-    transfer->prepare(std::move(call.request), std::move(call.done), this->options, fresh);
+    transfer->prepare(std::move(call.request), std::move(call.done), call.deadline, this->options, fresh);
     Transfer *key = transfer.get();
     this->activeTransfers.emplace(key, std::move(transfer));
     this->deadlines.insert({key->deadline(), key});
--- a/src/http/ClientWorker.h
+++ b/src/http/ClientWorker.h
@@ -39,6 +39,7 @@
     struct Call {
         ClientRequest request;
         ClientDone done;
+        base::SteadyTime deadline{}; ///< Counted from the submission.
     };
 
     static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *registered);
--- a/src/http/Transfer.cpp
+++ b/src/http/Transfer.cpp
@@ -41,12 +41,12 @@
     curl_easy_cleanup(this->curl);
 }
 
-void Transfer::prepare(ClientRequest newRequest, ClientDone newDone, const ClientOptions &options, bool freshConnection)
+void Transfer::prepare(ClientRequest newRequest, ClientDone newDone, base::SteadyTime deadline, const ClientOptions &options, bool freshConnection)
 {
     this->request = std::move(newRequest);
     this->done = std::move(newDone);
     this->response = {};
-    this->callDeadline = base::steadyNow() + this->request.limit + DeadlineSlack;
+    this->callDeadline = deadline + DeadlineSlack;
     this->maxResponseBytes = options.maxResponseBytes;
     curl_easy_reset(this->curl);
     const std::string url = "http://" + this->request.host + this->request.target;
@@ -62,7 +62,8 @@
         curl_easy_setopt(this->curl, CURLOPT_PREREQFUNCTION, &Transfer::onReadyToSend);
         curl_easy_setopt(this->curl, CURLOPT_PREREQDATA, this);
     }
-    const auto limit = std::max<std::chrono::milliseconds::rep>(this->request.limit.count(), 1);
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - base::steadyNow());
+    const auto limit = std::max<std::chrono::milliseconds::rep>(left.count(), 1);
     curl_easy_setopt(this->curl, CURLOPT_TIMEOUT_MS, static_cast<long>(limit));
     curl_easy_setopt(this->curl, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(options.connectLimit.count()));
     curl_easy_setopt(this->curl, CURLOPT_MAXAGE_CONN, static_cast<long>(options.maxIdleTime.count()));
@@ -99,10 +100,15 @@
 }
 
 /// Allows only one send. libcurl repeats a request by itself if a pooled connection breaks before any response, but a request that changes state must not be
-/// sent twice, because the server may have read the first one.
+/// sent twice, because the server may have read the first one. Allows no send after the deadline, because
+/// the sender has given the call up by then.
 int Transfer::onReadyToSend(void *self, char *, char *, int, int)
 {
-    return std::exchange(static_cast<Transfer *>(self)->sendBegun, true) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    auto *transfer = static_cast<Transfer *>(self);
+    if (base::steadyNow() >= transfer->callDeadline) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    return std::exchange(transfer->sendBegun, true) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 std::size_t Transfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
--- a/src/http/Transfer.h
+++ b/src/http/Transfer.h
@@ -21,8 +21,8 @@
     Transfer(const Transfer &) = delete;
     Transfer &operator=(const Transfer &) = delete;
 
-    /// Prepares the handle for a call. `freshConnection` prevents the reuse of a pooled connection.
-    void prepare(ClientRequest newRequest, ClientDone newDone, const ClientOptions &options, bool freshConnection);
+    /// Prepares the handle for a call that ends at `deadline`. `freshConnection` prevents the reuse of a pooled connection.
+    void prepare(ClientRequest newRequest, ClientDone newDone, base::SteadyTime deadline, const ClientOptions &options, bool freshConnection);
 
     /// Passes the result to the callback and clears the call.
     void finish(CURLcode result);
--- a/tests/http/ClientTest.cpp
+++ b/tests/http/ClientTest.cpp
@@ -2,9 +2,12 @@
 #include "http/ListenSocket.h"
 #include "support/Eventually.h"
 
+#include "cranberryreel/base/Clock.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <future>
 #include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -219,4 +222,38 @@
     BOOST_TEST(eventually([&heldEnded] { return heldEnded == 1; }));
 }
 
+/// Failure: the limit of a call counted from when the client's thread began with it, so a call that waited for a frozen process or a slow callback was sent
+/// after its sender had given it up.
+BOOST_AUTO_TEST_CASE(aCallThatWaitedForTheClientBeyondItsLimitIsNotSent)
+{
+    std::promise<void> holding;
+    this->client.call(this->request("/echo", "first"), [&holding](const ClientResponse &) {
+        holding.set_value();
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    });
+    holding.get_future().wait();
+    ClientRequest second = this->request("/echo", "second");
+    second.limit = std::chrono::milliseconds(100);
+    const ClientResponse response = this->client.callAndWait(std::move(second));
+    BOOST_TEST((response.outcome == CallOutcome::TimedOut));
+    BOOST_TEST(!response.sent);
+}
+
+/// Failure: the time that a call waited for the client's thread was not taken off its limit.
+BOOST_AUTO_TEST_CASE(theTimeThatACallWaitedForTheClientIsPartOfItsLimit)
+{
+    std::promise<void> holding;
+    this->client.call(this->request("/echo", "first"), [&holding](const ClientResponse &) {
+        holding.set_value();
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    });
+    holding.get_future().wait();
+    ClientRequest second = this->request("/park", "second");
+    second.limit = std::chrono::milliseconds(500);
+    const auto begin = cranberryreel::base::steadyNow();
+    const ClientResponse response = this->client.callAndWait(std::move(second));
+    BOOST_TEST((response.outcome == CallOutcome::TimedOut));
+    BOOST_TEST((cranberryreel::base::steadyNow() - begin < std::chrono::milliseconds(700)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
