Relayed calls: a relay sends no order that its leader has given up

What callers saw or would see: an order to an upstream (start, stop, renewal, pace) that waited in a slow link, or in a relay whose process stood still, was sent on seconds later with its full limit, while the leader had given it up, read the upstream anew and possibly placed the task elsewhere. Sent to an upstream that restarted in between, it is one way to an order that the next incarnation carries out.

Cause: RelayOrder carried limit_ms only, which the relay counted from its own receipt.

Change: an offer to relay (a lookup, once a second) states the relay's steady clock. The leader keeps the reading that arrived fastest, ages it by its own steady clock, and each order says until when on the relay's clock its caller waits. A relay answers NotSent to an order that is past this, and else sends it with at most the time that is left. Only durations of the two clocks are compared; the way of the offer counts as age of the order, so the error is towards refusing. A clock that started anew with its VM replaces the earlier one. Without a reading, or beside VMs of an earlier version, all is as before.

Not bounded: the time between the relay's send and the upstream's reading; and, until the next offer, orders to a VM that rebooted (they need a link that outlived the reboot, so none is known).

Evidence: aRelaySendsNoOrderThatItsCallerHasGivenUp (carried out, Done) and theTimeOnTheLinkIsPartOfACallsLimit (limit 500 ms after 260 ms on the way) failed with the check in handleRelay switched off, and pass with it.

Tests changed: ZoneRelaysTest's existing cases pass a clock to recordRelay, or none where no relay is used; their checks are as before.

--- a/src/cell/CellCaller.cpp
+++ b/src/cell/CellCaller.cpp
@@ -1,6 +1,7 @@
 #include "cell/CellCaller.h"
 
 #include "cell/Codec.h"
+#include "cell/RelayClock.h"
 #include "observe/Log.h"
 
 #include <fmt/format.h>
@@ -23,10 +24,20 @@
 constexpr std::chrono::milliseconds LookupLimit{900};
 constexpr std::chrono::milliseconds LookupTryLimit{400};
 
+std::string encodeLookup(const std::string &zone)
+{
+    wire::CallT lookup;
+    lookup.kind = wire::CallKind::Lookup;
+    lookup.zone = zone;
+    lookup.clock_ms = RelayClock::ownReading().count();
+    return pack<wire::Call>(lookup);
+}
+
 } // namespace
 
 struct CellCaller::PendingCall {
-    std::string payload;
+    std::string payload; ///< Empty for a lookup, which states this VM's clock and so is encoded for each try.
+    std::string lookupZone; ///< The zone that a lookup offers to relay for.
     base::SteadyTime deadline;
     std::chrono::milliseconds tryLimit{0};
     CallOutcomeCallback done;
@@ -99,11 +110,15 @@
 void CellCaller::call(const wire::CallT &call, std::chrono::milliseconds limit, std::chrono::milliseconds tryLimit, CallOutcomeCallback done)
 {
     auto pending = std::make_shared<PendingCall>();
-    pending->payload = pack<wire::Call>(call);
     pending->deadline = base::steadyNow() + limit;
     pending->tryLimit = tryLimit;
     pending->done = std::move(done);
     pending->isLookup = call.kind == wire::CallKind::Lookup;
+    if (pending->isLookup) {
+        pending->lookupZone = call.zone;
+    } else {
+        pending->payload = pack<wire::Call>(call);
+    }
     pending->failsEarly = call.kind != wire::CallKind::Lookup && call.kind != wire::CallKind::Join;
     this->timers.post([this, pending] {
         this->pendingCalls.insert(pending);
@@ -179,7 +194,8 @@
         return;
     }
     pending->triedThisRound.insert(vm);
-    this->hub.call(vm, link::Channel::Cell, pending->payload, std::min(left, pending->tryLimit), {}, [this, pending, vm, number](link::CallResult result) {
+    const std::string payload = pending->isLookup ? encodeLookup(pending->lookupZone) : pending->payload;
+    this->hub.call(vm, link::Channel::Cell, payload, std::min(left, pending->tryLimit), {}, [this, pending, vm, number](link::CallResult result) {
         this->timers.post([this, pending, vm, number, result = std::move(result)] { this->handleTryResult(pending, vm, number, result); });
     });
 }
--- a/src/cell/CellDaemon.cpp
+++ b/src/cell/CellDaemon.cpp
@@ -98,7 +98,8 @@
                               this->relay(*call, reply);
                           } else if (this->member) {
                               if (call->kind == wire::CallKind::Lookup && !call->zone.empty()) {
-                                  this->relays->recordRelay(fromVm, call->zone);
+                                  this->relays->recordRelay(
+                                      fromVm, call->zone, call->clock_ms < 0 ? std::nullopt : std::make_optional(std::chrono::milliseconds(call->clock_ms)));
                               }
                               this->member->call(fromVm, std::move(*call), reply);
                           } else {
--- a/src/cell/ZoneRelays.cpp
+++ b/src/cell/ZoneRelays.cpp
@@ -3,7 +3,9 @@
 #include "cell/Codec.h"
 #include "cell/PeerCallHandler.h"
 #include "cell/RelayCodec.h"
+#include "observe/Log.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -13,6 +15,8 @@
 namespace
 {
 
+const observe::Log Logger("cell");
+
 /// A VM renews its offer to relay once a second (CellCaller::startLookups()).
 constexpr std::chrono::milliseconds RelayMaxAge{3500};
 /// Added to a call's time limit for the link to the relay and back.
@@ -41,10 +45,16 @@
 {
 }
 
-void ZoneRelays::recordRelay(const std::string &vm, const std::string &zone)
+void ZoneRelays::recordRelay(const std::string &vm, const std::string &zone, std::optional<std::chrono::milliseconds> clock)
 {
+    const base::SteadyTime now = base::steadyNow();
     const absl::MutexLock lock(&this->mutex);
-    this->relays[vm] = {zone, base::steadyNow()};
+    Relay &relay = this->relays[vm];
+    relay.zone = zone;
+    relay.lastSeenAt = now;
+    if (clock) {
+        relay.clock.record(*clock, now);
+    }
 }
 
 void ZoneRelays::setZoneLookup(std::function<std::string(const std::string &upstream)> lookup)
@@ -70,6 +80,14 @@
     return candidates.empty() ? std::string() : candidates[this->nextRelay++ % candidates.size()];
 }
 
+/// Until when the relay may send an order, on its own clock; -1 if its clock is not known.
+std::int64_t ZoneRelays::sendBy(const std::string &vm, std::chrono::milliseconds limit)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const auto clock = this->relays[vm].clock.minimum(base::steadyNow());
+    return clock ? (*clock + limit + LinkAllowance).count() : -1;
+}
+
 void ZoneRelays::sendRelay(const std::string &vm,
                            std::unique_ptr<wire::RelayOrderT> request,
                            std::chrono::milliseconds limit,
@@ -78,6 +96,7 @@
     wire::CallT call;
     call.kind = wire::CallKind::Relay;
     call.relay = std::move(request);
+    call.relay->send_by_ms = this->sendBy(vm, limit);
     this->hub.call(vm, link::Channel::Cell, pack<wire::Call>(call), limit + LinkAllowance, {}, [done = std::move(done)](const link::CallResult &answer) {
         const auto reply = answer.code == base::ResultCode::Ok ? unpack<wire::Reply>(answer.payload) : std::nullopt;
         const bool carriedOut = reply && reply->code == static_cast<int>(base::ResultCode::Ok) && reply->relay;
@@ -126,11 +145,30 @@
     }
 }
 
-void ZoneRelays::handleRelay(const wire::RelayOrderT &relay, std::function<void(wire::ReplyT)> reply)
+void ZoneRelays::handleRelay(const wire::RelayOrderT &relay, const std::function<void(wire::ReplyT)> &reply)
+{
+    std::chrono::milliseconds limit(relay.limit_ms);
+    if (relay.send_by_ms >= 0) {
+        const std::chrono::milliseconds left = std::chrono::milliseconds(relay.send_by_ms) - RelayClock::ownReading();
+        if (left.count() <= 0) {
+            Logger.warn("event=relay_order_expired upstream={} kind={} late_ms={}", relay.upstream, wire::EnumNameRelayKind(relay.kind), -left.count());
+            UpstreamCallResult expired;
+            expired.status = UpstreamCallStatus::NotSent;
+            expired.detail = "the order reached its relay too late";
+            wire::ReplyT answer = makeReply(base::ResultCode::Ok);
+            answer.relay = encodeResult(expired);
+            reply(std::move(answer));
+            return;
+        }
+        limit = std::min(limit, left);
+    }
+    this->execute(relay, limit, reply);
+}
+
+void ZoneRelays::execute(const wire::RelayOrderT &relay, std::chrono::milliseconds limit, const std::function<void(wire::ReplyT)> &reply)
 {
     const UpstreamTarget target{relay.upstream, relay.address};
-    const std::chrono::milliseconds limit(relay.limit_ms);
-    const auto answer = [reply = std::move(reply)](const auto &result) {
+    const auto answer = [reply](const auto &result) {
         wire::ReplyT carried = makeReply(base::ResultCode::Ok);
         carried.relay = encodeResult(result);
         reply(std::move(carried));
--- a/tests/cell/ZoneRelaysTest.cpp
+++ b/tests/cell/ZoneRelaysTest.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <thread>
 
 using namespace cranberryreel;
 using cell::UpstreamCallStatus;
@@ -36,6 +37,7 @@
     support::ScriptedUpstreams remoteUpstreams;
     support::ScriptedUpstreams localUpstreams;
     std::optional<link::CallResult> relayFailure; ///< If set, the result of calls to the relay.
+    std::chrono::milliseconds linkDelay{0}; ///< Time that an order takes to its relay.
     FakeHub unused{[](const FakeHub::Seen &, std::size_t) { return link::CallResult(); }};
     cell::ZoneRelays relay{"far-1", unused, remoteUpstreams};
     FakeHub hub{[this](const FakeHub::Seen &seen, std::size_t) { return this->executeRelay(seen); }};
@@ -51,16 +53,17 @@
         if (this->relayFailure) {
             return *this->relayFailure;
         }
+        std::this_thread::sleep_for(this->linkDelay);
         link::CallResult result;
         this->relay.handleRelay(*cell::unpack<cell::wire::Call>(seen.payload)->relay,
                                 [&result](const cell::wire::ReplyT &reply) { result.payload = cell::pack<cell::wire::Reply>(reply); });
         return result;
     }
 
-    cell::UpstreamCallResult start()
+    cell::UpstreamCallResult start(std::chrono::milliseconds limit = Limit)
     {
         cell::UpstreamCallResult result;
-        this->leader.start(Target, startRequest(), Limit, false, [&result](const cell::UpstreamCallResult &answer) { result = answer; });
+        this->leader.start(Target, startRequest(), limit, false, [&result](const cell::UpstreamCallResult &answer) { result = answer; });
         return result;
     }
 };
@@ -72,7 +75,7 @@
 BOOST_AUTO_TEST_CASE(callsAreRelayedThroughAVmInTheUpstreamsZone)
 {
     RelayRig rig;
-    rig.leader.recordRelay("far-1", "far");
+    rig.leader.recordRelay("far-1", "far", cell::RelayClock::ownReading());
     const cell::UpstreamCallResult result = rig.start();
     BOOST_TEST((result.status == UpstreamCallStatus::Done));
     BOOST_TEST(result.clock.has_value());
@@ -86,7 +89,7 @@
 BOOST_AUTO_TEST_CASE(withoutARelayTheUpstreamIsCalledDirectly)
 {
     RelayRig rig;
-    rig.leader.recordRelay("elsewhere-1", "elsewhere");
+    rig.leader.recordRelay("elsewhere-1", "elsewhere", std::nullopt);
     BOOST_TEST((rig.start().status == UpstreamCallStatus::Done));
     BOOST_TEST(rig.hub.calls().empty());
     BOOST_TEST(rig.localUpstreams.upstreams["u1"].running.size() == 1U);
@@ -95,7 +98,7 @@
 BOOST_AUTO_TEST_CASE(aFailedRelayCallLeavesTheOutcomeUnknownUnlessNothingWasSent)
 {
     RelayRig rig;
-    rig.leader.recordRelay("far-1", "far");
+    rig.leader.recordRelay("far-1", "far", cell::RelayClock::ownReading());
     rig.relayFailure = link::CallResult{base::ResultCode::LinkDown, true, {}};
     BOOST_TEST((rig.start().status == UpstreamCallStatus::Unknown));
     rig.relayFailure = link::CallResult{base::ResultCode::LinkDown, false, {}};
@@ -107,7 +110,7 @@
 BOOST_AUTO_TEST_CASE(listsAreRelayedCompletely)
 {
     RelayRig rig;
-    rig.leader.recordRelay("far-1", "far");
+    rig.leader.recordRelay("far-1", "far", cell::RelayClock::ownReading());
     rig.start();
     rig.remoteUpstreams.upstreams["u1"].ended.push_back({4, {"j.0.0.1", 2}, cell::RunEndKind::Broken, "x"});
     cell::RenewRequest renewal;
@@ -125,4 +128,55 @@
     BOOST_TEST((rig.remoteUpstreams.upstreams["u1"].deadline == std::chrono::milliseconds(200000)));
 }
 
+/// Failure: a relay that woke after seconds sent the orders that had waited in its link, although their leader had given them up and read the upstream since.
+BOOST_AUTO_TEST_CASE(aRelaySendsNoOrderThatItsCallerHasGivenUp)
+{
+    RelayRig rig;
+    rig.leader.recordRelay("far-1", "far", cell::RelayClock::ownReading());
+    rig.linkDelay = std::chrono::milliseconds(150);
+    BOOST_TEST((rig.start(std::chrono::milliseconds(20)).status == UpstreamCallStatus::NotSent));
+    BOOST_TEST(rig.remoteUpstreams.upstreams.empty());
+}
+
+/// Failure: the limit of a relayed call counted from its arrival at the relay, so that a call could leave the relay after its caller had given it up.
+BOOST_AUTO_TEST_CASE(theTimeOnTheLinkIsPartOfACallsLimit)
+{
+    RelayRig rig;
+    rig.leader.recordRelay("far-1", "far", cell::RelayClock::ownReading());
+    rig.linkDelay = std::chrono::milliseconds(260);
+    BOOST_TEST((rig.start().status == UpstreamCallStatus::Done));
+    BOOST_REQUIRE(rig.remoteUpstreams.upstreams["u1"].startLimits.size() == 1U);
+    BOOST_TEST((rig.remoteUpstreams.upstreams["u1"].startLimits.front() <= std::chrono::milliseconds(300)));
+}
+
+/// Failure guarded against: one offer that was delayed on its way made the relay refuse all orders until the next one.
+BOOST_AUTO_TEST_CASE(aDelayedOfferDoesNotMakeItsRelayRefuseOrders)
+{
+    RelayRig rig;
+    rig.leader.recordRelay("far-1", "far", cell::RelayClock::ownReading());
+    rig.leader.recordRelay("far-1", "far", cell::RelayClock::ownReading() - std::chrono::milliseconds(900));
+    BOOST_TEST((rig.start().status == UpstreamCallStatus::Done));
+}
+
+/// Failure guarded against: orders to a relay whose VM started again, and its clock with it, were bounded by the earlier clock for good.
+BOOST_AUTO_TEST_CASE(aRelayWhoseClockBeganAnewIsBoundByItsNewClock)
+{
+    const base::SteadyTime now = base::steadyNow();
+    cell::RelayClock clock;
+    BOOST_TEST(!clock.minimum(now));
+    clock.record(std::chrono::hours(10), now);
+    clock.record(std::chrono::seconds(30), now);
+    BOOST_TEST((clock.minimum(now) == std::chrono::seconds(30)));
+    BOOST_TEST((clock.minimum(now + std::chrono::seconds(1)) <= std::chrono::seconds(31)));
+}
+
+/// Failure guarded against: orders of a leader that does not know its relay's clock yet were refused.
+BOOST_AUTO_TEST_CASE(anOrderToARelayOfUnknownClockIsSent)
+{
+    RelayRig rig;
+    rig.leader.recordRelay("far-1", "far", std::nullopt);
+    rig.linkDelay = std::chrono::milliseconds(100);
+    BOOST_TEST((rig.start(std::chrono::milliseconds(20)).status == UpstreamCallStatus::Done));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
