Cell: what an earlier incarnation of an upstream answered does not count for the next one

What callers saw: a cancelled job went on running on an upstream that had started again. A task that was to be started on an upstream of one size was started on its next incarnation, whatever size or kind that one had. A task whose start had no answer and whose stop got through to nobody waited for a run that had ended with the restart. An upstream that had restarted got no work for a second because the earlier incarnation had refused some.

Cause: the confirmation of a stop, the deadlines of start requests, which are times on the clock of the earlier incarnation, and the mark of an unanswered start stayed with the run; an answer of the earlier incarnation to a start was handled as one of the next, a refusal for its epoch included; and a run whose start had no answer was started again on the next incarnation.

Fix: when a restart is seen, the runs recorded on the upstream lose all three and are marked. The next lists, which are asked for with the epoch of the new incarnation, decide: a marked run that they lack is over, whatever its phase, since all its requests are refused from then on; one that they contain runs, and is stopped anew if it is to be stopped. Until then no start is sent for it. Answers to requests for another incarnation than the known one only show that a run has begun.

--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -93,7 +93,7 @@
 void RunManager::sendStart(TrackedRun &run, base::SteadyTime now)
 {
     const auto tracker = this->context.trackers.find(run.upstream);
-    if (tracker == this->context.trackers.end() || !tracker->second.readBack || !this->context.holdsLease()) {
+    if (tracker == this->context.trackers.end() || !tracker->second.readBack || run.upstreamRestarted || !this->context.holdsLease()) {
         run.nextCall = now + StartRetryInterval;
         return;
     }
@@ -165,7 +165,13 @@
     run->callPending = false;
     const auto found = this->context.trackers.find(run->upstream);
     const bool sameIncarnation = found != this->context.trackers.end() && found->second.incarnation == incarnation;
-    if (sameIncarnation && result.clock) {
+    if (result.status == UpstreamCallStatus::Done) {
+        this->recordBegun(*run);
+    }
+    if (!sameIncarnation) {
+        return;
+    }
+    if (result.clock) {
         if (const auto least = found->second.minimumClock(sentAt); least && *result.clock < *least) {
             Logger.warn("event=answer_of_next_incarnation task={} attempt={} number={} answer={} clock_ms={} least_clock_ms={}",
                         run->task,
@@ -177,13 +183,10 @@
         }
         found->second.recordClock(*result.clock, now);
     }
-    if (sameIncarnation && result.status == UpstreamCallStatus::OtherUpstream) {
+    if (result.status == UpstreamCallStatus::OtherUpstream) {
         this->onUpstreamReplaced(run->upstream);
         return;
     }
-    if (result.status == UpstreamCallStatus::Done) {
-        this->recordBegun(*run);
-    }
     if (run->phase != RunPhase::StartRequested) {
         run->startUnanswered = run->startUnanswered || result.status == UpstreamCallStatus::Unknown;
         return;
@@ -192,9 +195,7 @@
         run->phase = RunPhase::Confirmed;
         run->startedAt = now;
         run->lastProgressAt = now;
-        if (found != this->context.trackers.end()) {
-            found->second.nextRenewal = std::min(found->second.nextRenewal, now);
-        }
+        found->second.nextRenewal = std::min(found->second.nextRenewal, now);
         return;
     }
     this->handleStartFailure(*run, result, now);
--- a/src/cell/TrackedRun.h
+++ b/src/cell/TrackedRun.h
@@ -21,6 +21,16 @@
 
 /// The state that the leading scheduler keeps for one run that the log records, for one term at most. Owned by the RunTable.
 struct TrackedRun {
+    /// Called when the upstream has started again: what its earlier incarnation answered, or may still carry out, does not count for this one.
+    void beginIncarnation()
+    {
+        this->upstreamRestarted = true;
+        this->startUnanswered = false;
+        this->latestDeadline = {};
+        this->stopConfirmedAt = {};
+        this->nextCall = {};
+    }
+
     RunKey key;
     std::string task; ///< The task name that the upstream knows; see taskName().
     std::uint64_t upstream = 0; ///< The number of the upstream.
@@ -29,6 +39,7 @@
     std::chrono::milliseconds latestDeadline{
         0}; ///< Latest deadline that a start request carried, on the upstream's clock; the upstream refuses requests that arrive later.
     bool startUnanswered = false; ///< Some start request had no answer and may still be carried out.
+    bool upstreamRestarted = false; ///< All its start requests were sent to an earlier incarnation; the next lists show whether this one runs it.
     bool begun = false; ///< The upstream has begun the run, as this leader knows.
     bool endProposed = false; ///< The end of the run has been proposed and is not committed yet.
     bool callPending = false; ///< A start or stop request has no answer yet.
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -302,6 +302,9 @@
     });
     const std::int64_t sinceGrant = millisecondsBetween(tracker.grantedAt, now);
     const std::optional<wire::UpstreamT> record = this->context.upstreamRecord(number);
+    for (const RunKey &key : keys) {
+        this->context.runs.find(key)->beginIncarnation();
+    }
     tracker.beginIncarnation(bornMs, now);
     if (record) {
         tracker.incarnation = this->context.incarnationNumbers.next(record->id);
@@ -413,6 +416,7 @@
             continue;
         }
         listed.insert(*key);
+        run->upstreamRestarted = false;
         this->runs.recordBegun(*run);
         if (run->phase == RunPhase::Adopted || run->phase == RunPhase::StartRequested) {
             run->phase = RunPhase::Confirmed;
@@ -541,7 +545,7 @@
         const bool stopConfirmed = run.phase == RunPhase::Stopping && run.stopConfirmedAt != base::SteadyTime() && run.stopConfirmedAt < sentAt;
         const bool stopped = deadlinePassed || stopConfirmed;
         const bool confirmed = run.phase == RunPhase::Confirmed && run.startedAt < sentAt;
-        if (stopped || confirmed || run.phase == RunPhase::Adopted) {
+        if (stopped || confirmed || run.phase == RunPhase::Adopted || run.upstreamRestarted) {
             Logger.info("event=run_missing task={} attempt={} number={} incarnation={} phase={} starts_sent={} unanswered={}",
                         run.task,
                         run.key.attempt,
--- a/tests/cell/RestartedUpstreamsTest.cpp
+++ b/tests/cell/RestartedUpstreamsTest.cpp
@@ -181,4 +181,73 @@
     BOOST_TEST((upstream.deadline == deadline));
 }
 
+/// Failure: a job was cancelled and its run confirmed as stopped; the upstream restarted, and its next incarnation carried out a delayed start before the
+/// leader called it. The confirmation counted for that one too, so the run was not stopped there.
+BOOST_AUTO_TEST_CASE(aStopThatTheEarlierIncarnationConfirmedIsRepeated)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    runWithDelayedStart(rig);
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    upstream.holdsRenewals = true;
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.heldRenewals.empty(); }));
+    rig.cancel("j");
+    BOOST_REQUIRE(rig.runUntil([&] { return upstream.running.empty(); }));
+    rig.run(milliseconds(50));
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    rig.upstreams.deliverDelayedStarts("u1");
+    BOOST_REQUIRE(upstream.running.size() == 1U);
+    rig.announce("u1", 1);
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.runningTasks().empty(); }, milliseconds(1000)));
+}
+
+/// Failure: a start without an answer was repeated on the next incarnation, which had no capacity for it.
+BOOST_AUTO_TEST_CASE(aStartWithoutAnAnswerIsNotRepeatedOnTheNextIncarnation)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    upstream.dropsStarts = true;
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return !upstream.delayedStarts.empty(); }));
+    restartTooSmall(rig);
+    rig.addUpstream("u2", 8000);
+    checkThatTheDelayedStartHasNoEffect(rig);
+    BOOST_TEST(upstream.startRequests == 1);
+}
+
+/// Failure: a run that was to be stopped counted as running on the next incarnation until that one confirmed the stop, or until its clock had passed a deadline
+/// on the clock of the earlier one.
+BOOST_AUTO_TEST_CASE(aRunThatWasToBeStoppedIsOverOnceTheNextIncarnationIsRead)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    upstream.dropsStarts = true;
+    upstream.dropsStops = true;
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return upstream.delayedStarts.size() == 3U; }));
+    rig.addUpstream("u2", 8000);
+    rig.run(milliseconds(50));
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    upstream.dropsStops = true;
+    rig.announce("u1", 1);
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf(Task) == "u2"; }, milliseconds(1000)));
+    checkThatTheDelayedStartHasNoEffect(rig);
+}
+
+/// Failure: the refusal of a start by the earlier incarnation kept work away from the next one.
+BOOST_AUTO_TEST_CASE(aRefusalOfTheEarlierIncarnationDoesNotExcludeTheNextOne)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    rig.upstreams.upstreams["u1"].holdsStarts = true;
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.heldStarts.empty(); }));
+    rig.upstreams.restart("u1");
+    rig.announce("u1", 1);
+    rig.upstreams.answerStarts(cell::UpstreamCallStatus::Unhealthy);
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf(Task) == "u1"; }, milliseconds(500)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
