Links: a call past its deadline is neither sent nor delivered

What callers would see: a process that went on after it stood still flushed the calls that waited in its links before it ended those whose limit had passed. They were carried out although their callers had given them up, among them orders that a leader hands to a relaying VM, and calls to the own VM.

Cause: TcpLinkHub::tick flushes before it expires, and Outbox::takeFrames and markSent did not look at deadlines.

Change: both do. The call then ends as unsent, which is true.

What is already in the kernel's buffers stays there; relays check the age of orders themselves.

--- a/src/link/LocalLink.cpp
+++ b/src/link/LocalLink.cpp
@@ -65,7 +65,7 @@
 
 void LocalLink::deliverCall(std::uint64_t id, Channel channel, std::string payload, const std::string &traceparent)
 {
-    if (!this->box.markSent(id)) {
+    if (!this->box.markSent(id, base::steadyNow())) {
         return;
     }
     if (const CallHandler *handler = this->receivers.callHandler(static_cast<std::uint8_t>(channel))) {
--- a/src/link/Outbox.cpp
+++ b/src/link/Outbox.cpp
@@ -88,26 +88,29 @@
     return std::nullopt;
 }
 
-void Outbox::takeFrames(std::size_t bytes, std::string &output)
+void Outbox::takeFrames(std::size_t bytes, std::string &output, base::SteadyTime now)
 {
     absl::MutexLock lock(&this->mutex);
     for (std::size_t taken = 0; taken < bytes && !this->waiting.empty();) {
         WaitingFrame &frame = this->waiting.front();
-        if (const auto call = this->calls.find(frame.callId); call != this->calls.end()) {
-            call->second.sent = true;
-        }
-        taken += frame.bytes.size();
         this->waitingBytes -= frame.bytes.size();
-        output.append(frame.bytes);
+        const auto call = this->calls.find(frame.callId);
+        if (call == this->calls.end() || call->second.deadline > now) {
+            taken += frame.bytes.size();
+            output.append(frame.bytes);
+            if (call != this->calls.end()) {
+                call->second.sent = true;
+            }
+        }
         this->waiting.pop_front();
     }
 }
 
-bool Outbox::markSent(std::uint64_t id)
+bool Outbox::markSent(std::uint64_t id, base::SteadyTime now)
 {
     absl::MutexLock lock(&this->mutex);
     const auto found = this->calls.find(id);
-    if (found == this->calls.end()) {
+    if (found == this->calls.end() || found->second.deadline <= now) {
         return false;
     }
     found->second.sent = true;
--- a/src/link/Outbox.h
+++ b/src/link/Outbox.h
@@ -54,10 +54,11 @@
     std::optional<CallDone> pushCall(std::uint64_t id, std::string frame, base::SteadyTime deadline, CallDone done);
 
     /// Moves queued frames to the end of `output`, until they make up at least `bytes` bytes or the queue is empty. Their calls count as sent from then on.
-    void takeFrames(std::size_t bytes, std::string &output);
+    /// Drops the frames of calls whose deadline has passed; expire() ends these calls as unsent.
+    void takeFrames(std::size_t bytes, std::string &output, base::SteadyTime now);
 
-    /// Marks a call that is delivered without a connection as sent. Returns false when it has ended already.
-    bool markSent(std::uint64_t id);
+    /// Marks a call that is delivered without a connection as sent. Returns false when it has ended already or its deadline has passed.
+    bool markSent(std::uint64_t id, base::SteadyTime now);
 
     /// Removes the call with this id and returns its callback; returns nothing when the call has ended already.
     std::optional<CallDone> takeAnsweredCall(std::uint64_t id);
--- a/src/link/PeerLink.cpp
+++ b/src/link/PeerLink.cpp
@@ -181,7 +181,7 @@
 void PeerLink::outputDrained(Connection &source)
 {
     std::string output;
-    this->box.takeFrames(OutputBytes, output);
+    this->box.takeFrames(OutputBytes, output, base::steadyNow());
     if (!output.empty()) {
         source.write(output);
     }
