Advice: a ticket that was asked for before a restart of its upstream is not used after it

What callers saw or would see: where an upstream restarted while the advice service still worked on a query (it needs up to seconds), the start on the next incarnation carried a ticket of the earlier one, which is valid for one life only. The upstream refused it, and the task waited for another plan and another query.

Cause: CellTerm::handleAdvice took the incarnation that was known when the answer came, not the one that was known when the query was sent.

Change: the query remembers the incarnation. A ticket that the service gave for the next incarnation all the same counts as one for the earlier and is asked for again.

The rig's advice service can hold its answers; without that it is as before.

--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -288,7 +288,7 @@
 {
     std::string step;
     std::vector<std::string> ids;
-    std::map<std::string, std::uint64_t> asked;
+    std::map<std::string, AskedUpstream> asked;
     this->context.store.read([&](const CellState &state) {
         if (const wire::JobT *job = state.job(query.step.job)) {
             step = stepName(job->spec->id, query.step);
@@ -296,7 +296,8 @@
         for (const std::uint64_t number : query.upstreams) {
             if (const auto found = state.upstreams().find(number); found != state.upstreams().end()) {
                 ids.push_back(found->second.id);
-                asked[found->second.id] = number;
+                const auto tracker = this->context.trackers.find(number);
+                asked[found->second.id] = {number, tracker == this->context.trackers.end() ? 0 : tracker->second.incarnation};
             }
         }
     });
@@ -324,7 +325,7 @@
     return accepted;
 }
 
-void CellTerm::handleAdvice(const AdviceQuery &query, const std::map<std::string, std::uint64_t> &asked, const AdviceResult &result)
+void CellTerm::handleAdvice(const AdviceQuery &query, const std::map<std::string, AskedUpstream> &asked, const AdviceResult &result)
 {
     const base::SteadyTime now = base::steadyNow();
     StepAdvice &advice = this->adviceCache.adviceFor(query.step);
@@ -348,16 +349,15 @@
                 asked.size(),
                 result.tickets.size(),
                 query.expectedDuration.count());
-    for (const auto &[id, number] : asked) {
-        advice.queried.insert(number);
+    for (const auto &[id, upstream] : asked) {
+        advice.queried.insert(upstream.number);
     }
     this->adviceCache.allowRates.recordAnswer(query.queue, asked.size(), result.tickets.size());
     for (const auto &[id, ticket] : result.tickets) {
-        const auto number = asked.find(id);
-        const auto tracker = number == asked.end() ? this->context.trackers.end() : this->context.trackers.find(number->second);
-        if (tracker != this->context.trackers.end()) {
-            advice.allowed[number->second] = {
-                ticket, now + query.ticketLifetime - PlanTicketMargin, tracker->second.incarnation, now + query.ticketLifetime - SendTicketMargin};
+        const auto upstream = asked.find(id);
+        if (upstream != asked.end() && this->context.trackers.count(upstream->second.number) > 0) {
+            const auto &[number, incarnation] = upstream->second;
+            advice.allowed[number] = {ticket, now + query.ticketLifetime - PlanTicketMargin, incarnation, now + query.ticketLifetime - SendTicketMargin};
         }
     }
     this->nextPlan = {};
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -47,6 +47,12 @@
 
 private:
     void planAndPropose();
+    /// An upstream that a query names, as it was known then.
+    struct AskedUpstream {
+        std::uint64_t number = 0;
+        std::uint64_t incarnation = 0;
+    };
+
     void planStarts(base::SteadyTime now);
     planning::RunView runView(const RunKey &key, base::SteadyTime now);
     void preempt(const std::vector<RunKey> &stops);
@@ -55,7 +61,7 @@
     bool sendAdviceQueries(std::vector<planning::AdviceQuery> queries);
     bool sendAdviceQuery(const planning::AdviceQuery &query);
     void recordAdviceUse(const std::vector<planning::PlannedStart> &starts);
-    void handleAdvice(const planning::AdviceQuery &query, const std::map<std::string, std::uint64_t> &asked, const AdviceResult &result);
+    void handleAdvice(const planning::AdviceQuery &query, const std::map<std::string, AskedUpstream> &asked, const AdviceResult &result);
     void proposeBatch();
     void handleProposeResult(const wire::CommandT &command, base::ResultCode code);
     void recordJobProgress(const wire::CommandT &command);
--- a/tests/cell/CellRig.cpp
+++ b/tests/cell/CellRig.cpp
@@ -32,9 +32,22 @@
     for (const std::string &id : upstreams) {
         result.tickets.emplace_back(id, "ticket");
     }
+    if (this->holdsAnswers) {
+        this->heldAnswers.emplace_back([done = std::move(done), result = std::move(result)] { done(result); });
+        return;
+    }
     done(std::move(result));
 }
 
+void AllowAllAdvice::answerHeld()
+{
+    const std::deque<std::function<void()>> answers = std::move(this->heldAnswers);
+    this->heldAnswers.clear();
+    for (const std::function<void()> &answer : answers) {
+        answer();
+    }
+}
+
 CellRig::CellRig(std::chrono::milliseconds leaseMax, bool upstreamSpeeds)
     : hub([](const testsupport::FakeHub::Seen &, std::size_t) {
         return link::CallResult{base::ResultCode::LinkDown, false, {}};
--- a/tests/cell/CellRig.h
+++ b/tests/cell/CellRig.h
@@ -16,14 +16,21 @@
 namespace cranberryreel::support
 {
 
-/// An advice service that allows every upstream and answers at once.
+/// An advice service that allows every upstream and answers at once, unless a test holds its answers.
 class AllowAllAdvice : public cell::AdviceCalls
 {
 public:
     void query(const std::string &step, const std::vector<std::string> &upstreams, std::chrono::milliseconds limit, cell::AdviceCallback done) override;
 
+    /// Answers the queries that wait.
+    void answerHeld();
+
     int queries = 0; ///< Number of queries received.
+    bool holdsAnswers = false; ///< Queries are decided at once, but their answers wait until answerHeld().
     std::function<void()> onQuery; ///< Called before each answer; may be empty.
+
+private:
+    std::deque<std::function<void()>> heldAnswers;
 };
 
 /// A leading scheduler with scripted upstreams, on the test's thread. The scheduler makes progress only inside the rig's functions.
--- a/tests/cell/IncarnationTest.cpp
+++ b/tests/cell/IncarnationTest.cpp
@@ -175,6 +175,31 @@
     BOOST_TEST(rig.upstreams.runningTasks().size() == 2U);
 }
 
+/// Failure: an answer of the advice service that was asked for before a restart was taken for one for the next incarnation. The upstream refused starts with
+/// the ticket, and the tasks waited for another query.
+BOOST_AUTO_TEST_CASE(aTicketAskedForBeforeARestartIsNotUsedAfterIt)
+{
+    CellRig rig;
+    auto rules = support::rules(2);
+    rules->queues.front()->advice = std::make_unique<cell::wire::AdviceT>();
+    rules->queues.front()->advice->valid_ms = 5000;
+    rig.putRules(std::move(rules));
+    rig.addUpstream("u1", 8000);
+    rig.advice.holdsAnswers = true;
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.advice.queries == 1; }));
+    rig.upstreams.restart("u1");
+    const auto next = support::upstream("u1", 8000);
+    next->born_ms = rig.upstreams.upstreams["u1"].bornMs;
+    rig.announce(*next, 1);
+    rig.run(milliseconds(100));
+    rig.advice.holdsAnswers = false;
+    rig.advice.answerHeld();
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf("j.0.0.0") == "u1"; }));
+    BOOST_TEST(rig.advice.queries == 2);
+    BOOST_TEST(rig.upstreams.upstreams["u1"].startRequests == 1);
+}
+
 /// Failure: an upstream whose clock was set back began again with an earlier start time; it was taken for the earlier incarnation, and its first ends for ends
 /// already recorded, so that tasks that were done ran again.
 BOOST_AUTO_TEST_CASE(anIncarnationBornEarlierByItsClockIsRecognized)
