Test: members of a gang that fail in one run count as one failure in the zone scheduler

The cell counted each failed member (docs/incidents/restarts-and-gangs.md). The zone scheduler was looked at for the same: each task has a count of its own, a run raises it by one at most, and a gang starts again while none has reached the limit. The test passes without a change of code: with a limit of two, two members fail in the first run, the gang runs again, and a third failure ends it.

--- a/tests/zone/ZoneSchedulerTest.cpp
+++ b/tests/zone/ZoneSchedulerTest.cpp
@@ -357,6 +357,24 @@
     BOOST_TEST(this->reachesState("z-g", JobState::Done));
 }
 
+/// Failure guarded against: members of a gang that failed in the same run each used up a part of the gang's budget (seen in the cell, not here).
+BOOST_FIXTURE_TEST_CASE(membersOfAGangThatFailInOneRunCountAsOneFailure, SchedulerFixture)
+{
+    this->options.maxFailures = 2;
+    this->takeOver();
+    this->addUpstream("up-1");
+    JobSpec gang = this->batch("z-g", 3);
+    gang.kind = cranberryreel::model::JobKind::Gang;
+    this->submit(gang);
+    BOOST_REQUIRE(eventually([this] { return this->fleet.running().size() == 3U; }));
+    this->fleet.finish("z-g.0", JobState::Failed, "");
+    this->fleet.finish("z-g.1", JobState::Failed, "");
+    BOOST_REQUIRE(eventually([this] { return this->fleet.running().size() == 3U && this->fleet.allStarts() == 6U; }));
+    this->fleet.finish("z-g.2", JobState::Failed, "");
+    BOOST_TEST(this->reachesState("z-g", JobState::Failed));
+    BOOST_TEST(this->fleet.allStarts() == 6U);
+}
+
 BOOST_FIXTURE_TEST_CASE(failingTaskIsTriedAgainWithinItsBudgetOnly, SchedulerFixture)
 {
     this->addUpstream("up-1");
