HTTP client: what a call could not deliver within its limit is discarded

What callers would see: an order that was written to a connection while its way was cut, or its server read nothing, ended by its limit; the closed connection's buffer stayed with the kernel, which delivered it when the way was open again. The order was carried out seconds after its sender had given it up, possibly by the next incarnation of the upstream at that address.

Cause: a socket that is closed with undelivered data is sent on by the kernel unless it is told otherwise.

Change: libcurl closes sockets through a function that resets the connection if the peer has not received all that was written (SIOCOUTQ). Connections that have delivered everything close as before.

Evidence: ClientTest/whatWasNotDeliveredWithinTheLimitIsDiscarded failed before (the server read the whole request, 60,114 bytes, after the call had ended) and passes now; all 33 cases of http_tests pass in one run, ClientTest in five; upstream_tests pass, one run. Not bounded: what the peer's kernel has received and its process reads later.

--- a/src/http/Transfer.cpp
+++ b/src/http/Transfer.cpp
@@ -4,6 +4,10 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace cranberryreel::http
@@ -28,6 +32,17 @@
     }
 }
 
+/// Closes a socket and discards what its peer has not received. The kernel would go on sending that after the close, long after the call has ended.
+int closeWithoutDelivery(void *, curl_socket_t socket)
+{
+    int undelivered = 0;
+    if (::ioctl(socket, SIOCOUTQ, &undelivered) == 0 && undelivered > 0) {
+        const linger discard{1, 0};
+        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    }
+    return ::close(socket);
+}
+
 } // namespace
 
 Transfer::Transfer()
@@ -53,6 +68,7 @@
     curl_easy_setopt(this->curl, CURLOPT_URL, url.c_str());
     curl_easy_setopt(this->curl, CURLOPT_PROXY, "");
     curl_easy_setopt(this->curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(this->curl, CURLOPT_CLOSESOCKETFUNCTION, &closeWithoutDelivery);
     curl_easy_setopt(this->curl, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(this->curl, CURLOPT_PRIVATE, this);
     curl_easy_setopt(this->curl, CURLOPT_WRITEFUNCTION, &Transfer::onBody);
--- a/tests/http/ClientTest.cpp
+++ b/tests/http/ClientTest.cpp
@@ -222,6 +222,36 @@
     BOOST_TEST(eventually([&heldEnded] { return heldEnded == 1; }));
 }
 
+/// Failure: an order whose call had ended by its limit stayed in the buffers of its closed connection, and reached its server when that could read again.
+BOOST_AUTO_TEST_CASE(whatWasNotDeliveredWithinTheLimitIsDiscarded)
+{
+    const ListenSocket listening = openListenSocket("127.0.0.1", 0);
+    const int smallest = 1;
+    BOOST_REQUIRE(::setsockopt(listening.descriptor, SOL_SOCKET, SO_RCVBUF, &smallest, sizeof(smallest)) == 0);
+    const std::string body(60000, 'x');
+    ClientRequest request = this->request("/echo", body);
+    request.host = "127.0.0.1:" + std::to_string(listening.port);
+    request.limit = std::chrono::milliseconds(200);
+    const ClientResponse response = this->client.callAndWait(std::move(request));
+    BOOST_TEST((response.outcome == CallOutcome::TimedOut));
+    BOOST_TEST(response.sent);
+    std::size_t received = 0;
+    if (const int connection = ::accept4(listening.descriptor, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK); connection >= 0) {
+        char buffer[4096];
+        pollfd watched{connection, POLLIN, 0};
+        while (::poll(&watched, 1, 1000) > 0) {
+            const ssize_t count = ::recv(connection, buffer, sizeof(buffer), 0);
+            if (count <= 0) {
+                break;
+            }
+            received += static_cast<std::size_t>(count);
+        }
+        ::close(connection);
+    }
+    ::close(listening.descriptor);
+    BOOST_TEST(received < body.size());
+}
+
 /// Failure: the limit of a call counted from when the client's thread began with it, so a call that waited for a frozen process or a slow callback was sent
 /// after its sender had given it up.
 BOOST_AUTO_TEST_CASE(aCallThatWaitedForTheClientBeyondItsLimitIsNotSent)
