Logs tell how each run of a gang ended, and which step used up a job's budget

Change: gang_run_ended is new, one line for each run of a gang: the ends of its members by kind, the failures that count by now and their limit. job_ended tells the failures of gangs, the step that has failed as often as the limit allows, and the limit. The count and the limit are functions of their own now, which the log and the check share. No decision changes.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -205,17 +205,7 @@
 
 void CellState::checkFailureLimit(wire::JobT &job, const wire::TaskRefT &ref, std::int64_t nowMs)
 {
-    const wire::QueueT *jobQueue = this->queueOf(*job.spec);
-    const std::uint32_t limit = std::max<std::uint32_t>(jobQueue == nullptr ? job.spec->max_failures : jobQueue->max_failures, 1);
-    const wire::StepT &step = *job.spec->steps[ref.step];
-    std::uint32_t failures = 0;
-    for (const auto &member : job.occurrences[ref.occurrence]->steps[ref.step]->tasks) {
-        failures += step.gang ? member->failures : 0;
-    }
-    if (!step.gang) {
-        failures = this->mutableTask(ref)->failures;
-    }
-    if (failures >= limit && isActive(job)) {
+    if (countedFailures(job, ref) >= this->failureLimitOf(*job.spec) && isActive(job)) {
         this->endJob(job, wire::JobState::Failed, nowMs);
     }
 }
@@ -345,6 +335,12 @@
     return spec.route.get();
 }
 
+std::uint32_t CellState::failureLimitOf(const wire::JobSpecT &spec) const
+{
+    const wire::QueueT *jobQueue = this->queueOf(spec);
+    return std::max<std::uint32_t>(jobQueue == nullptr ? spec.max_failures : jobQueue->max_failures, 1);
+}
+
 const wire::QueueT *CellState::queueAt(std::string_view host, std::string_view path) const
 {
     const wire::QueueT *best = nullptr;
@@ -409,6 +405,19 @@
            });
 }
 
+std::uint32_t countedFailures(const wire::JobT &job, const wire::TaskRefT &ref)
+{
+    const auto &tasks = job.occurrences[ref.occurrence]->steps[ref.step]->tasks;
+    if (!job.spec->steps[ref.step]->gang) {
+        return tasks[ref.task]->failures;
+    }
+    std::uint32_t failures = 0;
+    for (const auto &member : tasks) {
+        failures += member->failures;
+    }
+    return failures;
+}
+
 std::vector<std::string> cancelledJobs(const wire::CommandT &command)
 {
     std::vector<std::string> ids = command.cancels;
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -91,6 +91,9 @@
     /// Null when there is no such task, or its occurrence is not due yet.
     const wire::TaskT *task(const wire::TaskRefT &ref) const;
 
+    /// The number of failed runs at which the job fails, for each of its tasks and gangs; at least 1.
+    std::uint32_t failureLimitOf(const wire::JobSpecT &spec) const;
+
     /// Whether this run is recorded and has not ended.
     bool hasRun(const wire::TaskRefT &ref, std::uint32_t attempt, std::uint64_t upstream) const;
 
@@ -123,6 +126,9 @@
     absl::flat_hash_map<std::string, std::uint64_t> upstreamNumbers;
 };
 
+/// The failures that count against the limit of the task, or of its gang.
+std::uint32_t countedFailures(const wire::JobT &job, const wire::TaskRefT &ref);
+
 /// The ids of the jobs that the command cancels.
 std::vector<std::string> cancelledJobs(const wire::CommandT &command);
 
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -401,6 +401,7 @@
         if (!command.ends.empty() || !command.cancels.empty() || !command.team_cancels.empty()) {
             this->jobLog.logEnded(state, now);
         }
+        this->gangLog.record(command, state);
     });
 }
 
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/AdviceCache.h"
+#include "cell/GangRunLog.h"
 #include "cell/JobLifecycleLog.h"
 #include "cell/PeerCallHandler.h"
 #include "cell/RunManager.h"
@@ -71,6 +72,7 @@
     RunManager runs;
     UpstreamManager upstreams;
     JobLifecycleLog jobLog;
+    GangRunLog gangLog;
     PeerCallHandler peerCalls;
     TeamReport teamReport;
     std::vector<CommitCallback> proposedCallbacks; ///< Waiting for the outcome of the proposed batch.
--- a/src/cell/JobLifecycleLog.cpp
+++ b/src/cell/JobLifecycleLog.cpp
@@ -1,10 +1,12 @@
 #include "cell/JobLifecycleLog.h"
 
+#include "cell/TaskKey.h"
 #include "observe/Log.h"
 #include "observe/Metrics.h"
 
 #include <algorithm>
 #include <chrono>
+#include <string>
 
 namespace cranberryreel::cell
 {
@@ -27,17 +29,24 @@
     std::uint32_t tasks = 0;
     std::uint32_t starts = 0;
     std::uint32_t failures = 0;
+    std::uint32_t gangFailures = 0;
+    std::string failedStep = "none"; ///< OCCURRENCE.STEP of the first one with as many failures as the limit.
 };
 
-Totals countTotals(const wire::JobT &job)
+Totals countTotals(const wire::JobT &job, std::uint32_t failureLimit)
 {
     Totals totals;
-    for (const auto &occurrence : job.occurrences) {
-        for (const auto &step : occurrence->steps) {
-            for (const auto &task : step->tasks) {
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::uint32_t s = 0; s < job.occurrences[k]->steps.size(); ++s) {
+            const auto &tasks = job.occurrences[k]->steps[s]->tasks;
+            for (std::uint32_t i = 0; i < tasks.size(); ++i) {
                 ++totals.tasks;
-                totals.starts += task->last_attempt;
-                totals.failures += task->failures;
+                totals.starts += tasks[i]->last_attempt;
+                totals.failures += tasks[i]->failures;
+                totals.gangFailures += job.spec->steps[s]->gang ? tasks[i]->failures : 0;
+                if (totals.failedStep == "none" && countedFailures(job, toRef({{job.number, k, s}, i})) >= failureLimit) {
+                    totals.failedStep = std::to_string(k) + '.' + std::to_string(s);
+                }
             }
         }
     }
@@ -83,8 +92,10 @@
             continue;
         }
         if (job != nullptr) {
-            const Totals totals = countTotals(*job);
-            Logger.info("event=job_ended job={} queue={} state={} since_accepted_ms={} since_started_ms={} steps={} tasks={} starts={} failures={}",
+            const std::uint32_t failureLimit = state.failureLimitOf(*job->spec);
+            const Totals totals = countTotals(*job, failureLimit);
+            Logger.info("event=job_ended job={} queue={} state={} since_accepted_ms={} since_started_ms={} steps={} tasks={} starts={} failures={} "
+                        "gang_failures={} failed_step={} failure_limit={}",
                         job->spec->id,
                         job->spec->queue,
                         wire::EnumNameJobState(job->state),
@@ -93,7 +104,10 @@
                         job->spec->steps.size(),
                         totals.tasks,
                         totals.starts,
-                        totals.failures);
+                        totals.failures,
+                        totals.gangFailures,
+                        totals.failedStep,
+                        failureLimit);
         }
         this->acceptedAt.erase(at->first);
         at = this->openJobs.erase(at);
