A run of a gang in which several members fail counts once against the job's budget

Each failed end of a member added one to its failures, and the gang's failures are the sum over its members.

Change: a failed end counts only if no member of the gang has counted a failure of the same attempt; the task that counts it keeps the attempt (Task.failed_attempts). The members share the attempt: the planner gives all of them the highest one of the step plus one, in one command that holds for all or none, and only when no run of the step is recorded. A list instead of the last attempt, since ends of runs that were given up can come after those of later attempts.

The ends that CellSamples makes are those of the present version.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -79,7 +79,7 @@
         this->applyUpstream(*upstream);
     }
     for (const auto &end : command.ends) {
-        this->applyEnd(*end, command.now_ms);
+        this->applyEnd(*end, command);
     }
     // A cancel in the same command as its job came after it.
     for (const auto &spec : command.jobs) {
@@ -165,7 +165,7 @@
     this->upstreamTable[number] = std::move(updated);
 }
 
-void CellState::applyEnd(const wire::EndT &end, std::int64_t nowMs)
+void CellState::applyEnd(const wire::EndT &end, const wire::CommandT &command)
 {
     wire::JobT *job = this->mutableJob(end.task->job);
     wire::TaskT *task = this->mutableTask(*end.task);
@@ -195,10 +195,15 @@
         for (auto &member : members) {
             member->done = member->done || step.gang;
         }
-        this->completeIfDone(*job, *end.task, nowMs);
+        this->completeIfDone(*job, *end.task, command.now_ms);
     } else if (end.kind == wire::EndKind::Failed && !step.lasting && !task->done) {
-        ++task->failures;
-        this->checkFailureLimit(*job, *end.task, nowMs);
+        if (!command.counts_runs) {
+            ++task->failures;
+        } else if (!isFailureCounted(*job, *end.task, end.attempt)) {
+            ++task->failures;
+            task->failed_attempts.push_back(end.attempt);
+        }
+        this->checkFailureLimit(*job, *end.task, command.now_ms);
     }
     this->updateOpenJobs(*job);
 }
@@ -418,6 +423,18 @@
     return failures;
 }
 
+bool isFailureCounted(const wire::JobT &job, const wire::TaskRefT &ref, std::uint32_t attempt)
+{
+    const auto &tasks = job.occurrences[ref.occurrence]->steps[ref.step]->tasks;
+    const auto counts = [attempt](const wire::TaskT &task) {
+        return std::find(task.failed_attempts.begin(), task.failed_attempts.end(), attempt) != task.failed_attempts.end();
+    };
+    // The members of a gang share the attempt.
+    return job.spec->steps[ref.step]->gang
+        ? std::any_of(tasks.begin(), tasks.end(), [&counts](const std::unique_ptr<wire::TaskT> &member) { return counts(*member); })
+        : counts(*tasks[ref.task]);
+}
+
 std::vector<std::string> cancelledJobs(const wire::CommandT &command)
 {
     std::vector<std::string> ids = command.cancels;
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -100,7 +100,7 @@
 private:
     void setRules(std::unique_ptr<wire::RulesT> rules);
     void applyUpstream(const wire::UpstreamT &change);
-    void applyEnd(const wire::EndT &end, std::int64_t nowMs);
+    void applyEnd(const wire::EndT &end, const wire::CommandT &command);
     void applyJob(const wire::JobSpecT &spec, std::int64_t nowMs);
     void applyCancel(const std::string &id, std::int64_t nowMs);
     void applyTeamCancel(const wire::TeamCancelT &cancel, std::int64_t nowMs);
@@ -129,6 +129,9 @@
 /// The failures that count against the limit of the task, or of its gang.
 std::uint32_t countedFailures(const wire::JobT &job, const wire::TaskRefT &ref);
 
+/// Whether a failure of this attempt of the task, or of its gang, is known to have been counted. Earlier versions did not record whose failures they counted.
+bool isFailureCounted(const wire::JobT &job, const wire::TaskRefT &ref, std::uint32_t attempt);
+
 /// The ids of the jobs that the command cancels.
 std::vector<std::string> cancelledJobs(const wire::CommandT &command);
 
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -369,6 +369,7 @@
     auto [taken, callbacks] = this->context.batch.take();
     const std::shared_ptr<wire::CommandT> command = std::move(taken);
     command->now_ms = unixTimeMs();
+    command->counts_runs = true;
     this->proposing = true;
     this->proposedCallbacks = std::move(callbacks);
     static observe::DurationHistogram &commits = observe::durations("cranberryreel_cell_commit_seconds", "From the proposal of a batch to its commit.");
--- a/tests/cell/CellSamples.cpp
+++ b/tests/cell/CellSamples.cpp
@@ -110,6 +110,7 @@
     ended->checkpoint = checkpoint;
     cell::wire::CommandT command;
     command.ends.push_back(std::move(ended));
+    command.counts_runs = true;
     return command;
 }
 
--- a/tests/cell/GangFailuresTest.cpp
+++ b/tests/cell/GangFailuresTest.cpp
@@ -203,4 +203,36 @@
     BOOST_TEST(failuresOf(rig) == 2U);
 }
 
+/// What commands of earlier versions counted stays counted: a log that is read again gives no job an attempt that it has used up.
+BOOST_AUTO_TEST_CASE(commandsOfEarlierVersionsCountEachMembersEnd)
+{
+    CellState state = withGang();
+    placeGang(state, 1);
+    for (std::uint32_t index = 0; index < 2; ++index) {
+        BOOST_TEST((stateOf(state) == JobState::Running));
+        cell::wire::CommandT earlier = support::end(support::key(1, 0, index), 1, 1, EndKind::Failed);
+        earlier.counts_runs = false;
+        state.apply(earlier);
+    }
+    BOOST_TEST((stateOf(state) == JobState::Failed));
+    BOOST_TEST(state.task(cell::toRef(support::key(1, 0, 0)))->failed_attempts.empty());
+}
+
+/// The state of an earlier version has counts without attempts; one failed run uses up what is left of the budget.
+BOOST_AUTO_TEST_CASE(failuresInTheStateOfAnEarlierVersionStayCounted)
+{
+    CellState state = withGang();
+    placeGang(state, 1);
+    cell::wire::CommandT earlier = support::end(support::key(1, 0, 0), 1, 1, EndKind::Failed);
+    earlier.counts_runs = false;
+    state.apply(earlier);
+    state = CellState::decode(state.encode());
+    state.apply(support::end(support::key(1, 0, 1), 1, 1, EndKind::Broken));
+    state.apply(support::end(support::key(1, 0, 2), 1, 1, EndKind::Broken));
+    placeGang(state, 2);
+    BOOST_TEST((stateOf(state) == JobState::Running));
+    endGang(state, 2, 0b100, false);
+    BOOST_TEST((stateOf(state) == JobState::Failed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
