--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -79,7 +79,7 @@
         this->applyUpstream(*upstream);
     }
     for (const auto &end : command.ends) {
-        this->applyEnd(*end, command.now_ms);
+        this->applyEnd(*end, command);
     }
     // A cancel in the same command as its job came after it.
     for (const auto &spec : command.jobs) {
@@ -165,7 +165,7 @@
     this->upstreamTable[number] = std::move(updated);
 }
 
-void CellState::applyEnd(const wire::EndT &end, std::int64_t nowMs)
+void CellState::applyEnd(const wire::EndT &end, const wire::CommandT &command)
 {
     wire::JobT *job = this->mutableJob(end.task->job);
     wire::TaskT *task = this->mutableTask(*end.task);
@@ -195,27 +195,22 @@
         for (auto &member : members) {
             member->done = member->done || step.gang;
         }
-        this->completeIfDone(*job, *end.task, nowMs);
+        this->completeIfDone(*job, *end.task, command.now_ms);
     } else if (end.kind == wire::EndKind::Failed && !step.lasting && !task->done) {
-        ++task->failures;
-        this->checkFailureLimit(*job, *end.task, nowMs);
+        if (!command.counts_runs) {
+            ++task->failures;
+        } else if (!isFailureCounted(*job, *end.task, end.attempt)) {
+            ++task->failures;
+            task->failed_attempts.push_back(end.attempt);
+        }
+        this->checkFailureLimit(*job, *end.task, command.now_ms);
     }
     this->updateOpenJobs(*job);
 }
 
 void CellState::checkFailureLimit(wire::JobT &job, const wire::TaskRefT &ref, std::int64_t nowMs)
 {
-    const wire::QueueT *jobQueue = this->queueOf(*job.spec);
-    const std::uint32_t limit = std::max<std::uint32_t>(jobQueue == nullptr ? job.spec->max_failures : jobQueue->max_failures, 1);
-    const wire::StepT &step = *job.spec->steps[ref.step];
-    std::uint32_t failures = 0;
-    for (const auto &member : job.occurrences[ref.occurrence]->steps[ref.step]->tasks) {
-        failures += step.gang ? member->failures : 0;
-    }
-    if (!step.gang) {
-        failures = this->mutableTask(ref)->failures;
-    }
-    if (failures >= limit && isActive(job)) {
+    if (countedFailures(job, ref) >= this->failureLimitOf(*job.spec) && isActive(job)) {
         this->endJob(job, wire::JobState::Failed, nowMs);
     }
 }
@@ -345,6 +340,12 @@
     return spec.route.get();
 }
 
+std::uint32_t CellState::failureLimitOf(const wire::JobSpecT &spec) const
+{
+    const wire::QueueT *jobQueue = this->queueOf(spec);
+    return std::max<std::uint32_t>(jobQueue == nullptr ? spec.max_failures : jobQueue->max_failures, 1);
+}
+
 const wire::QueueT *CellState::queueAt(std::string_view host, std::string_view path) const
 {
     const wire::QueueT *best = nullptr;
@@ -409,6 +410,31 @@
            });
 }
 
+std::uint32_t countedFailures(const wire::JobT &job, const wire::TaskRefT &ref)
+{
+    const auto &tasks = job.occurrences[ref.occurrence]->steps[ref.step]->tasks;
+    if (!job.spec->steps[ref.step]->gang) {
+        return tasks[ref.task]->failures;
+    }
+    std::uint32_t failures = 0;
+    for (const auto &member : tasks) {
+        failures += member->failures;
+    }
+    return failures;
+}
+
+bool isFailureCounted(const wire::JobT &job, const wire::TaskRefT &ref, std::uint32_t attempt)
+{
+    const auto &tasks = job.occurrences[ref.occurrence]->steps[ref.step]->tasks;
+    const auto counts = [attempt](const wire::TaskT &task) {
+        return std::find(task.failed_attempts.begin(), task.failed_attempts.end(), attempt) != task.failed_attempts.end();
+    };
+    // The members of a gang share the attempt.
+    return job.spec->steps[ref.step]->gang
+        ? std::any_of(tasks.begin(), tasks.end(), [&counts](const std::unique_ptr<wire::TaskT> &member) { return counts(*member); })
+        : counts(*tasks[ref.task]);
+}
+
 std::vector<std::string> cancelledJobs(const wire::CommandT &command)
 {
     std::vector<std::string> ids = command.cancels;
