Ends that change nothing are acknowledged, also on a quiet cell

What callers saw: ends that a new leader was listed, although its predecessor had committed them, stayed unacknowledged until something else was proposed; on a quiet cell, for good. So did ends of runs that were given up and that changed nothing.

Cause: the acknowledgement waits for the outcome of the batch that collects the ends, and a batch without a change was not proposed.

Change: processEnds() has the batch proposed whenever there are new ends. The commit is still awaited, since an earlier batch that such an end depends on may be under way. Ends are taken up once in a term, so an idle cell proposes nothing more.

Evidence: CellTermTest/anEndThatWasCommittedBeforeAChangeOfLeaderIsAcknowledged failed before (3 s) and passes now.

--- a/src/cell/CommandBatch.h
+++ b/src/cell/CommandBatch.h
@@ -33,23 +33,32 @@
         this->callbacks.push_back(std::move(done));
     }
 
-    /// Whether there is no change to propose.
+    /// Has the batch proposed even if it collects no change, for a callback that waits until the earlier ones are committed.
+    void requireCommit()
+    {
+        this->commitRequired = true;
+    }
+
+    /// Whether there is nothing to propose.
     bool empty() const
     {
         const wire::CommandT &next = *this->pending;
-        return !next.rules && next.upstreams.empty() && next.ends.empty() && next.jobs.empty() && next.cancels.empty() && next.placements.empty()
-            && next.due.empty() && next.forget.empty() && next.forget_cancelled.empty() && next.begun.empty() && next.team_cancels.empty();
+        return !this->commitRequired && !next.rules && next.upstreams.empty() && next.ends.empty() && next.jobs.empty() && next.cancels.empty()
+            && next.placements.empty() && next.due.empty() && next.forget.empty() && next.forget_cancelled.empty() && next.begun.empty()
+            && next.team_cancels.empty();
     }
 
     /// Returns the batch with its callbacks and starts an empty one.
     std::pair<std::unique_ptr<wire::CommandT>, std::vector<CommitCallback>> take()
     {
+        this->commitRequired = false;
         return {std::exchange(this->pending, std::make_unique<wire::CommandT>()), std::exchange(this->callbacks, {})};
     }
 
 private:
     std::unique_ptr<wire::CommandT> pending = std::make_unique<wire::CommandT>();
     std::vector<CommitCallback> callbacks;
+    bool commitRequired = false;
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -453,6 +453,7 @@
     if (highest > tracker.lastProposedEnd) {
         tracker.recordEnds(base::steadyNow());
         tracker.lastProposedEnd = highest;
+        this->context.batch.requireCommit(); // Ends that change nothing are acknowledged too.
         this->context.batch.onOutcome([this, number, incarnation = tracker.incarnation, highest](base::ResultCode code) {
             const auto found = this->context.trackers.find(number);
             if (found == this->context.trackers.end() || found->second.incarnation != incarnation) {
--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -52,6 +52,21 @@
     BOOST_TEST(rig.store.read([](const cell::CellState &state) { return state.task(cell::toRef(support::key(1, 0, 0)))->failures; }) == 1U);
 }
 
+/// Failure: an end that a new leader was listed although its predecessor had committed it changed nothing, and on a quiet cell it was never acknowledged.
+BOOST_AUTO_TEST_CASE(anEndThatWasCommittedBeforeAChangeOfLeaderIsAcknowledged)
+{
+    CellRig rig;
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.upstreamOf(First).empty(); }));
+    rig.run(milliseconds(100));
+    rig.upstreams.finish("u1", First, RunEndKind::Done);
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.jobState("j") == JobState::Completed; }));
+    BOOST_REQUIRE(!rig.upstreams.upstreams["u1"].ended.empty());
+    rig.takeOver();
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreams["u1"].ended.empty(); }, milliseconds(3000)));
+}
+
 /// Load pattern: an upstream leaves start requests unanswered and carries them out seconds later.
 BOOST_AUTO_TEST_CASE(aTaskWhoseStartHadNoAnswerNeverRunsTwice)
 {
--- a/tests/cell/LateFailuresTest.cpp
+++ b/tests/cell/LateFailuresTest.cpp
@@ -140,8 +140,6 @@
     BOOST_REQUIRE(!rig.upstreams.upstreams["u1"].ended.empty());
     rig.store.restore(rig.store.snapshot());
     rig.takeOver();
-    rig.run(milliseconds(200));
-    rig.submit(support::job("k", support::step(1, 1000))); // An acknowledgement follows the next commit.
     BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreams["u1"].ended.empty(); }));
     BOOST_TEST(failuresOf(rig) == 1U);
     BOOST_TEST((rig.jobState("j") == JobState::Running));
