The test of an end that is listed while the loss of its run is committed waits for that loss

What was wrong: CellTermTest/anEndThatIsListedWhileTheLossOfItsRunIsCommittedCounts took the next proposal for the loss of the run. It was the record that the job has begun, which is proposed some time after the start; the upstream was reachable again before its run was given up, and the end counted in the ordinary way.

Change: the test first waits until the job is recorded as begun. Nothing that it checks is changed.

Evidence: with the branch switched off that takes up ends of runs whose loss is being committed, the test passed before and fails now; with it, it passes. One run each of cell_tests without the suites with entries of their own, GangFailuresTest, LateFailuresTest, UpstreamLossTest and docs_tests pass; format and lint of the file are clean.

--- a/tests/cell/CellTermTest.cpp
+++ b/tests/cell/CellTermTest.cpp
@@ -444,6 +444,8 @@
     rig.addUpstream("u1", 8000);
     rig.submit(support::job("j", support::step(1, 1000)));
     BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf(First) == "u1"; }));
+    // The loss of the run is then the next proposal.
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.store.read([](const cell::CellState &state) { return state.jobNamed("j")->started; }); }));
     rig.upstreams.upstreams["u1"].reachable = false;
     rig.upstreams.finish("u1", First, RunEndKind::Done);
     rig.group.stalls = true;
