Cell: an answer that shows a restart lets the leader read the upstream at once

What callers saw: tasks of an upstream that had started again were started elsewhere only when it announced itself, or when the renewal that waited at the earlier incarnation had ended, up to 1.9 s later, although the answer to a start had shown the restart before.

Cause: answer_of_next_incarnation was only logged.

Fix: the known incarnation ends with this answer, and the next renewal reads the upstream without a deadline and with the next epoch. Its answer brings the start time of the new incarnation, as before. The run that was started so is in the lists and is kept.

The log line was also written without a restart: the least time of the clock was worked out back from readings that arrived after the request was sent, with 2% too little taken off, so an answer that a later renewal had overtaken by 200 ms counted as one of the next incarnation. The least time is now taken when the request is sent.

Evidence: aStartThatTheNextIncarnationAnsweredLetsTheLeaderReadIt fails on the commit before; aDelayedAnswerIsNotTakenForThatOfTheNextIncarnation failed with the least time worked out backwards. Both pass, three runs in a row. cell_tests without UpstreamLossTest and docs_tests pass, one run each; format and lint of the changed files are clean.

--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -146,16 +146,21 @@
                  request.deadline.count(),
                  run.startRequests);
     run.callPending = true;
-    this->context.calls.start(target,
-                              request,
-                              freshConnection ? CallLimit : FirstStartLimit,
-                              freshConnection,
-                              [this, post = this->context.post, key = run.key, incarnation = tracker->second.incarnation, now](UpstreamCallResult result) {
-                                  post([this, key, incarnation, now, result = std::move(result)] { this->handleStartResult(key, incarnation, now, result); });
-                              });
+    this->context.calls.start(
+        target,
+        request,
+        freshConnection ? CallLimit : FirstStartLimit,
+        freshConnection,
+        [this, post = this->context.post, key = run.key, incarnation = tracker->second.incarnation, leastClock = tracker->second.minimumClock(now)](
+            UpstreamCallResult result) {
+            post([this, key, incarnation, leastClock, result = std::move(result)] { this->handleStartResult(key, incarnation, leastClock, result); });
+        });
 }
 
-void RunManager::handleStartResult(const RunKey &key, std::uint64_t incarnation, base::SteadyTime sentAt, const UpstreamCallResult &result)
+void RunManager::handleStartResult(const RunKey &key,
+                                   std::uint64_t incarnation,
+                                   std::optional<std::chrono::milliseconds> leastClock,
+                                   const UpstreamCallResult &result)
 {
     const base::SteadyTime now = base::steadyNow();
     TrackedRun *run = this->context.runs.find(key);
@@ -172,14 +177,16 @@
         return;
     }
     if (result.clock) {
-        if (const auto least = found->second.minimumClock(sentAt); least && *result.clock < *least) {
+        if (leastClock && *result.clock < *leastClock) {
             Logger.warn("event=answer_of_next_incarnation task={} attempt={} number={} answer={} clock_ms={} least_clock_ms={}",
                         run->task,
                         run->key.attempt,
                         run->upstream,
                         statusName(result.status),
                         result.clock->count(),
-                        least->count());
+                        leastClock->count());
+            this->onUpstreamRestarted(run->upstream);
+            return;
         }
         found->second.recordClock(*result.clock, now);
     }
--- a/src/cell/RunManager.h
+++ b/src/cell/RunManager.h
@@ -6,9 +6,11 @@
 
 #include "cranberryreel/base/Clock.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace cranberryreel::cell
@@ -52,6 +54,9 @@
     /// Called when another upstream answers at the address of this one, which has therefore ended with all its runs. Set before use.
     std::function<void(std::uint64_t upstream)> onUpstreamReplaced;
 
+    /// Called when an answer shows that the upstream has started again, before its next incarnation is known. Set before use.
+    std::function<void(std::uint64_t upstream)> onUpstreamRestarted;
+
     /// By task: the upstreams on which it has failed.
     const std::map<TaskKey, std::set<std::uint64_t>> &failedUpstreams() const
     {
@@ -65,7 +70,8 @@
 private:
     bool isNeeded(const CellState &state, const RunKey &key) const;
     void sendStart(TrackedRun &run, base::SteadyTime now);
-    void handleStartResult(const RunKey &key, std::uint64_t incarnation, base::SteadyTime sentAt, const UpstreamCallResult &result);
+    /// `leastClock`: the least that the clock of this incarnation could show when the request was sent.
+    void handleStartResult(const RunKey &key, std::uint64_t incarnation, std::optional<std::chrono::milliseconds> leastClock, const UpstreamCallResult &result);
     void handleStartFailure(TrackedRun &run, const UpstreamCallResult &result, base::SteadyTime now);
     void recordStartFailure(const TrackedRun &run, UpstreamCallStatus status, base::SteadyTime now);
     void sendStop(TrackedRun &run, base::SteadyTime now);
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -64,6 +64,7 @@
     , runs(runManager)
 {
     this->runs.onUpstreamReplaced = [this](std::uint64_t number) { this->removeUpstream(number); };
+    this->runs.onUpstreamRestarted = [this](std::uint64_t number) { this->handleUnknownRestart(number); };
 }
 
 UpstreamTracker &UpstreamManager::trackerOf(const std::string &id, std::uint64_t number, base::SteadyTime now)
@@ -323,6 +324,16 @@
                 tracker.inheritedLeaseTime(now).count());
 }
 
+/// An answer to a start showed that the upstream has started again. The answer to the read that follows shows when.
+void UpstreamManager::handleUnknownRestart(std::uint64_t number)
+{
+    if (const std::optional<wire::UpstreamT> record = this->context.upstreamRecord(number)) {
+        UpstreamTracker &tracker = this->context.trackers.at(number);
+        const std::int64_t born = tracker.bornOr(record->born_ms);
+        this->beginIncarnation(number, tracker, born, born, base::steadyNow());
+    }
+}
+
 void UpstreamManager::handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs)
 {
     const std::optional<wire::UpstreamT> announced = std::exchange(tracker.earlierBorn, std::nullopt);
--- a/src/cell/UpstreamManager.h
+++ b/src/cell/UpstreamManager.h
@@ -53,6 +53,7 @@
     void endMissingRuns(std::uint64_t number, base::SteadyTime sentAt, const std::set<RunKey> &listed);
     std::optional<RunKey> runKeyOf(const RunName &run) const;
     void beginIncarnation(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs, base::SteadyTime now);
+    void handleUnknownRestart(std::uint64_t number);
     void handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs);
     void endAllRuns(std::uint64_t number);
     void proposeUpstream(const wire::UpstreamT &upstream, const CompletionCallback &done);
--- a/tests/cell/RestartedUpstreamsTest.cpp
+++ b/tests/cell/RestartedUpstreamsTest.cpp
@@ -250,4 +250,47 @@
     BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf(Task) == "u1"; }, milliseconds(500)));
 }
 
+/// Failure: an answer to a start showed that the upstream had started again, but its runs were started elsewhere only when a renewal that waited at the earlier
+/// incarnation had ended, or the next one announced itself.
+BOOST_AUTO_TEST_CASE(aStartThatTheNextIncarnationAnsweredLetsTheLeaderReadIt)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    rig.submit(support::job("long", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf("long.0.0.0") == "u1"; }));
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    rig.run(milliseconds(50));
+    upstream.holdsRenewals = true;
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.heldRenewals.empty(); }));
+    rig.upstreams.restart("u1");
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.startCounts[Task] == 1; }));
+    rig.addUpstream("u2", 8000);
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf("long.0.0.0") == "u2"; }, milliseconds(500)));
+    BOOST_REQUIRE(!upstream.renewals.empty());
+    BOOST_TEST(!upstream.renewals.front().deadline.has_value());
+    rig.run(milliseconds(50));
+    BOOST_TEST(rig.upstreams.startCounts[Task] == 1); // The next incarnation runs it.
+    BOOST_TEST(upstream.running.count(Task) == 1U);
+}
+
+/// Guards the above: the answer to a start arrives after those to later renewals, which show a later time on the upstream's clock.
+BOOST_AUTO_TEST_CASE(aDelayedAnswerIsNotTakenForThatOfTheNextIncarnation)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    rig.submit(support::job("long", support::step(1, 1000))); // Keeps renewals going.
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf("long.0.0.0") == "u1"; }));
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    upstream.delaysAnswers = true;
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return !rig.upstreams.delayedAnswers.empty(); }));
+    rig.run(milliseconds(200));
+    upstream.delaysAnswers = false;
+    const std::uint64_t epoch = upstream.epoch;
+    rig.upstreams.deliverDelayedAnswers();
+    rig.run(milliseconds(100));
+    BOOST_TEST(upstream.epoch == epoch);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -83,6 +83,10 @@
         done({UpstreamCallStatus::Unknown, std::nullopt, "answer lost"});
         return;
     }
+    if (upstream.delaysAnswers) {
+        this->delayedAnswers.emplace_back([done = std::move(done), result = UpstreamCallResult{answer, clockOf(upstream), {}}] { done(result); });
+        return;
+    }
     done({answer, clockOf(upstream), {}});
 }
 
@@ -111,6 +115,7 @@
 cell::RenewResult ScriptedUpstreams::executeRenewal(Upstream &upstream, const cell::RenewRequest &request)
 {
     cell::RenewResult renewed;
+    upstream.renewals.push_back(request);
     this->expireLeases(upstream);
     renewed.callResult.clock = clockOf(upstream);
     renewed.bornMs = upstream.bornMs;
@@ -199,6 +204,13 @@
     }
 }
 
+void ScriptedUpstreams::deliverDelayedAnswers()
+{
+    for (const std::function<void()> &deliver : std::exchange(this->delayedAnswers, {})) {
+        deliver();
+    }
+}
+
 void ScriptedUpstreams::breakRenewals()
 {
     for (const cell::RenewCallback &done : std::exchange(this->heldRenewals, {})) {
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -31,12 +31,14 @@
         bool dropsStarts = false; ///< Start requests are not answered; they stay in `delayedStarts`.
         bool holdsStarts = false; ///< Start requests are not carried out and wait until answerStarts().
         bool dropsAnswers = false; ///< Start requests are carried out, but their answers are lost.
+        bool delaysAnswers = false; ///< Start requests are carried out, but their answers wait until deliverDelayedAnswers().
         bool dropsStops = false;
         bool refusesAsFull = false;
         bool holdsRenewals = false; ///< Renewals wait until breakRenewals().
         int renewalsToDrop = 0; ///< So many renewals from now on get no answer; they stay in `delayedRenewals`.
         std::vector<std::chrono::milliseconds> startLimits; ///< Time limits of all start requests.
         int startRequests = 0;
+        std::vector<cell::RenewRequest> renewals; ///< All renewals that it received.
         std::int64_t bornMs = 1;
         std::uint64_t epoch = 0;
         std::uint64_t lastEndNumber = 0;
@@ -76,6 +78,9 @@
     /// Carries out the renewals that had no answer.
     void deliverDelayedRenewals(const std::string &id);
 
+    /// Delivers the answers that wait.
+    void deliverDelayedAnswers();
+
     /// Answers the start requests that wait.
     void answerStarts(cell::UpstreamCallStatus status);
 
@@ -97,6 +102,7 @@
     std::map<std::string, Upstream> upstreams;
     std::map<std::string, int> startCounts; ///< Number of runs started, by task.
     std::vector<cell::UpstreamCallback> heldStarts; ///< Start requests that wait.
+    std::vector<std::function<void()>> delayedAnswers; ///< Deliver the answers that wait.
     std::vector<cell::RenewCallback> heldRenewals; ///< Renewals that wait.
     std::chrono::milliseconds heldDeadline{0}; ///< Deadline of the last of them.
     std::chrono::milliseconds leaseMax = std::chrono::hours(1); ///< Longer leases are shortened to this.
