Cell: an upstream that started again is read at once

Failure: between the sign of a restart and the next tick of the scheduler, up to 50 ms, the next incarnation still accepted requests to the earlier one. After an announcement the first read went to the recorded address, which was that of the earlier incarnation until the new description was committed; another upstream that listens there refuses it, and the upstream is removed (found by reading).

Fix: the read is sent with the sign itself: to the announced address, or to the address from which the answer came.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -107,6 +107,7 @@
     }
     if (announced.born_ms > born) {
         this->beginIncarnation(known->number, tracker, announced.born_ms, born, now);
+        this->readAtOnce(known->number, tracker, {announced.id, announced.address}, now);
     }
     tracker.announcementSequence = announcement.sequence;
     tracker.announcedAt = now;
@@ -324,23 +325,37 @@
                 tracker.inheritedLeaseTime(now).count());
 }
 
+void UpstreamManager::readAtOnce(std::uint64_t number, UpstreamTracker &tracker, const UpstreamTarget &target, base::SteadyTime now)
+{
+    if (this->context.holdsLease()) {
+        this->sendRenewal(number, tracker, target, now);
+    }
+}
+
 /// An answer to a start showed that the upstream has started again. The answer to the read that follows shows when.
 void UpstreamManager::handleUnknownRestart(std::uint64_t number)
 {
     if (const std::optional<wire::UpstreamT> record = this->context.upstreamRecord(number)) {
         UpstreamTracker &tracker = this->context.trackers.at(number);
         const std::int64_t born = tracker.bornOr(record->born_ms);
-        this->beginIncarnation(number, tracker, born, born, base::steadyNow());
+        const base::SteadyTime now = base::steadyNow();
+        this->beginIncarnation(number, tracker, born, born, now);
+        this->readAtOnce(number, tracker, {record->id, record->address}, now);
     }
 }
 
 void UpstreamManager::handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs)
 {
     const std::optional<wire::UpstreamT> announced = std::exchange(tracker.earlierBorn, std::nullopt);
-    this->beginIncarnation(number, tracker, bornMs, earlierBornMs, base::steadyNow());
+    const base::SteadyTime now = base::steadyNow();
+    const std::optional<wire::UpstreamT> known = this->context.upstreamRecord(number);
+    this->beginIncarnation(number, tracker, bornMs, earlierBornMs, now);
+    if (known) {
+        this->readAtOnce(number, tracker, {known->id, known->address}, now);
+    }
     if (announced && announced->born_ms == bornMs) {
         this->proposeUpstream(*announced, [](base::ResultCode) {});
-    } else if (const std::optional<wire::UpstreamT> known = this->context.upstreamRecord(number)) {
+    } else if (known) {
         // The new incarnation may be smaller, of another kind or of another service, so nothing is placed there until it announces itself.
         wire::UpstreamT undescribed;
         undescribed.id = known->id;
--- a/src/cell/UpstreamManager.h
+++ b/src/cell/UpstreamManager.h
@@ -53,6 +53,8 @@
     void endMissingRuns(std::uint64_t number, base::SteadyTime sentAt, const std::set<RunKey> &listed);
     std::optional<RunKey> runKeyOf(const RunName &run) const;
     void beginIncarnation(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs, base::SteadyTime now);
+    /// Reads an incarnation that has just become known. From its answer on it refuses requests to earlier ones.
+    void readAtOnce(std::uint64_t number, UpstreamTracker &tracker, const UpstreamTarget &target, base::SteadyTime now);
     void handleUnknownRestart(std::uint64_t number);
     void handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs);
     void endAllRuns(std::uint64_t number);
--- a/tests/cell/RestartedUpstreamsTest.cpp
+++ b/tests/cell/RestartedUpstreamsTest.cpp
@@ -293,4 +293,21 @@
     BOOST_TEST(upstream.epoch == epoch);
 }
 
+/// Failure: between the announcement of a restart and the next tick of the scheduler, 50 ms, the next incarnation still accepted requests to the earlier one.
+BOOST_AUTO_TEST_CASE(anIncarnationThatAnnouncesItselfIsReadAtOnce)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    rig.upstreams.restart("u1");
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::Announce;
+    call.announcement = std::make_unique<cell::wire::AnnouncementT>();
+    call.announcement->upstream = support::upstream("u1", 8000);
+    call.announcement->upstream->born_ms = rig.upstreams.upstreams["u1"].bornMs;
+    call.announcement->sequence = 1;
+    rig.send(std::move(call));
+    BOOST_REQUIRE(rig.upstreams.upstreams["u1"].renewals.size() == 1U);
+    BOOST_TEST(!rig.upstreams.upstreams["u1"].renewals.front().deadline.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
