Zone: an answer of the next boot no longer proves that a start never ran

What callers would see: work that isn't repeatable runs twice, and "not run" is recorded for an attempt that ran. A start's answer is lost; the upstream runs the task, ends, and starts again under its id; asked for the task, its next boot says that it knows none.

Cause: TaskStarter asks, bars the attempt by a stop and asks again; neither answer names a boot, and two times "not found" counted as proof. Usually a renewal shows the restart first; it doesn't where renewals fail for longer than deliveryMargin (1 s) while questions, which use fresh connections, are answered.

Change: the proof also needs a renewal that was sent after the stop and that the boot answered which the start was sent to. A renewal is made due when the stop is answered. Until one is answered the question is repeated every 300 ms; a restart that it shows, or the end of the lease, ends the attempt as lost.

FakeFleet got a trouble for the test; its others are as before.

--- a/src/zone/TaskStarter.cpp
+++ b/src/zone/TaskStarter.cpp
@@ -187,10 +187,10 @@
     ActiveTask &task = job.tasks[index];
     Logger.warn("No answer to the start request for task {}.{} on upstream {}; querying the upstream.", job.spec.id, index, task.upstream);
     task.stage = TaskStage::StartUnconfirmed;
-    this->queryTask(job.spec.id, index, task.attempt, false);
+    this->queryTask(job.spec.id, index, task.attempt, std::nullopt);
 }
 
-void TaskStarter::queryTask(const model::JobId &id, std::uint32_t index, std::uint32_t attempt, bool startBlocked)
+void TaskStarter::queryTask(const model::JobId &id, std::uint32_t index, std::uint32_t attempt, std::optional<base::SteadyTime> blockedAt)
 {
     const ActiveTask *task = this->parts.findAttempt(id, index, attempt);
     const UpstreamEntry *upstream = task != nullptr ? this->parts.fleet.find(task->upstream) : nullptr;
@@ -201,12 +201,13 @@
         upstream->record.address,
         TaskName{id, index}.toString(),
         this->parts.context.options.callTimeout,
-        [this, id, index, attempt, startBlocked, postInTerm = this->parts.context.postInTerm](const upstream::TaskAnswer &answer) {
-            postInTerm([this, id, index, attempt, startBlocked, answer] { this->handleQueryAnswer(id, index, attempt, startBlocked, answer); });
+        [this, id, index, attempt, blockedAt, postInTerm = this->parts.context.postInTerm](const upstream::TaskAnswer &answer) {
+            postInTerm([this, id, index, attempt, blockedAt, answer] { this->handleQueryAnswer(id, index, attempt, blockedAt, answer); });
         });
 }
 
-void TaskStarter::handleQueryAnswer(const model::JobId &id, std::uint32_t index, std::uint32_t attempt, bool startBlocked, const upstream::TaskAnswer &answer)
+void TaskStarter::handleQueryAnswer(
+    const model::JobId &id, std::uint32_t index, std::uint32_t attempt, std::optional<base::SteadyTime> blockedAt, const upstream::TaskAnswer &answer)
 {
     ActiveTask *task = this->parts.findAttempt(id, index, attempt);
     if (task == nullptr || task->stage != TaskStage::StartUnconfirmed) {
@@ -220,14 +221,19 @@
     }
     const bool onlyEarlierAttempt = answered && model::isFinal(answer.report.state);
     if (answer.code == base::ResultCode::NotFound || onlyEarlierAttempt) {
-        if (startBlocked) {
-            this->endHandler.handleNotStarted(job, index);
-        } else {
+        if (!blockedAt) {
             this->blockLateStart(id, index, attempt);
+            return;
         }
-        return;
+        // The answers name no boot. Those of the next one prove nothing about the boot that the start was sent to.
+        const UpstreamEntry *upstream = this->parts.fleet.find(task->upstream);
+        if (upstream != nullptr && upstream->record.boot == task->boot && upstream->bootConfirmedAt >= *blockedAt) {
+            this->endHandler.handleNotStarted(job, index);
+            return;
+        }
+        this->parts.fleet.renewSoon(task->upstream, base::steadyNow());
     }
-    this->parts.context.postInTermAfter(QueryRetryDelay, [this, id, index, attempt, startBlocked] { this->queryTask(id, index, attempt, startBlocked); });
+    this->parts.context.postInTermAfter(QueryRetryDelay, [this, id, index, attempt, blockedAt] { this->queryTask(id, index, attempt, blockedAt); });
 }
 
 /// Sends a stop request, which makes the upstream refuse a start request of this attempt that arrives late. Queries the task again after the longest delivery
@@ -247,11 +253,16 @@
                                         this->parts.context.options.callTimeout,
                                         [this, id, index, attempt, postInTerm = this->parts.context.postInTerm](const upstream::TaskAnswer &answer) {
                                             postInTerm([this, id, index, attempt, code = answer.code] {
+                                                const base::SteadyTime now = base::steadyNow();
                                                 const bool reached = code == base::ResultCode::Ok || code == base::ResultCode::NotFound;
+                                                const auto blockedAt = reached ? std::make_optional(now) : std::nullopt;
                                                 const SchedulerOptions &options = this->parts.context.options;
                                                 const auto delay = reached ? options.deliveryMargin : QueryRetryDelay;
+                                                if (const ActiveTask *blocked = this->parts.findAttempt(id, index, attempt); reached && blocked != nullptr) {
+                                                    this->parts.fleet.renewSoon(blocked->upstream, now);
+                                                }
                                                 this->parts.context.postInTermAfter(
-                                                    delay, [this, id, index, attempt, reached] { this->queryTask(id, index, attempt, reached); });
+                                                    delay, [this, id, index, attempt, blockedAt] { this->queryTask(id, index, attempt, blockedAt); });
                                             });
                                         });
 }
--- a/src/zone/TaskStarter.h
+++ b/src/zone/TaskStarter.h
@@ -8,6 +8,7 @@
 #include "zone/TermParts.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace cranberryreel::zone
 {
@@ -31,8 +32,9 @@
     upstream::StartRequest makeStartRequest(const ActiveJob &job, std::uint32_t index, base::SteadyTime now) const;
     void handleStartAnswer(const model::JobId &id, std::uint32_t index, std::uint32_t attempt, const upstream::TaskAnswer &answer);
     void handleUnansweredStart(ActiveJob &job, std::uint32_t index);
-    void queryTask(const model::JobId &id, std::uint32_t index, std::uint32_t attempt, bool startBlocked);
-    void handleQueryAnswer(const model::JobId &id, std::uint32_t index, std::uint32_t attempt, bool startBlocked, const upstream::TaskAnswer &answer);
+    void queryTask(const model::JobId &id, std::uint32_t index, std::uint32_t attempt, std::optional<base::SteadyTime> blockedAt);
+    void handleQueryAnswer(
+        const model::JobId &id, std::uint32_t index, std::uint32_t attempt, std::optional<base::SteadyTime> blockedAt, const upstream::TaskAnswer &answer);
     void blockLateStart(const model::JobId &id, std::uint32_t index, std::uint32_t attempt);
 
     TermParts &parts;
--- a/src/zone/UpstreamEntry.h
+++ b/src/zone/UpstreamEntry.h
@@ -28,6 +28,7 @@
     bool accepting = false; ///< The upstream may get new work.
     bool renewing = false; ///< A renew request is not answered yet.
     base::SteadyTime lastContact; ///< Time at which the last answered renew request was sent.
+    base::SteadyTime bootConfirmedAt; ///< Time at which the last renew request that the recorded boot answered was sent.
     base::SteadyTime leaseSentAt; ///< Time at which the last call that may have extended the lease was sent.
     base::SteadyTime nextRenew;
     base::SteadyTime nextFullReport; ///< Time from which the next renewal also lists running tasks.
--- a/src/zone/UpstreamFleet.cpp
+++ b/src/zone/UpstreamFleet.cpp
@@ -246,6 +246,7 @@
         return;
     }
     entry.suspect = false;
+    entry.bootConfirmedAt = sent.at;
     this->listener.upstreamReported(report, sent.request.includeRunning, sent.at);
     this->setPhase(entry, UpstreamPhase::Live);
     this->updateAcceptance(entry);
@@ -278,6 +279,13 @@
     }
 }
 
+void UpstreamFleet::renewSoon(const std::string &id, base::SteadyTime now)
+{
+    if (const auto found = this->entries.find(id); found != this->entries.end()) {
+        found->second.nextRenew = std::min(found->second.nextRenew, now);
+    }
+}
+
 void UpstreamFleet::noteLeaseSent(const std::string &id, base::SteadyTime now)
 {
     if (const auto found = this->entries.find(id); found != this->entries.end()) {
--- a/src/zone/UpstreamFleet.h
+++ b/src/zone/UpstreamFleet.h
@@ -36,6 +36,9 @@
     /// Records a failed call: the upstream gets no new work until it answers a renew request.
     void markSuspect(const std::string &id, base::SteadyTime now);
 
+    /// Makes the next renew request due now.
+    void renewSoon(const std::string &id, base::SteadyTime now);
+
     /// Records that a start request with a lease is sent now.
     void noteLeaseSent(const std::string &id, base::SteadyTime now);
 
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -49,7 +49,11 @@
 void FakeFleet::restart(const std::string &id)
 {
     absl::MutexLock lock(&this->mutex);
-    Instance &instance = this->instances[id];
+    beginBoot(this->instances[id]);
+}
+
+void FakeFleet::beginBoot(Instance &instance)
+{
     instance.boots += 1;
     instance.self.boot = "boot-" + std::to_string(instance.boots);
     instance.tasks.clear();
@@ -173,7 +177,11 @@
         if (isReachable(instance.trouble) && instance.trouble != Trouble::LosesStarts) {
             answer = this->startOn(instance, order);
         }
-        if (!deliversAnswers(instance.trouble) || instance.trouble == Trouble::LosesStarts || instance.trouble == Trouble::LosesStartAnswers) {
+        if (instance.trouble == Trouble::RestartsAfterStart) {
+            beginBoot(instance);
+        }
+        if (!deliversAnswers(instance.trouble) || instance.trouble == Trouble::LosesStarts || instance.trouble == Trouble::LosesStartAnswers
+            || instance.trouble == Trouble::RestartsAfterStart) {
             answer = unreachableAnswer();
         }
     }
@@ -218,10 +226,11 @@
         absl::MutexLock lock(&this->mutex);
         this->endTasksWithExpiredLease();
         Instance &instance = this->instances[address];
-        if (isReachable(instance.trouble)) {
+        const bool lost = instance.trouble == Trouble::RestartsAfterStart && instance.boots > 1;
+        if (isReachable(instance.trouble) && !lost) {
             answer = this->renewOn(instance, order);
         }
-        if (!deliversAnswers(instance.trouble)) {
+        if (!deliversAnswers(instance.trouble) || lost) {
             answer = {};
             answer.code = base::ResultCode::UpstreamUnreachable;
         }
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -19,6 +19,7 @@
     Unreachable, ///< No request arrives.
     LosesAnswers, ///< Requests arrive and starts take effect, but every answer is lost.
     LosesStartAnswers, ///< Starts take effect but their answers are lost; other requests work.
+    RestartsAfterStart, ///< Each start takes effect, then the process restarts without an answer; from then on no renewal arrives; other requests work.
     LosesStarts, ///< Starts are lost; other requests work.
     FailsAll, ///< Every task fails.
 };
@@ -76,6 +77,7 @@
         int boots = 1;
     };
 
+    static void beginBoot(Instance &instance);
     void endTasksWithExpiredLease() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     bool runsElsewhere(const Instance &except, const std::string &taskId) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     upstream::TaskAnswer startOn(Instance &instance, const upstream::StartRequest &order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/tests/zone/ZoneSchedulerTest.cpp
+++ b/tests/zone/ZoneSchedulerTest.cpp
@@ -136,6 +136,22 @@
     BOOST_TEST(this->fleet.allStarts() == 1U);
 }
 
+/// Failure: a start without an answer ran on one boot, and the next boot answered that it does not know the task; the work, which is not repeatable, was
+/// started again.
+BOOST_FIXTURE_TEST_CASE(anAnswerOfTheNextBootDoesNotProveThatWorkNeverRan, SchedulerFixture)
+{
+    this->addUpstream("up-1");
+    this->fleet.setInstantRequests(false);
+    this->fleet.setTrouble("up-1", Trouble::RestartsAfterStart);
+    auto reply = this->submitLater(runOnceRequest(*this, "z-1", "k"));
+    BOOST_REQUIRE(eventually([this] { return this->fleet.startsOf("z-1.0") == 1U; }));
+    std::this_thread::sleep_for(3 * this->options.deliveryMargin + std::chrono::milliseconds(100));
+    this->fleet.setTrouble("up-1", Trouble::None);
+    const ZoneReply unknown = reply.get();
+    BOOST_TEST((unknown.status.state == JobState::Unknown));
+    BOOST_TEST(this->fleet.startsOf("z-1.0") == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(restartedUpstreamHasRepeatableWorkRunAgain, SchedulerFixture)
 {
     this->addUpstream("up-1");
