Upstreams: the next leader knows which of them may hold a long lease after a restart

Cause: a call meant for an earlier incarnation of an upstream carries a deadline on that one's clock. On the next incarnation, whose clock began anew, it gives the longest lease that the platform allows.

Change: the upstream's record tells of such a lease (`long_lease`), from the command that records the new incarnation on. Each proposal of the record carries what the leader's tracker knows, so that announcements, which lack the field, don't drop it. A leader that finds it waits for the platform's limit, from its own start and from its own first read; once the limit has passed after that read, a further command clears it. Nothing starts on the incarnation before its record is committed with the field: it does not count as read until then. A change of the record for its leases alone waits until no other change of it is under way, and changes that were refused are proposed again. No wall clock decides. Where the platform allows no longer leases than the cell grants, nothing is recorded, proposed or delayed. Records without the field read as ones without a long lease. Waiting 10 s after every change of leader was no way out: a lasting task has to run again within 9 s. The log has long_lease_inherited and long_lease_recorded.

Why it works: a long lease comes only from calls sent before the leader saw the restart. Every run that a leader starts on the incarnation after that is committed after the field is, or sent after it, so a successor that knows the run knows the lease.

The new aLongLeaseThatIsOverIsNotWaitedOutByTheNextLeader guards the 9 s.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -68,7 +68,16 @@
 
 UpstreamTracker &UpstreamManager::trackerOf(std::uint64_t number, base::SteadyTime now)
 {
-    return this->context.trackers.try_emplace(number, this->context.options.leaseMax, now).first->second;
+    if (const auto found = this->context.trackers.find(number); found != this->context.trackers.end()) {
+        return found->second;
+    }
+    const std::optional<wire::UpstreamT> record = this->context.upstreamRecord(number);
+    const bool longLease = record && record->long_lease;
+    UpstreamTracker &added = this->context.trackers.try_emplace(number, this->context.options.leaseMax, now, longLease).first->second;
+    if (longLease) {
+        Logger.info("event=long_lease_inherited upstream={} number={} leases_ms={}", record->id, number, added.inheritedLeaseTime(now).count());
+    }
+    return added;
 }
 
 void UpstreamManager::handleAnnouncement(const wire::AnnouncementT &announcement, const CompletionCallback &done)
@@ -83,7 +92,7 @@
     });
     if (!known) {
         Logger.info("event=upstream_added upstream={} address={} zone={} born={}", announced.id, announced.address, announced.zone, announced.born_ms);
-        this->proposeUpstream(announced, done);
+        this->proposeUpstream(0, announced, done);
         return;
     }
     UpstreamTracker &tracker = this->trackerOf(known->number, now);
@@ -113,16 +122,50 @@
     if (announced.draining != known->draining) {
         Logger.info("event=upstream_draining upstream={} number={} draining={}", announced.id, known->number, announced.draining);
     }
-    this->proposeUpstream(announced, done);
+    this->proposeUpstream(known->number, announced, done);
 }
 
-void UpstreamManager::proposeUpstream(const wire::UpstreamT &upstream, const CompletionCallback &done)
+void UpstreamManager::proposeUpstream(std::uint64_t number, wire::UpstreamT upstream, const CompletionCallback &done)
 {
-    this->context.batch.command().upstreams.push_back(std::make_unique<wire::UpstreamT>(upstream));
-    this->context.batch.onOutcome(done);
+    const auto tracker = this->context.trackers.find(number);
+    upstream.long_lease = tracker != this->context.trackers.end() && tracker->second.mayHoldLongLease(base::steadyNow());
+    this->context.batch.command().upstreams.push_back(std::make_unique<wire::UpstreamT>(std::move(upstream)));
+    this->proposedRecords.insert(number);
+    this->context.batch.onOutcome([this, number, done](base::ResultCode code) {
+        this->proposedRecords.erase(this->proposedRecords.find(number));
+        done(code);
+    });
     this->context.wake();
 }
 
+bool UpstreamManager::isRecorded(std::uint64_t number, const UpstreamTracker &tracker, base::SteadyTime now) const
+{
+    return !tracker.mayHoldLongLease(now) || this->context.store.read([number, &tracker](const CellState &state) {
+        const auto record = state.upstreams().find(number);
+        return record != state.upstreams().end() && record->second.long_lease && record->second.born_ms == tracker.bornOr(record->second.born_ms);
+    });
+}
+
+void UpstreamManager::recordLongLeases(base::SteadyTime now)
+{
+    std::vector<wire::UpstreamT> changes;
+    this->context.store.read([this, now, &changes](const CellState &state) {
+        for (const auto &[number, tracker] : this->context.trackers) {
+            const auto record = state.upstreams().find(number);
+            // Another change that is not committed yet may tell more than the record.
+            const bool current = record != state.upstreams().end() && record->second.born_ms == tracker.bornOr(record->second.born_ms)
+                && this->proposedRecords.count(number) == 0;
+            if (current && record->second.long_lease != tracker.mayHoldLongLease(now)) {
+                changes.push_back(record->second);
+            }
+        }
+    });
+    for (const wire::UpstreamT &change : changes) {
+        Logger.info("event=long_lease_recorded upstream={} number={} held={}", change.id, change.number, !change.long_lease);
+        this->proposeUpstream(change.number, change, [](base::ResultCode) {});
+    }
+}
+
 void UpstreamManager::handleLeave(const std::string &id, const CompletionCallback &done)
 {
     const base::SteadyTime now = base::steadyNow();
@@ -150,7 +193,7 @@
     if (change) {
         Logger.info("event=upstream_removed upstream={} number={}", change->id, number);
         change->gone = true;
-        this->proposeUpstream(*change, [](base::ResultCode) {});
+        this->proposeUpstream(number, *change, [](base::ResultCode) {});
     }
 }
 
@@ -184,6 +227,7 @@
         this->nextSpeedCheck = now + SpeedCheckInterval;
         this->excludeSlow(now);
         this->context.speedMonitor.update(now);
+        this->recordLongLeases(now);
     }
     std::vector<std::pair<std::uint64_t, UpstreamTarget>> known;
     this->context.store.read([&known](const CellState &state) {
@@ -283,7 +327,7 @@
     }
     this->processLists(number, tracker, sentAt, result);
     const bool allAcknowledged = tracker.lastProposedEnd == tracker.lastCommittedEnd && tracker.lastCommittedEnd == tracker.lastAcknowledgedEnd;
-    if (this->context.runs.countOnUpstream(number) == 0 && allAcknowledged) {
+    if (tracker.readBack && this->context.runs.countOnUpstream(number) == 0 && allAcknowledged) {
         tracker.nextRenewal = now + IdleRenewalInterval;
     }
     this->context.wake();
@@ -318,7 +362,7 @@
     const std::optional<wire::UpstreamT> announced = std::exchange(tracker.earlierBorn, std::nullopt);
     this->beginIncarnation(number, tracker, bornMs, earlierBornMs, base::steadyNow());
     if (announced && announced->born_ms == bornMs) {
-        this->proposeUpstream(*announced, [](base::ResultCode) {});
+        this->proposeUpstream(number, *announced, [](base::ResultCode) {});
     } else if (const std::optional<wire::UpstreamT> known = this->context.upstreamRecord(number)) {
         // The new incarnation may be smaller, of another kind or of another service, so nothing is placed there until it announces itself.
         wire::UpstreamT undescribed;
@@ -326,7 +370,7 @@
         undescribed.address = known->address;
         undescribed.zone = known->zone;
         undescribed.born_ms = bornMs;
-        this->proposeUpstream(undescribed, [](base::ResultCode) {});
+        this->proposeUpstream(number, undescribed, [](base::ResultCode) {});
     }
 }
 
@@ -361,7 +405,7 @@
     if (!result.endsCut) {
         this->endMissingRuns(number, sentAt, listed);
     }
-    tracker.readBack = true;
+    tracker.readBack = this->isRecorded(number, tracker, base::steadyNow());
 }
 
 std::optional<RunKey> UpstreamManager::runKeyOf(const RunName &run) const
--- a/src/cell/UpstreamManager.h
+++ b/src/cell/UpstreamManager.h
@@ -55,11 +55,17 @@
     void beginIncarnation(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs, base::SteadyTime now);
     void handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs);
     void endAllRuns(std::uint64_t number);
-    void proposeUpstream(const wire::UpstreamT &upstream, const CompletionCallback &done);
+    /// Whether the log holds what the next leader has to know of this incarnation's leases before anything starts there.
+    bool isRecorded(std::uint64_t number, const UpstreamTracker &tracker, base::SteadyTime now) const;
+    /// Changes the records that do not tell whether their upstream may hold a long lease.
+    void recordLongLeases(base::SteadyTime now);
+    /// Proposes the record with what is known of the leases of the upstream of this number.
+    void proposeUpstream(std::uint64_t number, wire::UpstreamT upstream, const CompletionCallback &done);
 
     TermContext &context;
     RunManager &runs;
     base::SteadyTime nextSpeedCheck{};
+    std::multiset<std::uint64_t> proposedRecords; ///< Numbers of the upstreams with proposed changes that are not committed yet; one entry each.
 };
 
 } // namespace cranberryreel::cell
--- a/src/cell/UpstreamTracker.cpp
+++ b/src/cell/UpstreamTracker.cpp
@@ -35,13 +35,13 @@
 
 } // namespace
 
-UpstreamTracker::UpstreamTracker(std::chrono::milliseconds maxLease, base::SteadyTime now)
+UpstreamTracker::UpstreamTracker(std::chrono::milliseconds maxLease, base::SteadyTime now, bool recordedLongLease)
     : platformLeaseMax(maxLease)
     , leaseMax(std::min(maxLease, LongestLease))
 {
     this->beginIncarnation(0, now);
-    this->restarted = false;
-    this->inheritedLeasesUntil = now + longestDuration(this->leaseMax);
+    this->restarted = recordedLongLease;
+    this->inheritedLeasesUntil = now + longestDuration(recordedLongLease ? this->platformLeaseMax : this->leaseMax);
 }
 
 void UpstreamTracker::beginIncarnation(std::int64_t born, base::SteadyTime now)
@@ -160,6 +160,12 @@
     return std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(this->inheritedLeasesUntil - now));
 }
 
+bool UpstreamTracker::mayHoldLongLease(base::SteadyTime now) const
+{
+    const bool over = this->answeredAt != base::SteadyTime() && now >= this->inheritedLeasesUntil;
+    return this->restarted && this->platformLeaseMax > this->leaseMax && !over;
+}
+
 bool UpstreamTracker::leasesExpired(base::SteadyTime now) const
 {
     if (now < this->inheritedLeasesUntil) {
--- a/src/cell/UpstreamTracker.h
+++ b/src/cell/UpstreamTracker.h
@@ -19,8 +19,8 @@
 {
 public:
     /// Grants leases of `maxLease`, the longest that the platform allows, or of 6 s where that is longer. Leases of an earlier leader may cover runs on the
-    /// upstream until so long after `now` by the upstream's clock.
-    UpstreamTracker(std::chrono::milliseconds maxLease, base::SteadyTime now);
+    /// upstream until so long after `now` by the upstream's clock; leases of `maxLease` where its record tells of a long lease.
+    UpstreamTracker(std::chrono::milliseconds maxLease, base::SteadyTime now, bool recordedLongLease = false);
 
     /// Records a reading of the upstream's steady clock from an answer that arrived at `now`.
     void recordClock(std::chrono::milliseconds clock, base::SteadyTime now);
@@ -60,6 +60,10 @@
     /// How long leases granted in earlier terms or to earlier incarnations may last from `now` on; 0 when they have expired.
     std::chrono::milliseconds inheritedLeaseTime(base::SteadyTime now) const;
 
+    /// Whether a request meant for an earlier incarnation may have given this one a lease that is longer than those that the cell grants, and that may still
+    /// last. The upstream's record has to tell the next leader so.
+    bool mayHoldLongLease(base::SteadyTime now) const;
+
     /// Whether all leases that any request may have granted have certainly expired.
     bool leasesExpired(base::SteadyTime now) const;
 
--- a/tests/cell/CellStateTest.cpp
+++ b/tests/cell/CellStateTest.cpp
@@ -189,6 +189,17 @@
     BOOST_TEST(read.jobNamed("l")->number == 3U);
 }
 
+/// A record without the note, which FlatBuffers does not store, is that of an earlier version too.
+BOOST_AUTO_TEST_CASE(aSnapshotKeepsTheNoteOfALongLease)
+{
+    CellState state = withUpstreamAndRules();
+    BOOST_TEST(!CellState::decode(state.encode()).upstreamNamed("u1")->long_lease);
+    auto record = support::upstream("u1", 8000);
+    record->long_lease = true;
+    state.apply(support::announce(std::move(record)));
+    BOOST_TEST(CellState::decode(state.encode()).upstreamNamed("u1")->long_lease);
+}
+
 /// Failure: a cancel in the same command as its job was applied first and had no effect, so that the cancelled job ran.
 BOOST_AUTO_TEST_CASE(aJobIsCancelledByACancelInItsOwnCommand)
 {
--- a/tests/cell/InheritedLeasesTest.cpp
+++ b/tests/cell/InheritedLeasesTest.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds LongPlatformLease{10000};
 /// Leases of the platform's limit are over by then, allowances and the start included.
 constexpr milliseconds WaitLimit{12000};
+/// By the platform's rules a lasting task has to run again by then.
+constexpr milliseconds RestartLimit{9000};
 const std::string Task = "j.0.0.0";
 
 /// Runs a lasting task on "u1", whose clock is far ahead of that of a next incarnation; returns false if that takes too long.
@@ -175,6 +177,25 @@
     checkThatTheLeaseIsWaitedOut(rig);
 }
 
+/// Guards against the other mistake: after every change of leader a task of a vanished upstream would wait for 10 s and more.
+BOOST_AUTO_TEST_CASE(aLongLeaseThatIsOverIsNotWaitedOutByTheNextLeader)
+{
+    CellRig rig(LongPlatformLease);
+    BOOST_REQUIRE(runTaskOnFirstUpstream(rig));
+    BOOST_REQUIRE(restartShownByAnnouncement(rig));
+    BOOST_REQUIRE(taskRunsAgainOnFirstUpstream(rig));
+    const auto longLease = [&rig] { return rig.store.read([](const cell::CellState &state) { return state.upstreamNamed("u1")->long_lease; }); };
+    BOOST_TEST(longLease());
+    BOOST_REQUIRE(rig.runUntil([&] { return !longLease(); }, WaitLimit));
+    BOOST_TEST(rig.upstreams.startCounts[Task] == 2);
+    rig.takeOver();
+    rig.run(milliseconds(200));
+    BOOST_TEST(!longLease());
+    rig.upstreams.upstreams["u1"].running.clear();
+    cutOffFirstUpstream(rig);
+    BOOST_TEST(rig.runUntil([&] { return rig.upstreams.upstreamOf(Task) == "u2"; }, RestartLimit));
+}
+
 /// Failure: the wait counted from when the restart was seen, but requests of the earlier incarnation extended the lease until the next one had been read.
 BOOST_AUTO_TEST_CASE(aLongLeaseIsWaitedOutFromTheFirstReadOfTheNextIncarnation)
 {
--- a/tests/cell/UpstreamTrackerTest.cpp
+++ b/tests/cell/UpstreamTrackerTest.cpp
@@ -85,6 +85,38 @@
     BOOST_TEST(tracker.leasesExpired(Start + milliseconds(13400)));
 }
 
+/// Failure: a leader that took over after a restart waited out only leases that leaders grant, and started tasks again that still ran.
+BOOST_AUTO_TEST_CASE(aRecordedLongLeaseIsWaitedOut)
+{
+    UpstreamTracker tracker(milliseconds(10000), Start, true);
+    BOOST_TEST(!tracker.leasesExpired(Start + milliseconds(10200)));
+    BOOST_TEST(tracker.leasesExpired(Start + milliseconds(10400)));
+    tracker.recordAnswer(0, Start + milliseconds(1000));
+    BOOST_TEST(!tracker.leasesExpired(Start + milliseconds(11200)));
+    BOOST_TEST(tracker.leasesExpired(Start + milliseconds(11400)));
+}
+
+BOOST_AUTO_TEST_CASE(aLongLeaseIsOverOnlyAfterTheFirstAnswer)
+{
+    UpstreamTracker tracker(milliseconds(10000), Start);
+    BOOST_TEST(!tracker.mayHoldLongLease(Start));
+    tracker.beginIncarnation(1, Start);
+    BOOST_TEST(tracker.mayHoldLongLease(Start + milliseconds(20000))); // Requests of the earlier incarnation may still come.
+    tracker.recordAnswer(0, Start + milliseconds(20000));
+    BOOST_TEST(tracker.mayHoldLongLease(Start + milliseconds(30200)));
+    BOOST_TEST(!tracker.mayHoldLongLease(Start + milliseconds(30400)));
+    tracker.beginIncarnation(2, Start + milliseconds(40000));
+    BOOST_TEST(tracker.mayHoldLongLease(Start + milliseconds(40000)));
+}
+
+BOOST_AUTO_TEST_CASE(noLeaseIsLongWhereThePlatformAllowsNoLongerOnesThanTheCellGrants)
+{
+    UpstreamTracker tracker(Lease, Start, true);
+    BOOST_TEST(!tracker.mayHoldLongLease(Start));
+    tracker.beginIncarnation(1, Start);
+    BOOST_TEST(!tracker.mayHoldLongLease(Start));
+}
+
 /// Load pattern: a share of all renewals gets no answer; where a task ends ten times a second, one and a half seconds without reports delay fifteen tasks.
 BOOST_AUTO_TEST_CASE(renewalsWaitShorterWhereTasksEndOften)
 {
