Soak: upstreams restart under their ids and are cut off, calls are carried out late, gangs fail

Now an upstream is a series of incarnations at one address (SoakIncarnation). A share of the starts and renewals is left unanswered and carried out up to 5 s later, also by the next incarnation, but by that one only once the cell has read its lists and called it again: before that no caller can prevent it. A cut waits for the same condition.

TaskRuns checks that no task runs twice at once and that no step starts after an acknowledged done or after MaxAttempts acknowledged failures. GangJobs submits gangs of three and single tasks whose members fail together, and checks the states that clients are shown. LastingRuns keeps its 9 s; after a restart and a cut the bound is the platform's longest lease by the slowest clock and the rest of the 9 s, 13.1 s.

Soak.cpp is split: the processes of the VMs are in SoakVms.

--- a/tests/soak/LastingRuns.cpp
+++ b/tests/soak/LastingRuns.cpp
@@ -1,7 +1,5 @@
 #include "soak/LastingRuns.h"
 
-#include "soak/SoakPlan.h"
-
 #include <algorithm>
 
 namespace cranberryreel::soak
@@ -11,7 +9,9 @@
 {
     const absl::MutexLock lock(&this->mutex);
     // The task may have started already.
-    if (const auto [added, isNew] = this->tasks.try_emplace(task); isNew) {
+    const auto [added, isNew] = this->tasks.try_emplace(task);
+    added->second.expected = true;
+    if (isNew) {
         added->second.endedAt = std::chrono::steady_clock::now();
     }
 }
@@ -33,16 +33,16 @@
 bool LastingRuns::allRun() const
 {
     const absl::MutexLock lock(&this->mutex);
-    return std::all_of(this->tasks.begin(), this->tasks.end(), [](const auto &entry) { return entry.second.runs > 0; });
+    return std::all_of(this->tasks.begin(), this->tasks.end(), [](const auto &entry) { return !entry.second.expected || entry.second.runs > 0; });
 }
 
-std::vector<std::string> LastingRuns::overdue(SteadyTime since) const
+std::vector<std::string> LastingRuns::overdue(SteadyTime since, std::chrono::milliseconds limit) const
 {
     const SteadyTime now = std::chrono::steady_clock::now();
     std::vector<std::string> names;
     const absl::MutexLock lock(&this->mutex);
     for (const auto &[name, task] : this->tasks) {
-        if (task.runs == 0 && now - std::max(task.endedAt, since) > RestartLimit) {
+        if (task.expected && task.runs == 0 && now - std::max(task.endedAt, since) > limit) {
             names.push_back(name);
         }
     }
--- a/tests/soak/LastingRuns.h
+++ b/tests/soak/LastingRuns.h
@@ -23,13 +23,15 @@
     void recordStart(const std::string &task);
     void recordEnd(const std::string &task);
 
+    /// Whether all expected tasks run.
     bool allRun() const;
 
-    /// The tasks that have not run for longer than RestartLimit, counted from the end of their last run, or from the given time if that is later.
-    std::vector<std::string> overdue(SteadyTime since) const;
+    /// The expected tasks that have not run for longer than the limit, counted from the end of their last run, or from the given time if that is later.
+    std::vector<std::string> overdue(SteadyTime since, std::chrono::milliseconds limit) const;
 
 private:
     struct Task {
+        bool expected = false;
         int runs = 0;
         SteadyTime endedAt;
     };
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -55,10 +55,10 @@
     const auto &[begin, end, shortest, longest] = kinds[this->nextLossKind++ % std::size(kinds)];
     std::vector<SoakStep> steps;
     if (begin != end) {
-        steps.push_back({0ms, begin, false, 0});
+        steps.push_back({0ms, begin, false, false, 0});
     }
     const auto range = static_cast<std::uint64_t>((longest - shortest).count()) + 1;
-    steps.push_back({shortest + milliseconds(this->lossRandom() % range), end, false, 0});
+    steps.push_back({shortest + milliseconds(this->lossRandom() % range), end, false, false, 0});
     return steps;
 }
 
@@ -83,7 +83,7 @@
         if (this->below(EntryShare) == 0) {
             this->addEntryFault(round, time);
         } else if (this->below(EntryShare) == 0) {
-            round.steps.push_back({time, Action::Reload, false, place});
+            round.steps.push_back({time, Action::Reload, false, false, place});
         } else if (this->below(PowerLossShare) == 0) {
             this->addPowerLoss(round, time);
         } else if (lost < this->options.tolerate && this->lostUntil[place] <= time) {
@@ -125,17 +125,17 @@
 void SoakPlan::addFault(SoakRound &round, const FaultKind &kind, milliseconds time, std::size_t place)
 {
     const milliseconds end = time + this->between(kind.shortest, kind.longest);
-    round.steps.push_back({time, kind.begin, false, place});
-    round.steps.push_back({end, kind.end, false, place});
+    round.steps.push_back({time, kind.begin, false, false, place});
+    round.steps.push_back({end, kind.end, false, false, place});
     // A process that is killed while it stops is started again at once.
     if (kind.end == Action::Kill) {
-        round.steps.push_back({end, Action::Start, false, place});
+        round.steps.push_back({end, Action::Start, false, false, place});
     }
     // A VM may restart while its disk is full.
     if (kind.begin == Action::FillDisk && this->below(4) == 0) {
         const milliseconds restart = this->between(time, end);
-        round.steps.push_back({restart, Action::Kill, false, place});
-        round.steps.push_back({restart + KilledTime, Action::Start, false, place});
+        round.steps.push_back({restart, Action::Kill, false, false, place});
+        round.steps.push_back({restart + KilledTime, Action::Start, false, false, place});
     }
     this->lostUntil[place] = end + KilledTime + CatchUpTime;
 }
@@ -143,8 +143,8 @@
 void SoakPlan::addPowerLoss(SoakRound &round, milliseconds time)
 {
     const milliseconds back = time + this->between(100ms, 3s);
-    round.steps.push_back({time, Action::PowerLoss, false, 0});
-    round.steps.push_back({back, Action::PowerBack, false, 0});
+    round.steps.push_back({time, Action::PowerLoss, false, false, 0});
+    round.steps.push_back({back, Action::PowerBack, false, false, 0});
     for (milliseconds &until : this->lostUntil) {
         until = std::max<milliseconds>(until, back + CatchUpTime);
     }
@@ -155,8 +155,8 @@
     const std::size_t place = this->below(static_cast<std::size_t>(this->options.entryVms));
     static const std::pair<Action, Action> faults[] = {{Action::Kill, Action::Start}, {Action::Freeze, Action::Thaw}, {Action::Terminate, Action::Reload}};
     const auto &[begin, end] = faults[this->below(std::size(faults))];
-    round.steps.push_back({time, begin, true, place});
-    round.steps.push_back({time + this->between(0ms, 2s), end, true, place});
+    round.steps.push_back({time, begin, true, false, place});
+    round.steps.push_back({time + this->between(0ms, 2s), end, true, false, place});
 }
 
 void SoakPlan::addClosing(SoakRound &round)
--- a/tests/soak/SoakPlan.h
+++ b/tests/soak/SoakPlan.h
@@ -24,6 +24,23 @@
 constexpr std::chrono::seconds RestartLimit{9};
 /// Longest lease that the platform allows.
 constexpr std::chrono::seconds PlatformLeaseMax{10};
+/// Slowest clock of an upstream that the platform allows.
+constexpr double SlowClockRate = 0.98;
+/// What is left of RestartLimit beside a lease of 6 s on the slowest clock.
+constexpr std::chrono::milliseconds RestartMargin{2878};
+/// The same limit where the upstream restarted before it was cut off: a call that was meant for its earlier incarnation may have given it the platform's
+/// longest lease, which lasts 10.204 s by the slowest clock.
+constexpr std::chrono::milliseconds LimitAfterRestart = std::chrono::milliseconds{10205} + RestartMargin;
+
+/// Upstreams of a soak with rounds. With two tasks of a job on each, those that are left have room for a lost one's tasks twice over.
+constexpr int UpstreamCount = 4;
+/// Failed runs that end a job of the cell's queues.
+constexpr std::size_t MaxAttempts = 2;
+/// A job whose tasks end is shown as ended within this time in a calm cell: its last run may wait for a lease that is over, then for members, and two more
+/// runs may follow.
+constexpr std::chrono::seconds GangEndLimit{30};
+/// Members of a gang wait for the others for this time.
+constexpr std::chrono::seconds GangWait{3};
 
 /// Faults that overlap, and the end of a round.
 struct SoakRound {
--- a/tests/soak/SoakReport.cpp
+++ b/tests/soak/SoakReport.cpp
@@ -35,10 +35,14 @@
     return this->violations > 0;
 }
 
+std::chrono::duration<double> SoakReport::seconds(std::chrono::steady_clock::time_point time) const
+{
+    return time - this->start;
+}
+
 void SoakReport::print(const std::string &text)
 {
-    const std::chrono::duration<double> time = std::chrono::steady_clock::now() - this->start;
-    fmt::print("{:8.3f} {}\n", time.count(), text);
+    fmt::print("{:8.3f} {}\n", this->seconds(std::chrono::steady_clock::now()).count(), text);
     std::fflush(stdout);
 }
 
--- a/tests/soak/SoakReport.h
+++ b/tests/soak/SoakReport.h
@@ -18,6 +18,9 @@
     void addViolation(const std::string &text);
     bool failed() const;
 
+    /// A time as the time line shows it.
+    std::chrono::duration<double> seconds(std::chrono::steady_clock::time_point time) const;
+
 private:
     void print(const std::string &text) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
--- a/tests/soak/SoakUpstream.cpp
+++ b/tests/soak/SoakUpstream.cpp
@@ -1,7 +1,9 @@
 #include "soak/SoakUpstream.h"
 
 #include "http/ServerBuilder.h"
-#include "soak/SoakPlan.h"
+#include "support/Eventually.h"
+
+#include "cranberryreel/base/Error.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,20 +17,12 @@
 using namespace std::chrono_literals;
 
 constexpr unsigned int StatusOk = 200;
-constexpr unsigned int StatusBadRequest = 400;
-constexpr unsigned int StatusConflict = 409;
 constexpr unsigned int StatusOtherIncarnation = 421;
-constexpr std::size_t MaxEndsPerResponse = 500;
 constexpr std::chrono::milliseconds TimerInterval{10};
 constexpr std::chrono::milliseconds AnnounceInterval{500};
 constexpr const char *LinkName = "upstream";
 constexpr const char *ExpectInstance = "Expect-Instance";
 
-std::int64_t unixNow()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 http::ServerOptions serverOptions()
 {
     http::ServerOptions options;
@@ -39,28 +33,32 @@
 
 } // namespace
 
-SoakUpstream::SoakUpstream(std::string upstreamId, double rate, LastingRuns &lastingRuns, Announce announceFunction)
+SoakUpstream::SoakUpstream(
+    std::string upstreamId, double rate, std::uint64_t seed, SoakReport &soakReport, TaskRuns &taskRuns, GangWork &gangWork, Announce announceFunction)
     : name(std::move(upstreamId))
     , clockRate(rate)
-    , runs(lastingRuns)
+    , report(soakReport)
+    , runs(taskRuns)
+    , work(gangWork)
     , announce(std::move(announceFunction))
-    , bornMs(unixNow())
     , server(http::ServerBuilder()
                  .options(serverOptions())
                  .handler([this](const std::shared_ptr<const http::Request> &request, const http::Responder &respond) { this->handle(*request, respond); })
                  .build())
     , relay(std::make_unique<support::LinkRelay>())
+    , current(std::make_unique<SoakIncarnation>(this->name, 1, rate, taskRuns, gangWork))
+    , lateCalls(seed)
 {
     this->server->start();
-    const std::uint16_t port = this->relay->add(LinkName, "127.0.0.1:" + std::to_string(this->server->port()));
-    this->address = "127.0.0.1:" + std::to_string(port);
+    this->port = this->relay->add(LinkName, "127.0.0.1:" + std::to_string(this->server->port()));
     this->timer = std::thread([this] { this->keepTime(); });
     this->announcer = std::thread([this] { this->announceAll(); });
 }
 
 SoakUpstream::~SoakUpstream()
 {
-    this->vanish();
+    this->stopped = true;
+    this->crash();
     this->timer.join();
     this->announcer.join();
     this->server->stop(0ms);
@@ -74,7 +72,7 @@
 std::size_t SoakUpstream::runCount() const
 {
     const absl::MutexLock lock(&this->mutex);
-    return this->running.size();
+    return this->current->runCount();
 }
 
 void SoakUpstream::drain()
@@ -87,163 +85,146 @@
     return this->isDraining;
 }
 
-void SoakUpstream::vanish()
+void SoakUpstream::crash()
 {
-    this->stopped = true;
-    this->relay.reset();
     const absl::MutexLock lock(&this->mutex);
-    this->endAllRuns("lapsed");
-    this->holds.clear();
+    this->relay.reset();
+    this->isDown = true;
+    this->isSilent = true;
+    this->cutWanted = false;
+    this->current->endAllRuns("lapsed", std::chrono::steady_clock::now());
+    this->dropRenewals();
 }
 
-void SoakUpstream::handle(const http::Request &request, const http::Responder &respond)
+void SoakUpstream::restart()
 {
-    const nlohmann::json call = nlohmann::json::parse(request.body, nullptr, false);
+    auto next = std::make_unique<support::LinkRelay>();
+    const std::string target = "127.0.0.1:" + std::to_string(this->server->port());
+    // Another socket may use the port for a moment.
+    support::eventually([this, &next, &target] {
+        try {
+            return next->add(LinkName, target, this->port) == this->port;
+        } catch (const base::Error &) {
+            return false;
+        }
+    });
     const absl::MutexLock lock(&this->mutex);
-    if (this->stopped) {
-        this->holds.push_back({respond, {}}); // Never answered.
-        return;
-    }
-    if (const std::string expected = request.header(ExpectInstance); !expected.empty() && expected != this->name) {
-        respond(this->answer(StatusOtherIncarnation));
-    } else if (!call.is_object()) {
-        respond(this->answer(StatusBadRequest));
-    } else if (this->isFenced(call)) {
-        respond(this->answer(StatusConflict, {{"Reason", "fence"}}));
-    } else if (request.path == "/api/run-start") {
-        respond(this->startRun(call));
-    } else if (request.path == "/api/run-stop") {
-        respond(this->stopRun(call));
-    } else if (request.path == "/api/hold") {
-        this->hold(call, respond);
-    } else {
-        respond(this->answer(request.path == "/api/pace" ? StatusOk : StatusBadRequest));
-    }
+    this->relay = std::move(next);
+    this->current = std::make_unique<SoakIncarnation>(this->name, this->current->number() + 1, this->clockRate, this->runs, this->work);
+    this->isDown = false;
+    this->isSilent = false;
 }
 
-http::Response SoakUpstream::startRun(const nlohmann::json &call)
+void SoakUpstream::cutOff()
 {
-    const std::string task = call.value("Task", "");
-    const auto attempt = call.value("Attempt", std::uint32_t{0});
-    if (std::chrono::milliseconds(call.value("DeadlineMs", std::int64_t{0})) <= this->clock()) {
-        return this->answer(StatusConflict, {{"Reason", "late"}});
-    }
-    this->extendLease(call);
-    if (const auto found = this->running.find(task); found != this->running.end() && found->second == attempt) {
-        return this->answer(StatusOk);
-    }
-    std::uint32_t &known = this->highest[task];
-    if (attempt <= known) {
-        return this->answer(StatusConflict, {{"Reason", "old"}});
-    }
-    known = attempt;
-    if (this->running.count(task) != 0) {
-        this->endRun(task, "stopped");
-    }
-    this->running[task] = attempt;
-    this->runs.recordStart(task);
-    return this->answer(StatusOk);
+    const absl::MutexLock lock(&this->mutex);
+    this->cutWanted = true;
 }
 
-http::Response SoakUpstream::stopRun(const nlohmann::json &call)
+void SoakUpstream::rejoin()
 {
-    const std::string task = call.value("Task", "");
-    const auto attempt = call.value("Attempt", std::uint32_t{0});
-    this->highest[task] = std::max(this->highest[task], attempt);
-    if (const auto found = this->running.find(task); found != this->running.end() && found->second <= attempt) {
-        this->endRun(task, "stopped");
+    const absl::MutexLock lock(&this->mutex);
+    this->cutWanted = false;
+    if (this->isSilent && !this->isDown) {
+        // What was sent during the cut is lost.
+        this->relay->blackholeOpen(LinkName);
+        this->relay->heal(LinkName);
+        this->isSilent = false;
     }
-    return this->answer(StatusOk);
-}
-
-void SoakUpstream::hold(const nlohmann::json &call, const http::Responder &respond)
-{
-    this->extendLease(call);
-    this->ends.erase(this->ends.begin(), this->ends.upper_bound(call.value("AckCursor", std::uint64_t{0})));
-    this->holds.push_back({respond, std::chrono::steady_clock::now() + std::chrono::milliseconds(call.value("WaitMs", 0))});
 }
 
-bool SoakUpstream::isFenced(const nlohmann::json &call)
+SoakUpstream::SteadyTime SoakUpstream::lastCut() const
 {
-    const auto token = call.value("FencingToken", std::uint64_t{0});
-    const bool lower = token < this->fencingToken;
-    this->fencingToken = std::max(this->fencingToken, token);
-    return lower;
-}
-
-void SoakUpstream::extendLease(const nlohmann::json &call)
-{
-    const std::chrono::milliseconds asked(call.value("DeadlineMs", std::int64_t{0}));
-    this->leaseEnd = std::max(this->leaseEnd, std::min<std::chrono::milliseconds>(asked, this->clock() + PlatformLeaseMax));
+    const absl::MutexLock lock(&this->mutex);
+    return this->cutAt;
 }
 
-void SoakUpstream::endRun(const std::string &task, const char *how)
+void SoakUpstream::setDelays(bool enabled)
 {
-    const auto found = this->running.find(task);
-    ++this->lastEnd;
-    this->ends[this->lastEnd] = {this->lastEnd, task, found->second, how, ""};
-    this->running.erase(found);
-    this->runs.recordEnd(task);
+    const absl::MutexLock lock(&this->mutex);
+    this->delaysEnabled = enabled;
 }
 
-void SoakUpstream::endAllRuns(const char *how)
+void SoakUpstream::handle(const http::Request &request, const http::Responder &respond)
 {
-    while (!this->running.empty()) {
-        this->endRun(std::string(this->running.begin()->first), how);
+    const absl::MutexLock lock(&this->mutex);
+    const UpstreamCall call{request.path, nlohmann::json::parse(request.body, nullptr, false), this->current->number()};
+    if (this->isDown) {
+        this->unanswered.push_back(respond);
+        return;
+    }
+    if (const std::string expected = request.header(ExpectInstance); !expected.empty() && expected != this->name) {
+        respond(this->current->answer(StatusOtherIncarnation));
+        return;
+    }
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (this->delaysEnabled && this->lateCalls.keep(call, now)) {
+        this->unanswered.push_back(respond);
+        return;
+    }
+    const http::Response response = this->current->carryOut(call);
+    if (this->isSilent) {
+        this->unanswered.push_back(respond);
+    } else if (call.path == "/api/hold" && response.status == StatusOk) {
+        this->renewals.push_back({respond, now + std::chrono::milliseconds(call.body.value("WaitMs", 0))});
+    } else {
+        respond(response);
     }
 }
 
-http::Response SoakUpstream::lists()
+void SoakUpstream::keepTime()
 {
-    nlohmann::json body = {{"born", this->bornMs}, {"Running", nlohmann::json::array()}, {"Finished", nlohmann::json::array()}};
-    for (const auto &[task, attempt] : this->running) {
-        body["Running"].push_back({task, attempt, "", 100, 0});
-    }
-    for (const auto &[number, end] : this->ends) {
-        if (body["Finished"].size() < MaxEndsPerResponse) {
-            body["Finished"].push_back(end);
+    while (!this->stopped) {
+        std::this_thread::sleep_for(TimerInterval);
+        const absl::MutexLock lock(&this->mutex);
+        if (this->isDown) {
+            continue;
+        }
+        this->current->endRuns();
+        for (const UpstreamCall &call : this->lateCalls.takeDue(std::chrono::steady_clock::now(), this->current->number(), this->current->isKnown())) {
+            this->current->carryOut(call);
+        }
+        this->answerRenewals();
+        if (this->cutWanted && !this->isSilent && this->current->isKnown()) {
+            this->beginCut();
         }
     }
-    return this->answer(StatusOk, std::move(body));
 }
 
-http::Response SoakUpstream::answer(unsigned int status, nlohmann::json body) const
+void SoakUpstream::answerRenewals()
 {
-    body["ClockMs"] = this->clock().count();
-    http::Response response;
-    response.status = status;
-    response.body = body.dump();
-    return response;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const auto due =
+        std::stable_partition(this->renewals.begin(), this->renewals.end(), [this, now](const Renewal &renewal) ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+            return !this->current->hasEnds() && now < renewal.until;
+        });
+    std::for_each(
+        due, this->renewals.end(), [this](const Renewal &renewal) ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) { renewal.respond(this->current->lists()); });
+    this->renewals.erase(due, this->renewals.end());
 }
 
-std::chrono::milliseconds SoakUpstream::clock() const
+void SoakUpstream::beginCut()
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>((std::chrono::steady_clock::now() - this->startedAt) * this->clockRate);
+    this->relay->cut(LinkName);
+    this->isSilent = true;
+    this->cutAt = std::chrono::steady_clock::now();
+    this->dropRenewals();
+    this->report.note("cut off " + this->name);
 }
 
-void SoakUpstream::keepTime()
+void SoakUpstream::dropRenewals()
 {
-    while (!this->stopped) {
-        std::this_thread::sleep_for(TimerInterval);
-        const absl::MutexLock lock(&this->mutex);
-        if (this->clock() >= this->leaseEnd) {
-            this->endAllRuns("lapsed");
-        }
-        const auto now = std::chrono::steady_clock::now();
-        const auto due =
-            std::stable_partition(this->holds.begin(), this->holds.end(), [this, now](const Hold &hold) ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
-                return this->ends.empty() && now < hold.until;
-            });
-        std::for_each(due, this->holds.end(), [this](const Hold &hold) ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) { hold.respond(this->lists()); });
-        this->holds.erase(due, this->holds.end());
+    for (Renewal &renewal : this->renewals) {
+        this->unanswered.push_back(std::move(renewal.respond));
     }
+    this->renewals.clear();
 }
 
 void SoakUpstream::announceAll()
 {
     while (!this->stopped) {
         const bool announcedDraining = this->isDraining;
-        const bool acknowledged = this->announce(this->name, this->announcement());
+        const bool acknowledged = !this->isSilent && this->announce(this->name, this->announcement());
         const auto next = std::chrono::steady_clock::now() + (acknowledged ? AnnounceInterval : TimerInterval);
         while (!this->stopped && this->isDraining == announcedDraining && std::chrono::steady_clock::now() < next) {
             std::this_thread::sleep_for(TimerInterval);
@@ -255,7 +236,7 @@
 {
     const absl::MutexLock lock(&this->mutex);
     nlohmann::json body = {{"Service", "l"},
-                           {"Address", this->address},
+                           {"Address", "127.0.0.1:" + std::to_string(this->port)},
                            {"Zone", "z"},
                            {"Version", "v1"},
                            {"Slots", 8},
@@ -263,9 +244,9 @@
                            {"ColdRemainingMs", 0},
                            {"Capacity", {{"Cpu", 16000}, {"MemRequestMb", 32768}, {"Gpu", 0}}},
                            {"Labels", {"a", "r1"}},
-                           {"ClockMs", this->clock().count()},
-                           {"Sequence", ++this->sequence},
-                           {"born", this->bornMs}};
+                           {"ClockMs", this->current->clock().count()},
+                           {"Sequence", this->current->nextSequence()},
+                           {"born", this->current->born()}};
     if (this->isDraining) {
         body["RemainingMs"] = 0;
     }
--- a/tests/soak/SoakUpstream.h
+++ b/tests/soak/SoakUpstream.h
@@ -1,18 +1,21 @@
 #pragma once
 
 #include "http/Server.h"
-#include "soak/LastingRuns.h"
+#include "soak/GangWork.h"
+#include "soak/LateCalls.h"
+#include "soak/SoakIncarnation.h"
+#include "soak/SoakReport.h"
+#include "soak/TaskRuns.h"
 #include "support/LinkRelay.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
-#include <nlohmann/json.hpp>
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -21,16 +24,18 @@
 namespace cranberryreel::soak
 {
 
-/// An upstream as the platform's protocol describes it, whose runs last until they are stopped, their lease expires or it vanishes. Owned by SoakUpstreams; any
-/// thread, vanish() only by its owner's.
+/// An upstream as the platform's protocol describes it, at one address, with one incarnation after the other. Its runs last until they are stopped, their work
+/// or lease ends, or the incarnation crashes. Owned by SoakUpstreams; the faults are injected by its owner's thread only.
 class SoakUpstream
 {
 public:
+    using SteadyTime = std::chrono::steady_clock::time_point;
     /// Sends an announcement; returns whether it was acknowledged.
     using Announce = std::function<bool(const std::string &id, const std::string &body)>;
 
-    /// The upstream's clock runs at `rate` times the true speed.
-    SoakUpstream(std::string upstreamId, double rate, LastingRuns &lastingRuns, Announce announceFunction);
+    /// The upstream's clock runs at `rate` times the true speed. Delays of calls are drawn from the seed.
+    SoakUpstream(
+        std::string upstreamId, double rate, std::uint64_t seed, SoakReport &soakReport, TaskRuns &taskRuns, GangWork &gangWork, Announce announceFunction);
     ~SoakUpstream();
     SoakUpstream(const SoakUpstream &) = delete;
     SoakUpstream &operator=(const SoakUpstream &) = delete;
@@ -42,50 +47,58 @@
     void drain();
     bool draining() const;
 
-    /// Ends at once: its connections break, and further ones are refused.
-    void vanish();
+    /// Ends the incarnation at once: its connections break, and further ones are refused.
+    void crash();
+
+    /// Begins the next incarnation under the same id and address, after crash().
+    void restart();
+
+    /// From when the cell knows the present incarnation, neither calls nor announcements get through, until rejoin(): before that no caller can reckon with
+    /// the leases that a call to the earlier incarnation gave to this one.
+    void cutOff();
+    void rejoin();
+
+    /// When the last cut began.
+    SteadyTime lastCut() const;
+
+    /// Whether starts and renewals may be carried out late.
+    void setDelays(bool enabled);
 
 private:
-    struct Hold {
+    struct Renewal {
         http::Responder respond;
-        std::chrono::steady_clock::time_point until;
+        SteadyTime until;
     };
 
     void handle(const http::Request &request, const http::Responder &respond);
-    http::Response startRun(const nlohmann::json &call) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    http::Response stopRun(const nlohmann::json &call) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    void hold(const nlohmann::json &call, const http::Responder &respond) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    bool isFenced(const nlohmann::json &call) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    void extendLease(const nlohmann::json &call) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    void endRun(const std::string &task, const char *how) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    void endAllRuns(const char *how) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    http::Response lists() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    http::Response answer(unsigned int status, nlohmann::json body = nlohmann::json::object()) const;
-    std::chrono::milliseconds clock() const;
     void keepTime();
+    void answerRenewals() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void dropRenewals() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void beginCut() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void announceAll();
     std::string announcement();
 
     const std::string name;
     const double clockRate;
-    LastingRuns &runs;
+    SoakReport &report;
+    TaskRuns &runs;
+    GangWork &work;
     const Announce announce;
-    const std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
-    const std::int64_t bornMs;
     std::atomic<bool> stopped{false};
     std::atomic<bool> isDraining{false};
+    std::atomic<bool> isSilent{false}; ///< Down or cut off.
     std::unique_ptr<http::Server> server;
-    std::unique_ptr<support::LinkRelay> relay; ///< Its end breaks connections without an answer, as a crash does.
-    std::string address;
+    std::uint16_t port = 0;
     mutable absl::Mutex mutex;
-    std::uint64_t sequence ABSL_GUARDED_BY(mutex) = 0;
-    std::uint64_t fencingToken ABSL_GUARDED_BY(mutex) = 0;
-    std::uint64_t lastEnd ABSL_GUARDED_BY(mutex) = 0;
-    std::chrono::milliseconds leaseEnd ABSL_GUARDED_BY(mutex){0}; ///< On the upstream's clock.
-    std::map<std::string, std::uint32_t> running ABSL_GUARDED_BY(mutex); ///< Attempt by task.
-    std::map<std::string, std::uint32_t> highest ABSL_GUARDED_BY(mutex); ///< Highest attempt that was seen, by task.
-    std::map<std::uint64_t, nlohmann::json> ends ABSL_GUARDED_BY(mutex); ///< By number.
-    std::vector<Hold> holds ABSL_GUARDED_BY(mutex);
+    std::unique_ptr<support::LinkRelay> relay ABSL_GUARDED_BY(mutex); ///< Its end breaks connections without an answer, as a crash does.
+    std::unique_ptr<SoakIncarnation> current ABSL_GUARDED_BY(mutex);
+    LateCalls lateCalls ABSL_GUARDED_BY(mutex);
+    bool delaysEnabled ABSL_GUARDED_BY(mutex) = false;
+    bool isDown ABSL_GUARDED_BY(mutex) = false;
+    bool cutWanted ABSL_GUARDED_BY(mutex) = false;
+    SteadyTime cutAt ABSL_GUARDED_BY(mutex);
+    std::vector<Renewal> renewals ABSL_GUARDED_BY(mutex);
+    std::vector<http::Responder> unanswered ABSL_GUARDED_BY(mutex); ///< Kept, since a dropped responder answers.
     std::thread timer;
     std::thread announcer;
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr const char *Usage = "usage: cranberryreel_soak [--seconds N] SEED...\n";
+constexpr const char *Usage = "usage: cranberryreel_soak [--restarts] [--seconds N] SEED...\n";
 constexpr int UsageStatus = 2;
 constexpr std::int64_t DefaultSeconds = 60;
 
@@ -21,11 +21,16 @@
 
 int main(int argc, char **argv)
 {
-    static const option longOptions[] = {{"seconds", required_argument, nullptr, 's'}, {nullptr, 0, nullptr, 0}};
+    static const option longOptions[] = {{"seconds", required_argument, nullptr, 's'}, {"restarts", no_argument, nullptr, 'r'}, {nullptr, 0, nullptr, 0}};
     std::int64_t seconds = DefaultSeconds;
     bool valid = true;
+    auto kind = cranberryreel::soak::SoakKind::Rounds;
     for (int code = 0; (code = getopt_long(argc, argv, "", longOptions, nullptr)) != -1;) {
-        valid = valid && code == 's' && absl::SimpleAtoi(optarg, &seconds) && seconds > 0;
+        if (code == 'r') {
+            kind = cranberryreel::soak::SoakKind::Restarts;
+        } else {
+            valid = valid && code == 's' && absl::SimpleAtoi(optarg, &seconds) && seconds > 0;
+        }
     }
     std::vector<std::uint64_t> seeds;
     for (int i = optind; i < argc; ++i) {
@@ -37,7 +42,7 @@
     }
     std::string failed;
     for (const std::uint64_t seed : seeds) {
-        if (!cranberryreel::soak::Soak(seed).run(std::chrono::seconds(seconds))) {
+        if (!cranberryreel::soak::Soak(kind, seed).run(std::chrono::seconds(seconds))) {
             failed += " " + std::to_string(seed);
         }
     }
--- a/tests/support/PlatformCell.cpp
+++ b/tests/support/PlatformCell.cpp
@@ -199,6 +199,18 @@
     return this->call("POST", this->callers(entryVm), "/l/" + job, body).status;
 }
 
+long PlatformCell::submitJob(const std::string &entryVm, const std::string &path, const std::string &body)
+{
+    return this->call("POST", this->callers(entryVm), path, body).status;
+}
+
+std::string PlatformCell::jobState(const std::string &entryVm, const std::string &path)
+{
+    const http::ClientResponse response = this->call("GET", this->callers(entryVm), path, {});
+    const nlohmann::json json = nlohmann::json::parse(response.body, nullptr, false);
+    return response.status == 200 && json.is_object() ? json.value("State", "") : "";
+}
+
 long PlatformCell::stateOf(const std::string &entryVm, const std::string &job)
 {
     return this->get(this->callers(entryVm), "/p/" + job);
--- a/tests/support/PlatformCell.h
+++ b/tests/support/PlatformCell.h
@@ -72,6 +72,9 @@
     long submit(const std::string &entryVm, const std::string &job);
     /// Submits a job whose tasks run until it is cancelled, at most two of them on one upstream.
     long submitLasting(const std::string &entryVm, const std::string &job, int tasks);
+    /// Submits a job to a path, and asks for the state of the one there; empty if there is no answer.
+    long submitJob(const std::string &entryVm, const std::string &path, const std::string &body);
+    std::string jobState(const std::string &entryVm, const std::string &path);
     /// Sends an upstream's announcement.
     long announce(const std::string &vm, const std::string &upstream, const std::string &body);
     long stateOf(const std::string &entryVm, const std::string &job);
