Soak: cuts also follow the leader's fault, and a restarted upstream announces itself within an interval

A leader that finds the restart by a renewal has sent it a deadline of the earlier clock; before, the announcement came first. The next leader has to reckon with that lease when the cut falls between the two leaders.

--- a/tests/soak/RestartPlan.cpp
+++ b/tests/soak/RestartPlan.cpp
@@ -50,10 +50,11 @@
     const std::size_t restarts = 1 + this->below(count);
     const std::size_t cuts = 1 + this->below(std::min(MaxCuts, restarts));
     const std::size_t first = this->below(count);
+    const milliseconds faultTime = this->between(2500ms, 4s);
     for (std::size_t i = 0; i < restarts; ++i) {
-        this->addRestarts(steps, (first + i) % count, i < cuts);
+        this->addRestarts(steps, (first + i) % count, i < cuts, faultTime);
     }
-    this->addLeaderFaults(steps);
+    this->addLeaderFaults(steps, faultTime);
     std::stable_sort(steps.begin(), steps.end(), [](const SoakStep &a, const SoakStep &b) { return a.time < b.time; });
     return steps;
 }
@@ -68,10 +69,11 @@
     return shortest + milliseconds(this->below(static_cast<std::size_t>((longest - shortest).count()) + 1));
 }
 
-void RestartPlan::addRestarts(std::vector<SoakStep> &steps, std::size_t place, bool isCut)
+/// Some cuts follow the restart, the others follow the leader's fault, before the next leader has called the upstream.
+void RestartPlan::addRestarts(std::vector<SoakStep> &steps, std::size_t place, bool isCut, milliseconds faultTime)
 {
     constexpr std::size_t SecondRestartShare = 4;
-    milliseconds time = 2s + this->between(0ms, 1s);
+    milliseconds time = faultTime - this->between(0ms, 2500ms) + 500ms;
     for (std::size_t restarts = this->below(SecondRestartShare) == 0 ? 2 : 1; restarts > 0; --restarts) {
         steps.push_back({time, Action::CrashUpstream, false, false, place});
         time += this->between(20ms, 1s);
@@ -79,12 +81,13 @@
         time += this->between(0ms, 2s);
     }
     if (isCut) {
+        time = this->below(2) == 0 ? time : std::max(time, faultTime + this->between(0ms, 800ms));
         steps.push_back({time, Action::CutUpstream, false, false, place});
         steps.push_back({time + this->between(3s, 12s), Action::RejoinUpstream, false, false, place});
     }
 }
 
-void RestartPlan::addLeaderFaults(std::vector<SoakStep> &steps)
+void RestartPlan::addLeaderFaults(std::vector<SoakStep> &steps, milliseconds time)
 {
     static const FaultKind kinds[] = {
         {Action::Kill, Action::Start, 100ms, 3000ms},
@@ -93,7 +96,6 @@
         {Action::Kill, Action::Start, 100ms, 1000ms},
     };
     constexpr std::size_t SecondFaultShare = 3;
-    milliseconds time = this->between(500ms, 5s);
     for (std::size_t faults = this->below(SecondFaultShare) == 0 ? 2 : 1; faults > 0; --faults) {
         const FaultKind &kind = kinds[this->nextFault++ % std::size(kinds)];
         steps.push_back({time, kind.begin, false, true, 0});
--- a/tests/soak/RestartPlan.h
+++ b/tests/soak/RestartPlan.h
@@ -28,8 +28,8 @@
 private:
     std::size_t below(std::size_t bound);
     std::chrono::milliseconds between(std::chrono::milliseconds shortest, std::chrono::milliseconds longest);
-    void addRestarts(std::vector<SoakStep> &steps, std::size_t place, bool isCut);
-    void addLeaderFaults(std::vector<SoakStep> &steps);
+    void addRestarts(std::vector<SoakStep> &steps, std::size_t place, bool isCut, std::chrono::milliseconds faultTime);
+    void addLeaderFaults(std::vector<SoakStep> &steps, std::chrono::milliseconds time);
 
     std::mt19937_64 random;
     support::PlatformCellOptions options;
--- a/tests/soak/SoakUpstream.cpp
+++ b/tests/soak/SoakUpstream.cpp
@@ -47,6 +47,7 @@
                  .build())
     , relay(std::make_unique<support::LinkRelay>())
     , current(std::make_unique<SoakIncarnation>(this->name, 1, rate, taskRuns, gangWork))
+    , random(seed)
     , lateCalls(seed)
 {
     this->server->start();
@@ -111,6 +112,7 @@
     const absl::MutexLock lock(&this->mutex);
     this->relay = std::move(next);
     this->current = std::make_unique<SoakIncarnation>(this->name, this->current->number() + 1, this->clockRate, this->runs, this->work);
+    this->firstAnnouncement = std::chrono::steady_clock::now() + std::chrono::milliseconds(this->random() % AnnounceInterval.count());
     this->isDown = false;
     this->isSilent = false;
 }
@@ -224,7 +226,7 @@
 {
     while (!this->stopped) {
         const bool announcedDraining = this->isDraining;
-        const bool acknowledged = !this->isSilent && this->announce(this->name, this->announcement());
+        const bool acknowledged = this->mayAnnounce() && this->announce(this->name, this->announcement());
         const auto next = std::chrono::steady_clock::now() + (acknowledged ? AnnounceInterval : TimerInterval);
         while (!this->stopped && this->isDraining == announcedDraining && std::chrono::steady_clock::now() < next) {
             std::this_thread::sleep_for(TimerInterval);
@@ -232,6 +234,12 @@
     }
 }
 
+bool SoakUpstream::mayAnnounce() const
+{
+    const absl::MutexLock lock(&this->mutex);
+    return !this->isSilent && std::chrono::steady_clock::now() >= this->firstAnnouncement;
+}
+
 std::string SoakUpstream::announcement()
 {
     const absl::MutexLock lock(&this->mutex);
--- a/tests/soak/SoakUpstream.h
+++ b/tests/soak/SoakUpstream.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -50,7 +51,7 @@
     /// Ends the incarnation at once: its connections break, and further ones are refused.
     void crash();
 
-    /// Begins the next incarnation under the same id and address, after crash().
+    /// Begins the next incarnation under the same id and address, after crash(). It first announces itself within an announcement interval.
     void restart();
 
     /// From when the cell knows the present incarnation, neither calls nor announcements get through, until rejoin(): before that no caller can reckon with
@@ -76,6 +77,7 @@
     void dropRenewals() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void beginCut() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void announceAll();
+    bool mayAnnounce() const;
     std::string announcement();
 
     const std::string name;
@@ -92,6 +94,8 @@
     mutable absl::Mutex mutex;
     std::unique_ptr<support::LinkRelay> relay ABSL_GUARDED_BY(mutex); ///< Its end breaks connections without an answer, as a crash does.
     std::unique_ptr<SoakIncarnation> current ABSL_GUARDED_BY(mutex);
+    std::mt19937_64 random ABSL_GUARDED_BY(mutex);
+    SteadyTime firstAnnouncement ABSL_GUARDED_BY(mutex); ///< Of the present incarnation, at the earliest.
     LateCalls lateCalls ABSL_GUARDED_BY(mutex);
     bool delaysEnabled ABSL_GUARDED_BY(mutex) = false;
     bool isDown ABSL_GUARDED_BY(mutex) = false;
