Soak: a late renewal may reach the next incarnation before the cell knows it

It gives that incarnation a long lease, which a leader that knows of the restart can reckon with. Only late starts wait until the cell knows it.

--- a/tests/soak/LateCalls.h
+++ b/tests/soak/LateCalls.h
@@ -21,8 +21,8 @@
     /// Draws whether the call is carried out late, and keeps it if so.
     bool keep(const UpstreamCall &call, SteadyTime now);
 
-    /// Removes and returns the calls that are due. A call that an earlier incarnation received is due only once the cell knows the present one: no caller can
-    /// prevent it before.
+    /// Removes and returns the calls that are due. A start that an earlier incarnation received is due only once the cell knows the present one: no caller
+    /// can prevent it before.
     std::vector<UpstreamCall> takeDue(SteadyTime now, int incarnation, bool isKnown);
 
 private:
