--- a/tests/soak/SoakIncarnation.cpp
+++ b/tests/soak/SoakIncarnation.cpp
@@ -94,7 +94,7 @@
     if (std::chrono::milliseconds(call.body.value("DeadlineMs", std::int64_t{0})) <= this->clock()) {
         return this->answer(StatusConflict, {{"Reason", "late"}});
     }
-    this->extendLease(call.body);
+    this->extendLease(call);
     if (const auto found = this->running.find(task); found != this->running.end() && found->second.attempt == attempt) {
         return this->answer(StatusOk);
     }
@@ -127,7 +127,7 @@
 
 http::Response SoakIncarnation::renew(const UpstreamCall &call)
 {
-    this->extendLease(call.body);
+    this->extendLease(call);
     this->acknowledgeEnds(call);
     if (this->hasAnswered && !call.isLate && !this->knownAt) {
         this->knownAt = std::chrono::steady_clock::now();
@@ -148,11 +148,22 @@
     return lower;
 }
 
-void SoakIncarnation::extendLease(const nlohmann::json &body)
+void SoakIncarnation::extendLease(const UpstreamCall &call)
 {
-    const std::chrono::milliseconds asked(body.value("DeadlineMs", std::int64_t{0}));
-    this->leaseEnd = std::max(this->leaseEnd, std::min<std::chrono::milliseconds>(asked, this->clock() + PlatformLeaseMax));
-    this->runs.recordLease(this->place, this->leaseEndTime());
+    const std::chrono::milliseconds asked(call.body.value("DeadlineMs", std::int64_t{0}));
+    const auto granted = std::min<std::chrono::milliseconds>(asked, this->clock() + PlatformLeaseMax);
+    if (granted <= this->leaseEnd) {
+        return;
+    }
+    this->leaseEnd = granted;
+    const std::string origin = fmt::format("a{} call of {} with token {} and deadline {}, received by incarnation {} and carried out at {}",
+                                           call.isLate ? " late" : "",
+                                           call.path,
+                                           call.body.value("FencingToken", std::uint64_t{0}),
+                                           asked.count(),
+                                           call.receivedBy,
+                                           this->clock().count());
+    this->runs.recordLease(this->place, this->leaseEndTime(), origin);
 }
 
 void SoakIncarnation::acknowledgeEnds(const UpstreamCall &call)
--- a/tests/soak/SoakIncarnation.h
+++ b/tests/soak/SoakIncarnation.h
@@ -63,7 +63,7 @@
     http::Response renew(const UpstreamCall &call);
     http::Response pace(const UpstreamCall &call);
     bool isFenced(const nlohmann::json &body);
-    void extendLease(const nlohmann::json &body);
+    void extendLease(const UpstreamCall &call);
     void acknowledgeEnds(const UpstreamCall &call);
     void endRun(const std::string &task, const std::string &how, SteadyTime endedAt);
     SteadyTime leaseEndTime() const;
--- a/tests/soak/TaskRuns.cpp
+++ b/tests/soak/TaskRuns.cpp
@@ -39,10 +39,10 @@
     }
 }
 
-void TaskRuns::recordLease(const std::string &place, SteadyTime leaseEnd)
+void TaskRuns::recordLease(const std::string &place, SteadyTime leaseEnd, const std::string &origin)
 {
     const absl::MutexLock lock(&this->mutex);
-    this->leases[place] = leaseEnd;
+    this->leases[place] = {leaseEnd, origin};
 }
 
 void TaskRuns::recordAcknowledgement(const std::string &task, std::uint32_t attempt, const std::string &how)
@@ -63,8 +63,13 @@
     }
     for (const TaskRun &other : found->second) {
         // A run whose lease is over has ended, even if its upstream has not recorded that yet.
-        if (const auto lease = this->leases.find(other.place); lease == this->leases.end() || lease->second > run.startedAt) {
-            this->report.addViolation(fmt::format("{} runs twice: {} and {}", run.task, this->describe(other), this->describe(run)));
+        if (const Lease &lease = this->leases.at(other.place); lease.end > run.startedAt) {
+            this->report.addViolation(fmt::format("{} runs twice: {} and {}; the first may run until {:.3f} s by {}",
+                                                  run.task,
+                                                  this->describe(other),
+                                                  this->describe(run),
+                                                  this->report.seconds(lease.end).count(),
+                                                  lease.origin));
         }
     }
 }
--- a/tests/soak/TaskRuns.h
+++ b/tests/soak/TaskRuns.h
@@ -29,13 +29,18 @@
     void recordStart(const TaskRun &run);
     void recordEnd(const TaskRun &run, const std::string &how, SteadyTime endedAt);
 
-    /// All that runs at a place ends at this time at the latest.
-    void recordLease(const std::string &place, SteadyTime leaseEnd);
+    /// All that runs at a place ends at this time at the latest, as a call asked for that `origin` describes.
+    void recordLease(const std::string &place, SteadyTime leaseEnd, const std::string &origin);
 
     /// Records that the cell acknowledged the end of a run.
     void recordAcknowledgement(const std::string &task, std::uint32_t attempt, const std::string &how);
 
 private:
+    struct Lease {
+        SteadyTime end;
+        std::string origin;
+    };
+
     struct Step {
         bool done = false;
         std::set<std::uint32_t> failed; ///< Attempts.
@@ -49,7 +54,7 @@
     LastingRuns &lasting;
     mutable absl::Mutex mutex;
     std::map<std::string, std::vector<TaskRun>> running ABSL_GUARDED_BY(mutex); ///< By task.
-    std::map<std::string, SteadyTime> leases ABSL_GUARDED_BY(mutex); ///< By place.
+    std::map<std::string, Lease> leases ABSL_GUARDED_BY(mutex); ///< By place.
     std::map<std::string, Step> acknowledged ABSL_GUARDED_BY(mutex); ///< By step.
 };
 
