Daemons block signals before anything else at their start

Cause: signals were blocked only after the log and HTTP libraries had started and the settings had been read. The time before main(), in which the dynamic linker works, is left.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -27,7 +27,8 @@
     return static_cast<int>(code) / CodesPerExitStatus;
 }
 
-/// Blocks the handled signals. All threads inherit the mask, so only sigwait() in serve() receives them.
+/// Blocks the handled signals. Called first in main(), since a signal may come within milliseconds of the start. All threads inherit the mask, so only
+/// sigwait() in serve() receives them.
 sigset_t blockSignals()
 {
     sigset_t signals;
@@ -40,9 +41,8 @@
     return signals;
 }
 
-int serve(const cranberryreel::settings::Settings &settings)
+int serve(const cranberryreel::settings::Settings &settings, const sigset_t &signals)
 {
-    const sigset_t signals = blockSignals();
     Daemon daemon(settings);
     daemon.start();
     for (int received = 0; sigwait(&signals, &received) == 0;) {
@@ -55,7 +55,7 @@
     return 0;
 }
 
-int run(const DaemonOptions &options)
+int run(const DaemonOptions &options, const sigset_t &signals)
 {
     if (options.action == DaemonAction::ShowVersion) {
         std::puts("cranberryreeld " CRANBERRYREEL_VERSION);
@@ -71,7 +71,7 @@
         return 0;
     }
     cranberryreel::observe::setUpLog({settings.log.level, settings.log.file});
-    const int status = serve(settings);
+    const int status = serve(settings, signals);
     cranberryreel::observe::shutDownLog();
     return status;
 }
@@ -80,10 +80,11 @@
 
 int main(int argc, char **argv)
 {
+    const sigset_t signals = blockSignals();
     const log4cplus::Initializer logInitializer;
     curl_global_init(CURL_GLOBAL_ALL);
     try {
-        return run(DaemonOptions::parse(argc, argv));
+        return run(DaemonOptions::parse(argc, argv), signals);
     } catch (const cranberryreel::base::Error &error) {
         std::fprintf(stderr, "cranberryreeld: %d %s: %s\n", static_cast<int>(error.code()), cranberryreel::base::resultName(error.code()).data(), error.what());
         return exitStatus(error.code());
--- a/tests/platform/PlatformProcessTest.cpp
+++ b/tests/platform/PlatformProcessTest.cpp
@@ -1,5 +1,7 @@
 #include "support/Eventually.h"
 #include "support/PlatformCell.h"
+#include "support/Process.h"
+#include "support/TemporaryFolder.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,6 +10,10 @@
 #include <string>
 #include <vector>
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 using namespace cranberryreel;
 using namespace std::chrono_literals;
 
@@ -45,4 +51,18 @@
     BOOST_TEST(!support::eventually([&] { return !cell.running(disks[0]); }, 500ms));
 }
 
+/// Failure: a reload signal that came while the program was reading its settings ended it, before it had handled any signal.
+BOOST_AUTO_TEST_CASE(aSignalDuringTheStartDoesNotEndTheProcess)
+{
+    const support::TemporaryFolder folder;
+    const std::string settings = folder.name() + "/settings.ini";
+    BOOST_REQUIRE(::mkfifo(settings.c_str(), S_IRUSR | S_IWUSR) == 0);
+    support::Process process({std::string(CRANBERRYREEL_BINARY_DIR) + "/cranberryreel-platformd", "--settings", settings}, folder.name() + "/output");
+    const int writer = ::open(settings.c_str(), O_WRONLY); // Returns when the process reads its settings.
+    BOOST_REQUIRE(writer >= 0);
+    process.signal(SIGHUP);
+    BOOST_TEST(!support::eventually([&] { return !process.running(); }, 300ms));
+    ::close(writer);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
