Test of long leases: the restarted upstream announces itself before a start is expected

The case expected that the start that the earlier incarnation had left unanswered is sent again to the next one. Since such a run ends, as the next incarnation's list lacks it, and the task waits until that upstream announces itself, since its size is not known before. The case now lets it announce itself after the commit; no start before the commit, one after it, and the recorded lease are checked as before. Whether the case still fails without the wait for the commit was not tried again.

--- a/tests/cell/LongLeaseRecordTest.cpp
+++ b/tests/cell/LongLeaseRecordTest.cpp
@@ -95,6 +95,7 @@
     rig.run(milliseconds(200));
     BOOST_TEST(upstream.startRequests == 0);
     rig.group.resume();
+    rig.announce("u1", 1);
     BOOST_TEST(rig.runUntil([&] { return upstream.startRequests > 0; }, milliseconds(1000)));
     BOOST_TEST(recordsLongLease(rig));
 }
