--- a/tests/cell/LongLeaseRecordTest.cpp
+++ b/tests/cell/LongLeaseRecordTest.cpp
@@ -137,4 +137,36 @@
     BOOST_TEST(rig.runUntil([&] { return rig.upstreams.startCounts["j.0.0.0"] == 1; }, milliseconds(1000)));
 }
 
+/// Failure: an upstream was removed and came back under its id. A renewal that was meant for its earlier life had given it the platform's longest lease, which
+/// its new record did not tell of, so its task started elsewhere while it still worked there.
+BOOST_AUTO_TEST_CASE(anUpstreamThatWasRemovedAndCameBackMayHoldALongLease)
+{
+    CellRig rig(LongPlatformLease);
+    rig.upstreams.leaseMax = LongPlatformLease;
+    rig.upstreams.upstreams["u1"].startedAt -= std::chrono::minutes(1);
+    rig.addUpstream("u1", 8000);
+    rig.submit(support::job("first", support::step(1, 1000))); // Keeps renewals going.
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf("first.0.0.0") == "u1"; }));
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    rig.run(milliseconds(50));
+    upstream.renewalsToDrop = 1;
+    BOOST_REQUIRE(rig.runUntil([&] { return !upstream.delayedRenewals.empty(); }));
+    BOOST_REQUIRE(upstream.delayedRenewals.front().deadline.has_value());
+    upstream.reachable = false;
+    upstream.unreachableStatus = cell::UpstreamCallStatus::Absent;
+    upstream.running.clear();
+    rig.leave("u1");
+    BOOST_REQUIRE(rig.runUntil([&rig] { return rig.store.read([](const cell::CellState &state) { return state.upstreamNamed("u1") == nullptr; }); }));
+    rig.cancel("first");
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    rig.upstreams.deliverDelayedRenewals("u1");
+    rig.announce("u1", 1);
+    rig.submit(support::job("j", support::step(1, 1000)));
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.upstreamOf("j.0.0.0") == "u1"; }));
+    upstream.reachable = false;
+    rig.addUpstream("u2", 8000);
+    BOOST_REQUIRE(rig.runUntil([&] { return rig.upstreams.startCounts["j.0.0.0"] > 1; }, milliseconds(15000)));
+    BOOST_TEST(rig.upstreams.ranTwice.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/RestartedUpstreamsTest.cpp
+++ b/tests/cell/RestartedUpstreamsTest.cpp
@@ -40,6 +40,21 @@
     rig.announce(*smaller, 1);
 }
 
+/// Delivers an announcement of the incarnation of "u1" that runs, without waiting for its commit.
+void sendAnnouncement(CellRig &rig, std::uint32_t cpuMillis, const std::string &address = {})
+{
+    cell::wire::CallT call;
+    call.kind = cell::wire::CallKind::Announce;
+    call.announcement = std::make_unique<cell::wire::AnnouncementT>();
+    call.announcement->upstream = support::upstream("u1", cpuMillis);
+    call.announcement->upstream->born_ms = rig.upstreams.upstreams["u1"].bornMs;
+    if (!address.empty()) {
+        call.announcement->upstream->address = address;
+    }
+    call.announcement->sequence = 1;
+    rig.send(std::move(call));
+}
+
 /// Checks that the delayed start has no effect on "u1" once the task runs on "u2".
 void checkThatTheDelayedStartHasNoEffect(CellRig &rig)
 {
@@ -310,4 +325,66 @@
     BOOST_TEST(!rig.upstreams.upstreams["u1"].renewals.front().deadline.has_value());
 }
 
+/// Failure: a leader whose previous batch is still being committed reads the next incarnation before the record of that incarnation is committed, and plans with
+/// the description of the earlier one. Then a task starts on an upstream that has no room for it.
+BOOST_AUTO_TEST_CASE(nothingIsPlannedWithTheDescriptionOfTheEarlierIncarnation)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    rig.group.stalls = true;
+    cell::wire::CallT submit;
+    submit.kind = cell::wire::CallKind::Submit;
+    submit.host = "host";
+    submit.job = support::job("j", support::step(1, 1000));
+    submit.path = "/" + submit.job->queue + "/j";
+    rig.send(std::move(submit));
+    rig.run(milliseconds(50));
+    rig.upstreams.restart("u1");
+    sendAnnouncement(rig, 500);
+    rig.run(milliseconds(50));
+    rig.group.resume();
+    rig.run(milliseconds(300));
+    BOOST_REQUIRE(rig.store.read([](const cell::CellState &state) { return state.jobNamed("j") != nullptr; }));
+    BOOST_TEST(rig.upstreams.upstreams["u1"].startRequests == 0);
+}
+
+/// Failure: a placement was being committed while its upstream started again, and the start went to the next incarnation, which has no room for it.
+BOOST_AUTO_TEST_CASE(aPlacementThatIsCommittedAfterARestartDoesNotStartOnTheNextIncarnation)
+{
+    CellRig rig;
+    BOOST_REQUIRE(rig.submit(support::job("j", support::step(1, 1000))) == base::ResultCode::Ok);
+    rig.upstreams.upstreams["u1"].startedAt -= std::chrono::minutes(1);
+    rig.announce(*support::upstream("u1", 8000), 1);
+    const std::uint64_t proposals = rig.group.proposals;
+    rig.group.stalls = true;
+    rig.run(milliseconds(100));
+    BOOST_REQUIRE(rig.group.proposals > proposals); // The placement.
+    rig.upstreams.restart("u1");
+    sendAnnouncement(rig, 500);
+    rig.run(milliseconds(50));
+    rig.group.resume();
+    rig.run(milliseconds(300));
+    BOOST_TEST(rig.upstreams.upstreams["u1"].startRequests == 0);
+}
+
+/// Failure: an upstream started again at another address. Its first read went there, the next ones to the recorded address until the new record was committed;
+/// the upstream that listens there refused them, so the present one was removed and its task started elsewhere while it ran.
+BOOST_AUTO_TEST_CASE(anIncarnationAtAnotherAddressIsNotRemovedBeforeItsRecordIsCommitted)
+{
+    CellRig rig;
+    addOldUpstream(rig);
+    runWithDelayedStart(rig);
+    rig.upstreams.restartBeforeDelayedRequests("u1");
+    rig.upstreams.upstreams["u1"].address = "10.0.0.99:1";
+    rig.upstreams.deliverDelayedStarts("u1");
+    BOOST_REQUIRE(rig.upstreams.upstreamOf(Task) == "u1");
+    rig.group.stalls = true;
+    sendAnnouncement(rig, 8000, "10.0.0.99:1");
+    rig.run(milliseconds(100));
+    rig.group.resume();
+    rig.run(milliseconds(300));
+    BOOST_TEST(rig.store.read([](const cell::CellState &state) { return state.upstreamNamed("u1") != nullptr; }));
+    BOOST_TEST(rig.upstreams.ranTwice.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -143,6 +143,11 @@
 {
     Upstream &upstream = this->upstreams[target.id];
     cell::RenewResult renewed;
+    if (!upstream.address.empty() && target.address != upstream.address) {
+        renewed.callResult.status = UpstreamCallStatus::OtherUpstream;
+        done(renewed);
+        return;
+    }
     if (upstream.holdsRenewals) {
         this->heldRenewals.push_back(std::move(done));
         this->heldDeadline = request.deadline.value_or(std::chrono::milliseconds(0));
--- a/tests/cell/ScriptedUpstreams.h
+++ b/tests/cell/ScriptedUpstreams.h
@@ -36,6 +36,7 @@
         bool refusesAsFull = false;
         bool holdsRenewals = false; ///< Renewals wait until breakRenewals().
         int renewalsToDrop = 0; ///< So many renewals from now on get no answer; they stay in `delayedRenewals`.
+        std::string address; ///< Another upstream listens at other addresses; empty: this one answers at any address.
         std::vector<std::chrono::milliseconds> startLimits; ///< Time limits of all start requests.
         int startRequests = 0;
         std::vector<cell::RenewRequest> renewals; ///< All renewals that it received.
