A run that was placed on an upstream's earlier incarnation is not started on the next one

Cause: the start is sent when the commit ends, to whatever incarnation is known by then. Fix: the plan's incarnation goes with the placement; if it has changed, the run ends as never started.

--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -160,9 +160,13 @@
         placement->upstream = start.upstream;
         this->context.batch.command().placements.push_back(std::move(placement));
     }
-    this->context.batch.onOutcome([this, starts = plan.starts](base::ResultCode code) {
+    std::map<std::uint64_t, std::uint64_t> incarnations;
+    for (const PlannedStart &start : plan.starts) {
+        incarnations[start.upstream] = this->context.trackers.at(start.upstream).incarnation;
+    }
+    this->context.batch.onOutcome([this, starts = plan.starts, incarnations = std::move(incarnations)](base::ResultCode code) {
         if (code == base::ResultCode::Ok) {
-            this->runs.startPlaced(starts);
+            this->runs.startPlaced(starts, incarnations);
         }
     });
 }
--- a/src/cell/RunManager.cpp
+++ b/src/cell/RunManager.cpp
@@ -70,7 +70,7 @@
     });
 }
 
-void RunManager::startPlaced(const std::vector<planning::PlannedStart> &starts)
+void RunManager::startPlaced(const std::vector<planning::PlannedStart> &starts, const std::map<std::uint64_t, std::uint64_t> &incarnations)
 {
     const base::SteadyTime now = base::steadyNow();
     std::vector<TrackedRun> placedRuns;
@@ -87,7 +87,14 @@
         }
     });
     for (TrackedRun &run : placedRuns) {
-        this->sendStart(this->context.runs.add(std::move(run)), now);
+        const auto tracker = this->context.trackers.find(run.upstream);
+        const bool sameIncarnation = tracker != this->context.trackers.end() && tracker->second.incarnation == incarnations.at(run.upstream);
+        TrackedRun &placed = this->context.runs.add(std::move(run));
+        if (sameIncarnation) {
+            this->sendStart(placed, now);
+        } else {
+            this->proposeEnd(placed, wire::EndKind::NeverStarted, {});
+        }
     }
 }
 
--- a/src/cell/RunManager.h
+++ b/src/cell/RunManager.h
@@ -26,8 +26,9 @@
     /// Adopts the runs that an earlier leader placed.
     void adopt(base::SteadyTime now);
 
-    /// Sends start requests for tasks whose placements have been committed.
-    void startPlaced(const std::vector<planning::PlannedStart> &starts);
+    /// Sends start requests for tasks whose placements have been committed. `incarnations` are those of the upstreams, by number, that the plan knew; a run
+    /// that was placed on an earlier incarnation ends as never started.
+    void startPlaced(const std::vector<planning::PlannedStart> &starts, const std::map<std::uint64_t, std::uint64_t> &incarnations);
 
     /// Marks the run for stopping, whatever its phase; tick() sends the request.
     void requestStop(TrackedRun &run);
