An answer from the address of an earlier incarnation does not remove an upstream that has moved

What callers would see (TWICE): an upstream starts again at another address, and another upstream has its earlier one. Until the new record was committed, renewals went to the earlier address; the refusal from there removed the upstream, and what the new incarnation ran by then ran elsewhere too.

Fix: such a refusal has no effect while the record is that of an earlier incarnation.

Evidence: RestartedUpstreamsTest/anIncarnationAtAnotherAddressIsNotRemovedBeforeItsRecordIsCommitted failed before (record gone, a task ran twice) and passes.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -63,7 +63,7 @@
     : context(termContext)
     , runs(runManager)
 {
-    this->runs.onUpstreamReplaced = [this](std::uint64_t number) { this->removeUpstream(number); };
+    this->runs.onUpstreamReplaced = [this](std::uint64_t number) { this->handleOtherUpstream(number); };
     this->runs.onUpstreamRestarted = [this](std::uint64_t number) { this->handleUnknownRestart(number); };
 }
 
@@ -187,6 +187,19 @@
     this->context.wake();
 }
 
+/// Another upstream answered at the recorded address.
+void UpstreamManager::handleOtherUpstream(std::uint64_t number)
+{
+    const std::optional<wire::UpstreamT> record = this->context.upstreamRecord(number);
+    const auto tracker = this->context.trackers.find(number);
+    if (record && tracker != this->context.trackers.end() && tracker->second.bornOr(record->born_ms) != record->born_ms) {
+        // The address is that of an earlier incarnation until the record of the known one is committed.
+        tracker->second.nextRenewal = base::steadyNow() + RenewalSpacing;
+        return;
+    }
+    this->removeUpstream(number);
+}
+
 void UpstreamManager::removeUpstream(std::uint64_t number)
 {
     this->endAllRuns(number);
@@ -301,7 +314,7 @@
     UpstreamTracker &tracker = found->second;
     tracker.renewalPending = false;
     if (result.callResult.status == UpstreamCallStatus::OtherUpstream) {
-        this->removeUpstream(number);
+        this->handleOtherUpstream(number);
         return;
     }
     if (result.callResult.status != UpstreamCallStatus::Done) {
--- a/src/cell/UpstreamManager.h
+++ b/src/cell/UpstreamManager.h
@@ -56,6 +56,7 @@
     /// Reads an incarnation that has just become known. From its answer on it refuses requests to earlier ones.
     void readAtOnce(std::uint64_t number, UpstreamTracker &tracker, const UpstreamTarget &target, base::SteadyTime now);
     void handleUnknownRestart(std::uint64_t number);
+    void handleOtherUpstream(std::uint64_t number);
     void handleRestart(std::uint64_t number, UpstreamTracker &tracker, std::int64_t bornMs, std::int64_t earlierBornMs);
     void endAllRuns(std::uint64_t number);
     /// Whether the log holds what the next leader has to know of this incarnation's leases before anything starts there.
