Nothing is planned on a restarted upstream before its new description is recorded

What callers would see (LIMIT, ROUTE): the next incarnation of an upstream was read back before its record was committed, and work was planned with the size, service and labels of the earlier one. Where the platform allows leases of 10 s the record was waited for already.

Fix: an incarnation counts as read once the record is its own, whatever the longest lease.

Evidence: RestartedUpstreamsTest/nothingIsPlannedWithTheDescriptionOfTheEarlierIncarnation failed before (1 start instead of 0) and passes.

--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -143,9 +143,10 @@
 
 bool UpstreamManager::isRecorded(std::uint64_t number, const UpstreamTracker &tracker, base::SteadyTime now) const
 {
-    return !tracker.mayHoldLongLease(now) || this->context.store.read([number, &tracker](const CellState &state) {
+    return this->context.store.read([number, &tracker, now](const CellState &state) {
         const auto record = state.upstreams().find(number);
-        return record != state.upstreams().end() && record->second.long_lease && record->second.born_ms == tracker.bornOr(record->second.born_ms);
+        return record != state.upstreams().end() && record->second.born_ms == tracker.bornOr(record->second.born_ms)
+            && (record->second.long_lease || !tracker.mayHoldLongLease(now));
     });
 }
 
