--- a/tests/cell/RestartedUpstreamsTest.cpp
+++ b/tests/cell/RestartedUpstreamsTest.cpp
@@ -325,8 +325,8 @@
     BOOST_TEST(!rig.upstreams.upstreams["u1"].renewals.front().deadline.has_value());
 }
 
-/// Failure: a leader whose previous batch is still being committed reads the next incarnation before the record of that incarnation is committed, and plans with
-/// the description of the earlier one. Then a task starts on an upstream that has no room for it.
+/// Failure: a leader whose previous batch is still being committed reads the next incarnation before the record of that incarnation is committed, and plans
+/// with the description of the earlier one. Then a task starts on an upstream that has no room for it.
 BOOST_AUTO_TEST_CASE(nothingIsPlannedWithTheDescriptionOfTheEarlierIncarnation)
 {
     CellRig rig;
