Log of ended jobs: the failures of a gang are summed once for the step, not for each member

Cause: to find the step that used up the budget, job_ended asked countedFailures() for each task, and for a gang that sums over all members each time, on the leader's thread. The first member stands for all, since their failures count together. CellTerm.h: AskedUpstream stands before the functions again. The logged values are the same.

--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -47,13 +47,13 @@
     void tick();
 
 private:
-    void planAndPropose();
     /// An upstream that a query names, as it was known then.
     struct AskedUpstream {
         std::uint64_t number = 0;
         std::uint64_t incarnation = 0;
     };
 
+    void planAndPropose();
     void planStarts(base::SteadyTime now);
     planning::RunView runView(const RunKey &key, base::SteadyTime now);
     void preempt(const std::vector<RunKey> &stops);
--- a/src/cell/JobLifecycleLog.cpp
+++ b/src/cell/JobLifecycleLog.cpp
@@ -39,12 +39,14 @@
     for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
         for (std::uint32_t s = 0; s < job.occurrences[k]->steps.size(); ++s) {
             const auto &tasks = job.occurrences[k]->steps[s]->tasks;
+            const bool isGang = job.spec->steps[s]->gang;
             for (std::uint32_t i = 0; i < tasks.size(); ++i) {
                 ++totals.tasks;
                 totals.starts += tasks[i]->last_attempt;
                 totals.failures += tasks[i]->failures;
-                totals.gangFailures += job.spec->steps[s]->gang ? tasks[i]->failures : 0;
-                if (totals.failedStep == "none" && countedFailures(job, toRef({{job.number, k, s}, i})) >= failureLimit) {
+                totals.gangFailures += isGang ? tasks[i]->failures : 0;
+                // The failures of a gang count together, so its first member stands for all.
+                if (totals.failedStep == "none" && (!isGang || i == 0) && countedFailures(job, toRef({{job.number, k, s}, i})) >= failureLimit) {
                     totals.failedStep = std::to_string(k) + '.' + std::to_string(s);
                 }
             }
