Add review case 7: a runner that is back under its id

Cause: an upstream that was removed and announces itself again is taken for one that was never known, and the leader reckons with leases of 6 s, though a late renewal for its former life may have given it the platform's 10 s. Done: a script with real processes; a server on loopback for the stand-ins, which take fixed ports below the range of connections; build-2.sh fails if an object does.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,30 +3,20 @@
 set -euo pipefail
 cd "$(dirname "$0")/standins-2"
 output=../../target/review-2
+rm -rf "$output"
 mkdir -p "$output"
+flags="-std=c++17 -O1 -Wall -Wextra -Wpedantic -Werror $(pkg-config --cflags libmicrohttpd libcurl fmt)"
+libraries="$(pkg-config --libs libmicrohttpd libcurl fmt) -pthread"
+printf '%s\n' *.cpp | xargs -P 4 -I SOURCE sh -c "g++ $flags -c SOURCE -o $output/SOURCE.o"
 shared=()
-for source in *.cpp; do
-    case "$source" in
-    case_*) ;;
-    *) shared+=("$source") ;;
+for object in "$output"/*.o; do
+    case "$object" in
+    */case_*) ;;
+    *) shared+=("$object") ;;
     esac
 done
-flags="-std=c++17 -O1 -Wall -Wextra -Wpedantic -Werror $(pkg-config --cflags libmicrohttpd libcurl fmt)"
-objects=()
-for source in "${shared[@]}"; do
-    object="$output/${source%.cpp}.o"
-    objects+=("$object")
-    # shellcheck disable=SC2086
-    g++ $flags -c "$source" -o "$object" &
-done
-wait
 for source in case_*.cpp; do
     program=${source%.cpp}
     # shellcheck disable=SC2086
-    g++ $flags "$source" "${objects[@]}" -o "$output/${program#case_}" $(pkg-config --libs libmicrohttpd libcurl fmt) -pthread &
-done
-wait
-for source in case_*.cpp; do
-    program=${source%.cpp}
-    [ -x "$output/${program#case_}" ]
+    g++ "$output/$source.o" "${shared[@]}" -o "$output/${program#case_}" $libraries
 done
--- a/review/standins-2/Advisor.h
+++ b/review/standins-2/Advisor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LoopbackServer.h"
 #include "Record.h"
 
 #include <atomic>
@@ -7,8 +8,6 @@
 #include <cstddef>
 #include <string>
 
-struct MHD_Daemon;
-
 namespace cranberryreel::review
 {
 
@@ -17,14 +16,11 @@
 class Advisor
 {
 public:
-    Advisor(std::chrono::milliseconds decisionTime, Record &caseRecord);
-    ~Advisor();
-    Advisor(const Advisor &) = delete;
-    Advisor &operator=(const Advisor &) = delete;
+    Advisor(std::chrono::milliseconds time, Record &caseRecord);
 
     const std::string &address() const
     {
-        return this->ownAddress;
+        return this->server.address();
     }
 
     std::size_t calls() const
@@ -32,15 +28,13 @@
         return this->callCount;
     }
 
-    /// Handles one call. Called by the server.
+private:
     std::string advise(const std::string &body);
 
-private:
     const std::chrono::milliseconds decisionTime;
     Record &record;
     std::atomic<std::size_t> callCount{0};
-    MHD_Daemon *server = nullptr;
-    std::string ownAddress;
+    LoopbackServer server;
 };
 
 } // namespace cranberryreel::review
--- a/review/standins-2/Cell.cpp
+++ b/review/standins-2/Cell.cpp
@@ -37,21 +37,26 @@
     return fmt::format("127.{}.{}.{}", 1 + process / Hosts % Hosts, 1 + process % Hosts, 1 + number);
 }
 
-/// A port that no socket uses on any loopback address.
+/// A port that no socket uses on 127.0.0.1 or on all addresses, below those that the kernel gives to connections.
 int freePort()
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_ANY);
-    socklen_t length = sizeof(address);
-    const bool bound = ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), length) == 0
-        && ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length) == 0;
-    ::close(descriptor);
-    if (!bound) {
-        throw std::runtime_error("no free port");
+    constexpr int First = 10000;
+    constexpr int Count = 20000;
+    static int next = static_cast<int>(::getpid()) * 7 % Count;
+    for (int tries = 0; tries < Count; ++tries) {
+        const int port = First + next++ % Count;
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool isFree = ::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+        ::close(descriptor);
+        if (isFree) {
+            return port;
+        }
     }
-    return ntohs(address.sin_port);
+    throw std::runtime_error("no free port");
 }
 
 std::string readFile(const std::string &path)
@@ -130,7 +135,7 @@
                                                     {"Bootstrap", bootstrap ? "true" : "false"},
                                                     {"DataDir", machine.core ? disk : ""},
                                                     {"Recommendation", this->options.adviceAddress},
-                                                    {"Bounds.HoldMaxMs", "6000"},
+                                                    {"Bounds.HoldMaxMs", std::to_string(this->options.holdMaxMs)},
                                                     {"Bounds.StopTimeoutMs", "200"},
                                                     {"Bounds.GangTimeoutMs", "3000"},
                                                     {"Bounds.RestoreMs", "600"},
--- a/review/standins-2/Cell.h
+++ b/review/standins-2/Cell.h
@@ -16,6 +16,7 @@
     int coreMachines = 4;
     int entryMachines = 1;
     std::string adviceAddress; ///< "IP:PORT"; empty for none.
+    int holdMaxMs = 6000;
 };
 
 /// The machines of a small deployment, each with one process of the deploy file's program on a loopback address of its own, and settings filled in from the
--- a/review/standins-2/Fleet.cpp
+++ b/review/standins-2/Fleet.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-constexpr int Zones = 4;
-
 std::string jobOf(const TaskRun &run)
 {
     return run.task.substr(0, run.task.find('.'));
@@ -18,14 +16,15 @@
 
 } // namespace
 
-Fleet::Fleet(const std::string &service, int count, const Cell &cell, Record &record)
+Fleet::Fleet(const std::string &service, int count, const Cell &cell, Record &record, const std::vector<std::string> &zones, int holdMaxMs)
 {
     for (int i = 0; i < count; ++i) {
         RunnerOptions options;
         options.id = fmt::format("i-{}-{}", service, i + 1);
         options.service = service;
-        options.zone = fmt::format("zone-{}", 1 + i % Zones);
-        options.rack = fmt::format("r-{}", 1 + i % Zones);
+        options.zone = zones[static_cast<std::size_t>(i) % zones.size()];
+        options.rack = "r-" + options.zone;
+        options.holdMaxMs = holdMaxMs;
         this->runners.push_back(std::make_unique<Runner>(options, cell, record));
     }
 }
--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -10,11 +10,17 @@
 namespace cranberryreel::review
 {
 
-/// The runners of one service, and what of their room is in use. A task is counted with the size that its job was registered with. One thread.
+/// The runners of one service, in these zones by turns, and what of their room is in use. A task is counted with the size that its job was registered with. One
+/// thread.
 class Fleet
 {
 public:
-    Fleet(const std::string &service, int count, const Cell &cell, Record &record);
+    Fleet(const std::string &service,
+          int count,
+          const Cell &cell,
+          Record &record,
+          const std::vector<std::string> &zones = {"zone-1", "zone-2", "zone-3", "zone-4"},
+          int holdMaxMs = 6000);
 
     /// Registers the size of all tasks of the job.
     void setTaskSize(const std::string &job, int cpuMillis);
--- a/review/standins-2/Runner.cpp
+++ b/review/standins-2/Runner.cpp
@@ -2,11 +2,8 @@
 
 #include "HttpCall.h"
 
-#include <microhttpd.h>
-
 #include <algorithm>
 #include <memory>
-#include <stdexcept>
 #include <utility>
 
 namespace cranberryreel::review
@@ -22,42 +19,14 @@
 constexpr unsigned int StatusBadRequest = 400;
 constexpr unsigned int StatusConflict = 409;
 constexpr unsigned int StatusOtherInstance = 421;
-constexpr std::int64_t HoldMaxMs = 6000;
 constexpr std::int64_t MaxWaitMs = 2000;
 constexpr std::size_t EndsPerResponse = 500;
 constexpr auto HeartbeatInterval = 1500ms;
 constexpr auto TimerInterval = 5ms;
 constexpr auto StopTime = 50ms;
+constexpr auto UnansweredTime = 2500ms; ///< Longer than any caller waits.
 constexpr int WholePercent = 100;
 
-MHD_Result
-onRequest(void *self, MHD_Connection *connection, const char *url, const char *, const char *, const char *upload, std::size_t *uploadSize, void **state)
-{
-    if (*state == nullptr) {
-        *state = new std::string;
-        return MHD_YES;
-    }
-    auto *body = static_cast<std::string *>(*state);
-    if (*uploadSize != 0) {
-        body->append(upload, *uploadSize);
-        *uploadSize = 0;
-        return MHD_YES;
-    }
-    const char *expected = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Expect-Instance");
-    const auto [status, answer] = static_cast<Runner *>(self)->handle(url, expected == nullptr ? "" : expected, *body);
-    MHD_Response *response = MHD_create_response_from_buffer(answer.size(), const_cast<char *>(answer.data()), MHD_RESPMEM_MUST_COPY);
-    MHD_add_response_header(response, "Content-Type", "application/json");
-    const MHD_Result result = MHD_queue_response(connection, status, response);
-    MHD_destroy_response(response);
-    return result;
-}
-
-void onCompleted(void *, MHD_Connection *, void **state, MHD_RequestTerminationCode)
-{
-    delete static_cast<std::string *>(*state);
-    *state = nullptr;
-}
-
 std::int64_t unixMs()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -77,15 +46,11 @@
     , cell(runnerCell)
     , record(caseRecord)
     , bornMs(unixMs())
+    , announcing(this->own.announces)
+    , server([this](const ServedRequest &request) { return this->handle(request); })
 {
-    const unsigned int flags = MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL;
-    this->server = MHD_start_daemon(flags, 0, nullptr, nullptr, &onRequest, this, MHD_OPTION_NOTIFY_COMPLETED, &onCompleted, nullptr, MHD_OPTION_END);
-    if (this->server == nullptr) {
-        throw std::runtime_error("a runner cannot listen");
-    }
-    this->address = fmt::format("127.0.0.1:{}", MHD_get_daemon_info(this->server, MHD_DAEMON_INFO_BIND_PORT)->port);
     this->timer = std::thread([this] { this->keepTime(); });
-    this->announcer = std::thread([this] { this->announce(); });
+    this->announcer = std::thread([this] { this->sendHeartbeats(); });
 }
 
 Runner::~Runner()
@@ -94,7 +59,64 @@
     this->changed.notify_all();
     this->timer.join();
     this->announcer.join();
-    MHD_stop_daemon(this->server);
+    this->server.stop();
+}
+
+void Runner::drain()
+{
+    this->draining = true;
+}
+
+void Runner::announce()
+{
+    this->announcing = true;
+}
+
+void Runner::keepNextRenewal()
+{
+    const std::lock_guard lock(this->mutex);
+    this->keepsRenewal = true;
+}
+
+std::string Runner::keptRenewal() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->kept;
+}
+
+void Runner::carryOutLate(const std::string &path, const std::string &body)
+{
+    this->record.note("runner {} carries out late: {} {}", this->own.id, path, body);
+    json call = json::parse(body);
+    call.erase("WaitMs"); // Nobody waits for the answer.
+    this->handle({path, this->own.id, call.dump()});
+}
+
+void Runner::leave()
+{
+    this->announcing = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        std::vector<std::string> tasks;
+        for (const auto &[task, run] : this->current) {
+            tasks.push_back(task);
+        }
+        for (const std::string &task : tasks) {
+            this->endRun(task, "terminated");
+        }
+    }
+    for (std::size_t target = 0; target < this->cell.cores().size() && !this->postControl(target, "deregister", "{}"); ++target) { }
+    this->stopped = true;
+    this->changed.notify_all();
+    this->server.stop();
+    this->record.note("runner {} has left", this->own.id);
+}
+
+void Runner::cutOff()
+{
+    this->isCut = true;
+    this->changed.notify_all();
+    this->record.note("runner {} is cut off", this->own.id);
 }
 
 std::vector<TaskRun> Runner::runs() const
@@ -123,12 +145,23 @@
     return {{"ClockMs", this->clockMs()}, {"Reason", reason}};
 }
 
-std::pair<unsigned int, std::string> Runner::handle(const std::string &path, const std::string &expected, const std::string &body)
+ServedAnswer Runner::handle(const ServedRequest &request)
 {
     std::unique_lock lock(this->mutex);
     std::pair<unsigned int, json> answer{StatusBadRequest, json{{"ClockMs", this->clockMs()}}};
-    const json parsed = json::parse(body, nullptr, false);
-    if (!expected.empty() && expected != this->own.id) {
+    const json parsed = json::parse(request.body, nullptr, false);
+    const std::string &path = request.path;
+    const bool keeps = this->keepsRenewal && path == "/api/hold" && parsed.is_object() && parsed.contains("DeadlineMs");
+    if (keeps) {
+        this->keepsRenewal = false;
+        this->kept = request.body;
+        this->record.note("runner {} leaves a renewal unanswered: {}", this->own.id, request.body);
+    }
+    if (keeps || this->isCut) {
+        this->changed.wait_for(lock, UnansweredTime, [this] { return this->stopped.load(); });
+        return {0, {}};
+    }
+    if (!request.expectedInstance.empty() && request.expectedInstance != this->own.id) {
         answer.first = StatusOtherInstance;
     } else if (parsed.is_object() && path == "/api/run-start") {
         answer = this->startRun(parsed);
@@ -152,7 +185,7 @@
 {
     if (body.contains("DeadlineMs")) {
         const auto deadline = body["DeadlineMs"].get<std::int64_t>();
-        this->leaseEndMs = std::max(this->leaseEndMs, std::min(deadline, this->clockMs() + HoldMaxMs));
+        this->leaseEndMs = std::max(this->leaseEndMs, std::min(deadline, this->clockMs() + this->own.holdMaxMs));
     }
 }
 
@@ -209,7 +242,10 @@
     this->ends.erase(std::remove_if(this->ends.begin(), this->ends.end(), [cursor](const End &end) { return end.number <= cursor; }), this->ends.end());
     this->extendLease(body);
     const std::chrono::milliseconds wait(std::min(body.value("WaitMs", std::int64_t{0}), MaxWaitMs));
-    this->changed.wait_for(lock, wait, [this] { return this->stopped || !this->ends.empty(); });
+    this->changed.wait_for(lock, wait, [this] { return this->stopped || this->isCut || !this->ends.empty(); });
+    if (this->isCut) {
+        return {0, json()};
+    }
     json lists{{"ClockMs", this->clockMs()}, {"born", this->bornMs}, {"Running", json::array()}, {"Finished", json::array()}};
     for (const auto &[task, run] : this->current) {
         const TaskRun &entry = this->history[run.index];
@@ -262,29 +298,43 @@
     }
 }
 
+bool Runner::postControl(std::size_t target, const std::string &action, const std::string &body) const
+{
+    const std::string &machine = this->cell.cores()[target % this->cell.cores().size()];
+    const std::string url = "http://" + this->cell.control(machine) + "/api/instances/" + this->own.id + "/" + action;
+    return HttpCall{"POST", url, body, {}, 1000ms}.send().status == StatusOk;
+}
+
 /// Sends heartbeats to one core machine as long as it acknowledges them, and to the next one after a failure.
-void Runner::announce()
+void Runner::sendHeartbeats()
 {
     std::size_t target = 0;
-    for (int sequence = 1; !this->stopped; ++sequence) {
-        const json body{{"Service", this->own.service},
-                        {"Address", this->address},
-                        {"Zone", this->own.zone},
-                        {"Version", "v1"},
-                        {"Slots", 8},
-                        {"State", "ready"},
-                        {"ColdRemainingMs", 0},
-                        {"Capacity", {{"Cpu", this->own.cpuMillis}, {"MemRequestMb", this->own.memoryMb}, {"Gpu", 0}}},
-                        {"Labels", {"a", this->own.rack}},
-                        {"ClockMs", this->clockMs()},
-                        {"Sequence", sequence},
-                        {"born", this->bornMs}};
-        const std::string &machine = this->cell.cores()[target % this->cell.cores().size()];
-        const std::string url = "http://" + this->cell.control(machine) + "/api/instances/" + this->own.id + "/heartbeat";
-        const bool acknowledged = HttpCall{"POST", url, body.dump(), {}, 1000ms}.send().status == StatusOk;
+    int sequence = 0;
+    while (!this->stopped) {
+        if (!this->announcing || this->isCut) {
+            std::this_thread::sleep_for(TimerInterval);
+            continue;
+        }
+        const bool leaves = this->draining;
+        json body{{"Service", this->own.service},
+                  {"Address", this->server.address()},
+                  {"Zone", this->own.zone},
+                  {"Version", "v1"},
+                  {"Slots", 8},
+                  {"State", leaves ? "draining" : "ready"},
+                  {"ColdRemainingMs", 0},
+                  {"Capacity", {{"Cpu", this->own.cpuMillis}, {"MemRequestMb", this->own.memoryMb}, {"Gpu", 0}}},
+                  {"Labels", {"a", this->own.rack}},
+                  {"ClockMs", this->clockMs()},
+                  {"Sequence", ++sequence},
+                  {"born", this->bornMs}};
+        if (leaves) {
+            body["RemainingMs"] = 0;
+        }
+        const bool acknowledged = this->postControl(target, "heartbeat", body.dump());
         target += acknowledged ? 0 : 1;
         const auto next = Steady::now() + (acknowledged ? HeartbeatInterval : 100ms);
-        while (!this->stopped && Steady::now() < next) {
+        while (!this->stopped && this->draining == leaves && Steady::now() < next) {
             std::this_thread::sleep_for(TimerInterval);
         }
     }
--- a/review/standins-2/Runner.h
+++ b/review/standins-2/Runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cell.h"
+#include "LoopbackServer.h"
 #include "Record.h"
 
 #include <nlohmann/json.hpp>
@@ -14,8 +15,6 @@
 #include <thread>
 #include <vector>
 
-struct MHD_Daemon;
-
 namespace cranberryreel::review
 {
 
@@ -27,6 +26,8 @@
     std::string rack;
     int cpuMillis = 64000;
     int memoryMb = 131072;
+    int holdMaxMs = 6000; ///< Longer leases are shortened to this.
+    bool announces = true; ///< Sends heartbeats from the start on; else from announce() on.
 };
 
 /// One run of a task, from its start to its end.
@@ -65,8 +66,26 @@
     /// Lets a running task fail through its own fault. Returns whether it ran.
     bool fail(const std::string &task);
 
-    /// Handles one request; `expected` is its Expect-Instance header. Called by the server.
-    std::pair<unsigned int, std::string> handle(const std::string &path, const std::string &expected, const std::string &body);
+    /// Announces that it leaves.
+    void drain();
+
+    /// Starts to send heartbeats.
+    void announce();
+
+    /// Leaves the next renewal that grants a lease without an answer, and does not carry it out.
+    void keepNextRenewal();
+
+    /// The body of the renewal that was kept; empty if there was none yet.
+    std::string keptRenewal() const;
+
+    /// Carries out a call whose sender has given up on the answer.
+    void carryOutLate(const std::string &path, const std::string &body);
+
+    /// Deregisters and ends, with all that runs here: its address refuses connections from then on.
+    void leave();
+
+    /// Cuts the runner off: no call reaches it, and it sends no heartbeat. What runs goes on.
+    void cutOff();
 
 private:
     struct Run {
@@ -83,6 +102,7 @@
         std::string how;
     };
 
+    ServedAnswer handle(const ServedRequest &request);
     std::int64_t clockMs() const;
     nlohmann::json refusal(const char *reason) const;
     std::pair<unsigned int, nlohmann::json> startRun(const nlohmann::json &body);
@@ -92,15 +112,14 @@
     void extendLease(const nlohmann::json &body);
     void endRun(const std::string &task, const std::string &how);
     void keepTime();
-    void announce();
+    void sendHeartbeats();
+    bool postControl(std::size_t target, const std::string &action, const std::string &body) const;
 
     const RunnerOptions own;
     const Cell &cell;
     Record &record;
     const Steady::time_point startedAt = Steady::now();
     const std::int64_t bornMs;
-    MHD_Daemon *server = nullptr;
-    std::string address;
     mutable std::mutex mutex;
     std::condition_variable changed;
     std::vector<TaskRun> history;
@@ -110,7 +129,13 @@
     std::uint64_t lastEnd = 0;
     std::uint64_t fence = 0;
     std::int64_t leaseEndMs = 0;
+    bool keepsRenewal = false;
+    std::string kept;
     std::atomic<bool> stopped{false};
+    std::atomic<bool> announcing;
+    std::atomic<bool> draining{false};
+    std::atomic<bool> isCut{false};
+    LoopbackServer server;
     std::thread timer;
     std::thread announcer;
 };
