--- a/review/standins-2/Fleet.cpp
+++ b/review/standins-2/Fleet.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-Fleet::Fleet(const std::string &service, int count, const Cell &cell, Record &record, const std::vector<std::string> &zones, int holdMaxMs)
+Fleet::Fleet(const std::string &service, int count, const Cell &cell, Record &record, int cpuOfRunner, const std::vector<std::string> &zones, int holdMaxMs)
 {
     for (int i = 0; i < count; ++i) {
         RunnerOptions options;
@@ -25,6 +25,7 @@
         options.zone = zones[static_cast<std::size_t>(i) % zones.size()];
         options.rack = "r-" + options.zone;
         options.holdMaxMs = holdMaxMs;
+        options.cpuMillis = cpuOfRunner;
         this->runners.push_back(std::make_unique<Runner>(options, cell, record));
     }
 }
--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -19,6 +19,7 @@
           int count,
           const Cell &cell,
           Record &record,
+          int cpuOfRunner = 64000,
           const std::vector<std::string> &zones = {"zone-1", "zone-2", "zone-3", "zone-4"},
           int holdMaxMs = 6000);
 
--- a/review/standins-2/Runner.cpp
+++ b/review/standins-2/Runner.cpp
@@ -119,6 +119,12 @@
     this->record.note("runner {} is cut off", this->own.id);
 }
 
+void Runner::rejoin()
+{
+    this->isCut = false;
+    this->record.note("the cut of runner {} ends", this->own.id);
+}
+
 std::vector<TaskRun> Runner::runs() const
 {
     const std::lock_guard lock(this->mutex);
--- a/review/standins-2/Runner.h
+++ b/review/standins-2/Runner.h
@@ -87,6 +87,9 @@
     /// Cuts the runner off: no call reaches it, and it sends no heartbeat. What runs goes on.
     void cutOff();
 
+    /// Ends the cut.
+    void rejoin();
+
 private:
     struct Run {
         std::size_t index = 0; ///< In `history`.
--- a/review/standins-2/case_few_machines.cpp
+++ b/review/standins-2/case_few_machines.cpp
@@ -39,7 +39,7 @@
     // Machines are taken out of service one after the other; the client's own one stays.
     for (int i = 1; given.trouble && i < EntryMachines; ++i) {
         cell.signal(cell.entries()[static_cast<std::size_t>(i)], SIGTERM);
-        std::this_thread::sleep_for(500ms);
+        std::this_thread::sleep_for(2s);
     }
     for (int i = 1; given.trouble && i < EntryMachines; ++i) {
         if (!cell.awaitEnd(cell.entries()[static_cast<std::size_t>(i)], 6000ms)) {
