End the reserve of VMs for quick advice queries on small cells

Cause: AdviceDispatcher::tryQuery() kept four free VMs for quick queries, whatever the number of VMs, and without end. With four VMs or fewer a slow query was refused in each plan.

Fix: AdviceVmReserve leaves slow and prefetch queries one VM or more of those that can be used, lets a slow query that was refused for a second into the reserve, and lets the classes take turns on the last VM; so each class waits for a bounded time, whatever the other one sends. A queue whose queries found no VM for a second comes first in the next plan, since one queue with a backlog took each turn otherwise. Refused queries of one speed no longer end the plan's queries of the other. advice_query_refused tells of queries that wait for a VM.

--- a/src/cell/AdviceDispatcher.cpp
+++ b/src/cell/AdviceDispatcher.cpp
@@ -1,8 +1,8 @@
 #include "cell/AdviceDispatcher.h"
 
 #include "cell/Codec.h"
+#include "observe/Log.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace cranberryreel::cell
@@ -11,14 +11,27 @@
 namespace
 {
 
-/// VMs that slow queries leave free: quick queries come in bursts of nearly twice the usual rate.
-constexpr std::size_t VmsReservedForQuick = 4;
-/// Prefetch queries leave the linked VMs divided by this number free, and at least VmsReservedForQuick.
-constexpr std::size_t PrefetchReserveDivisor = 3;
+const observe::Log Logger("cell");
+
 /// A VM whose query failed gets no further query for this time.
 constexpr std::chrono::milliseconds ExclusionAfterFailure{1000};
 /// Added to a query's time limit for the peer call to the VM that sends the query.
 constexpr std::chrono::milliseconds LinkDelayAllowance{200};
+/// Refusals are logged once they have lasted this long, and at this interval.
+constexpr std::chrono::milliseconds RefusalLogInterval{1000};
+
+const char *className(AdviceQueryClass queryClass)
+{
+    switch (queryClass) {
+    case AdviceQueryClass::Quick:
+        return "quick";
+    case AdviceQueryClass::Slow:
+        return "slow";
+    case AdviceQueryClass::Prefetch:
+        return "prefetch";
+    }
+    return "unknown";
+}
 
 } // namespace
 
@@ -29,48 +42,63 @@
 {
 }
 
-std::vector<std::string> AdviceDispatcher::freeVms(std::size_t &linkedVms) const
+AdviceDispatcher::UsableVms AdviceDispatcher::usableVms(base::SteadyTime now) const
 {
-    linkedVms = 1;
-    const base::SteadyTime now = base::steadyNow();
-    std::vector<std::string> free;
+    UsableVms vms;
     const auto consider = [&](const std::string &vm) {
         const auto found = this->vmStates.find(vm);
-        if (found == this->vmStates.end() || (!found->second.busy && found->second.excludedUntil <= now)) {
-            free.push_back(vm);
+        const bool busy = found != this->vmStates.end() && found->second.busy;
+        if (!busy && found != this->vmStates.end() && found->second.excludedUntil > now) {
+            return;
+        }
+        ++vms.count;
+        if (!busy) {
+            vms.free.push_back(vm);
         }
     };
     for (const link::PeerStatus &peer : this->hub.peers()) {
         if (peer.up) {
-            ++linkedVms;
             consider(peer.vm);
         }
     }
     consider(this->ownVm);
-    return free;
+    return vms;
 }
 
 bool AdviceDispatcher::tryQuery(
-    QueryClass queryClass, const std::string &step, const std::vector<std::string> &upstreams, std::chrono::milliseconds limit, AdviceCallback done)
+    AdviceQueryClass queryClass, const std::string &step, const std::vector<std::string> &upstreams, std::chrono::milliseconds limit, AdviceCallback done)
 {
     std::string vm;
     {
         const absl::MutexLock lock(&this->mutex);
-        std::size_t linkedVms = 0;
-        const std::vector<std::string> free = this->freeVms(linkedVms);
-        const std::size_t reservedVms = queryClass == QueryClass::Quick
-            ? 0
-            : (queryClass == QueryClass::Slow ? VmsReservedForQuick : std::max(linkedVms / PrefetchReserveDivisor, VmsReservedForQuick));
-        if (free.size() <= reservedVms) {
+        const base::SteadyTime now = base::steadyNow();
+        const UsableVms vms = this->usableVms(now);
+        if (!this->reserve.admit(queryClass, vms.free.size(), vms.count, now)) {
+            this->logRefusal(queryClass, vms, now);
             return false;
         }
-        vm = free[this->nextVm++ % free.size()];
+        vm = vms.free[this->nextVm++ % vms.free.size()];
         this->vmStates[vm].busy = true;
     }
     this->sendQuery(vm, step, upstreams, limit, std::move(done));
     return true;
 }
 
+void AdviceDispatcher::logRefusal(AdviceQueryClass queryClass, const UsableVms &vms, base::SteadyTime now)
+{
+    const std::chrono::milliseconds refusedFor = this->reserve.refusedFor(queryClass, now);
+    if (refusedFor < RefusalLogInterval || now < this->nextRefusalLog) {
+        return;
+    }
+    this->nextRefusalLog = now + RefusalLogInterval;
+    Logger.info("event=advice_query_refused class={} for_ms={} usable_vms={} free_vms={} reserved_vms={}",
+                className(queryClass),
+                refusedFor.count(),
+                vms.count,
+                vms.free.size(),
+                AdviceVmReserve::reservedVms(queryClass, vms.count));
+}
+
 void AdviceDispatcher::sendQuery(
     const std::string &vm, const std::string &step, const std::vector<std::string> &upstreams, std::chrono::milliseconds limit, AdviceCallback done)
 {
--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -35,6 +35,8 @@
 /// Start requests carry a ticket until this long before it expires; a request reaches the upstream within milliseconds.
 constexpr std::chrono::milliseconds SendTicketMargin{100};
 constexpr std::chrono::milliseconds QueryRetryInterval{150};
+/// A queue that has had no advice query sent for this long is served before those that had.
+constexpr std::chrono::milliseconds MaxQueryWait{1000};
 constexpr std::chrono::seconds LoadLogInterval{1};
 /// Waiting steps that are logged one by one each time, those of the oldest jobs.
 constexpr std::size_t MaxWaitingStepsLogged = 4;
@@ -257,26 +259,39 @@
     }
 }
 
-/// Once no VM is free for a slow query, the later slow queries are skipped. Returns whether any query was sent.
+/// Once a query finds no VM free for it, the later ones of its speed are skipped. Returns whether any query was sent.
 bool CellTerm::sendAdviceQueries(std::vector<AdviceQuery> queries)
 {
-    planning::interleaveByQueue(queries, this->pendingQueries);
+    const base::SteadyTime now = base::steadyNow();
+    planning::interleaveByQueue(queries, this->pendingQueries, this->overdueQueues(queries, now));
     bool asked = false;
+    bool quickAccepted = true;
     bool slowAccepted = true;
     for (const AdviceQuery &query : queries) {
-        if (!query.quick && !slowAccepted) {
-            continue;
+        bool &accepted = query.quick ? quickAccepted : slowAccepted;
+        accepted = accepted && this->sendAdviceQuery(query);
+        if (accepted) {
+            this->refusedQueues.recordGranted(query.queue);
+        } else if (query.timing == QueryTiming::Immediate) {
+            this->refusedQueues.recordRefused(query.queue, now);
         }
-        const bool accepted = this->sendAdviceQuery(query);
         asked = asked || accepted;
-        if (!accepted && query.quick) {
-            break;
-        }
-        slowAccepted = slowAccepted && (accepted || query.quick);
     }
     return asked;
 }
 
+/// The queues of these queries that have had none sent for too long, with the time that they have waited.
+std::map<std::string, std::chrono::milliseconds> CellTerm::overdueQueues(const std::vector<AdviceQuery> &queries, base::SteadyTime now) const
+{
+    std::map<std::string, std::chrono::milliseconds> overdue;
+    for (const AdviceQuery &query : queries) {
+        if (const auto refusedFor = this->refusedQueues.refusedFor(query.queue, now); refusedFor >= MaxQueryWait) {
+            overdue[query.queue] = refusedFor;
+        }
+    }
+    return overdue;
+}
+
 /// Counts the time that the advice service spent on the steps of these starts as used.
 void CellTerm::recordAdviceUse(const std::vector<PlannedStart> &starts)
 {
@@ -305,8 +320,8 @@
             }
         }
     });
-    const auto slowClass = query.timing == QueryTiming::Immediate ? AdviceDispatcher::QueryClass::Slow : AdviceDispatcher::QueryClass::Prefetch;
-    const auto queryClass = query.quick ? AdviceDispatcher::QueryClass::Quick : slowClass;
+    const auto slowClass = query.timing == QueryTiming::Immediate ? AdviceQueryClass::Slow : AdviceQueryClass::Prefetch;
+    const auto queryClass = query.quick ? AdviceQueryClass::Quick : slowClass;
     const bool accepted =
         this->context.adviceDispatcher.tryQuery(queryClass,
                                                 step,
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -4,6 +4,7 @@
 #include "cell/GangRunLog.h"
 #include "cell/JobLifecycleLog.h"
 #include "cell/PeerCallHandler.h"
+#include "cell/RefusalTimes.h"
 #include "cell/RunManager.h"
 #include "cell/TeamReport.h"
 #include "cell/TermContext.h"
@@ -13,6 +14,7 @@
 
 #include "cranberryreel/base/Clock.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -60,6 +62,7 @@
     void logLoad(const std::vector<planning::ServiceLoad> &loads);
     void logWaiting(const std::vector<planning::WaitingStep> &waiting, base::SteadyTime now);
     bool sendAdviceQueries(std::vector<planning::AdviceQuery> queries);
+    std::map<std::string, std::chrono::milliseconds> overdueQueues(const std::vector<planning::AdviceQuery> &queries, base::SteadyTime now) const;
     bool sendAdviceQuery(const planning::AdviceQuery &query);
     void recordAdviceUse(const std::vector<planning::PlannedStart> &starts);
     void handleAdvice(const planning::AdviceQuery &query, const std::map<std::string, AskedUpstream> &asked, const AdviceResult &result);
@@ -75,6 +78,7 @@
     AdviceCache adviceCache;
     planning::UrgentDemand urgentDemand;
     std::map<std::string, std::size_t> pendingQueries; ///< Advice queries without an answer, by queue.
+    RefusalTimes<std::string> refusedQueues; ///< Queues whose advice queries found no VM free.
     RunManager runs;
     UpstreamManager upstreams;
     JobLifecycleLog jobLog;
--- a/tests/cell/planning/AdviceQueryPlannerTest.cpp
+++ b/tests/cell/planning/AdviceQueryPlannerTest.cpp
@@ -220,22 +220,32 @@
     }
     queries.push_back(makeQuery("wide", 31));
     queries.push_back(makeQuery("wide", 32));
-    cell::planning::interleaveByQueue(queries, {});
+    cell::planning::interleaveByQueue(queries, {}, {});
     BOOST_TEST(queries[0].step.job == 1U);
     BOOST_TEST(queries[1].step.job == 31U);
     BOOST_TEST(queries[2].step.job == 2U);
     BOOST_TEST(queries[3].step.job == 32U);
     BOOST_TEST(queries.size() == 32U);
-    cell::planning::interleaveByQueue(queries, {{"gangs", 3}});
+    cell::planning::interleaveByQueue(queries, {{"gangs", 3}}, {});
     BOOST_TEST(queries[0].queue == "wide");
     BOOST_TEST(queries[1].queue == "wide");
 }
 
+/// Failure: where one slow query is sent at a time, a queue with a lasting backlog was served alone, and later ones never.
+BOOST_AUTO_TEST_CASE(aQueueThatHasWaitedTooLongComesFirst)
+{
+    std::vector<AdviceQuery> queries = {makeQuery("gangs", 1), makeQuery("gangs", 2), makeQuery("wide", 3), makeQuery("wide", 4)};
+    cell::planning::interleaveByQueue(queries, {}, {{"wide", std::chrono::milliseconds(1500)}});
+    BOOST_TEST(queries[0].step.job == 3U);
+    BOOST_TEST(queries[1].step.job == 1U);
+    BOOST_TEST(queries[2].step.job == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(prefetchQueriesComeLast)
 {
     std::vector<AdviceQuery> queries = {makeQuery("wide", 1), makeQuery("wide", 2), makeQuery("gangs", 3)};
     queries.front().timing = cell::planning::QueryTiming::Prefetch;
-    cell::planning::interleaveByQueue(queries, {});
+    cell::planning::interleaveByQueue(queries, {}, {});
     BOOST_TEST(queries.back().step.job == 1U);
 }
 
