Remember that an upstream was removed when it comes back

Cause: a renewal meant for the earlier life of an upstream can reach the next one before its first call, and give it the platform's longest lease, 10 s instead of 6 s. That went into the upstream's record, which its removal erases; the record of the upstream that came back told of nothing, and the leader gave its leases up 4 s too early.

The tracker that a tick makes between the proposal and the commit of a removal goes with the commit.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -154,6 +154,8 @@
         }
         wire::UpstreamT added = change;
         added.number = this->nextUpstream++;
+        // A renewal meant for its earlier life may have given this one the platform's longest lease.
+        added.long_lease = this->removedUpstreams.take(added.id) || added.long_lease;
         this->upstreamNumbers[added.id] = added.number;
         this->upstreamTable[added.number] = std::move(added);
         return;
@@ -162,6 +164,7 @@
     if (change.gone) {
         this->upstreamTable.erase(number);
         this->upstreamNumbers.erase(known);
+        this->removedUpstreams.add(change.id);
         return;
     }
     wire::UpstreamT updated = change;
@@ -472,6 +475,7 @@
         cancelled->by_teams.assign(entry.teams.begin(), entry.teams.end());
         state.cancelled_ids.push_back(std::move(cancelled));
     }
+    state.removed_upstreams = this->removedUpstreams.ids();
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(wire::State::Pack(builder, &state));
     return std::string(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
@@ -501,6 +505,9 @@
     for (const auto &cancelled : state.cancelled_ids) {
         decoded.cancelledIdTable[cancelled->id] = {cancelled->cancelled_ms, {cancelled->by_teams.begin(), cancelled->by_teams.end()}};
     }
+    for (const std::string &id : state.removed_upstreams) {
+        decoded.removedUpstreams.add(id);
+    }
     return decoded;
 }
 
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/CancelledId.h"
+#include "cell/RemovedUpstreams.h"
 #include "cell/generated/cell_generated.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -124,6 +125,7 @@
     std::map<std::string, CancelledId> cancelledIdTable;
     std::map<std::uint64_t, wire::UpstreamT> upstreamTable;
     absl::flat_hash_map<std::string, std::uint64_t> upstreamNumbers;
+    RemovedUpstreams removedUpstreams;
 };
 
 /// The failures that count against the limit of the task, or of its gang.
--- a/src/cell/UpstreamManager.cpp
+++ b/src/cell/UpstreamManager.cpp
@@ -210,7 +210,12 @@
     if (change) {
         Logger.info("event=upstream_removed upstream={} number={}", change->id, number);
         change->gone = true;
-        this->proposeUpstream(number, *change, [](base::ResultCode) {});
+        // A tick before the commit keeps a new tracker for the record that is about to go.
+        this->proposeUpstream(number, *change, [this, number](base::ResultCode code) {
+            if (code == base::ResultCode::Ok) {
+                this->context.trackers.erase(number);
+            }
+        });
     }
 }
 
--- a/tests/cell/LongLeaseRecordTest.cpp
+++ b/tests/cell/LongLeaseRecordTest.cpp
@@ -169,4 +169,23 @@
     BOOST_TEST(rig.upstreams.ranTwice.empty());
 }
 
+/// Failure: the leader that saw the upstream come back had not seen its removal.
+BOOST_AUTO_TEST_CASE(theNextLeaderKnowsThatAnUpstreamWasRemoved)
+{
+    CellRig rig(LongPlatformLease);
+    rig.addUpstream("u1", 8000);
+    auto &upstream = rig.upstreams.upstreams["u1"];
+    upstream.reachable = false;
+    upstream.unreachableStatus = cell::UpstreamCallStatus::Absent;
+    rig.leave("u1");
+    BOOST_REQUIRE(rig.runUntil([&rig] { return rig.store.read([](const cell::CellState &state) { return state.upstreamNamed("u1") == nullptr; }); }));
+    rig.takeOver();
+    upstream.reachable = true;
+    rig.upstreams.restart("u1");
+    rig.announce("u1", 1);
+    BOOST_TEST(recordsLongLease(rig));
+    rig.addUpstream("u2", 8000);
+    BOOST_TEST(!rig.store.read([](const cell::CellState &state) { return state.upstreamNamed("u2")->long_lease; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ScriptedUpstreams.cpp
+++ b/tests/cell/ScriptedUpstreams.cpp
@@ -53,6 +53,10 @@
         return UpstreamCallStatus::InsufficientCapacity;
     }
     this->extendLease(upstream, request.deadline);
+    // Upstreams that nobody reaches end the runs of expired leases too.
+    for (auto &[id, each] : this->upstreams) {
+        this->expireLeases(each);
+    }
     if (!this->upstreamOf(request.run.task).empty()) {
         this->ranTwice.insert(request.run.task);
     }
