Ask again for a gang's tickets that run out before the answer

Cause: a query named only the upstreams whose tickets had run out. It takes 0.7 s and a ticket lasts 2 s, so with tickets of three ages one of them was always missing: asked for one after the other, they were never all valid together.

Fix: a gang that has to ask also names the upstreams whose tickets would run out before the answer. After it all tickets are valid together.

--- a/src/cell/planning/AdviceQueryPlanner.cpp
+++ b/src/cell/planning/AdviceQueryPlanner.cpp
@@ -26,6 +26,8 @@
 constexpr double FullUpstreamsCostShare = 0.25;
 /// Factor on the tickets queried for a gang, which needs all of them at once.
 constexpr double GangTicketMargin = 1.5;
+/// A gang's other tickets must be valid for this time after an answer to be used with it.
+constexpr std::chrono::milliseconds TicketSpareTime{200};
 /// Maximum number of upstreams named beyond the likely need.
 constexpr double MaxSpareUpstreams = 8;
 
@@ -244,12 +246,20 @@
 {
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
     std::vector<UpstreamCapacity *> chosen;
-    for (UpstreamCapacity *capacity : reserved) {
-        if (!this->rules.hasRequiredTicket(ready, advice, *capacity) && chosen.size() < MaxUpstreamsPerGangQuery) {
-            chosen.push_back(capacity);
-        }
-    }
     if (!reserved.empty()) {
+        const auto lacksTicket = [&](const UpstreamCapacity *capacity) { return !this->rules.hasRequiredTicket(ready, advice, *capacity); };
+        if (std::none_of(reserved.begin(), reserved.end(), lacksTicket)) {
+            return chosen;
+        }
+        // Tickets that would run out before the answer are asked for as well: one after the other, they would never all be valid together.
+        const base::SteadyTime answerAt = this->input.now + queryDuration(*ready.queue->advice, reserved.size());
+        for (UpstreamCapacity *capacity : reserved) {
+            const auto ticket = advice.allowed.find(capacity->upstream->number);
+            const bool lasts = ticket != advice.allowed.end() && ticket->second.placeUntil > answerAt + TicketSpareTime;
+            if ((lacksTicket(capacity) || !lasts) && chosen.size() < MaxUpstreamsPerGangQuery) {
+                chosen.push_back(capacity);
+            }
+        }
         return chosen;
     }
     const auto tasks = static_cast<std::uint32_t>(ready.waiting.size());
