End reservations for large work, and drain for the first of it

On the other side a gang of higher priority waited for as long as small work kept coming.

Cause: reserveUpstreams() closed as many upstreams as the gang has tasks in each plan, without asking whether they could ever hold it, and without end. And a gang reserved only while free and reclaimable capacity could hold it at that moment, which a stream of short tasks prevents.

Fix: large work reserves only where it could run once runs have ended that are expected to (DrainForecast), first where it has room first; what cannot is `blocked` and takes nothing from others. Each reservation has a term (HoldTerms): twice the time to drain and 10 s; then it yields for as long. Where most of a service is free, all holders together keep fitting work out for 2.5 s, then yield. The first large step beyond what can be had now may drain. Work that ends before that starts there meanwhile, so the reserve costs little.

Evidence: GangReservationTest, four of its six cases failed before (small work had not started after 30 and 60 s, gangs after 10 and 26 s), all pass, from four upstreams to one; HoldTermsTest.

--- a/src/cell/CellTerm.cpp
+++ b/src/cell/CellTerm.cpp
@@ -139,6 +139,7 @@
         planning::PlanInput input{state, this->context.trackers, this->adviceCache, this->runs.failedUpstreams(), this->jobLog.acceptanceTimes(), now, viewRun};
         input.speeds = this->context.speedMonitor.speeds();
         input.urgentDemand = &this->urgentDemand;
+        input.holdTerms = &this->holdTerms;
         input.farRackFactor = this->context.options.farRackFactor;
         return planning::Planner(input).makePlan();
     });
--- a/src/cell/CellTerm.h
+++ b/src/cell/CellTerm.h
@@ -77,6 +77,7 @@
     replication::Group &group;
     AdviceCache adviceCache;
     planning::UrgentDemand urgentDemand;
+    planning::HoldTerms holdTerms;
     std::map<std::string, std::size_t> pendingQueries; ///< Advice queries without an answer, by queue.
     RefusalTimes<std::string> refusedQueues; ///< Queues whose advice queries found no VM free.
     RunManager runs;
--- a/src/cell/planning/PlacementRules.cpp
+++ b/src/cell/planning/PlacementRules.cpp
@@ -10,6 +10,8 @@
 
 /// A ticket must be valid for at least this time after the plan: the commit and the start request follow.
 constexpr std::chrono::milliseconds MinTicketLifetime{60};
+/// Work may start on an upstream that drains when this many times its estimate ends before that.
+constexpr int DrainTimeMargin = 2;
 
 } // namespace
 
@@ -32,8 +34,26 @@
 {
     const wire::StepT &step = *ready.step;
     const bool sharingAllowed = !(step.filler && capacity.servingTasks > 0) && !(servesUsers(step) && capacity.fillerTasks > 0);
-    const bool reserved = capacity.reservation == Reservation::Exclusive || (capacity.reservation == Reservation::PreemptibleOnly && !isPreemptible(step));
-    return capacity.usable && !reserved && sharingAllowed && (step.label.empty() || capacity.hasLabel(step.label));
+    return capacity.usable && sharingAllowed && respectsReservation(ready, capacity) && (step.label.empty() || capacity.hasLabel(step.label));
+}
+
+bool PlacementRules::respectsReservation(const ReadyStep &ready, const UpstreamCapacity &capacity)
+{
+    const wire::StepT &step = *ready.step;
+    switch (capacity.reservation) {
+    case Reservation::None:
+        return true;
+    case Reservation::AgainstGangs:
+        return !step.gang;
+    case Reservation::Draining: {
+        const bool preemptible = isPreemptible(step) && ready.queue != nullptr && ready.queue->priority > capacity.drainPriority;
+        const bool endsBefore = step.estimate_ms > 0 && DrainTimeMargin * std::chrono::milliseconds(step.estimate_ms) <= capacity.drainTime;
+        return preemptible || (endsBefore && !step.lasting && !step.gang);
+    }
+    case Reservation::Exclusive:
+        return false;
+    }
+    return false;
 }
 
 bool PlacementRules::hasRequiredTicket(const ReadyStep &ready, const StepAdvice &advice, const UpstreamCapacity &capacity) const
--- a/src/cell/planning/PlacementRules.h
+++ b/src/cell/planning/PlacementRules.h
@@ -20,6 +20,9 @@
     /// Whether the upstream's state, reservation, labels and other tasks allow the step there.
     bool mayRunOn(const ReadyStep &ready, const UpstreamCapacity &capacity) const;
 
+    /// Whether the upstream's reservation for large work lets the step start there.
+    static bool respectsReservation(const ReadyStep &ready, const UpstreamCapacity &capacity);
+
     /// True when the step needs no advice, or has a ticket for this incarnation of the upstream that is valid long enough.
     bool hasRequiredTicket(const ReadyStep &ready, const StepAdvice &advice, const UpstreamCapacity &capacity) const;
 
--- a/src/cell/planning/PlanInput.h
+++ b/src/cell/planning/PlanInput.h
@@ -5,6 +5,7 @@
 #include "cell/TaskKey.h"
 #include "cell/UpstreamTracker.h"
 #include "cell/health/SpeedSource.h"
+#include "cell/planning/HoldTerms.h"
 #include "cell/planning/UrgentDemand.h"
 
 #include "cranberryreel/base/Clock.h"
@@ -38,6 +39,7 @@
     std::function<RunView(const RunKey &)> viewRun = nullptr; ///< Returns the state of a run; when empty, nothing is preempted.
     const health::SpeedSource *speeds = nullptr; ///< Null when the cell's settings do not allow placement by speed.
     UrgentDemand *urgentDemand = nullptr; ///< What urgent work used of late; each plan records what it finds. Null: nothing is observed.
+    HoldTerms *holdTerms = nullptr; ///< How long large work has reserved upstreams. Null: reservations do not end.
     double farRackFactor = 1.5; ///< How many times longer a task takes when it does not run on its preferred rack.
 };
 
--- a/src/cell/planning/Planner.cpp
+++ b/src/cell/planning/Planner.cpp
@@ -3,7 +3,6 @@
 #include "cell/planning/WaitingOrder.h"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -13,18 +12,9 @@
 namespace
 {
 
-/// Waiting large work reserves at most the number of upstreams of a service divided by this, or as many as the first gang has tasks: reserved upstreams stand
-/// idle until enough capacity is free.
-constexpr std::size_t ReservableUpstreamsDivisor = 4;
-
 /// Upstreams where the task failed rank behind those of all speeds.
 constexpr int FailedHereRank = 64;
 
-bool isQueryPendingFor(const StepAdvice &advice, std::uint64_t upstream)
-{
-    return advice.queryPending && std::find(advice.pendingUpstreams.begin(), advice.pendingUpstreams.end(), upstream) != advice.pendingUpstreams.end();
-}
-
 } // namespace
 
 Planner::Planner(const PlanInput &planInput)
@@ -36,6 +26,7 @@
     , ledger(planInput.state)
     , preemptor(planInput, capacities)
     , queryPlanner(planInput, rules, preemptor, speedPlacement)
+    , largeWork(planInput, rules, preemptor)
 {
 }
 
@@ -92,7 +83,7 @@
     }
     const std::uint32_t startable = this->ledger.fitting(ready, static_cast<std::uint32_t>(unplaced.size()));
     if (startable == 0) {
-        if (this->fitsWhenEmpty(ready, pool)) {
+        if (this->fitsWhenDrained(ready, pool)) {
             this->ledger.recordWaitForQuota(ready);
         }
         this->plan.waiting.push_back({ready.key, WaitReason::Quota, unplaced.size()});
@@ -288,14 +279,14 @@
     return {};
 }
 
-/// Whether the usable upstreams could hold the step if they were empty. Work for which this fails must not hold back other work of its team.
-bool Planner::fitsWhenEmpty(const ReadyStep &ready, const ServicePool &pool) const
+/// Whether the usable upstreams could hold the step if only tasks that last ran there. Work for which this fails must not hold back other work of its team.
+bool Planner::fitsWhenDrained(const ReadyStep &ready, const ServicePool &pool) const
 {
     const auto needed = ready.step->gang ? static_cast<std::uint32_t>(ready.waiting.size()) : 1U;
     std::uint32_t fitting = 0;
     for (const UpstreamCapacity *capacity : pool.capacities) {
         const std::uint32_t most = this->rules.mayRunOn(ready, *capacity) ? std::min(needed, this->rules.remainingTaskLimit(ready, *capacity)) : 0;
-        fitting += Capacity::totalOf(*capacity->upstream).countFitting(*ready.step, most);
+        fitting += capacity->freeWhenDrained.countFitting(*ready.step, most);
         if (fitting >= needed) {
             return true;
         }
@@ -303,131 +294,28 @@
     return false;
 }
 
-/// The upstreams that could run the step if their capacity were free. Fast ones that must stay free for urgent work are left out: placement refuses them.
-std::vector<UpstreamCapacity *> Planner::reservableUpstreams(const ReadyStep &ready, const ServicePool &pool) const
-{
-    const bool advised = ready.queue->advice != nullptr;
-    const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
-    const auto needed = ready.step->gang ? static_cast<std::uint32_t>(ready.waiting.size()) : 1U;
-    std::vector<UpstreamCapacity *> reservable;
-    for (UpstreamCapacity *capacity : pool.capacities) {
-        const FastCapacity *kept = keptForUrgent(ready, pool, *capacity);
-        const bool allowed =
-            (!advised || advice.allowed.count(capacity->upstream->number) > 0) && (kept == nullptr || kept->countFitting(ready, needed) == needed);
-        const bool largeEnough = Capacity::totalOf(*capacity->upstream).countFitting(*ready.step, 1) > 0;
-        if (allowed && largeEnough && this->rules.mayRunOn(ready, *capacity) && this->rules.remainingTaskLimit(ready, *capacity) > 0) {
-            reservable.push_back(capacity);
-        }
-    }
-    return reservable;
-}
-
 /// Reserves upstreams for large work that does not fit, and returns the query for their tickets, if one is needed now. Sets `reason` to what the step waits
 /// for.
 std::optional<AdviceQuery> Planner::reserveForLargeWork(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool, WaitReason &reason)
 {
     // The tasks of a gang start together; other large tasks get their capacity one by one.
     const std::uint32_t tasks = ready.step->gang ? unplaced : 1;
-    if (!this->admitLargeWork(ready, tasks, pool)) {
+    const bool admitted = this->largeWork.admit(ready, tasks, pool);
+    // The first step beyond what can be had now may still drain upstreams: it would wait for as long as small work keeps coming.
+    if (!admitted && pool.servesLargeWork) {
         reason = WaitReason::Budget;
         return std::nullopt;
     }
-    const LargeWorkReservation reservation = this->reserveUpstreams(ready, tasks, pool);
-    reason = reservation.reason;
-    return this->queryPlanner.planLargeQuery(ready, unplaced, pool, reservation.upstreams);
-}
-
-/// Waiting large work reserves upstreams and sends advice queries only while the service could hold all of it at once; work later in the order would find no
-/// capacity left.
-bool Planner::admitLargeWork(const ReadyStep &ready, std::uint32_t tasks, ServicePool &pool)
-{
-    if (!pool.largeWorkBudget) {
-        pool.largeWorkBudget = Capacity();
-        for (const UpstreamCapacity *capacity : pool.capacities) {
-            if (capacity->usable) {
-                pool.largeWorkBudget->addShare(this->preemptor.reclaimableCapacity(ready, *capacity), 1.0);
-            }
-        }
-    }
-    if (pool.largeWorkBudget->countFitting(*ready.step, tasks) < tasks) {
-        return false;
-    }
-    pool.largeWorkBudget->allocate(*ready.step, tasks);
-    return true;
-}
-
-/// Reserves the upstreams where the fewest runs must be preempted for the tasks, and returns them. When preemption cannot free enough capacity, some upstreams
-/// are closed to work that could not be preempted later, and none is returned.
-Planner::LargeWorkReservation Planner::reserveUpstreams(const ReadyStep &ready, std::size_t tasks, ServicePool &pool)
-{
-    const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
-    std::vector<ReservationOption> options;
-    std::size_t reclaimable = 0;
-    std::size_t fittingWhenEmpty = 0;
-    for (UpstreamCapacity *capacity : this->reservableUpstreams(ready, pool)) {
-        const std::uint32_t most = std::min(ready.step->tasks, this->rules.remainingTaskLimit(ready, *capacity));
-        const std::uint32_t fittingTasks = std::min(most, this->preemptor.reclaimableCapacity(ready, *capacity).countFitting(*ready.step, most));
-        const bool hasTicket = this->rules.hasRequiredTicket(ready, advice, *capacity) || isQueryPendingFor(advice, capacity->upstream->number);
-        options.push_back(
-            {this->preemptor.preemptionCost(ready, *capacity).value_or(std::numeric_limits<std::size_t>::max()), hasTicket, fittingTasks, capacity});
-        reclaimable += fittingTasks;
-        fittingWhenEmpty += Capacity::totalOf(*capacity->upstream).countFitting(*ready.step, most);
-    }
-    const auto alreadyReserved = static_cast<std::size_t>(std::count_if(
-        pool.capacities.begin(), pool.capacities.end(), [](const UpstreamCapacity *capacity) { return capacity->reservation != Reservation::None; }));
-    const std::size_t maxReserved = std::max(pool.capacities.size() / ReservableUpstreamsDivisor, alreadyReserved == 0 ? tasks : 0);
-    if (fittingWhenEmpty < tasks) {
-        return {{}, WaitReason::Allowed};
-    }
-    if (maxReserved <= alreadyReserved) {
-        return {{}, WaitReason::ReservationLimit};
-    }
-    std::sort(options.begin(), options.end());
-    const bool reclaimableNow = reclaimable >= tasks;
-    std::size_t covered = 0;
-    std::size_t chosen = 0;
-    while (chosen < options.size() && covered < tasks && alreadyReserved + chosen < maxReserved) {
-        covered += reclaimableNow ? options[chosen].fittingTasks : 1;
-        ++chosen;
-    }
-    options.resize(chosen);
-    if (!reclaimableNow || covered < tasks) {
-        for (const ReservationOption &option : options) {
-            option.capacity->reservation = Reservation::PreemptibleOnly;
-        }
-        return {{}, reclaimableNow ? WaitReason::ReservationLimit : WaitReason::Capacity};
+    const LargeWorkReserver::Reserved reserved = this->largeWork.reserve(ready, tasks, pool);
+    reason = reserved.reason;
+    auto query = this->queryPlanner.planLargeQuery(ready, unplaced, pool, reserved.upstreams);
+    const bool holds = reason != WaitReason::Allowed && reason != WaitReason::Blocked && reason != WaitReason::Yielding;
+    const bool asks = query || this->input.advice.adviceFor(ready.key).queryPending;
+    if (admitted && !holds && !asks) {
+        LargeWorkReserver::giveBack(ready, tasks, pool);
     }
-    const bool allTickets = std::all_of(
-        options.begin(), options.end(), [&](const ReservationOption &option) { return this->rules.hasRequiredTicket(ready, advice, *option.capacity); });
-    return {this->reserveExclusively(ready, tasks, options), allTickets ? WaitReason::Stops : WaitReason::Advice};
-}
-
-std::vector<UpstreamCapacity *> Planner::reserveExclusively(const ReadyStep &ready, std::size_t tasks, const std::vector<ReservationOption> &options)
-{
-    std::vector<UpstreamCapacity *> reserved;
-    std::size_t covered = 0;
-    for (const ReservationOption &option : options) {
-        for (std::uint32_t i = 0; i < option.fittingTasks && covered < tasks; ++i) {
-            covered += this->preemptor.preemptFor(ready, *option.capacity) ? 1 : 0;
-        }
-        option.capacity->reservation = Reservation::Exclusive;
-        reserved.push_back(option.capacity);
-    }
-    return reserved;
-}
-
-bool Planner::ReservationOption::operator<(const ReservationOption &other) const
-{
-    return std::make_tuple(this->preemptions,
-                           !this->hasTicket,
-                           this->capacity->freeAfterStops.accelerators,
-                           this->capacity->freeAfterStops.cpuMillis,
-                           this->capacity->upstream->number)
-        < std::make_tuple(other.preemptions,
-                          !other.hasTicket,
-                          other.capacity->freeAfterStops.accelerators,
-                          other.capacity->freeAfterStops.cpuMillis,
-                          other.capacity->upstream->number);
+    pool.servesLargeWork = pool.servesLargeWork || holds || asks;
+    return query;
 }
 
 } // namespace cranberryreel::cell::planning
--- a/src/cell/planning/Planner.h
+++ b/src/cell/planning/Planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/planning/AdviceQueryPlanner.h"
+#include "cell/planning/LargeWorkReserver.h"
 #include "cell/planning/PlacementCandidate.h"
 #include "cell/planning/PlacementRules.h"
 #include "cell/planning/PlanInput.h"
@@ -58,24 +59,6 @@
 private:
     using Candidate = PlacementCandidate;
 
-    /// An upstream that could be reserved for waiting large work.
-    struct ReservationOption {
-        std::size_t preemptions = 0; ///< Runs to stop before a first task fits.
-        /// No new ticket is needed for the upstream, or one is on its way. A gang keeps such an upstream although another one becomes free meanwhile: otherwise
-        /// it would ask anew for each, and its first tickets would expire before the last one comes.
-        bool hasTicket = false;
-        std::uint32_t fittingTasks = 0; ///< Tasks of the step that fit into the reclaimable capacity.
-        UpstreamCapacity *capacity = nullptr;
-
-        bool operator<(const ReservationOption &other) const;
-    };
-
-    /// What a step that waits has reserved, and what it waits for.
-    struct LargeWorkReservation {
-        std::vector<UpstreamCapacity *> upstreams;
-        WaitReason reason = WaitReason::Capacity;
-    };
-
     void reserveForPendingQueries(const std::vector<ReadyStep> &waiting);
     void planStep(const ReadyStep &ready, ServicePool &pool);
     std::optional<AdviceQuery> planAdviceQuery(const ReadyStep &ready, std::uint32_t startable, ServicePool &pool);
@@ -85,13 +68,9 @@
     UpstreamCapacity *bestUpstream(const ReadyStep &ready, std::uint32_t task, const std::vector<Candidate> &candidates) const;
     std::vector<std::uint32_t> placeTasks(const ReadyStep &ready, ServicePool &pool);
     std::vector<std::uint32_t> placeGang(const ReadyStep &ready, ServicePool &pool);
-    bool fitsWhenEmpty(const ReadyStep &ready, const ServicePool &pool) const;
-    std::vector<UpstreamCapacity *> reservableUpstreams(const ReadyStep &ready, const ServicePool &pool) const;
+    bool fitsWhenDrained(const ReadyStep &ready, const ServicePool &pool) const;
     WaitReason waitReason(const ReadyStep &ready, const ServicePool &pool, const std::optional<AdviceQuery> &query) const;
     std::optional<AdviceQuery> reserveForLargeWork(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool, WaitReason &reason);
-    bool admitLargeWork(const ReadyStep &ready, std::uint32_t tasks, ServicePool &pool);
-    LargeWorkReservation reserveUpstreams(const ReadyStep &ready, std::size_t tasks, ServicePool &pool);
-    std::vector<UpstreamCapacity *> reserveExclusively(const ReadyStep &ready, std::size_t tasks, const std::vector<ReservationOption> &options);
     void planStart(const ReadyStep &ready, std::uint32_t task, std::uint32_t attempt, UpstreamCapacity &capacity, ServicePool &pool);
     void undoStarts(const ReadyStep &ready, std::size_t firstUndone, ServicePool &pool);
 
@@ -103,6 +82,7 @@
     teams::TeamLedger ledger;
     Preemptor preemptor;
     AdviceQueryPlanner queryPlanner;
+    LargeWorkReserver largeWork;
     std::set<StepKey> blockedSteps; ///< Steps of which some portion was not placed; their later portions are skipped.
     Plan plan;
 };
--- a/src/cell/planning/Preemptor.cpp
+++ b/src/cell/planning/Preemptor.cpp
@@ -47,6 +47,7 @@
         const RunView view = this->input.viewRun(key);
         if (view.stopping) {
             capacity->freeAfterStops.release(step);
+            this->stopping.insert(key);
         } else if (view.confirmed && view.percent <= NearlyDonePercent && isPreemptible(step) && run.attempt < PreemptionAttemptLimit) {
             if (const auto estimate = deadlines.estimate(job, task.step.occurrence, queue)) {
                 this->victims[run.upstream].push_back({key, queue->priority, view.percent, &step, estimate->slackTime});
@@ -79,6 +80,14 @@
     return available;
 }
 
+bool Preemptor::isReclaimable(const ReadyStep &ready, const UpstreamCapacity &capacity, const RunKey &run)
+{
+    const std::vector<Victim> &victimsHere = this->victimsOn(capacity);
+    const auto isRun = [&run](const Victim &victim) { return !(victim.run < run) && !(run < victim.run); };
+    const auto found = std::find_if(victimsHere.begin(), victimsHere.end(), isRun);
+    return this->stopping.count(run) > 0 || (found != victimsHere.end() && canPreempt(*found, ready));
+}
+
 std::vector<std::size_t> Preemptor::victimsFor(const ReadyStep &ready, const UpstreamCapacity &capacity, bool &enough)
 {
     const std::vector<Victim> &victimsHere = this->victimsOn(capacity);
--- a/src/cell/planning/Preemptor.h
+++ b/src/cell/planning/Preemptor.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace cranberryreel::cell::planning
@@ -26,6 +27,9 @@
     /// Capacity on the upstream that is free, becomes free by pending stops, or can be freed for the step by preemption.
     Capacity reclaimableCapacity(const ReadyStep &ready, const UpstreamCapacity &capacity);
 
+    /// Whether reclaimableCapacity() for the step counts the run's capacity as had: it is being stopped, or can be preempted for the step.
+    bool isReclaimable(const ReadyStep &ready, const UpstreamCapacity &capacity, const RunKey &run);
+
     /// The number of runs to stop so that one more task of the step fits; empty when no number suffices.
     std::optional<std::size_t> preemptionCost(const ReadyStep &ready, const UpstreamCapacity &capacity);
 
@@ -57,6 +61,7 @@
     const PlanInput &input;
     CapacityTable &capacities;
     bool collected = false;
+    std::set<RunKey> stopping; ///< Runs that are being stopped.
     std::map<std::uint64_t, std::vector<Victim>> victims; ///< By upstream number; lowest priority first, then least progress.
     std::vector<RunKey> preemptions;
 };
--- a/src/cell/planning/ReleaseForecast.cpp
+++ b/src/cell/planning/ReleaseForecast.cpp
@@ -1,32 +1,15 @@
 #include "cell/planning/ReleaseForecast.h"
 
+#include "cell/planning/RemainingTime.h"
+
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 namespace cranberryreel::cell::planning
 {
 
-namespace
-{
-
 using std::chrono::milliseconds;
 
-constexpr int WholePercent = 100;
-/// A run with less reported progress is forecast by its estimate; the first percents are too coarse.
-constexpr int MinPercent = 10;
-
-std::optional<milliseconds> remainingTime(const RunView &view, const wire::StepT &step, double speed)
-{
-    if (view.percent >= MinPercent) {
-        return view.elapsed * (WholePercent - std::min(view.percent, WholePercent)) / view.percent;
-    }
-    const auto runTime = std::chrono::duration_cast<milliseconds>(milliseconds(step.estimate_ms) / speed);
-    return view.elapsed < runTime ? std::optional<milliseconds>(runTime - view.elapsed) : std::nullopt;
-}
-
-} // namespace
-
 ReleaseForecast::ReleaseForecast(const PlanInput &planInput)
     : input(planInput)
 {
--- a/src/cell/planning/ServicePool.cpp
+++ b/src/cell/planning/ServicePool.cpp
@@ -26,6 +26,13 @@
     return this->load.usable.countFitting(step, pair) < pair;
 }
 
+bool ServicePool::isMostlyFree() const
+{
+    const auto mostlyFree = [](std::int64_t free, std::int64_t total) { return total == 0 || 2 * free > total; };
+    return mostlyFree(this->load.free.cpuMillis, this->load.usable.cpuMillis) && mostlyFree(this->load.free.memoryMib, this->load.usable.memoryMib)
+        && mostlyFree(this->load.free.accelerators, this->load.usable.accelerators);
+}
+
 std::int64_t ServicePool::headroomCpuMillis() const
 {
     if (this->fast && this->fast->urgentNeedCpuMillis()) {
--- a/src/cell/planning/ServicePool.h
+++ b/src/cell/planning/ServicePool.h
@@ -32,6 +32,7 @@
     Capacity unreserved; ///< Free capacity, less what steps with a pending advice query are expected to use.
     /// Free or reclaimable capacity, less the needs of the waiting large work admitted in this plan; empty until the first of it.
     std::optional<Capacity> largeWorkBudget;
+    bool servesLargeWork = false; ///< Some large work earlier in the order has reserved upstreams, or asks for tickets.
     bool servesUrgent = false; ///< Some queue of priority 0 sends work to this service.
     std::optional<FastCapacity> fast; ///< Set where placement considers speed.
     ServiceLoad load;
@@ -39,6 +40,9 @@
     /// Whether a task of the step takes more than half of an average upstream, so that small tasks on every upstream could keep it waiting for ever.
     bool isLargeTask(const wire::StepT &step) const;
 
+    /// Whether under half of each resource of the usable upstreams is in use.
+    bool isMostlyFree() const;
+
     /// Processor time that work of other priorities leaves free for urgent work, in thousandths of a core. Where placement considers speed, it follows from
     /// observed use.
     std::int64_t headroomCpuMillis() const;
--- a/src/cell/planning/UpstreamCapacity.cpp
+++ b/src/cell/planning/UpstreamCapacity.cpp
@@ -10,6 +10,9 @@
     this->free.allocate(step);
     this->unreserved.allocate(step);
     this->freeAfterStops.allocate(step);
+    if (step.lasting) {
+        this->freeWhenDrained.allocate(step);
+    }
     ++this->runs;
     this->fillerTasks += step.filler ? 1 : 0;
     this->servingTasks += servesUsers(step) ? 1 : 0;
@@ -20,6 +23,9 @@
     this->free.release(step);
     this->unreserved.release(step);
     this->freeAfterStops.release(step);
+    if (step.lasting) {
+        this->freeWhenDrained.release(step);
+    }
     --this->runs;
     this->fillerTasks -= step.filler ? 1 : 0;
     this->servingTasks -= servesUsers(step) ? 1 : 0;
@@ -45,6 +51,7 @@
         capacity.free = Capacity::totalOf(upstream);
         capacity.unreserved = capacity.free;
         capacity.freeAfterStops = capacity.free;
+        capacity.freeWhenDrained = capacity.free;
         capacity.speed = uneven ? speeds->speedOf(number) : 1.0;
         while (tracker != trackers.end() && tracker->first < number) {
             ++tracker;
--- a/src/cell/planning/UpstreamCapacity.h
+++ b/src/cell/planning/UpstreamCapacity.h
@@ -8,6 +8,7 @@
 
 #include "cranberryreel/base/Clock.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -16,10 +17,11 @@
 namespace cranberryreel::cell::planning
 {
 
-/// Which work may still start on an upstream that is set aside for a waiting gang.
+/// Which work may still start on an upstream that is set aside for waiting large work. HoldTerms ends each reservation.
 enum class Reservation : std::uint8_t {
     None, ///< Any work; the upstream is not reserved.
-    PreemptibleOnly, ///< Only work that can be preempted for the gang later.
+    AgainstGangs, ///< Any work but another gang, which would take tickets or room that the gang is waiting to have together.
+    Draining, ///< Only work that can be preempted for the gang later, or that ends before the upstream will have drained.
     Exclusive ///< No work but that of the gang.
 };
 
@@ -31,11 +33,14 @@
     Capacity free; ///< Capacity that no run uses.
     Capacity unreserved; ///< Free capacity, less what steps with a pending advice query about this upstream are expected to use.
     Capacity freeAfterStops; ///< Free capacity once the pending stops have ended, less what is reserved for steps that wait for those stops.
+    Capacity freeWhenDrained; ///< Capacity that no task that lasts uses: all that can become free by itself.
     std::size_t runs = 0;
     int fillerTasks = 0; ///< Running tasks of filler steps, which use leftover capacity.
     int servingTasks = 0; ///< Running tasks that serve users; see servesUsers().
     int failuresInRow = 0; ///< Tasks of different jobs that failed there since the last success.
-    Reservation reservation = Reservation::None; ///< For a waiting gang.
+    Reservation reservation = Reservation::None; ///< For waiting large work.
+    std::chrono::milliseconds drainTime{0}; ///< Where reserved as Draining: until the large work will have room.
+    int drainPriority = 0; ///< Where reserved as Draining: the priority of the large work.
     double speed = 1.0; ///< Relative to the mean; 1 unless placement considers speed.
 
     /// Counts one more task of the step as running.
--- a/src/cell/planning/WaitReason.h
+++ b/src/cell/planning/WaitReason.h
@@ -17,6 +17,8 @@
     Stops, ///< Everything is reserved; runs that are being stopped still use it.
     Budget, ///< Large work earlier in the order takes all that the service could hold.
     ReservationLimit, ///< Large work earlier in the order has as many upstreams reserved as may be.
+    Blocked, ///< The upstreams would not hold it once they have drained: tasks that last or runs that do not end are in the way.
+    Yielding, ///< It reserved upstreams for its term, and lets other work go first for as long.
     Quota ///< The team's quota leaves nothing for it, or is kept for an earlier step of the team.
 };
 
--- a/tests/cell/PlannedCell.h
+++ b/tests/cell/PlannedCell.h
@@ -41,6 +41,7 @@
     bool considersSpeed = false;
     double farRackFactor = 1.5;
     cell::planning::UrgentDemand urgentDemand;
+    cell::planning::HoldTerms holdTerms;
     const base::SteadyTime now = base::SteadyTime() + std::chrono::hours(1);
 
     PlannedCell()
@@ -100,6 +101,7 @@
         cell::planning::PlanInput input{this->state, this->trackers, this->advice, this->failedUpstreams, this->acceptedAt, time, view};
         input.speeds = this->considersSpeed ? &this->speeds : nullptr;
         input.urgentDemand = &this->urgentDemand;
+        input.holdTerms = &this->holdTerms;
         input.farRackFactor = this->farRackFactor;
         return cell::planning::Planner(input).makePlan();
     }
