Start lasting tasks again whatever is kept for other work

Cause: leavesHeadroom() let work of all queues but urgent ones start only where 12% of the processor time stay free. Each urgent task takes from just that, so one of them was enough to stop all other starts, and a restart was treated like a first start.

Fix: a restart takes again what the task had, so neither the headroom nor fast capacity kept for urgent work nor a reservation for large work keeps it from starting. Urgent work ranks before it, first starts leave the headroom as before, so it fills up again. On related paths: a step that could not leave the headroom on an empty service may use it, and the headroom is at most half of what can become free.

--- a/src/cell/planning/AdviceQueryPlanner.cpp
+++ b/src/cell/planning/AdviceQueryPlanner.cpp
@@ -108,12 +108,13 @@
 
 std::optional<AdviceQuery> AdviceQueryPlanner::planQuery(const ReadyStep &ready, std::uint32_t unplaced, ServicePool &pool) const
 {
-    if (!this->mayQuery(ready) || !leavesHeadroom(ready, pool)) {
+    if (!this->mayQuery(ready) || !leavesHeadroom(ready, ready.waiting.front(), pool)) {
         return std::nullopt;
     }
     Capacity unreserved = pool.unreserved;
-    unreserved.cpuMillis -= mayUseHeadroom(ready) ? 0 : pool.headroomCpuMillis();
-    std::uint32_t tasks = unreserved.countFitting(*ready.step, unplaced);
+    const std::uint32_t inHeadroom = countInHeadroom(ready, pool);
+    unreserved.cpuMillis -= inHeadroom > 0 ? 0 : pool.headroomCpuMillis();
+    std::uint32_t tasks = unreserved.countFitting(*ready.step, inHeadroom > 0 ? std::min(unplaced, inHeadroom) : unplaced);
     std::vector<UpstreamCapacity *> chosen;
     if (tasks > 0) {
         chosen = this->chooseUpstreams(ready, tasks, pool, [](const UpstreamCapacity &capacity) { return capacity.unreserved; });
@@ -149,7 +150,7 @@
 AdviceQueryPlanner::groupUpstreams(const ReadyStep &ready, std::uint32_t tasks, const ServicePool &pool, const AvailableCapacity &availableOn) const
 {
     const StepAdvice &advice = this->input.advice.adviceFor(ready.key);
-    const bool keepsFast = pool.fast && !mayUseHeadroom(ready) && pool.fast->countFitting(ready, 1) == 0;
+    const bool keepsFast = pool.fast && !countsAsUrgent(ready) && countRestarts(ready) == 0 && pool.fast->countFitting(ready, 1) == 0;
     UpstreamGroups groups;
     for (UpstreamCapacity *capacity : pool.capacities) {
         const std::uint32_t taskLimit = this->rules.mayRunOn(ready, *capacity) ? this->rules.remainingTaskLimit(ready, *capacity) : 0;
--- a/src/cell/planning/FastCapacity.cpp
+++ b/src/cell/planning/FastCapacity.cpp
@@ -43,7 +43,7 @@
     const std::int64_t cpuMillis = started * static_cast<std::int64_t>(ready.step->cpu_millis);
     this->freeCpuMillis -= this->contains(capacity) ? cpuMillis : 0;
     this->serviceFreeCpuMillis -= cpuMillis;
-    this->urgentUseCpuMillis += mayUseHeadroom(ready) ? cpuMillis : 0;
+    this->urgentUseCpuMillis += countsAsUrgent(ready) ? cpuMillis : 0;
 }
 
 std::uint32_t FastCapacity::countFitting(const ReadyStep &ready, std::uint32_t most) const
--- a/src/cell/planning/PlacementRules.cpp
+++ b/src/cell/planning/PlacementRules.cpp
@@ -34,11 +34,15 @@
 {
     const wire::StepT &step = *ready.step;
     const bool sharingAllowed = !(step.filler && capacity.servingTasks > 0) && !(servesUsers(step) && capacity.fillerTasks > 0);
-    return capacity.usable && sharingAllowed && respectsReservation(ready, capacity) && (step.label.empty() || capacity.hasLabel(step.label));
+    return capacity.usable && sharingAllowed && respectsReservation(ready, ready.waiting.front(), capacity)
+        && (step.label.empty() || capacity.hasLabel(step.label));
 }
 
-bool PlacementRules::respectsReservation(const ReadyStep &ready, const UpstreamCapacity &capacity)
+bool PlacementRules::respectsReservation(const ReadyStep &ready, std::uint32_t task, const UpstreamCapacity &capacity)
 {
+    if (isRestart(ready, task)) {
+        return true;
+    }
     const wire::StepT &step = *ready.step;
     switch (capacity.reservation) {
     case Reservation::None:
--- a/src/cell/planning/PlacementRules.h
+++ b/src/cell/planning/PlacementRules.h
@@ -17,11 +17,11 @@
 public:
     explicit PlacementRules(const PlanInput &planInput);
 
-    /// Whether the upstream's state, reservation, labels and other tasks allow the step there.
+    /// Whether the upstream's state, reservation, labels and other tasks allow the step there, for its first waiting task.
     bool mayRunOn(const ReadyStep &ready, const UpstreamCapacity &capacity) const;
 
-    /// Whether the upstream's reservation for large work lets the step start there.
-    static bool respectsReservation(const ReadyStep &ready, const UpstreamCapacity &capacity);
+    /// Whether the upstream's reservation for large work lets the waiting task start there.
+    static bool respectsReservation(const ReadyStep &ready, std::uint32_t task, const UpstreamCapacity &capacity);
 
     /// True when the step needs no advice, or has a ticket for this incarnation of the upstream that is valid long enough.
     bool hasRequiredTicket(const ReadyStep &ready, const StepAdvice &advice, const UpstreamCapacity &capacity) const;
--- a/src/cell/planning/Planner.cpp
+++ b/src/cell/planning/Planner.cpp
@@ -121,7 +121,7 @@
 /// Why a step without reservations waits; `query` is what it asks the advice service in this plan.
 WaitReason Planner::waitReason(const ReadyStep &ready, const ServicePool &pool, const std::optional<AdviceQuery> &query) const
 {
-    if (!leavesHeadroom(ready, pool)) {
+    if (!leavesHeadroom(ready, ready.waiting.front(), pool)) {
         return WaitReason::Headroom;
     }
     return query && query->timing == QueryTiming::Immediate ? WaitReason::Advice : WaitReason::Capacity;
@@ -180,7 +180,7 @@
 UpstreamCapacity *Planner::bestUpstream(const ReadyStep &ready, std::uint32_t task, const std::vector<Candidate> &candidates) const
 {
     UpstreamCapacity *best = nullptr;
-    auto bestRank = std::make_tuple(0, true, true, 0, std::int64_t{0}, std::int64_t{0});
+    auto bestRank = std::make_tuple(false, 0, true, true, 0, std::int64_t{0}, std::int64_t{0});
     const auto failed = this->input.failedUpstreams.find({ready.key, task});
     std::optional<bool> leavesEnough; // The same for all fast upstreams.
     for (const Candidate &candidate : candidates) {
@@ -188,14 +188,18 @@
         if (capacity.free.countFitting(*ready.step, 1) == 0 || this->rules.remainingTaskLimit(ready, capacity) == 0) {
             continue;
         }
-        if (candidate.keptForUrgent != nullptr) {
+        if (!PlacementRules::respectsReservation(ready, task, capacity)) {
+            continue;
+        }
+        if (candidate.keptForUrgent != nullptr && !isRestart(ready, task)) {
             leavesEnough = leavesEnough ? leavesEnough : candidate.keptForUrgent->countFitting(ready, 1) > 0;
             if (!*leavesEnough) {
                 continue;
             }
         }
         const bool failedHere = failed != this->input.failedUpstreams.end() && failed->second.count(capacity.upstream->number) > 0;
-        const auto rank = std::make_tuple(candidate.speedRank + (failedHere ? FailedHereRank : 0),
+        const auto rank = std::make_tuple(capacity.reservation != Reservation::None,
+                                          candidate.speedRank + (failedHere ? FailedHereRank : 0),
                                           candidate.offRack,
                                           candidate.otherZone,
                                           capacity.failuresInRow,
@@ -242,13 +246,13 @@
 std::vector<std::uint32_t> Planner::placeTasks(const ReadyStep &ready, ServicePool &pool)
 {
     const std::uint32_t startable = this->ledger.fitting(ready, static_cast<std::uint32_t>(ready.waiting.size()));
-    if (startable == 0 || !leavesHeadroom(ready, pool)) {
+    if (startable == 0 || !leavesHeadroom(ready, ready.waiting.front(), pool)) {
         return ready.waiting;
     }
     const std::vector<Candidate> candidates = this->candidatesFor(ready, pool);
     for (std::size_t i = 0; i < ready.waiting.size(); ++i) {
         const std::uint32_t task = ready.waiting[i];
-        UpstreamCapacity *capacity = i < startable && leavesHeadroom(ready, pool) ? this->bestUpstream(ready, task, candidates) : nullptr;
+        UpstreamCapacity *capacity = i < startable && leavesHeadroom(ready, task, pool) ? this->bestUpstream(ready, task, candidates) : nullptr;
         if (capacity == nullptr) {
             return {ready.waiting.begin() + static_cast<std::ptrdiff_t>(i), ready.waiting.end()};
         }
@@ -269,7 +273,7 @@
     }
     const std::size_t startsBefore = this->plan.starts.size();
     for (const std::uint32_t task : ready.waiting) {
-        UpstreamCapacity *capacity = leavesHeadroom(ready, pool) ? this->bestUpstream(ready, task, candidates) : nullptr;
+        UpstreamCapacity *capacity = leavesHeadroom(ready, task, pool) ? this->bestUpstream(ready, task, candidates) : nullptr;
         if (capacity == nullptr) {
             this->undoStarts(ready, startsBefore, pool);
             return ready.waiting;
--- a/src/cell/planning/ReadySteps.cpp
+++ b/src/cell/planning/ReadySteps.cpp
@@ -15,6 +15,11 @@
     return std::all_of(step.after.begin(), step.after.end(), [&occurrence](std::uint32_t earlier) { return isDone(*occurrence.steps[earlier]); });
 }
 
+bool isRestartOf(const wire::StepT &step, const wire::TaskT &task)
+{
+    return step.lasting && task.last_attempt > 0;
+}
+
 std::vector<std::uint32_t> waitingTasks(const wire::StepT &step, const wire::StepStateT &state)
 {
     std::vector<std::uint32_t> waiting;
@@ -25,6 +30,7 @@
             waiting.push_back(i);
         }
     }
+    std::stable_partition(waiting.begin(), waiting.end(), [&](std::uint32_t task) { return isRestartOf(step, *state.tasks[task]); });
     return step.gang && running ? std::vector<std::uint32_t>() : waiting;
 }
 
@@ -40,11 +46,22 @@
     return ready.job->spec->beyond_rate;
 }
 
-bool mayUseHeadroom(const ReadyStep &ready)
+bool countsAsUrgent(const ReadyStep &ready)
 {
     return isUrgent(ready) && !isBeyondRate(ready);
 }
 
+bool isRestart(const ReadyStep &ready, std::uint32_t task)
+{
+    return isRestartOf(*ready.step, *ready.state->tasks[task]);
+}
+
+std::uint32_t countRestarts(const ReadyStep &ready)
+{
+    const auto count = std::count_if(ready.waiting.begin(), ready.waiting.end(), [&ready](std::uint32_t task) { return isRestart(ready, task); });
+    return static_cast<std::uint32_t>(count);
+}
+
 std::vector<ReadyStep> readySteps(const CellState &state)
 {
     std::vector<ReadyStep> ready;
--- a/src/cell/planning/ServicePool.cpp
+++ b/src/cell/planning/ServicePool.cpp
@@ -10,6 +10,14 @@
 
 /// The share of a service's usable processor time that is headroom for work of priority 0, whose bursts come on top of a service that is otherwise full.
 constexpr double UrgentHeadroomShare = 0.12;
+/// Where tasks that last take nearly all of a service, other work gets a part of the rest too.
+constexpr std::int64_t MaxHeadroomDivisor = 2;
+
+bool canEverLeaveHeadroom(const ReadyStep &ready, const ServicePool &pool)
+{
+    const auto together = static_cast<std::int64_t>(ready.step->gang ? ready.waiting.size() : 1);
+    return pool.load.drained.cpuMillis - together * std::int64_t{ready.step->cpu_millis} >= pool.headroomCpuMillis();
+}
 
 void addNonNegative(Capacity &sum, const Capacity &each)
 {
@@ -35,15 +43,27 @@
 
 std::int64_t ServicePool::headroomCpuMillis() const
 {
+    const std::int64_t most = this->load.drained.cpuMillis / MaxHeadroomDivisor;
     if (this->fast && this->fast->urgentNeedCpuMillis()) {
-        return std::min(*this->fast->urgentNeedCpuMillis(), this->load.usable.cpuMillis / 2);
+        return std::min(*this->fast->urgentNeedCpuMillis(), most);
     }
-    return this->servesUrgent ? static_cast<std::int64_t>(UrgentHeadroomShare * static_cast<double>(this->load.usable.cpuMillis)) : 0;
+    return this->servesUrgent ? std::min(static_cast<std::int64_t>(UrgentHeadroomShare * static_cast<double>(this->load.usable.cpuMillis)), most) : 0;
+}
+
+bool mayUseHeadroom(const ReadyStep &ready, std::uint32_t task, const ServicePool &pool)
+{
+    return countsAsUrgent(ready) || isRestart(ready, task) || !canEverLeaveHeadroom(ready, pool);
+}
+
+std::uint32_t countInHeadroom(const ReadyStep &ready, const ServicePool &pool)
+{
+    const bool all = countsAsUrgent(ready) || !canEverLeaveHeadroom(ready, pool);
+    return all ? static_cast<std::uint32_t>(ready.waiting.size()) : countRestarts(ready);
 }
 
-bool leavesHeadroom(const ReadyStep &ready, const ServicePool &pool)
+bool leavesHeadroom(const ReadyStep &ready, std::uint32_t task, const ServicePool &pool)
 {
-    return mayUseHeadroom(ready) || pool.load.free.cpuMillis - static_cast<std::int64_t>(ready.step->cpu_millis) >= pool.headroomCpuMillis();
+    return mayUseHeadroom(ready, task, pool) || pool.load.free.cpuMillis - static_cast<std::int64_t>(ready.step->cpu_millis) >= pool.headroomCpuMillis();
 }
 
 std::map<std::string, ServicePool> servicePools(const CellState &state, CapacityTable &capacities)
@@ -61,6 +81,7 @@
         if (capacity.usable) {
             ++pool.usableUpstreams;
             addNonNegative(pool.load.usable, Capacity::totalOf(*capacity.upstream));
+            addNonNegative(pool.load.drained, capacity.freeWhenDrained);
             addNonNegative(pool.load.free, capacity.free);
         }
     }
--- a/src/cell/planning/ServicePool.h
+++ b/src/cell/planning/ServicePool.h
@@ -18,6 +18,7 @@
 struct ServiceLoad {
     std::string service;
     Capacity usable; ///< Total capacity of the usable upstreams.
+    Capacity drained; ///< The same without what tasks that last use: all that can become free by itself.
     Capacity free; ///< Free capacity of the usable upstreams.
     std::size_t runs = 0; ///< Runs recorded before this plan.
     std::size_t urgentWaiting = 0; ///< Tasks of priority 0 that are ready to start and were not placed.
@@ -43,13 +44,20 @@
     /// Whether under half of each resource of the usable upstreams is in use.
     bool isMostlyFree() const;
 
-    /// Processor time that work of other priorities leaves free for urgent work, in thousandths of a core. Where placement considers speed, it follows from
-    /// observed use.
+    /// Processor time that work of other priorities leaves free for urgent work, in thousandths of a core: at most half of what can become free. Where
+    /// placement considers speed, it follows from observed use.
     std::int64_t headroomCpuMillis() const;
 };
 
-/// Whether the headroom for urgent work remains when one more task of the step starts.
-bool leavesHeadroom(const ReadyStep &ready, const ServicePool &pool);
+/// Whether no headroom keeps the waiting task from starting: it is urgent or a restart, or its step is so large that it could never leave the headroom, even
+/// with all else of the service done.
+bool mayUseHeadroom(const ReadyStep &ready, std::uint32_t task, const ServicePool &pool);
+
+/// The number of waiting tasks for which that holds.
+std::uint32_t countInHeadroom(const ReadyStep &ready, const ServicePool &pool);
+
+/// Whether the headroom for urgent work remains when the waiting task starts, or need not remain.
+bool leavesHeadroom(const ReadyStep &ready, std::uint32_t task, const ServicePool &pool);
 
 /// The pools, by service, of all services named by the rules or by upstreams.
 std::map<std::string, ServicePool> servicePools(const CellState &state, CapacityTable &capacities);
--- a/src/cell/planning/SpeedPlacement.cpp
+++ b/src/cell/planning/SpeedPlacement.cpp
@@ -28,7 +28,7 @@
 
 const FastCapacity *keptForUrgent(const ReadyStep &ready, const ServicePool &pool, const UpstreamCapacity &capacity)
 {
-    return pool.fast && !mayUseHeadroom(ready) && pool.fast->contains(capacity) ? &*pool.fast : nullptr;
+    return pool.fast && !countsAsUrgent(ready) && pool.fast->contains(capacity) ? &*pool.fast : nullptr;
 }
 
 SpeedPlacement::SpeedPlacement(const PlanInput &planInput, CapacityTable &capacities, std::map<std::string, ServicePool> &pools)
--- a/tests/cell/planning/SimulatedService.h
+++ b/tests/cell/planning/SimulatedService.h
@@ -64,6 +64,22 @@
         }
     }
 
+    /// All runs of the job fail now.
+    void endRunsOf(std::uint64_t jobNumber)
+    {
+        for (auto each = this->running.begin(); each != this->running.end();) {
+            const cell::RunKey key = (each++)->first;
+            if (key.task.step.job == jobNumber) {
+                this->endRun(key, cell::wire::EndKind::Failed);
+            }
+        }
+    }
+
+    bool isRunning(std::uint64_t jobNumber) const
+    {
+        return std::any_of(this->running.begin(), this->running.end(), [&](const auto &each) { return each.first.task.step.job == jobNumber; });
+    }
+
     bool hasStarted(std::uint64_t jobNumber) const
     {
         return this->startedAt.count(jobNumber) > 0;
