End the reservation of a zone's gang that something blocks

Callers would see: in a zone, a gang that waits for a task that never ends keeps all longer work off the VMs reserved for it, which stand idle, for as long as the task goes on.

Cause: GangReserver takes an overdue task to need half as long again, at each scan anew, so the expected start moves away for ever; nothing else ended a reservation.

Fix: the first scan sets the term of a reservation, twice the expected wait and 10 s. Then the VMs are released, and the job may reserve again after as long; work that it kept out starts meanwhile.

Evidence: GangTest/aReservationForAGangThatATaskBlocksEndsAndComesBack failed before (in two minutes the four tasks behind the gang had not started) and passes; it also shows that the gang reserves again. All policy_tests pass.

--- a/src/policy/GangReserver.cpp
+++ b/src/policy/GangReserver.cpp
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds RetryInterval{200};
 constexpr std::chrono::seconds DefaultRemaining{600};
 constexpr std::chrono::seconds MinRemaining{1};
+/// A reservation lasts for this many times the expected wait, and so much longer.
+constexpr int WaitFactor = 2;
+constexpr std::chrono::seconds OverdueAllowance{10};
 
 std::uint32_t countThatFit(const model::Resources &need, const model::Resources &freeCapacity, std::int64_t slots)
 {
@@ -180,6 +183,9 @@
         return false;
     }
     this->expectedStartAt = this->earliestEvents.front().at;
+    if (this->reservedUntil == base::SteadyTime::max()) {
+        this->reservedUntil = this->reservedSince + WaitFactor * (this->expectedStartAt - this->reservedSince) + OverdueAllowance;
+    }
     absl::btree_map<VmIndex, std::uint32_t> chosen;
     for (const CapacityEvent &event : this->earliestEvents) {
         chosen[event.vm] = 0;
@@ -209,6 +215,8 @@
     this->zone.releaseReservedVm(entry);
     this->job = index;
     this->expectedStartAt = now;
+    this->reservedSince = now;
+    this->reservedUntil = base::SteadyTime::max();
     this->beginScan();
     if (!this->scanSlice(now)) {
         this->releaseReservation();
@@ -267,6 +275,10 @@
         this->startOnReservedVms();
         return true;
     }
+    if (now >= this->reservedUntil) {
+        this->yieldReservation(now);
+        return false;
+    }
     const auto interval = this->zone.jobs.at(this->job).kind == model::JobKind::Gang ? RescanInterval : SingleTaskRescanInterval;
     if (this->nextScannedVm == NoIndex && now - this->chosenAt >= interval) {
         this->beginScan();
@@ -301,6 +313,13 @@
     }
 }
 
+/// Work that the reservation kept out goes first for as long as it lasted.
+void GangReserver::yieldReservation(base::SteadyTime now)
+{
+    this->zone.jobs.at(this->job).nextReserveAt = now + (now - this->reservedSince);
+    this->releaseReservation();
+}
+
 void GangReserver::releaseReservation()
 {
     for (const auto &[vm, fits] : this->reservedVms) {
--- a/src/policy/GangReserver.h
+++ b/src/policy/GangReserver.h
@@ -13,7 +13,8 @@
 {
 
 /// Starts the tasks of a gang all at once. For one job at a time that does not fit, reserves VMs: new work is kept off them unless it ends before the job is
-/// expected to start. As only one job has a reservation, gangs never hold parts of what each other needs. Owned by the planner; used by its thread only.
+/// expected to start. As only one job has a reservation, gangs never hold parts of what each other needs. A reservation ends when the job is long overdue, for
+/// as long as it lasted: what the job waits for may never end. Owned by the planner; used by its thread only.
 class GangReserver
 {
 public:
@@ -82,11 +83,14 @@
     void updateFitCounts();
     void startOnReservedVms();
     void releaseReservation();
+    void yieldReservation(base::SteadyTime now);
 
     ZoneState &zone;
     JobIndex job = NoIndex;
     base::SteadyTime expectedStartAt;
     base::SteadyTime chosenAt;
+    base::SteadyTime reservedSince;
+    base::SteadyTime reservedUntil; ///< Set by the first scan of the reservation, and not extended by later ones.
     base::SteadyTime lastScanAt;
     VmIndex nextScannedVm = NoIndex; ///< The next VM to scan; NoIndex between scans.
     std::vector<CapacityEvent> earliestEvents; ///< A max-heap by time: the earliest events of this scan that together free enough capacity.
--- a/tests/policy/GangTest.cpp
+++ b/tests/policy/GangTest.cpp
@@ -126,4 +126,24 @@
     BOOST_TEST(started);
 }
 
+/// Failure: a gang waited for a task that never ended, and its reservation kept longer work off the idle VMs for ever. Both sides: the gang reserves again.
+BOOST_AUTO_TEST_CASE(aReservationForAGangThatATaskBlocksEndsAndComesBack)
+{
+    this->enqueueBatch("stuck", 1, 10s);
+    this->planAndStart();
+    this->enqueue(spec("g", JobKind::Gang, Core, 16, "b"));
+    this->plan();
+    this->enqueueBatch("long", 4, 1h, "c");
+    BOOST_TEST(this->plan().empty());
+    bool longStarted = false;
+    bool reservedAgain = false;
+    for (int second = 0; second < 120; ++second) {
+        this->now += 1s;
+        longStarted = count(this->planAndStart(), DecisionKind::Start, "long") > 0 || longStarted;
+        reservedAgain = reservedAgain || (longStarted && this->planner->explain("g", this->now).find("VMs reserved") != std::string::npos);
+    }
+    BOOST_TEST(longStarted);
+    BOOST_TEST(reservedAgain);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
