--- a/src/cell/planning/LargeWorkReserver.cpp
+++ b/src/cell/planning/LargeWorkReserver.cpp
@@ -133,6 +133,7 @@
         reservation = Reservation::AgainstGangs;
     }
     if (covered < tasks) {
+        // Nothing can run there yet, so nothing is preempted; only what could be preempted later may start.
         for (const Option &option : options) {
             option.capacity->reservation = reservation == Reservation::Exclusive ? Reservation::Draining : Reservation::None;
             option.capacity->drainPriority = ready.queue->priority;
--- a/src/cell/planning/Planner.h
+++ b/src/cell/planning/Planner.h
@@ -47,7 +47,7 @@
 /// Fillers never share an upstream with tasks that serve users, since they would slow those down. All tasks of a gang start together or none does. A zone that
 /// is cut off must not delay jobs of other zones, so a job stays in its submitter's zone while there is free capacity. Small work that keeps all upstreams
 /// partly used would starve gangs and tasks that need most of an upstream, so small work on accelerators goes where the least capacity is free, and large work
-/// that does not fit reserves upstreams, where nothing else starts.
+/// that does not fit reserves upstreams for a time (LargeWorkReserver).
 class Planner
 {
 public:
