Drain for large work only after it has waited for 2.5 s

Cause: a gang drained upstreams in the plan after its submission, although most gangs get their room sooner by themselves.

Change: it drains once it has waited for 2.5 s.

GangReservationTest/aGangThatHasJustComeLeavesTheServiceFull failed before; the other six cases still pass with their bounds.

--- a/src/cell/planning/Planner.cpp
+++ b/src/cell/planning/Planner.cpp
@@ -15,6 +15,15 @@
 /// Upstreams where the task failed rank behind those of all speeds.
 constexpr int FailedHereRank = 64;
 
+/// Large work beyond what can be had now drains upstreams once it has waited for so long: draining costs other work room, and most gangs get theirs sooner.
+constexpr std::chrono::milliseconds MinWaitToDrain{2500};
+
+bool hasWaitedToDrain(const PlanInput &input, const ReadyStep &ready)
+{
+    const auto accepted = input.acceptedAt.find(ready.key.job);
+    return accepted == input.acceptedAt.end() || input.now - accepted->second >= MinWaitToDrain;
+}
+
 } // namespace
 
 Planner::Planner(const PlanInput &planInput)
@@ -306,7 +315,7 @@
     const std::uint32_t tasks = ready.step->gang ? unplaced : 1;
     const bool admitted = this->largeWork.admit(ready, tasks, pool);
     // The first step beyond what can be had now may still drain upstreams: it would wait for as long as small work keeps coming.
-    if (!admitted && pool.servesLargeWork) {
+    if (!admitted && (pool.servesLargeWork || !hasWaitedToDrain(this->input, ready))) {
         reason = WaitReason::Budget;
         return std::nullopt;
     }
--- a/tests/cell/planning/GangReservationTest.cpp
+++ b/tests/cell/planning/GangReservationTest.cpp
@@ -91,6 +91,17 @@
     BOOST_TEST(service.waitOf(waiting).count() < milliseconds(seconds(5)).count());
 }
 
+/// The price of that: a gang that has come just now empties no upstreams.
+BOOST_AUTO_TEST_CASE(aGangThatHasJustComeLeavesTheServiceFull)
+{
+    SimulatedService service(4, UpstreamCpuMillis);
+    Stream stream = overload(service);
+    service.run(seconds(5), std::ref(stream));
+    service.submit("gangs", gang(4, 33000), seconds(1));
+    service.run(seconds(2), std::ref(stream));
+    BOOST_TEST(service.runningTasks() == 64U);
+}
+
 /// Failure: a gang that could not run kept the capacity that large work may wait for.
 BOOST_AUTO_TEST_CASE(aGangStartsBehindOneThatCannotRun)
 {
--- a/tests/cell/planning/SimulatedService.h
+++ b/tests/cell/planning/SimulatedService.h
@@ -85,6 +85,11 @@
         return this->startedAt.count(jobNumber) > 0;
     }
 
+    std::size_t runningTasks() const
+    {
+        return this->running.size();
+    }
+
     /// From its submission to its first start, or until now.
     std::chrono::milliseconds waitOf(std::uint64_t jobNumber) const
     {
