--- a/review/standins-3/Runner.cpp
+++ b/review/standins-3/Runner.cpp
@@ -95,6 +95,16 @@
     this->server->stop(std::chrono::milliseconds(0));
 }
 
+bool Runner::fail(const std::string &task)
+{
+    const absl::MutexLock lock(&this->mutex);
+    const bool found = this->runs.count(task) > 0;
+    if (found) {
+        this->endRun(task, "failed");
+    }
+    return found;
+}
+
 void Runner::drain()
 {
     const absl::MutexLock lock(&this->mutex);
@@ -236,7 +246,9 @@
     constexpr std::chrono::hours Forever{24};
     Run run;
     run.attempt = attempt;
-    run.until = spec == "forever" ? now + Forever : now + std::chrono::milliseconds(std::strtol(spec.c_str(), nullptr, 10));
+    run.fails = spec.rfind("fail", 0) == 0;
+    const std::string time = run.fails ? spec.substr(std::string("fail").size()) : spec;
+    run.until = spec == "forever" ? now + Forever : now + std::chrono::milliseconds(std::strtol(time.c_str(), nullptr, 10));
     run.seen = this->seen.size();
     this->seen.push_back({task, attempt, this->options.id, this->record.elapsed(), std::chrono::milliseconds(-1), ""});
     this->runs[task] = run;
@@ -290,7 +302,7 @@
         }
     }
     for (const std::string &task : done) {
-        this->endRun(task, "done");
+        this->endRun(task, this->runs.at(task).fails ? "failed" : "done");
     }
     while (this->clock() > this->lease && !this->runs.empty()) {
         this->endRun(std::string(this->runs.begin()->first), "lapsed");
--- a/review/standins-3/Runner.h
+++ b/review/standins-3/Runner.h
@@ -43,7 +43,7 @@
 };
 
 /// A sound runner: keeps fencing tokens, leases, ends and stops as PROTOCOL.md says, and sends heartbeats. The text of a task's `Spec` says how long it runs:
-/// milliseconds, or "forever". Any thread. Owned by the case.
+/// milliseconds, "fail" and milliseconds for a task that ends failed, or "forever". Any thread. Owned by the case.
 class Runner
 {
 public:
@@ -55,6 +55,9 @@
     /// Ends the runner at once: what runs there ends, its port refuses connections, and it sends nothing any more.
     void crash();
 
+    /// Ends a task that runs here as failed. Returns whether it ran here.
+    bool fail(const std::string &task);
+
     /// Sends heartbeats with State draining from now on.
     void drain();
 
@@ -79,6 +82,7 @@
     struct Run {
         std::uint32_t attempt = 0;
         std::chrono::steady_clock::time_point until;
+        bool fails = false;
         std::size_t seen = 0;
     };
     struct End {
